--- /dev/null
+++ b/crates/aspenline/src/main.rs
@@ -0,0 +1,2 @@
+//! Entry point of the command line.
+fn main() {}
--- /dev/null
+++ b/crates/fake/src/main.rs
@@ -0,0 +1,2 @@
+//! Stand-in processes.
+fn main() {}
