feat(fake): stand in for platform, runners and network

Proofs of the fleet need counterparts that misbehave on order, on real sockets. One binary holds four: the platform (log with retention and lost answers, lists of instances per viewer), a model engine with continuous batching that falls over when cold, a plain service that counts executions, and a proxy of many links.

A fallen runner keeps its address bound without listening, so that connections are refused by the system and no other process takes the port; accepting and resetting was ruled out, since a caller then can't know that no byte has arrived. A cold engine counts at admission only: requests that run when it turns cold by order go on slowly.

--- /dev/null
+++ b/crates/fake/src/engine/mod.rs
@@ -0,0 +1,214 @@
+//! A model engine with continuous batching and a cold start.
+
+mod generation;
+mod state;
+mod text;
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::net::TcpListener;
+
+use crate::reply;
+use crate::reply::Abort;
+use crate::reply::Answer;
+use crate::reply::Body;
+use crate::reply::Reply;
+use crate::server;
+use crate::server::Call;
+use crate::server::Hub;
+
+use generation::Generation;
+use state::Engine;
+use state::Refusal;
+
+pub use state::Load;
+pub use text::answer;
+pub use text::token;
+
+/// The prompt text at which the engine falls over.
+pub const CRASH_MARK: &str = "CRASH-RUNNER";
+
+/// How the engine behaves.
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// Requests that run at the same time.
+    pub slots: u32,
+    /// Time between two tokens of one request.
+    pub token_interval: Duration,
+    /// Time until the first token.
+    pub first_token: Duration,
+    /// Whether the engine starts cold.
+    pub is_cold: bool,
+    /// Requests that a cold engine bears at the same time, queued ones included.
+    pub cold_slots: u32,
+    /// Answered requests after which the engine is warm.
+    pub warm_after: u32,
+    /// How long connections are refused after a fall.
+    pub fall: Duration,
+    /// Time between two refreshes of the load report.
+    pub report_lag: Duration,
+    /// Whether orders with an older fence are refused.
+    pub checks_fencing: bool,
+}
+
+/// A request for a completion.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Completion {
+    /// The prompt.
+    pub prompt: String,
+    /// Tokens to generate.
+    pub max_tokens: u32,
+    /// Whether tokens are sent one by one.
+    #[serde(default)]
+    pub stream: bool,
+}
+
+/// An order of the fleet to the engine.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Order {
+    /// `load-model`, `load-adapter` or `set-role`.
+    pub order: String,
+    /// The name that the order concerns.
+    pub name: String,
+    /// The fence of the order.
+    pub fence: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Switch {
+    on: bool,
+}
+
+/// Serves the engine until the listener breaks.
+///
+/// # Errors
+/// Returns the error of the operating system.
+pub async fn run(settings: Settings, listener: TcpListener) -> io::Result<()> {
+    let hub = Arc::new(Hub::default());
+    let engine = Arc::new(Engine::new(settings, Arc::clone(&hub)));
+    let handler = Arc::clone(&engine);
+    let handle = move |call| {
+        let engine = Arc::clone(&handler);
+        async move { respond(&engine, call).await }
+    };
+    tokio::select! {
+        served = server::run(hub, listener, handle) => served,
+        () = refresh(&engine) => Ok(()),
+    }
+}
+
+async fn refresh(engine: &Engine) {
+    let mut ticks = tokio::time::interval(engine.settings().report_lag);
+    loop {
+        ticks.tick().await;
+        engine.refresh();
+    }
+}
+
+async fn respond(engine: &Arc<Engine>, call: Call) -> Reply {
+    let (parts, body) = call.request.into_parts();
+    let bytes = reply::read(body).await?;
+    let segments: Vec<&str> = parts.uri.path().trim_matches('/').split('/').collect();
+    match (&parts.method, segments.as_slice()) {
+        (&Method::POST, ["v1", "completions"]) => complete(engine, &parts, &bytes).await,
+        (&Method::DELETE, ["v1", "completions", attempt]) => {
+            let is_known = engine.cancel(attempt);
+            Ok(reply::empty(if is_known { StatusCode::OK } else { StatusCode::NOT_FOUND }))
+        }
+        (&Method::GET, ["load"]) => Ok(reply::json(StatusCode::OK, &engine.load())),
+        (&Method::POST, ["orders"]) => Ok(obey(engine, &bytes)),
+        (_, ["control", name]) => Ok(control(engine, name, &bytes)),
+        _ => Ok(reply::empty(StatusCode::NOT_FOUND)),
+    }
+}
+
+fn obey(engine: &Engine, bytes: &[u8]) -> Answer {
+    match reply::parse::<Order>(bytes) {
+        Ok(order) => match engine.obey(order) {
+            Ok(()) => reply::json(StatusCode::OK, &json!({})),
+            Err(highest) => reply::json(StatusCode::CONFLICT, &json!({ "highest": highest })),
+        },
+        Err(answer) => answer,
+    }
+}
+
+fn control(engine: &Engine, name: &str, bytes: &[u8]) -> Answer {
+    match name {
+        "journal" => return reply::json(StatusCode::OK, &engine.report()),
+        "cold" => engine.turn_cold(),
+        "crash" => engine.fall(),
+        "silent" | "refuse_resume" => match reply::parse::<Switch>(bytes) {
+            Ok(switch) if name == "silent" => engine.silence(switch.on),
+            Ok(switch) => engine.refuse_resume(switch.on),
+            Err(answer) => return answer,
+        },
+        _ => return reply::empty(StatusCode::NOT_FOUND),
+    }
+    reply::json(StatusCode::OK, &json!({}))
+}
+
+async fn complete(engine: &Arc<Engine>, parts: &http::request::Parts, bytes: &[u8]) -> Reply {
+    let completion: Completion = match reply::parse(bytes) {
+        Ok(completion) => completion,
+        Err(answer) => return Ok(answer),
+    };
+    let resume = reply::header(&parts.headers, "x-resume-from");
+    let from = resume.as_deref().and_then(|index| index.parse().ok());
+    let admitted = engine.admit(&parts.headers, bytes, from.is_some());
+    let ticket = match admitted {
+        Ok(ticket) => ticket,
+        Err(Refusal::NoResume) => return Ok(reply::empty(StatusCode::CONFLICT)),
+        Err(Refusal::Crash) => return Err(Abort),
+    };
+    let mut generation = Generation::new(ticket, &completion, from.unwrap_or_default());
+    generation.start().await?;
+    let mut answer =
+        if completion.stream { stream(generation) } else { collect(generation).await? };
+    if let Some(attempt) = parts.headers.get("x-attempt-id") {
+        answer.headers_mut().insert("x-attempt-id", attempt.clone());
+    }
+    Ok(answer)
+}
+
+async fn collect(mut generation: Generation) -> Reply {
+    let mut text = String::new();
+    while let Some(token) = generation.next().await? {
+        text.push_str(&token.text);
+    }
+    Ok(reply::json(StatusCode::OK, &json!({ "text": text })))
+}
+
+fn stream(generation: Generation) -> Answer {
+    let events = stream::unfold(Some(generation), |generation| async move {
+        let mut generation = generation?;
+        match generation.next().await {
+            Ok(Some(token)) => {
+                let event = json!({ "index": token.index, "text": token.text });
+                Some((Ok(frame(format!("data: {event}\n\n"))), Some(generation)))
+            }
+            Ok(None) => Some((Ok(frame("data: [DONE]\n\n".to_owned())), None)),
+            Err(abort) => Some((Err(abort), None)),
+        }
+    });
+    let body: Body = StreamBody::new(events).boxed_unsync();
+    let mut answer = Answer::new(body);
+    let content_type = HeaderValue::from_static("text/event-stream");
+    answer.headers_mut().insert(http::header::CONTENT_TYPE, content_type);
+    answer
+}
+
+fn frame(text: String) -> Frame<Bytes> {
+    Frame::data(Bytes::from(text))
+}
--- /dev/null
+++ b/crates/fake/src/engine/state.rs
@@ -0,0 +1,326 @@
+//! The state of the engine: what runs, whether it is warm, and its journal.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use http::HeaderMap;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::AcquireError;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::engine;
+use crate::engine::Settings;
+use crate::journal;
+use crate::journal::Entry;
+use crate::journal::Outcome;
+use crate::journal::Report;
+use crate::server::Hub;
+
+/// The path of completions.
+const PATH: &str = "/v1/completions";
+
+/// A load report, which may be out of date.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Whether the engine is warm.
+    pub warm: bool,
+    /// Requests that run at the same time at most.
+    pub slots: u32,
+    /// Tokens generated since the start.
+    pub tokens: u64,
+    /// Age of the report.
+    pub age_ms: u64,
+    /// Number of the report, rising.
+    pub sequence: u64,
+}
+
+/// Why a request isn't admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Refusal {
+    /// Streams can't be resumed here.
+    NoResume,
+    /// The engine falls over.
+    Crash,
+}
+
+#[derive(Debug)]
+struct Snapshot {
+    load: Load,
+    at: Instant,
+}
+
+#[derive(Debug)]
+struct Active {
+    attempt: Option<String>,
+    cancel: CancellationToken,
+}
+
+#[derive(Debug)]
+struct State {
+    is_cold: bool,
+    completed: u32,
+    running: u32,
+    waiting: u32,
+    tokens: u64,
+    falls: u64,
+    cancels: u64,
+    peak_cold: u32,
+    highest_fence: u64,
+    refuses_resume: bool,
+    entries: Vec<Entry>,
+    orders: Vec<journal::Order>,
+    active: IndexMap<usize, Active>,
+    snapshot: Snapshot,
+}
+
+/// A model engine.
+#[derive(Debug)]
+pub(super) struct Engine {
+    settings: Settings,
+    hub: Arc<Hub>,
+    slots: Arc<Semaphore>,
+    state: Mutex<State>,
+}
+
+impl Engine {
+    pub(super) fn new(settings: Settings, hub: Arc<Hub>) -> Self {
+        let load = Load {
+            running: 0,
+            waiting: 0,
+            warm: !settings.is_cold,
+            slots: settings.slots,
+            tokens: 0,
+            age_ms: 0,
+            sequence: 0,
+        };
+        let state = State {
+            is_cold: settings.is_cold,
+            completed: 0,
+            running: 0,
+            waiting: 0,
+            tokens: 0,
+            falls: 0,
+            cancels: 0,
+            peak_cold: 0,
+            highest_fence: 0,
+            refuses_resume: false,
+            entries: Vec::new(),
+            orders: Vec::new(),
+            active: IndexMap::new(),
+            snapshot: Snapshot { load, at: Instant::now() },
+        };
+        let slots = Arc::new(Semaphore::new(settings.slots as usize));
+        Self { settings, hub, slots, state: Mutex::new(state) }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) const fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    pub(super) fn running(&self) -> u32 {
+        self.state().running
+    }
+
+    pub(super) fn is_cold(&self) -> bool {
+        self.state().is_cold
+    }
+
+    /// Admits a request to the queue; a cold engine falls over when it gets too many.
+    pub(super) fn admit(
+        self: &Arc<Self>,
+        headers: &HeaderMap,
+        body: &[u8],
+        resumes: bool,
+    ) -> Result<Ticket, Refusal> {
+        let mut state = self.state();
+        let peak = state.running + state.waiting + 1;
+        let mut entry = Entry::new(PATH, headers, body, peak);
+        if resumes && state.refuses_resume {
+            entry.end(Outcome::Refused);
+            state.entries.push(entry);
+            return Err(Refusal::NoResume);
+        }
+        if state.is_cold {
+            state.peak_cold = state.peak_cold.max(peak);
+        }
+        if state.is_cold && peak > self.settings.cold_slots {
+            entry.end(Outcome::Crashed);
+            state.entries.push(entry);
+            drop(state);
+            self.fall();
+            return Err(Refusal::Crash);
+        }
+        let id = state.entries.len();
+        let cancel = CancellationToken::new();
+        let active = Active { attempt: entry.attempt.clone(), cancel: cancel.clone() };
+        state.active.insert(id, active);
+        state.entries.push(entry);
+        state.waiting += 1;
+        Ok(Ticket { engine: Arc::clone(self), id, cancel, is_running: false })
+    }
+
+    /// Ends all requests, resets all connections, refuses new ones for a time and is cold afterwards.
+    pub(super) fn fall(&self) {
+        let mut state = self.state();
+        state.falls += 1;
+        state.is_cold = true;
+        state.completed = 0;
+        let active = std::mem::take(&mut state.active);
+        for (id, request) in active {
+            state.entries[id].end(Outcome::Crashed);
+            request.cancel.cancel();
+        }
+        drop(state);
+        self.hub.fall(self.settings.fall);
+    }
+
+    /// Cancels the request of an attempt and returns whether there was one.
+    pub(super) fn cancel(&self, attempt: &str) -> bool {
+        let state = self.state();
+        let is_wanted = |active: &&Active| active.attempt.as_deref() == Some(attempt);
+        let found = state.active.values().find(is_wanted);
+        found.inspect(|active| active.cancel.cancel()).is_some()
+    }
+
+    /// Turns cold; requests that run already go on slowly.
+    pub(super) fn turn_cold(&self) {
+        let mut state = self.state();
+        state.is_cold = true;
+        state.completed = 0;
+    }
+
+    pub(super) fn silence(&self, is_on: bool) {
+        if is_on {
+            self.hub.stall();
+        }
+    }
+
+    pub(super) fn refuse_resume(&self, is_on: bool) {
+        self.state().refuses_resume = is_on;
+    }
+
+    /// Takes an order, or returns the highest fence seen if the order is refused.
+    pub(super) fn obey(&self, order: engine::Order) -> Result<(), u64> {
+        let mut state = self.state();
+        let is_obeyed = !self.settings.checks_fencing || order.fence >= state.highest_fence;
+        state.highest_fence = state.highest_fence.max(order.fence);
+        let engine::Order { order, name, fence } = order;
+        state.orders.push(journal::Order { order, name, fence, is_obeyed });
+        if is_obeyed { Ok(()) } else { Err(state.highest_fence) }
+    }
+
+    /// Takes a new snapshot for load reports.
+    pub(super) fn refresh(&self) {
+        let mut state = self.state();
+        let load = Load {
+            running: state.running,
+            waiting: state.waiting,
+            warm: !state.is_cold,
+            slots: self.settings.slots,
+            tokens: state.tokens,
+            age_ms: 0,
+            sequence: state.snapshot.load.sequence + 1,
+        };
+        state.snapshot = Snapshot { load, at: Instant::now() };
+    }
+
+    pub(super) fn load(&self) -> Load {
+        let state = self.state();
+        let age = state.snapshot.at.elapsed().as_millis();
+        Load { age_ms: u64::try_from(age).unwrap_or(u64::MAX), ..state.snapshot.load }
+    }
+
+    pub(super) fn report(&self) -> Report {
+        let state = self.state();
+        Report {
+            requests: state.entries.clone(),
+            orders: state.orders.clone(),
+            peak_cold: state.peak_cold,
+            falls: state.falls,
+            cancels: state.cancels,
+            raw_connections: self.hub.raw_connections(),
+            raw_bytes: self.hub.raw_bytes(),
+        }
+    }
+}
+
+/// The place of an admitted request; dropping it ends the request.
+#[derive(Debug)]
+pub(super) struct Ticket {
+    engine: Arc<Engine>,
+    id: usize,
+    cancel: CancellationToken,
+    is_running: bool,
+}
+
+impl Ticket {
+    pub(super) fn engine(&self) -> &Engine {
+        &self.engine
+    }
+
+    pub(super) const fn cancel(&self) -> &CancellationToken {
+        &self.cancel
+    }
+
+    /// Waits for a slot; slots are given in the order of waiting.
+    pub(super) async fn slot(&self) -> Result<OwnedSemaphorePermit, AcquireError> {
+        Arc::clone(&self.engine.slots).acquire_owned().await
+    }
+
+    /// Notes that the request runs.
+    pub(super) fn start(&mut self) {
+        let mut state = self.engine.state();
+        state.waiting -= 1;
+        state.running += 1;
+        drop(state);
+        self.is_running = true;
+    }
+
+    pub(super) fn count_token(&self) {
+        let mut state = self.engine.state();
+        state.tokens += 1;
+        state.entries[self.id].tokens += 1;
+    }
+
+    /// Notes that the request is answered, which may turn the engine warm.
+    pub(super) fn finish(&self) {
+        let mut state = self.engine.state();
+        if !state.entries[self.id].end(Outcome::Answered) {
+            return;
+        }
+        state.completed += 1;
+        if state.completed >= self.engine.settings.warm_after {
+            state.is_cold = false;
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let mut state = self.engine.state();
+        state.active.swap_remove(&self.id);
+        if self.is_running {
+            state.running -= 1;
+        } else {
+            state.waiting -= 1;
+        }
+        if state.entries[self.id].end(Outcome::Cancelled) {
+            state.cancels += 1;
+        }
+    }
+}
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -1,1 +1,15 @@
-//! Placeholder.
+//! Stand-ins for the parts around the fleet: platform, model engine, plain service and a faulty network.
+//!
+//! ```
+//! assert_eq!(fake::engine::token("hello", 3), fake::engine::token("hello", 3));
+//! assert_ne!(fake::engine::token("hello", 3), fake::engine::token("hello", 4));
+//! ```
+
+pub mod connection;
+pub mod engine;
+pub mod journal;
+pub mod platform;
+pub mod proxy;
+pub mod reply;
+pub mod server;
+pub mod service;
--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -1,2 +1,110 @@
-//! Stand-in processes.
-fn main() {}
+//! Starts one of the stand-ins as a process.
+
+mod cli;
+
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::ArgMatches;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::task::JoinSet;
+
+use fake::engine;
+use fake::platform;
+use fake::proxy;
+use fake::server;
+use fake::service;
+
+/// Threads that serve requests.
+const WORKER_THREADS: usize = 2;
+/// How long the process waits for its reader of standard input at the end.
+const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(100);
+
+fn main() -> ExitCode {
+    let matches = cli::command().get_matches();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
+        .enable_all()
+        .build();
+    let done = runtime.and_then(|runtime| {
+        let done = runtime.block_on(run(&matches));
+        runtime.shutdown_timeout(SHUTDOWN_TIMEOUT);
+        done
+    });
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("fake: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(matches: &ArgMatches) -> io::Result<()> {
+    let (name, matches) = matches.subcommand().expect("clap demands a subcommand");
+    let address = cli::value::<SocketAddr>(matches, "listen");
+    let listener = server::bind(address)?;
+    let mut ready = io::stdout();
+    writeln!(ready, "{}", serde_json::json!({ "ready": listener.local_addr()?.to_string() }))?;
+    ready.flush()?;
+    let mut input = JoinSet::new();
+    if matches.get_flag("exit-with-stdin") {
+        input.spawn_blocking(|| io::stdin().read_to_end(&mut Vec::new()));
+    }
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        served = serve(name, matches, listener) => served,
+        _ = terminate.recv() => Ok(()),
+        _ = interrupt.recv() => Ok(()),
+        Some(_) = input.join_next() => Ok(()),
+    }
+}
+
+async fn serve(
+    name: &str,
+    matches: &ArgMatches,
+    listener: tokio::net::TcpListener,
+) -> io::Result<()> {
+    match name {
+        "platform" => platform::run(platform_settings(matches), listener).await,
+        "engine" => engine::run(engine_settings(matches), listener).await,
+        "service" => service::run(service_settings(matches), listener).await,
+        _ => proxy::run(listener).await,
+    }
+}
+
+fn platform_settings(matches: &ArgMatches) -> platform::Settings {
+    platform::Settings {
+        retention: cli::millis(matches, "retention-ms"),
+        appends_per_second: cli::value(matches, "appends-per-second"),
+        list_lag: cli::millis(matches, "list-lag-ms"),
+    }
+}
+
+fn engine_settings(matches: &ArgMatches) -> engine::Settings {
+    engine::Settings {
+        slots: cli::value(matches, "slots"),
+        token_interval: cli::millis(matches, "token-interval-ms"),
+        first_token: cli::millis(matches, "first-token-ms"),
+        is_cold: matches.get_flag("cold"),
+        cold_slots: cli::value(matches, "cold-slots"),
+        warm_after: cli::value(matches, "warm-after"),
+        fall: cli::millis(matches, "fall-ms"),
+        report_lag: cli::millis(matches, "report-lag-ms"),
+        checks_fencing: matches.get_flag("check-fencing"),
+    }
+}
+
+fn service_settings(matches: &ArgMatches) -> service::Settings {
+    service::Settings {
+        service_time: cli::millis(matches, "service-ms"),
+        slots: cli::value(matches, "slots"),
+        report_lag: cli::millis(matches, "report-lag-ms"),
+    }
+}
--- /dev/null
+++ b/crates/fake/src/platform/log.rs
@@ -0,0 +1,140 @@
+//! The streams of the log, with retention and a limit on appends.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::reply;
+
+/// One record of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Record {
+    /// The offset, from 1.
+    pub offset: u64,
+    /// When it was appended, in milliseconds since the Unix epoch.
+    pub time_ms: u64,
+    /// The text.
+    pub body: Arc<str>,
+}
+
+#[derive(Debug)]
+struct Kept {
+    at: Instant,
+    record: Record,
+}
+
+#[derive(Debug)]
+struct Stream {
+    next: u64,
+    kept: VecDeque<Kept>,
+}
+
+impl Default for Stream {
+    fn default() -> Self {
+        Self { next: 1, kept: VecDeque::new() }
+    }
+}
+
+impl Stream {
+    fn first(&self) -> u64 {
+        self.next - self.kept.len() as u64
+    }
+
+    fn expire(&mut self, retention: Duration, now: Instant) {
+        while self.kept.pop_front_if(|kept| now.duration_since(kept.at) > retention).is_some() {}
+    }
+}
+
+/// The answer to a read.
+#[derive(Debug, Serialize)]
+pub(super) struct Page {
+    records: Vec<Record>,
+    next: u64,
+    first: u64,
+    #[serde(skip)]
+    is_gone: bool,
+}
+
+/// The bounds of a stream.
+#[derive(Debug, Serialize)]
+pub(super) struct Bounds {
+    first: u64,
+    next: u64,
+}
+
+impl Page {
+    pub(super) const fn is_gone(&self) -> bool {
+        self.is_gone
+    }
+
+    pub(super) const fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    pub(super) const fn bounds(&self) -> Bounds {
+        Bounds { first: self.first, next: self.next }
+    }
+}
+
+/// All streams.
+#[derive(Debug)]
+pub(super) struct Log {
+    retention: Duration,
+    rate: f64,
+    allowance: f64,
+    refilled: Instant,
+    streams: IndexMap<String, Stream>,
+}
+
+impl Log {
+    pub(super) fn new(retention: Duration, appends_per_second: u32) -> Self {
+        let rate = f64::from(appends_per_second);
+        let streams = IndexMap::new();
+        Self { retention, rate, allowance: rate, refilled: Instant::now(), streams }
+    }
+
+    /// Appends a record and returns its offset, or nothing when appends come too fast.
+    pub(super) fn append(&mut self, stream: &str, text: &str, now: Instant) -> Option<u64> {
+        if !self.is_allowed(now) {
+            return None;
+        }
+        let stream = self.streams.entry(stream.to_owned()).or_default();
+        stream.expire(self.retention, now);
+        let offset = stream.next;
+        stream.next += 1;
+        let record = Record { offset, time_ms: reply::wall_millis(), body: Arc::from(text) };
+        stream.kept.push_back(Kept { at: now, record });
+        Some(offset)
+    }
+
+    /// Reads records from an offset on.
+    pub(super) fn read(&mut self, stream: &str, from: u64, limit: usize, now: Instant) -> Page {
+        let Some(stream) = self.streams.get_mut(stream) else {
+            return Page { records: Vec::new(), next: 1, first: 1, is_gone: false };
+        };
+        stream.expire(self.retention, now);
+        let first = stream.first();
+        if from < first {
+            return Page { records: Vec::new(), next: stream.next, first, is_gone: true };
+        }
+        let skipped = usize::try_from(from - first).unwrap_or(usize::MAX);
+        let wanted = stream.kept.iter().skip(skipped).take(limit);
+        let records: Vec<Record> = wanted.map(|kept| kept.record.clone()).collect();
+        Page { records, next: stream.next, first, is_gone: false }
+    }
+
+    fn is_allowed(&mut self, now: Instant) -> bool {
+        let elapsed = now.duration_since(self.refilled).as_secs_f64();
+        self.refilled = now;
+        self.allowance = (self.allowance + elapsed * self.rate).min(self.rate);
+        if self.allowance < 1.0 {
+            return false;
+        }
+        self.allowance -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/fake/src/proxy/link.rs
@@ -0,0 +1,155 @@
+//! One link: its faults and its counters.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use strum::Display;
+use tokio::sync::watch;
+
+/// What a link carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Display)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Kind {
+    /// TCP connections.
+    Tcp,
+    /// UDP packets.
+    Udp,
+}
+
+/// A direction of a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Direction {
+    /// From the client to the target.
+    To,
+    /// From the target to the client.
+    Back,
+}
+
+/// A change of the faults of a link; absent fields stay as they are.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Change {
+    /// Drop everything in both directions.
+    pub cut: Option<bool>,
+    /// Drop everything from the client to the target.
+    pub cut_to: Option<bool>,
+    /// Drop everything from the target to the client.
+    pub cut_back: Option<bool>,
+    /// Delay in each direction.
+    pub delay_ms: Option<u64>,
+    /// Silence all present flows for good.
+    pub silent: Option<bool>,
+}
+
+/// The faults of a link.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Faults {
+    cut: bool,
+    cut_to: bool,
+    cut_back: bool,
+    pub(super) delay: Duration,
+    /// Flows of an older generation are silent.
+    pub(super) generation: u64,
+}
+
+impl Faults {
+    /// Returns whether nothing passes in any direction.
+    pub(super) const fn is_cut(&self) -> bool {
+        self.cut
+    }
+
+    /// Returns whether a flow of a generation passes in a direction.
+    pub(super) const fn passes(&self, direction: Direction, generation: u64) -> bool {
+        let is_cut = match direction {
+            Direction::To => self.cut_to,
+            Direction::Back => self.cut_back,
+        };
+        !self.cut && !is_cut && generation >= self.generation
+    }
+}
+
+/// The counters of one direction.
+#[derive(Debug, Default)]
+struct Counter {
+    bytes: AtomicU64,
+    packets: AtomicU64,
+}
+
+/// What has passed over a link.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Traffic {
+    /// The name of the link.
+    pub name: String,
+    /// What the link carries.
+    pub kind: Kind,
+    /// Bytes from the client to the target.
+    pub bytes_to: u64,
+    /// Bytes from the target to the client.
+    pub bytes_back: u64,
+    /// Packets or reads from the client to the target.
+    pub packets_to: u64,
+    /// Packets or reads from the target to the client.
+    pub packets_back: u64,
+}
+
+/// One link.
+#[derive(Debug)]
+pub(super) struct Link {
+    name: String,
+    kind: Kind,
+    pub(super) target: SocketAddr,
+    faults: watch::Sender<Faults>,
+    to: Counter,
+    back: Counter,
+}
+
+impl Link {
+    pub(super) fn new(name: &str, kind: Kind, target: SocketAddr) -> Self {
+        let faults = watch::Sender::new(Faults::default());
+        let (to, back) = (Counter::default(), Counter::default());
+        Self { name: name.to_owned(), kind, target, faults, to, back }
+    }
+
+    pub(super) fn faults(&self) -> Faults {
+        *self.faults.borrow()
+    }
+
+    pub(super) fn watch(&self) -> watch::Receiver<Faults> {
+        self.faults.subscribe()
+    }
+
+    pub(super) fn apply(&self, change: Change) {
+        self.faults.send_modify(|faults| {
+            faults.cut = change.cut.unwrap_or(faults.cut);
+            faults.cut_to = change.cut_to.unwrap_or(faults.cut_to);
+            faults.cut_back = change.cut_back.unwrap_or(faults.cut_back);
+            faults.delay = change.delay_ms.map_or(faults.delay, Duration::from_millis);
+            faults.generation += u64::from(change.silent.unwrap_or_default());
+        });
+    }
+
+    pub(super) fn count(&self, direction: Direction, bytes: usize) {
+        let counter = match direction {
+            Direction::To => &self.to,
+            Direction::Back => &self.back,
+        };
+        counter.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+        counter.packets.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn traffic(&self) -> Traffic {
+        Traffic {
+            name: self.name.clone(),
+            kind: self.kind,
+            bytes_to: self.to.bytes.load(Ordering::Relaxed),
+            bytes_back: self.back.bytes.load(Ordering::Relaxed),
+            packets_to: self.to.packets.load(Ordering::Relaxed),
+            packets_back: self.back.packets.load(Ordering::Relaxed),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/proxy/mod.rs
@@ -0,0 +1,157 @@
+//! A network of many links in one process, which can be cut, delayed and silenced.
+
+mod link;
+mod tcp;
+mod udp;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use http::Method;
+use http::StatusCode;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+use crate::reply;
+use crate::reply::Answer;
+use crate::reply::Reply;
+use crate::server;
+use crate::server::Call;
+use crate::server::Hub;
+
+use link::Link;
+
+pub use link::Change;
+pub use link::Kind;
+pub use link::Traffic;
+
+/// Links that may wait for their task at the same time.
+const START_QUEUE: usize = 64;
+
+/// The order to create a link.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct NewLink {
+    /// The name.
+    pub name: String,
+    /// What the link carries.
+    pub kind: Kind,
+    /// Where it leads.
+    pub target: SocketAddr,
+}
+
+/// A bound socket whose link is to be served.
+enum Start {
+    Tcp(TcpListener, Arc<Link>),
+    Udp(tokio::net::UdpSocket, Arc<Link>),
+}
+
+struct Proxy {
+    links: Mutex<IndexMap<String, Arc<Link>>>,
+    starts: mpsc::Sender<Start>,
+}
+
+/// Serves the proxy until the listener breaks.
+///
+/// # Errors
+/// Returns the error of the operating system.
+pub async fn run(listener: TcpListener) -> io::Result<()> {
+    let (starts, queue) = mpsc::channel(START_QUEUE);
+    let proxy = Arc::new(Proxy { links: Mutex::new(IndexMap::new()), starts });
+    let handle = move |call| {
+        let proxy = Arc::clone(&proxy);
+        async move { proxy.answer(call).await }
+    };
+    tokio::select! {
+        served = server::run(Arc::new(Hub::default()), listener, handle) => served,
+        () = carry(queue) => Ok(()),
+    }
+}
+
+/// Runs the tasks of all links.
+async fn carry(mut queue: mpsc::Receiver<Start>) {
+    let mut tasks = JoinSet::new();
+    while let Some(start) = queue.recv().await {
+        match start {
+            Start::Tcp(listener, link) => tasks.spawn(tcp::run(listener, link)),
+            Start::Udp(socket, link) => tasks.spawn(udp::run(socket, link)),
+        };
+    }
+}
+
+impl Proxy {
+    fn links(&self) -> MutexGuard<'_, IndexMap<String, Arc<Link>>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn answer(&self, call: Call) -> Reply {
+        let (parts, body) = call.request.into_parts();
+        let bytes = reply::read(body).await?;
+        let path = parts.uri.path().strip_prefix("/control/links");
+        let name = path.map(|path| path.trim_start_matches('/'));
+        match (&parts.method, name) {
+            (&Method::POST, Some("")) => Ok(self.create(&bytes).await),
+            (&Method::PUT, Some("")) => {
+                let prefix = reply::query::<String>(&parts.uri, "prefix").unwrap_or_default();
+                Ok(self.change(&bytes, |name| name.starts_with(&prefix)))
+            }
+            (&Method::PUT, Some(wanted)) => Ok(self.change(&bytes, |name| name == wanted)),
+            (&Method::GET, Some("")) => {
+                let links = self.links();
+                let traffic: Vec<Traffic> = links.values().map(|link| link.traffic()).collect();
+                Ok(reply::json(StatusCode::OK, &json!({ "links": traffic })))
+            }
+            _ => Ok(reply::empty(StatusCode::NOT_FOUND)),
+        }
+    }
+
+    fn change<F: Fn(&str) -> bool>(&self, bytes: &[u8], is_wanted: F) -> Answer {
+        let change: Change = match reply::parse(bytes) {
+            Ok(change) => change,
+            Err(answer) => return answer,
+        };
+        let links = self.links();
+        let wanted = links.iter().filter(|(name, _)| is_wanted(name));
+        let changed = wanted.map(|(_, link)| link.apply(change)).count();
+        reply::json(StatusCode::OK, &json!({ "changed": changed }))
+    }
+
+    async fn create(&self, bytes: &[u8]) -> Answer {
+        let order: NewLink = match reply::parse(bytes) {
+            Ok(order) => order,
+            Err(answer) => return answer,
+        };
+        match self.start(order).await {
+            Ok(address) => reply::json(StatusCode::OK, &json!({ "listen": address.to_string() })),
+            Err(error) => {
+                let detail = json!({ "detail": error.to_string() });
+                reply::json(StatusCode::INTERNAL_SERVER_ERROR, &detail)
+            }
+        }
+    }
+
+    async fn start(&self, order: NewLink) -> io::Result<SocketAddr> {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let link = Arc::new(Link::new(&order.name, order.kind, order.target));
+        let (address, start) = match order.kind {
+            Kind::Tcp => {
+                let listener = server::bind(any)?;
+                (listener.local_addr()?, Start::Tcp(listener, Arc::clone(&link)))
+            }
+            Kind::Udp => {
+                let socket = tokio::net::UdpSocket::bind(any).await?;
+                (socket.local_addr()?, Start::Udp(socket, Arc::clone(&link)))
+            }
+        };
+        self.links().insert(order.name, link);
+        self.starts.send(start).await.map_err(io::Error::other)?;
+        Ok(address)
+    }
+}
--- /dev/null
+++ b/crates/fake/src/service.rs
@@ -0,0 +1,311 @@
+//! A plain service, which answers lookups and executes calls.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http::request::Parts;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::time::Instant;
+
+use crate::engine::Load;
+use crate::journal::Entry;
+use crate::journal::Outcome;
+use crate::journal::Report;
+use crate::reply;
+use crate::reply::Abort;
+use crate::reply::Answer;
+use crate::reply::Reply;
+use crate::server;
+use crate::server::Call;
+use crate::server::Hub;
+
+/// The header that names the attempt.
+const ATTEMPT: &str = "x-attempt-id";
+
+/// How the service behaves.
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// Time that one call takes.
+    pub service_time: Duration,
+    /// Calls that run at the same time.
+    pub slots: u32,
+    /// Time between two refreshes of the load report.
+    pub report_lag: Duration,
+}
+
+/// A crash at the next call that is to be executed.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Crash {
+    before_run: bool,
+    after_run: bool,
+}
+
+/// A fault of the next answer.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Late {
+    delay_ms: u64,
+    wrong_attempt: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct Switch {
+    on: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    executions: u64,
+    running: u32,
+    waiting: u32,
+    served: u64,
+    falls: u64,
+    cancels: u64,
+    crash: Crash,
+    late: Option<Late>,
+    last_attempt: Option<HeaderValue>,
+    entries: Vec<Entry>,
+}
+
+#[derive(Debug)]
+struct Snapshot {
+    load: Load,
+    at: Instant,
+}
+
+#[derive(Debug)]
+struct Service {
+    settings: Settings,
+    hub: Arc<Hub>,
+    slots: Semaphore,
+    state: Mutex<State>,
+    snapshot: Mutex<Snapshot>,
+}
+
+/// Serves the plain service until the listener breaks.
+///
+/// # Errors
+/// Returns the error of the operating system.
+pub async fn run(settings: Settings, listener: TcpListener) -> io::Result<()> {
+    let hub = Arc::new(Hub::default());
+    let state = State::default();
+    let load = state.load(settings.slots, 0);
+    let service = Arc::new(Service {
+        settings,
+        hub: Arc::clone(&hub),
+        slots: Semaphore::new(settings.slots as usize),
+        state: Mutex::new(state),
+        snapshot: Mutex::new(Snapshot { load, at: Instant::now() }),
+    });
+    let handler = Arc::clone(&service);
+    let handle = move |call| {
+        let service = Arc::clone(&handler);
+        async move { service.answer(call).await }
+    };
+    tokio::select! {
+        served = server::run(hub, listener, handle) => served,
+        () = service.refresh() => Ok(()),
+    }
+}
+
+impl State {
+    const fn load(&self, slots: u32, sequence: u64) -> Load {
+        Load {
+            running: self.running,
+            waiting: self.waiting,
+            warm: true,
+            slots,
+            tokens: self.served,
+            age_ms: 0,
+            sequence,
+        }
+    }
+}
+
+impl Service {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn snapshot(&self) -> MutexGuard<'_, Snapshot> {
+        self.snapshot.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn refresh(&self) {
+        let mut ticks = tokio::time::interval(self.settings.report_lag);
+        loop {
+            ticks.tick().await;
+            let sequence = self.snapshot().load.sequence + 1;
+            let load = self.state().load(self.settings.slots, sequence);
+            *self.snapshot() = Snapshot { load, at: Instant::now() };
+        }
+    }
+
+    async fn answer(&self, call: Call) -> Reply {
+        let (parts, body) = call.request.into_parts();
+        let bytes = reply::read(body).await?;
+        if let Some(name) = parts.uri.path().strip_prefix("/control/") {
+            return Ok(self.control(name, &bytes));
+        }
+        if parts.uri.path() == "/load" {
+            return Ok(reply::json(StatusCode::OK, &self.load()));
+        }
+        self.run(&parts, &bytes).await
+    }
+
+    fn load(&self) -> Load {
+        let snapshot = self.snapshot();
+        let age = snapshot.at.elapsed().as_millis();
+        Load { age_ms: u64::try_from(age).unwrap_or(u64::MAX), ..snapshot.load }
+    }
+
+    async fn run(&self, parts: &Parts, bytes: &[u8]) -> Reply {
+        let mut ticket = self.admit(parts, bytes);
+        let _permit = self.slots.acquire().await.map_err(|_| Abort)?;
+        ticket.start();
+        if parts.method == Method::GET {
+            tokio::time::sleep(self.settings.service_time).await;
+            let found = json!({ "path": parts.uri.path() });
+            let answer = self.finish(parts, reply::json(StatusCode::OK, &found)).await;
+            ticket.end(Outcome::Answered);
+            return Ok(answer);
+        }
+        let crash = std::mem::take(&mut self.state().crash);
+        if crash.before_run {
+            return Err(ticket.crash());
+        }
+        let execution = ticket.execute();
+        if crash.after_run {
+            return Err(ticket.crash());
+        }
+        tokio::time::sleep(self.settings.service_time).await;
+        let echo = String::from_utf8_lossy(bytes);
+        let done = json!({ "execution": execution, "echo": echo });
+        let answer = self.finish(parts, reply::json(StatusCode::OK, &done)).await;
+        ticket.end(Outcome::Answered);
+        Ok(answer)
+    }
+
+    /// Puts the attempt into the answer, with the faults that are set for the next one.
+    async fn finish(&self, parts: &Parts, mut answer: Answer) -> Answer {
+        let late = self.state().late.take().unwrap_or_default();
+        if late.delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(late.delay_ms)).await;
+        }
+        let own = parts.headers.get(ATTEMPT).cloned();
+        let other = self.state().last_attempt.clone().filter(|other| Some(other) != own.as_ref());
+        let wrong = other.unwrap_or_else(|| HeaderValue::from_static("other.1"));
+        let echoed = if late.wrong_attempt { Some(wrong) } else { own.clone() };
+        if let Some(attempt) = echoed {
+            answer.headers_mut().insert(ATTEMPT, attempt);
+        }
+        if own.is_some() {
+            self.state().last_attempt = own;
+        }
+        answer
+    }
+
+    fn admit(&self, parts: &Parts, bytes: &[u8]) -> Ticket<'_> {
+        let mut state = self.state();
+        let peak = state.running + state.waiting + 1;
+        let id = state.entries.len();
+        state.entries.push(Entry::new(parts.uri.path(), &parts.headers, bytes, peak));
+        state.waiting += 1;
+        Ticket { service: self, id, is_running: false }
+    }
+
+    fn control(&self, name: &str, bytes: &[u8]) -> Answer {
+        let done = match name {
+            "journal" => return reply::json(StatusCode::OK, &self.report()),
+            "silent" => reply::parse::<Switch>(bytes).map(|switch| {
+                if switch.on {
+                    self.hub.stall();
+                }
+            }),
+            "crash" => reply::parse::<Crash>(bytes).map(|crash| self.state().crash = crash),
+            "late" => reply::parse::<Late>(bytes).map(|late| self.state().late = Some(late)),
+            _ => return reply::empty(StatusCode::NOT_FOUND),
+        };
+        match done {
+            Ok(()) => reply::json(StatusCode::OK, &json!({})),
+            Err(answer) => answer,
+        }
+    }
+
+    fn report(&self) -> Report {
+        let state = self.state();
+        Report {
+            requests: state.entries.clone(),
+            orders: Vec::new(),
+            peak_cold: 0,
+            falls: state.falls,
+            cancels: state.cancels,
+            raw_connections: self.hub.raw_connections(),
+            raw_bytes: self.hub.raw_bytes(),
+        }
+    }
+}
+
+/// The place of one call; dropping it ends the call.
+#[derive(Debug)]
+struct Ticket<'a> {
+    service: &'a Service,
+    id: usize,
+    is_running: bool,
+}
+
+impl Ticket<'_> {
+    fn start(&mut self) {
+        let mut state = self.service.state();
+        state.waiting -= 1;
+        state.running += 1;
+        drop(state);
+        self.is_running = true;
+    }
+
+    /// Executes the call and returns the number of the execution.
+    fn execute(&self) -> u64 {
+        let mut state = self.service.state();
+        state.executions += 1;
+        let execution = state.executions;
+        state.entries[self.id].execution = Some(execution);
+        execution
+    }
+
+    /// Notes that the service crashed over the call.
+    fn crash(&self) -> Abort {
+        self.end(Outcome::Crashed);
+        self.service.state().falls += 1;
+        Abort
+    }
+
+    fn end(&self, outcome: Outcome) {
+        self.service.state().entries[self.id].end(outcome);
+    }
+}
+
+impl Drop for Ticket<'_> {
+    fn drop(&mut self) {
+        let mut state = self.service.state();
+        if self.is_running {
+            state.running -= 1;
+            state.served += 1;
+        } else {
+            state.waiting -= 1;
+        }
+        if state.entries[self.id].end(Outcome::Cancelled) {
+            state.cancels += 1;
+        }
+    }
+}
