feat(plat): add clients of the log service and the instance list

Routers need the platform's log for claims and configuration, and its list of instances for membership. An append must tell "not appended for sure" from "may have been appended", since the claims decide by it.

A connection is driven by the call that uses it instead of a task of its own, so that a client needs neither a task to join nor a shutdown. hyper hands a request back that it never began to write, which is what tells Unreachable from Lost on a connection that the peer closed meanwhile. After a timeout all unused connections are dropped, as others may have gone silent with the one that did.

The test of silent connections was seen failing (Lost instead of offset 3) with that dropping removed; with one pooled connection only it passed without it, as hyper closes a connection whose answer is given up, so the test pools two.

--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -1,1 +1,23 @@
-//! Placeholder.
+//! Clients of the platform: its log service and its list of instances.
+//!
+//! A client keeps a small pool of connections. Every call has a timeout, and a call that follows a timeout uses
+//! a new connection, since something between the two ends may have lost track of the old one.
+//!
+//! ```
+//! let log = plat::Log::new("127.0.0.1:9".parse().expect("an address"));
+//! assert_eq!(log.address().port(), 9);
+//! ```
+
+mod channel;
+mod client;
+mod error;
+mod instances;
+mod log;
+
+pub use error::Error;
+pub use instances::Instance;
+pub use instances::Instances;
+pub use log::Log;
+pub use log::Page;
+pub use log::Record;
+pub use log::Span;
