--- /dev/null
+++ b/crates/mesh/src/register.rs
@@ -0,0 +1,81 @@
+//! Registers that merge to the same value everywhere, whatever the order of delivery.
+
+use base::Name;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Largest number of registers.
+const REGISTER_LIMIT: usize = 4_096;
+/// Largest value of a register, in bytes.
+pub const VALUE_LIMIT: usize = 512;
+/// Largest key or author of a register, in bytes.
+const NAME_LIMIT: usize = 128;
+
+/// A value that gossip spreads to all members.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Register {
+    /// What the value is about.
+    pub key: Name,
+    /// The version of the value: the higher one wins.
+    pub counter: u64,
+    /// Whether the value wins over another with the same counter that does not claim so.
+    pub out_wins: bool,
+    /// The value.
+    pub value: Vec<u8>,
+    /// The router or operator that wrote the value.
+    pub by: Name,
+}
+
+impl Register {
+    /// Returns whether this value takes the place of `other`, which has the same key.
+    #[must_use]
+    pub fn beats(&self, other: &Self) -> bool {
+        let mine = (self.counter, self.out_wins, &self.value, &self.by);
+        mine > (other.counter, other.out_wins, &other.value, &other.by)
+    }
+
+    /// Returns the one of two values of the same key that stays.
+    #[must_use]
+    pub fn merge(self, other: Self) -> Self {
+        if other.beats(&self) { other } else { self }
+    }
+
+    /// Returns whether the register is within the size limits.
+    #[must_use]
+    pub fn is_bounded(&self) -> bool {
+        let names = [&self.key, &self.by];
+        self.value.len() <= VALUE_LIMIT
+            && names.iter().all(|name| name.as_str().len() <= NAME_LIMIT)
+    }
+}
+
+/// All registers known to a router.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    registers: IndexMap<Name, Register>,
+}
+
+impl Table {
+    /// Takes a register in and returns whether it is new to the table.
+    pub fn merge(&mut self, register: &Register) -> bool {
+        if !register.is_bounded() {
+            return false;
+        }
+        let is_full = self.registers.len() >= REGISTER_LIMIT;
+        match self.registers.get_mut(&register.key) {
+            Some(known) if register.beats(known) => *known = register.clone(),
+            Some(_) => return false,
+            None if is_full => return false,
+            None => {
+                self.registers.insert(register.key.clone(), register.clone());
+            }
+        }
+        true
+    }
+
+    /// Returns all registers.
+    pub fn iter(&self) -> impl Iterator<Item = &Register> {
+        self.registers.values()
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/swim/merge.rs
@@ -0,0 +1,132 @@
+//! Merging news of members.
+
+use std::time::Duration;
+
+use base::Name;
+
+use super::machine::Action;
+use super::machine::Swim;
+use super::message::News;
+use super::message::Rumour;
+use super::roster::Entry;
+use crate::Age;
+use crate::State;
+
+/// Time for which an unlisted router that is dead or has left is remembered.
+const FORGET_TIME: Duration = Duration::from_secs(60);
+
+impl Swim {
+    /// Takes in the state of a member and passes it on if it is news.
+    pub(super) fn merge(&mut self, now: Duration, rumour: Rumour) {
+        if rumour.record.name == self.me.name {
+            let is_own = rumour == self.own_rumour();
+            let is_older_life = rumour.age.incarnation < self.age.incarnation;
+            let is_harmless = rumour.state == State::Alive && rumour.age <= self.age;
+            if !is_own && !is_older_life && !is_harmless {
+                self.answer_doubt(rumour.age);
+            }
+            return;
+        }
+        let known = self.roster.entries.contains_key(&rumour.record.name);
+        if !known && !rumour.state.is_live() {
+            return;
+        }
+        let wait = self.suspect_time();
+        let Some(entry) = self.roster.insert(&rumour.record) else { return };
+        if !is_newer(entry, &rumour) {
+            return;
+        }
+        let seen = (entry.state, entry.age.incarnation);
+        if rumour.age.incarnation > entry.age.incarnation {
+            entry.record = rumour.record.clone();
+        }
+        if entry.state != Some(rumour.state) {
+            log::info!("mesh: member {} is {}", rumour.record.name, rumour.state);
+        }
+        entry.state = Some(rumour.state);
+        entry.age = rumour.age;
+        entry.since = now;
+        entry.deadline = now + wait;
+        entry.raised = false;
+        entry.private = false;
+        self.changed |= seen != (entry.state, entry.age.incarnation);
+        self.news.push(News::Member(rumour));
+    }
+
+    /// Refutes that this router is suspect or dead at an age.
+    pub(super) fn answer_doubt(&mut self, age: Age) {
+        if self.leaves || age < self.age {
+            return;
+        }
+        self.changed |= age.incarnation > self.age.incarnation;
+        self.age = self.age.beating(age);
+        self.news.push(News::Member(self.own_rumour()));
+    }
+
+    /// Takes in news that rode on a message. A router that is held for dead is heard only about itself.
+    pub(super) fn take_news(&mut self, now: Duration, from: &Name, news: Vec<News>) {
+        let trusted = self.roster.entries.get(from).is_some_and(Entry::is_live);
+        for piece in news {
+            match piece {
+                News::Member(rumour) if trusted || rumour.record.name == *from => {
+                    self.merge(now, rumour);
+                }
+                News::Register(register) if trusted => {
+                    if self.take_register(&register) {
+                        self.actions.push(Action::Register(register));
+                    }
+                }
+                News::Member(_) | News::Register(_) => {}
+            }
+        }
+    }
+
+    /// Judges a member by this router's own probes.
+    pub(super) fn judge(&mut self, now: Duration, name: &Name, state: State) {
+        let private = self.is_isolated(now);
+        let wait = self.suspect_time();
+        let Some(entry) = self.roster.entries.get_mut(name) else { return };
+        log::info!("mesh: member {name} is {state}");
+        entry.state = Some(state);
+        entry.since = now;
+        entry.deadline = now + wait;
+        entry.raised = true;
+        entry.private |= private;
+        self.changed = true;
+        if let Some(rumour) = entry.rumour() {
+            self.news.push(News::Member(rumour));
+        }
+    }
+
+    /// Holds those for dead that have not refuted in time.
+    pub(super) fn expire_suspects(&mut self, now: Duration) {
+        let due =
+            self.roster.names(|entry| entry.state == Some(State::Suspect) && entry.deadline <= now);
+        for name in due {
+            self.judge(now, &name, State::Dead);
+        }
+    }
+
+    /// Forgets those that are over and not listed.
+    pub(super) fn forget(&mut self, now: Duration) {
+        let before = self.roster.entries.len();
+        self.roster.entries.retain(|_, entry| {
+            entry.listed.is_some() || !entry.is_over() || now < entry.since + FORGET_TIME
+        });
+        self.changed |= before != self.roster.entries.len();
+    }
+
+    /// Returns the time to refute, which grows with the time that news take to reach all.
+    fn suspect_time(&self) -> Duration {
+        let size = u16::try_from(self.roster.live_count() + 1).unwrap_or(u16::MAX);
+        self.timing.suspect_timeout.mul_f64(f64::from(size).log10().max(1.0))
+    }
+}
+
+fn is_newer(entry: &Entry, rumour: &Rumour) -> bool {
+    let Some(state) = entry.state else { return true };
+    if entry.private && rumour.state == State::Alive {
+        return rumour.age >= entry.age;
+    }
+    (rumour.age, rumour.state) > (entry.age, state)
+}
