--- /dev/null
+++ b/crates/sched/src/charge.rs
@@ -0,0 +1,104 @@
+//! Weighted charges of workspaces.
+
+use base::Class;
+use base::Cost;
+use base::Name;
+use indexmap::IndexMap;
+
+use crate::mean::Mean;
+
+/// The largest estimate charged at a grant.
+pub const LARGEST_ESTIMATE: Cost = Cost::tokens(256);
+/// The estimate for a workspace and class without history.
+const FIRST_ESTIMATE: Cost = Cost::tokens(32);
+/// The least part of the bound that comes from one request, until larger ones were seen.
+const LEAST_OVERSHOOT: Cost = Cost::tokens(256);
+
+/// The account of one workspace.
+#[derive(Debug)]
+pub(crate) struct Account {
+    pub(crate) weight: u32,
+    /// The charge in cost per unit of weight.
+    pub(crate) charge: Cost,
+    means: IndexMap<Class, Mean>,
+    /// The most requests that ran at once.
+    peak: u32,
+    /// The largest cost of one request.
+    largest: Cost,
+}
+
+/// What one request has added to a charge.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Entered {
+    /// The cost.
+    pub(crate) cost: Cost,
+    /// The cost per unit of weight at the time it was entered.
+    weighted: Cost,
+}
+
+impl Account {
+    pub(crate) fn new(weight: u32) -> Self {
+        Self {
+            weight: weight.max(1),
+            charge: Cost::ZERO,
+            means: IndexMap::new(),
+            peak: 1,
+            largest: LEAST_OVERSHOOT,
+        }
+    }
+
+    /// Returns the small estimate that a grant is charged.
+    pub(crate) fn estimate(&self, class: Class, hint: Cost) -> Cost {
+        let learned = self.means.get(&class).map_or(FIRST_ESTIMATE, |mean| Cost(mean.value()));
+        let hint = if hint == Cost::ZERO { learned } else { hint };
+        hint.min(learned).min(LARGEST_ESTIMATE)
+    }
+
+    /// Replaces what a request has added by a new cost.
+    pub(crate) fn enter(&mut self, before: Entered, cost: Cost) -> Entered {
+        let weighted = Cost(cost.0 / u64::from(self.weight));
+        self.charge = (self.charge + weighted).saturating_sub(before.weighted);
+        self.largest = self.largest.max(cost);
+        Entered { cost, weighted }
+    }
+
+    /// Takes a cost as already part of the charge.
+    pub(crate) fn adopt(&self, cost: Cost) -> Entered {
+        Entered { cost, weighted: Cost(cost.0 / u64::from(self.weight)) }
+    }
+
+    pub(crate) fn learn(&mut self, class: Class, used: Cost) {
+        self.means.entry(class).or_default().add(used.0);
+    }
+
+    pub(crate) fn observe_running(&mut self, running: u32) {
+        self.peak = self.peak.max(running);
+    }
+
+    /// Raises the charge, never lowers it.
+    pub(crate) fn lift(&mut self, floor: Cost) {
+        self.charge = self.charge.max(floor);
+    }
+
+    /// Returns how far unreported work can take the charge beyond that of another workspace.
+    pub(crate) fn overshoot(&self) -> Cost {
+        Cost(self.largest.0.saturating_mul(u64::from(self.peak)) / u64::from(self.weight))
+    }
+
+    /// Returns how far corrections of estimates can take the charge back.
+    pub(crate) fn refund(&self) -> Cost {
+        Cost(LARGEST_ESTIMATE.0.saturating_mul(u64::from(self.peak)) / u64::from(self.weight))
+    }
+}
+
+/// Returns the bound on the gap between the charges of two backlogged workspaces.
+pub(crate) fn bound<'a>(accounts: impl Iterator<Item = &'a Account> + Clone) -> Cost {
+    let overshoot = accounts.clone().map(Account::overshoot).max().unwrap_or_default();
+    let refund = accounts.map(Account::refund).max().unwrap_or_default();
+    overshoot + refund
+}
+
+/// The name under which the virtual time travels among the counters.
+pub(crate) fn virtual_time_name() -> Name {
+    Name::new("")
+}
--- /dev/null
+++ b/crates/sched/src/dispatcher.rs
@@ -0,0 +1,257 @@
+//! The dispatcher of one shard: its state, and what changes it from outside.
+
+use std::time::Duration;
+
+use base::Attempt;
+use base::Class;
+use base::Cost;
+use base::EventKind;
+use base::Name;
+use base::RequestId;
+use indexmap::IndexMap;
+use wire::Frame;
+use wire::Term;
+
+use crate::Action;
+use crate::Kind;
+use crate::Load;
+use crate::Note;
+use crate::Plan;
+use crate::charge::Entered;
+use crate::chart::Event;
+use crate::gather::Gather;
+use crate::meter::Meter;
+use crate::runner::Runner;
+use crate::timing::TICK;
+use crate::workspace::Workspace;
+
+/// A granted request.
+#[derive(Debug, Clone)]
+pub(crate) struct Running {
+    pub(crate) entry: Name,
+    pub(crate) term: Term,
+    pub(crate) workspace: Name,
+    pub(crate) class: Class,
+    pub(crate) runner: Name,
+    pub(crate) granted: Duration,
+    pub(crate) entered: Entered,
+    pub(crate) alone: bool,
+    /// When the entry last spoke of it, if ever.
+    pub(crate) confirmed: Option<Duration>,
+    /// When it was last granted or asked about.
+    pub(crate) asked: Duration,
+}
+
+/// The dispatcher of a shard.
+#[derive(Debug)]
+pub struct Dispatcher {
+    pub(crate) shard: wire::Shard,
+    pub(crate) kind: Kind,
+    pub(crate) me: Name,
+    pub(crate) gather: Gather,
+    pub(crate) workspaces: IndexMap<Name, Workspace>,
+    pub(crate) runners: IndexMap<Name, Runner>,
+    pub(crate) running: IndexMap<Attempt, Running>,
+    /// The workspace of each waiting request.
+    pub(crate) waiting: IndexMap<RequestId, Name>,
+    /// The runner that is kept for a request that must run alone.
+    pub(crate) held: Option<Held>,
+    pub(crate) virtual_time: Cost,
+    pub(crate) last_interactive: Option<Duration>,
+    pub(crate) inherited_gap: Cost,
+    pub(crate) meter: Meter,
+    pub(crate) totals_due: Duration,
+    pub(crate) totals_sequence: u64,
+    pub(crate) outbox: Vec<Action>,
+}
+
+/// A runner that is kept for a request that must run alone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Held {
+    pub(crate) request: RequestId,
+    pub(crate) runner: Name,
+}
+
+impl Dispatcher {
+    /// Creates a dispatcher that gathers what its members know of the shard.
+    #[must_use]
+    pub fn new(
+        plan: Plan,
+        me: Name,
+        term: Term,
+        members: Vec<Name>,
+        listed: usize,
+        now: Duration,
+    ) -> Self {
+        let mut dispatcher = Self {
+            shard: plan.shard.clone(),
+            kind: plan.kind,
+            me,
+            gather: Gather::new(term, members, listed, now),
+            workspaces: IndexMap::new(),
+            runners: IndexMap::new(),
+            running: IndexMap::new(),
+            waiting: IndexMap::new(),
+            held: None,
+            virtual_time: Cost::ZERO,
+            last_interactive: None,
+            inherited_gap: Cost::ZERO,
+            meter: Meter::new(now),
+            totals_due: now,
+            totals_sequence: 0,
+            outbox: Vec::new(),
+        };
+        dispatcher.replan(plan, now);
+        dispatcher.note(EventKind::Dispatcher, format!("term {term} begins"));
+        dispatcher
+    }
+
+    /// Takes in a new plan and keeps queues and charges by name.
+    pub fn replan(&mut self, plan: Plan, now: Duration) {
+        self.kind = plan.kind;
+        for workspace in &plan.workspaces {
+            let known = self.workspaces.get_mut(&workspace.name);
+            match known {
+                Some(known) => known.replan(workspace),
+                None => {
+                    self.workspaces.insert(workspace.name.clone(), Workspace::new(workspace));
+                }
+            }
+        }
+        self.remove_missing_runners(&plan, now);
+        for runner in plan.runners {
+            match self.runners.get_mut(&runner.name) {
+                Some(known) => known.replan(runner, now),
+                None => {
+                    self.runners.insert(runner.name.clone(), Runner::new(runner, now));
+                }
+            }
+        }
+        self.settle_runners(now);
+    }
+
+    fn remove_missing_runners(&mut self, plan: &Plan, now: Duration) {
+        let planned = |name: &Name| plan.runners.iter().any(|runner| runner.name == *name);
+        for (name, runner) in &mut self.runners {
+            if !planned(name) {
+                runner.plan.out = true;
+                runner.apply(Event::Removed, now);
+            }
+        }
+        let running = &self.running;
+        self.runners.retain(|name, _| {
+            planned(name) || running.values().any(|running| running.runner == *name)
+        });
+    }
+
+    /// Takes in the alive members and the number of instances that the platform lists.
+    ///
+    /// Waiting requests of lost members are dropped. Their running ones stay counted until a load
+    /// report taken after the loss or a bound says that they are gone.
+    pub fn members(&mut self, members: Vec<Name>, listed: usize, now: Duration) {
+        let lost = self.gather.replace_members(members, listed, now);
+        if lost.is_empty() {
+            return;
+        }
+        let held_by_lost = |entry: &Name| lost.contains(entry);
+        for workspace in self.workspaces.values_mut() {
+            for waiting in workspace.queue.extract(|waiting| held_by_lost(&waiting.entry)) {
+                self.waiting.swap_remove(&waiting.enqueue.request);
+            }
+        }
+        let orphans: Vec<Attempt> = self
+            .running
+            .iter()
+            .filter(|(_, running)| held_by_lost(&running.entry))
+            .map(|(attempt, _)| *attempt)
+            .collect();
+        for attempt in orphans {
+            self.abandon(attempt, now);
+        }
+        for runner in self.runners.values_mut() {
+            runner.doubt = true;
+        }
+    }
+
+    /// Stops counting a request as its own; the runner may still serve it.
+    fn abandon(&mut self, attempt: Attempt, now: Duration) {
+        let Some(running) = self.running.swap_remove(&attempt) else { return };
+        if let Some(workspace) = self.workspaces.get_mut(&running.workspace) {
+            workspace.ended();
+        }
+        if let Some(runner) = self.runners.get_mut(&running.runner) {
+            runner.orphan(now);
+        }
+    }
+
+    /// Takes in a load report of a runner; none means that it could not be had.
+    pub fn load(&mut self, runner: &Name, load: Option<Load>, now: Duration) {
+        let Some(known) = self.runners.get_mut(runner) else { return };
+        let before = known.state;
+        known.load(load, now);
+        let after = known.state;
+        self.clear_doubt(runner, now);
+        self.note_state(runner, before, after);
+    }
+
+    /// Returns when to poll again.
+    #[must_use]
+    pub fn next_wake(&self, now: Duration) -> Option<Duration> {
+        let deadline = self
+            .workspaces
+            .values()
+            .flat_map(|workspace| workspace.queue.iter())
+            .map(|waiting| waiting.deadline)
+            .min();
+        let tick = now + TICK;
+        Some(deadline.unwrap_or(tick).min(tick))
+    }
+
+    /// Returns the term of the dispatcher.
+    #[must_use]
+    pub const fn term(&self) -> Term {
+        self.gather.term()
+    }
+
+    /// Returns whether the dispatcher missed its lease and needs a new term by [`Self::renew`].
+    #[must_use]
+    pub const fn needs_term(&self) -> bool {
+        self.gather.is_expired()
+    }
+
+    pub(crate) fn send(&mut self, to: &Name, frame: Frame) {
+        self.outbox.push(Action::Send { to: to.clone(), frame });
+    }
+
+    pub(crate) fn note(&mut self, kind: EventKind, detail: String) {
+        let note = Note { kind, request: None, workspace: None, runner: None, detail };
+        self.outbox.push(Action::Event(note));
+    }
+
+    pub(crate) fn note_state(&mut self, runner: &Name, before: crate::State, after: crate::State) {
+        if before == after {
+            return;
+        }
+        log::info!("sched: runner {runner} turns from {before} to {after}");
+        let detail = format!("turns from {before} to {after}");
+        let runner = Some(runner.clone());
+        let kind = EventKind::Runner;
+        let note = Note { kind, request: None, workspace: None, runner, detail };
+        self.outbox.push(Action::Event(note));
+    }
+
+    /// Moves drained runners on and drops those that are gone.
+    pub(crate) fn settle_runners(&mut self, now: Duration) {
+        let kind = self.kind;
+        let running = &self.running;
+        let busy = |name: &Name| running.values().any(|running| running.runner == *name);
+        for (name, runner) in &mut self.runners {
+            runner.retry(kind, now);
+            runner.forget(now);
+            if !busy(name) {
+                runner.apply(Event::Drained, now);
+            }
+        }
+        self.runners.retain(|name, runner| runner.state != crate::State::Gone || busy(name));
+    }
+}
--- /dev/null
+++ b/crates/sched/src/entry.rs
@@ -0,0 +1,318 @@
+//! The entry side: requests of a router's own callers, for all shards.
+
+use std::collections::VecDeque;
+use std::mem;
+use std::time::Duration;
+
+use base::Attempt;
+use base::Class;
+use base::Cost;
+use base::Name;
+use base::RequestId;
+use base::Verdict;
+use indexmap::IndexMap;
+use wire::Cancel;
+use wire::Done;
+use wire::Enqueue;
+use wire::Frame;
+use wire::Grant;
+use wire::Refuse;
+use wire::Shard;
+use wire::Term;
+use wire::Totals;
+use wire::Usage;
+
+use crate::timing::ENQUEUE_RESEND;
+use crate::timing::KEEPALIVE_PERIOD;
+use crate::timing::REFUSE_GRACE;
+use crate::timing::TAKEOVER_GRACE;
+use crate::timing::USAGE_PERIOD;
+
+/// Ends of attempts that are remembered to answer repeated grants.
+const FINISHED_REMEMBERED: usize = 4_096;
+/// Advice to a caller whose request no dispatcher has answered.
+const RETRY_AFTER_MS: u32 = 2_000;
+
+/// An action of an entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send a frame to a member, which may be this one.
+    Send {
+        /// The receiver.
+        to: Name,
+        /// The frame.
+        frame: Frame,
+    },
+    /// A runner was granted to a submitted request.
+    Granted(Grant),
+    /// A submitted request was refused.
+    Refused(Refuse),
+}
+
+/// What an entry knows of the dispatcher of a shard.
+#[derive(Debug, Default)]
+pub(crate) struct Owner {
+    pub(crate) name: Option<Name>,
+    /// Whether the owner has asked since it is the owner, so that its grants count.
+    pub(crate) synced: bool,
+    /// The newest term heard of each member.
+    pub(crate) terms: IndexMap<Name, Term>,
+    /// A question of a member that is not the owner yet.
+    pub(crate) early: Option<(Name, Term)>,
+    /// When waiting requests go to the new owner without being asked for.
+    due: Option<Duration>,
+    /// The newest counters heard of a dispatcher.
+    pub(crate) totals: Option<Totals>,
+}
+
+/// A submitted request that waits.
+#[derive(Debug)]
+pub(crate) struct Waiting {
+    enqueue: Enqueue,
+    submitted: Duration,
+    deadline: Duration,
+    pub(crate) resend: Duration,
+}
+
+/// A granted request.
+#[derive(Debug)]
+pub(crate) struct Running {
+    pub(crate) shard: Shard,
+    pub(crate) attempt: u32,
+    pub(crate) workspace: Name,
+    pub(crate) class: Class,
+    pub(crate) runner: Name,
+    pub(crate) used: Cost,
+    pub(crate) reported: Option<(Cost, Duration)>,
+}
+
+/// The requests of a router's own callers.
+#[derive(Debug)]
+pub struct Entry {
+    me: Name,
+    pub(crate) owners: IndexMap<Shard, Owner>,
+    pub(crate) waiting: IndexMap<RequestId, Waiting>,
+    pub(crate) running: IndexMap<RequestId, Running>,
+    pub(crate) finished: IndexMap<Attempt, Done>,
+    finished_order: VecDeque<Attempt>,
+    usage_due: Duration,
+    pub(crate) outbox: Vec<Action>,
+}
+
+impl Waiting {
+    /// Returns the frame that tells a dispatcher of the request now.
+    pub(crate) fn enqueue(&self, now: Duration) -> Enqueue {
+        let millis = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+        let waited = millis(now.saturating_sub(self.submitted));
+        Enqueue {
+            patience_ms: millis(self.deadline.saturating_sub(now)),
+            waited_ms: self.enqueue.waited_ms.saturating_add(waited),
+            ..self.enqueue.clone()
+        }
+    }
+
+    pub(crate) const fn request(&self) -> &Enqueue {
+        &self.enqueue
+    }
+}
+
+impl Entry {
+    /// Creates the entry of a router.
+    #[must_use]
+    pub fn new(me: Name) -> Self {
+        Self {
+            me,
+            owners: IndexMap::new(),
+            waiting: IndexMap::new(),
+            running: IndexMap::new(),
+            finished: IndexMap::new(),
+            finished_order: VecDeque::new(),
+            usage_due: Duration::ZERO,
+            outbox: Vec::new(),
+        }
+    }
+
+    /// Returns the name of the router.
+    #[must_use]
+    pub const fn name(&self) -> &Name {
+        &self.me
+    }
+
+    /// Takes in which member this router considers the dispatcher of a shard.
+    ///
+    /// Grants of a new owner count once it has asked for what this entry holds. If it does not ask
+    /// soon, the waiting requests are sent to it.
+    pub fn owner(&mut self, shard: &Shard, owner: Option<Name>, now: Duration) {
+        let known = self.owners.entry(shard.clone()).or_default();
+        if known.name == owner {
+            return;
+        }
+        known.name = owner;
+        known.synced = false;
+        known.due = Some(now + TAKEOVER_GRACE);
+        let early = known.early.take();
+        if let Some((from, term)) = early {
+            self.take_over(&from, shard, term, now);
+        }
+    }
+
+    /// Takes in a request of a caller. It ends with exactly one grant or refusal, unless cancelled.
+    pub fn submit(&mut self, enqueue: Enqueue, now: Duration) {
+        let deadline = now + Duration::from_millis(u64::from(enqueue.patience_ms));
+        let request = enqueue.request;
+        let resend = now + ENQUEUE_RESEND / 4;
+        let waiting = Waiting { enqueue, submitted: now, deadline, resend };
+        let frame = Frame::Enqueue(waiting.enqueue(now));
+        let shard = waiting.enqueue.shard.clone();
+        self.waiting.insert(request, waiting);
+        self.send_to_owner(&shard, frame);
+    }
+
+    /// Withdraws a waiting request.
+    pub fn cancel(&mut self, shard: &Shard, request: RequestId, _now: Duration) {
+        if self.waiting.shift_remove(&request).is_some() {
+            self.send_to_owner(shard, Frame::Cancel(Cancel { shard: shard.clone(), request }));
+        }
+    }
+
+    /// Takes in all work used so far by the running attempt of a request.
+    pub fn usage(&mut self, _shard: &Shard, request: RequestId, used: Cost, _now: Duration) {
+        if let Some(running) = self.running.get_mut(&request) {
+            running.used = running.used.max(used);
+        }
+    }
+
+    /// Takes in the end of an attempt.
+    pub fn done(&mut self, done: Done, _now: Duration) {
+        let same = self.running.get(&done.request).is_some_and(|run| run.attempt == done.attempt);
+        if !same {
+            return;
+        }
+        self.running.swap_remove(&done.request);
+        let attempt = Attempt { request: done.request, number: done.attempt };
+        self.finished.insert(attempt, done.clone());
+        self.finished_order.push_back(attempt);
+        if self.finished_order.len() > FINISHED_REMEMBERED
+            && let Some(oldest) = self.finished_order.pop_front()
+        {
+            self.finished.swap_remove(&oldest);
+        }
+        let shard = done.shard.clone();
+        self.send_to_owner(&shard, Frame::Done(done));
+    }
+
+    /// Returns what to do now.
+    pub fn poll(&mut self, now: Duration) -> Vec<Action> {
+        self.give_up(now);
+        self.resend_to_new_owners(now);
+        self.resend_waiting(now);
+        self.report_usage(now);
+        mem::take(&mut self.outbox)
+    }
+
+    /// Returns when to poll again.
+    #[must_use]
+    pub fn next_wake(&self, now: Duration) -> Option<Duration> {
+        let waiting = self
+            .waiting
+            .values()
+            .flat_map(|waiting| [waiting.resend, waiting.deadline + REFUSE_GRACE]);
+        let owners = self.owners.values().filter_map(|owner| owner.due);
+        let usage = (!self.running.is_empty()).then_some(self.usage_due);
+        waiting.chain(owners).chain(usage).min().map(|wake| wake.max(now))
+    }
+
+    /// Refuses requests that no dispatcher has answered in time.
+    fn give_up(&mut self, now: Duration) {
+        let over = |waiting: &Waiting| now >= waiting.deadline + REFUSE_GRACE;
+        let requests: Vec<RequestId> = self
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| over(waiting))
+            .map(|(request, _)| *request)
+            .collect();
+        for request in requests {
+            let Some(waiting) = self.waiting.shift_remove(&request) else { continue };
+            let shard = waiting.enqueue.shard;
+            let cancel = Cancel { shard: shard.clone(), request };
+            self.send_to_owner(&shard, Frame::Cancel(cancel));
+            self.outbox.push(Action::Refused(Refuse {
+                shard,
+                term: Term::default(),
+                request,
+                verdict: Verdict::NotRun,
+                retry_after_ms: RETRY_AFTER_MS,
+                flooded: false,
+            }));
+        }
+    }
+
+    fn resend_to_new_owners(&mut self, now: Duration) {
+        let mut due = Vec::new();
+        for (shard, owner) in &mut self.owners {
+            if owner.due.is_some_and(|at| now >= at) {
+                owner.due = None;
+                due.push(shard.clone());
+            }
+        }
+        for waiting in self.waiting.values_mut() {
+            if due.contains(&waiting.enqueue.shard) {
+                waiting.resend = now;
+            }
+        }
+    }
+
+    fn resend_waiting(&mut self, now: Duration) {
+        let mut frames = Vec::new();
+        for waiting in self.waiting.values_mut().filter(|waiting| now >= waiting.resend) {
+            waiting.resend = now + ENQUEUE_RESEND;
+            frames.push(waiting.enqueue(now));
+        }
+        for enqueue in frames {
+            let shard = enqueue.shard.clone();
+            self.send_to_owner(&shard, Frame::Enqueue(enqueue));
+        }
+    }
+
+    fn report_usage(&mut self, now: Duration) {
+        if now < self.usage_due {
+            return;
+        }
+        let mut batches: IndexMap<Shard, Vec<Usage>> = IndexMap::new();
+        for (request, running) in &mut self.running {
+            let due = running
+                .reported
+                .is_none_or(|(used, at)| used != running.used || now >= at + KEEPALIVE_PERIOD);
+            if due {
+                running.reported = Some((running.used, now));
+                let shard = running.shard.clone();
+                let usage = Usage { shard: shard.clone(), request: *request, used: running.used };
+                batches.entry(shard).or_default().push(usage);
+            }
+        }
+        if !self.running.is_empty() {
+            self.usage_due = now + USAGE_PERIOD;
+        }
+        for (shard, usages) in batches {
+            self.send_to_owner(&shard, Frame::Usage(usages));
+        }
+    }
+
+    pub(crate) fn asked(&mut self, shard: &Shard) {
+        if let Some(owner) = self.owners.get_mut(shard) {
+            owner.due = None;
+            owner.synced = true;
+        }
+    }
+
+    pub(crate) fn send(&mut self, to: &Name, frame: Frame) {
+        self.outbox.push(Action::Send { to: to.clone(), frame });
+    }
+
+    fn send_to_owner(&mut self, shard: &Shard, frame: Frame) {
+        let owner = self.owners.get(shard).and_then(|owner| owner.name.clone());
+        if let Some(owner) = owner {
+            self.send(&owner, frame);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/grant.rs
@@ -0,0 +1,318 @@
+//! The decisions of a dispatcher: grants in fair order, refusals, and repeated frames.
+
+use std::mem;
+use std::time::Duration;
+
+use base::Attempt;
+use base::Cost;
+use base::EventKind;
+use base::Name;
+use base::RequestId;
+use base::Verdict;
+use wire::Frame;
+use wire::Grant;
+use wire::Refuse;
+use wire::Total;
+use wire::Totals;
+
+use crate::Action;
+use crate::Dispatcher;
+use crate::Note;
+use crate::charge;
+use crate::dispatcher::Held;
+use crate::dispatcher::Running;
+use crate::free::Slots;
+use crate::meter;
+use crate::queue::Waiting;
+use crate::rendezvous::successors;
+use crate::timing::AUDIT_AFTER;
+use crate::timing::GRANT_RESEND;
+use crate::timing::TOTALS_PERIOD;
+
+/// Members other than the dispatcher that hold its counters.
+const COUNTER_COPIES: usize = 2;
+
+/// A request and the runner chosen for it.
+struct Choice {
+    request: RequestId,
+    runner: Name,
+}
+
+impl Dispatcher {
+    /// Decides what can be decided now and returns what to do.
+    pub fn poll(&mut self, now: Duration) -> Vec<Action> {
+        if !self.keep_lease(now) {
+            return mem::take(&mut self.outbox);
+        }
+        let gathered = self.gather.is_done();
+        self.gather.review(now);
+        self.ask_unheard(now);
+        if !gathered && self.gather.is_done() {
+            self.finish_gathering();
+        }
+        self.settle_runners(now);
+        self.refuse_overdue(now, |deadline| deadline < now);
+        if self.gather.is_done() {
+            self.grant_all(now);
+            self.repeat_grants(now);
+            self.send_totals(now);
+        }
+        self.refuse_overdue(now, |deadline| deadline <= now);
+        self.measure(now);
+        mem::take(&mut self.outbox)
+    }
+
+    fn grant_all(&mut self, now: Duration) {
+        self.hold_for_alone(now);
+        loop {
+            let slots = self.slots(now);
+            if slots.iter().all(|slots| slots.free == 0) || !self.grant_next(&slots, now) {
+                return;
+            }
+        }
+    }
+
+    /// Grants the next request in fair order and returns whether there was one that fits.
+    fn grant_next(&mut self, slots: &[Slots], now: Duration) -> bool {
+        let order = self.fair_order();
+        for (place, workspace) in order.iter().enumerate() {
+            let Some(choice) = self.first_fitting(workspace, slots, now) else { continue };
+            self.limit_credit(&order[..place], workspace);
+            self.grant(workspace, &choice, now);
+            return true;
+        }
+        false
+    }
+
+    /// Returns the backlogged workspaces, the least charged first.
+    fn fair_order(&self) -> Vec<Name> {
+        let backlogged = self.workspaces.iter().filter(|(_, known)| !known.queue.is_empty());
+        let mut order: Vec<(Cost, &Name)> =
+            backlogged.map(|(name, known)| (known.account.charge, name)).collect();
+        order.sort();
+        order.into_iter().map(|(_, name)| name.clone()).collect()
+    }
+
+    fn first_fitting(&self, workspace: &Name, slots: &[Slots], now: Duration) -> Option<Choice> {
+        self.workspaces[workspace].queue.in_turn(now).find_map(|waiting| {
+            let runner = self.choose(waiting, slots)?;
+            Some(Choice { request: waiting.enqueue.request, runner })
+        })
+    }
+
+    /// Lets workspaces that no free slot fits keep at most one bound of credit.
+    fn limit_credit(&mut self, passed_over: &[Name], granted: &Name) {
+        if passed_over.is_empty() {
+            return;
+        }
+        let floor = self.workspaces[granted].account.charge.saturating_sub(self.bound());
+        for name in passed_over {
+            self.workspaces[name].account.lift(floor);
+        }
+    }
+
+    fn grant(&mut self, name: &Name, choice: &Choice, now: Duration) {
+        self.virtual_time = self.virtual_time.max(self.floor());
+        self.waiting.swap_remove(&choice.request);
+        let workspace = &mut self.workspaces[name];
+        let Some(waiting) = workspace.queue.take(choice.request, now) else { return };
+        let enqueue = waiting.enqueue;
+        workspace.granted += 1;
+        workspace.started();
+        let estimate = workspace.account.estimate(enqueue.class, enqueue.hint);
+        let entered = workspace.account.enter(charge::Entered::default(), estimate);
+        self.runners[&choice.runner].remember_prefix(enqueue.prefix);
+        let attempt = Attempt { request: enqueue.request, number: enqueue.attempt };
+        let running = Running {
+            entry: waiting.entry,
+            term: self.gather.term(),
+            workspace: name.clone(),
+            class: enqueue.class,
+            runner: choice.runner.clone(),
+            granted: now,
+            entered,
+            alone: enqueue.alone,
+            confirmed: None,
+            asked: now,
+        };
+        self.send_grant(attempt, &running);
+        self.note_request(EventKind::Granted, attempt.request, name, Some(&running.runner), "");
+        self.running.insert(attempt, running);
+    }
+
+    /// Sends the grant of a request, again if it was sent before.
+    pub(crate) fn send_grant(&mut self, attempt: Attempt, running: &Running) {
+        let grant = Grant {
+            shard: self.shard.clone(),
+            term: running.term,
+            request: attempt.request,
+            attempt: attempt.number,
+            runner: running.runner.clone(),
+        };
+        self.send(&running.entry, Frame::Grant(grant));
+    }
+
+    /// Keeps a runner free for the first request that must run alone, if none is empty.
+    fn hold_for_alone(&mut self, now: Duration) {
+        let waiting = &self.waiting;
+        self.held = self.held.take().filter(|held| waiting.contains_key(&held.request));
+        if let Some(held) = &self.held {
+            let usable = self.runners.get(&held.runner).is_some_and(|runner| runner.limit() > 0);
+            if usable {
+                return;
+            }
+        }
+        let order = self.fair_order();
+        let mut all = order.iter().flat_map(|name| self.workspaces[name].queue.in_turn(now));
+        let Some(alone) = all.find(|waiting| waiting.enqueue.alone) else {
+            self.held = None;
+            return;
+        };
+        let slots = self.slots(now);
+        let allowed = slots
+            .iter()
+            .filter(|slots| slots.limit > 0 && !alone.enqueue.avoid.contains(&slots.runner));
+        let least = allowed.min_by_key(|slots| slots.occupied);
+        let request = alone.enqueue.request;
+        self.held = least.map(|slots| Held { request, runner: slots.runner.clone() });
+    }
+
+    fn refuse_overdue(&mut self, now: Duration, is_over: impl Fn(Duration) -> bool) {
+        let mut overdue = Vec::new();
+        for workspace in self.workspaces.values_mut() {
+            overdue.extend(workspace.queue.extract(|waiting| is_over(waiting.deadline)));
+        }
+        for waiting in overdue {
+            self.waiting.swap_remove(&waiting.enqueue.request);
+            self.refuse(&waiting, false, now);
+        }
+    }
+
+    /// Refuses a request that is in no queue.
+    pub(crate) fn refuse(&mut self, waiting: &Waiting, flooded: bool, now: Duration) {
+        let enqueue = &waiting.enqueue;
+        let Some(workspace) = self.workspaces.get_mut(&enqueue.workspace) else { return };
+        workspace.refused += 1;
+        let retry_after = workspace.queue.retry_after(now);
+        let refuse = Refuse {
+            shard: self.shard.clone(),
+            term: self.gather.term(),
+            request: enqueue.request,
+            verdict: Verdict::NotRun,
+            retry_after_ms: u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX),
+            flooded,
+        };
+        self.send(&waiting.entry, Frame::Refuse(refuse));
+        let why = if flooded { "queue is full" } else { "no runner in time" };
+        self.note_request(EventKind::Refused, enqueue.request, &enqueue.workspace, None, why);
+    }
+
+    /// Sends unconfirmed grants again and asks about requests of which nothing was heard.
+    fn repeat_grants(&mut self, now: Duration) {
+        let term = self.gather.term();
+        let mut grants = Vec::new();
+        let mut silent = Vec::new();
+        for (attempt, running) in &mut self.running {
+            let fresh = running.confirmed.is_none() && running.term == term;
+            let heard = running.confirmed.unwrap_or_default().max(running.asked);
+            if fresh && now >= running.asked + GRANT_RESEND {
+                running.asked = now;
+                grants.push((*attempt, running.clone()));
+            } else if !fresh && now >= heard + AUDIT_AFTER {
+                running.asked = now;
+                silent.push(running.entry.clone());
+            }
+        }
+        for (attempt, running) in grants {
+            self.send_grant(attempt, &running);
+        }
+        silent.sort();
+        silent.dedup();
+        for entry in silent {
+            self.ask(&entry);
+        }
+    }
+
+    fn send_totals(&mut self, now: Duration) {
+        if now < self.totals_due {
+            return;
+        }
+        self.totals_due = now + TOTALS_PERIOD;
+        self.totals_sequence += 1;
+        let counters = self.workspaces.iter().map(|(name, workspace)| Total {
+            workspace: name.clone(),
+            charge: workspace.account.charge,
+        });
+        let time = Total { workspace: charge::virtual_time_name(), charge: self.floor() };
+        let totals = Totals {
+            shard: self.shard.clone(),
+            term: self.gather.term(),
+            sequence: self.totals_sequence,
+            totals: counters.chain([time]).collect(),
+        };
+        let others: Vec<Name> =
+            self.gather.members().filter(|member| **member != self.me).cloned().collect();
+        for successor in successors(&self.shard, &others, COUNTER_COPIES) {
+            self.send(&successor, Frame::Totals(totals.clone()));
+        }
+    }
+
+    fn measure(&mut self, now: Duration) {
+        let slots = self.slots(now);
+        let backlogged = !self.waiting.is_empty();
+        let used = slots.iter().map(|slots| slots.occupied.min(slots.limit)).sum();
+        let usable = slots.iter().map(|slots| slots.limit).sum();
+        self.meter.advance(meter::Slots { used, usable, backlogged }, now);
+        if self.gather.is_done() {
+            self.meter.observe_gap(self.gap());
+        }
+    }
+
+    /// Returns the difference between the largest and the least charge of backlogged workspaces.
+    pub(crate) fn gap(&self) -> Cost {
+        let order = self.fair_order();
+        let charge = |name: Option<&Name>| name.map(|name| self.workspaces[name].account.charge);
+        let (least, most) = (charge(order.first()), charge(order.last()));
+        most.unwrap_or_default().saturating_sub(least.unwrap_or_default())
+    }
+
+    /// Returns the bound on the gap.
+    pub(crate) fn bound(&self) -> Cost {
+        let accounts = self.workspaces.values().map(|workspace| &workspace.account);
+        charge::bound(accounts).max(self.inherited_gap)
+    }
+
+    /// Returns the least charge of a backlogged workspace, or the virtual time if there is none.
+    pub(crate) fn floor(&self) -> Cost {
+        let backlogged = self.workspaces.values().filter(|workspace| !workspace.queue.is_empty());
+        backlogged.map(|workspace| workspace.account.charge).min().unwrap_or(self.virtual_time)
+    }
+
+    /// Lifts workspaces without history after all counters were heard.
+    fn finish_gathering(&mut self) {
+        let floor = self.virtual_time;
+        for workspace in self.workspaces.values_mut().filter(|known| !known.queue.is_empty()) {
+            workspace.account.lift(floor);
+        }
+        self.inherited_gap = self.gap();
+        log::info!("sched: dispatcher of {} has gathered", self.shard);
+    }
+
+    pub(crate) fn note_request(
+        &mut self,
+        kind: EventKind,
+        request: RequestId,
+        workspace: &Name,
+        runner: Option<&Name>,
+        detail: &str,
+    ) {
+        let note = Note {
+            kind,
+            request: Some(request),
+            workspace: Some(workspace.clone()),
+            runner: runner.cloned(),
+            detail: detail.to_owned(),
+        };
+        self.outbox.push(Action::Event(note));
+    }
+}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -1,1 +1,62 @@
-//! Placeholder.
+//! Dispatch decisions without input and output: fair order, runner limits, retries.
+//!
+//! A [`Dispatcher`] holds the queue of one shard and grants runners; an [`Entry`] holds the
+//! requests of a router's own callers. Both take frames and times and return actions.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! let shard = wire::Shard::new("chat", "north", 0);
+//! let members = [base::Name::new("r1"), base::Name::new("r2")];
+//! let owner = sched::owner(&shard, &members).expect("there are members");
+//! let mut entry = sched::Entry::new(base::Name::new("r1"));
+//! entry.owner(&shard, Some(owner.clone()), Duration::ZERO);
+//! assert_eq!(entry.poll(Duration::ZERO), Vec::new());
+//! ```
+
+mod answer;
+pub mod baseline;
+mod budget;
+mod charge;
+mod chart;
+mod dispatcher;
+mod entry;
+mod free;
+mod gather;
+mod grant;
+mod inbox;
+mod limit;
+mod mean;
+mod meter;
+mod note;
+mod plan;
+mod queue;
+mod rendezvous;
+mod report;
+mod resync;
+mod runner;
+mod status;
+pub mod timing;
+mod workspace;
+
+pub use budget::Budget;
+pub use charge::LARGEST_ESTIMATE;
+pub use chart::State;
+pub use dispatcher::Dispatcher;
+pub use entry::Action as EntryAction;
+pub use entry::Entry;
+pub use limit::reserve;
+pub use limit::share;
+pub use note::Action;
+pub use note::Note;
+pub use plan::Kind;
+pub use plan::Load;
+pub use plan::Peer;
+pub use plan::Plan;
+pub use plan::RunnerPlan;
+pub use plan::WorkspacePlan;
+pub use rendezvous::owner;
+pub use rendezvous::successors;
+pub use status::RunnerStatus;
+pub use status::Status;
+pub use status::WorkspaceStatus;
--- /dev/null
+++ b/crates/sched/src/limit.rs
@@ -0,0 +1,25 @@
+//! The part of a runner's limit that a side of a partition may use.
+
+/// Returns the part of a limit for a side that sees `visible` of `listed` members.
+///
+/// The parts of two sides sum to at most the limit; the side with more than half gets the
+/// indivisible slots.
+#[must_use]
+pub fn share(limit: u32, visible: usize, listed: usize) -> u32 {
+    let listed = listed.max(visible).max(1);
+    let part = |members: usize| {
+        let product = u64::from(limit) * u64::try_from(members).unwrap_or(u64::MAX);
+        u32::try_from(product / u64::try_from(listed).unwrap_or(u64::MAX)).unwrap_or(limit)
+    };
+    if visible * 2 > listed { limit - part(listed - visible) } else { part(visible) }
+}
+
+/// Returns the slots of a limit that stay closed to long requests.
+#[must_use]
+pub const fn reserve(limit: u32) -> u32 {
+    match limit {
+        0 | 1 => 0,
+        2..=7 => 1,
+        _ => limit / 4,
+    }
+}
--- /dev/null
+++ b/crates/sched/src/mean.rs
@@ -0,0 +1,29 @@
+//! A moving mean.
+
+/// Weight of the past against one new sample.
+const PAST: u64 = 7;
+
+/// A moving mean of whole numbers.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Mean {
+    value: u64,
+    samples: u32,
+}
+
+impl Mean {
+    pub(crate) fn add(&mut self, sample: u64) {
+        self.value = match self.samples {
+            0 => sample,
+            _ => (self.value.saturating_mul(PAST).saturating_add(sample)) / (PAST + 1),
+        };
+        self.samples = self.samples.saturating_add(1);
+    }
+
+    pub(crate) const fn value(self) -> u64 {
+        self.value
+    }
+
+    pub(crate) const fn samples(self) -> u32 {
+        self.samples
+    }
+}
--- /dev/null
+++ b/crates/sched/src/meter.rs
@@ -0,0 +1,58 @@
+//! Measures utilisation while work waits, and the gap between backlogged workspaces.
+
+use std::time::Duration;
+
+use base::Cost;
+
+/// Integrals over time and extremes since the start of a dispatcher.
+#[derive(Debug)]
+pub(crate) struct Meter {
+    last: Duration,
+    used: f64,
+    usable: f64,
+    pub(crate) largest_gap: Cost,
+    pub(crate) gap: Cost,
+    slots: Slots,
+}
+
+/// Slots in a state that lasts until the next poll.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Slots {
+    pub(crate) used: u32,
+    pub(crate) usable: u32,
+    pub(crate) backlogged: bool,
+}
+
+impl Meter {
+    pub(crate) fn new(now: Duration) -> Self {
+        Self {
+            last: now,
+            used: 0.0,
+            usable: 0.0,
+            largest_gap: Cost::ZERO,
+            gap: Cost::ZERO,
+            slots: Slots::default(),
+        }
+    }
+
+    /// Counts the time since the last call by the slots set then, and sets the new ones.
+    pub(crate) fn advance(&mut self, slots: Slots, now: Duration) {
+        let span = now.saturating_sub(self.last).as_secs_f64();
+        if self.slots.backlogged {
+            self.used += span * f64::from(self.slots.used.min(self.slots.usable));
+            self.usable += span * f64::from(self.slots.usable);
+        }
+        self.last = now;
+        self.slots = slots;
+    }
+
+    pub(crate) fn observe_gap(&mut self, gap: Cost) {
+        self.gap = gap;
+        self.largest_gap = self.largest_gap.max(gap);
+    }
+
+    /// Returns the used part of the usable slot time while work waited, if any waited.
+    pub(crate) fn utilisation(&self) -> Option<f64> {
+        (self.usable > 0.0).then(|| self.used / self.usable)
+    }
+}
--- /dev/null
+++ b/crates/sched/src/report.rs
@@ -0,0 +1,92 @@
+//! Usage and ends of granted requests.
+
+use std::time::Duration;
+
+use base::Attempt;
+use base::Cost;
+use base::Name;
+use wire::Done;
+use wire::Outcome;
+use wire::Usage;
+
+use crate::Dispatcher;
+use crate::chart::Event;
+use crate::dispatcher::Running;
+
+impl Dispatcher {
+    pub(crate) fn usages(&mut self, from: &Name, usages: &[Usage], now: Duration) {
+        for usage in usages {
+            if usage.shard != self.shard {
+                continue;
+            }
+            if let Some(attempt) = self.latest_attempt(from, usage) {
+                self.used(attempt, usage.used, now);
+            }
+        }
+    }
+
+    fn latest_attempt(&self, from: &Name, usage: &Usage) -> Option<Attempt> {
+        let mine = |(attempt, running): &(&Attempt, &Running)| {
+            attempt.request == usage.request && running.entry == *from
+        };
+        let attempts = self.running.iter().filter(mine).map(|(attempt, _)| *attempt);
+        attempts.max_by_key(|attempt| attempt.number)
+    }
+
+    /// Counts the work used so far and that the entry has spoken of the request.
+    pub(crate) fn used(&mut self, attempt: Attempt, used: Cost, now: Duration) {
+        let Some(running) = self.running.get_mut(&attempt) else { return };
+        running.confirmed = Some(now);
+        let Some(workspace) = self.workspaces.get_mut(&running.workspace) else { return };
+        let cost = used.max(running.entered.cost);
+        running.entered = workspace.account.enter(running.entered, cost);
+    }
+
+    pub(crate) fn done(&mut self, from: &Name, done: &Done, now: Duration) {
+        let attempt = Attempt { request: done.request, number: done.attempt };
+        if self.running.get(&attempt).is_none_or(|running| running.entry != *from) {
+            return;
+        }
+        let Some(running) = self.close(attempt, Some(done.used), now) else { return };
+        if done.outcome == Outcome::Answered {
+            let account = &mut self.workspaces[&running.workspace].account;
+            account.learn(running.class, done.used);
+        }
+        self.judge(&running, done, now);
+    }
+
+    /// Stops counting a request that has left its runner.
+    pub(crate) fn close(
+        &mut self,
+        attempt: Attempt,
+        used: Option<Cost>,
+        now: Duration,
+    ) -> Option<Running> {
+        let running = self.running.swap_remove(&attempt)?;
+        if let Some(workspace) = self.workspaces.get_mut(&running.workspace) {
+            workspace.ended();
+            if let Some(used) = used {
+                workspace.account.enter(running.entered, used);
+            }
+        }
+        if let Some(runner) = self.runners.get_mut(&running.runner) {
+            runner.end(running.granted, now);
+        }
+        Some(running)
+    }
+
+    /// Draws conclusions on the runner from the end of a request.
+    fn judge(&mut self, running: &Running, done: &Done, now: Duration) {
+        let Some(runner) = self.runners.get_mut(&running.runner) else { return };
+        let (kind, before) = (self.kind, runner.state);
+        match done.outcome {
+            Outcome::Answered => runner.answered(kind, done.first_token_ms, running.granted, now),
+            Outcome::Broken => runner.apply(Event::Broken, now),
+            Outcome::Overloaded => runner.apply(Event::Overloaded, now),
+            Outcome::Unreachable => runner.suspect(now),
+            Outcome::Unused | Outcome::Cancelled => {}
+        }
+        let after = runner.state;
+        self.note_state(&running.runner, before, after);
+    }
+}
--- /dev/null
+++ b/crates/sched/src/runner.rs
@@ -0,0 +1,285 @@
+//! What a dispatcher knows of one runner.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::Kind;
+use crate::Load;
+use crate::RunnerPlan;
+use crate::chart::Event;
+use crate::chart::Limit;
+use crate::chart::State;
+use crate::mean::Mean;
+use crate::timing::ORPHAN_ENGINE;
+use crate::timing::ORPHAN_PLAIN;
+use crate::timing::RETRY_SUSPECT;
+use crate::timing::TRANSIT;
+
+/// Prompt prefixes remembered for each runner.
+const PREFIXES: usize = 32;
+/// Failed load reports in a row that make a runner suspect.
+const FAILED_REPORTS: u32 = 2;
+/// Time for which ended requests are remembered to read late load reports.
+const ENDED_MEMORY: Duration = Duration::from_secs(10);
+/// First tokens after which the mean counts as learned.
+const FIRST_TOKEN_SAMPLES: u32 = 8;
+/// A first token is late beyond this multiple of the mean.
+const SLOW_FACTOR: u64 = 4;
+/// A first token is never late within this time over the mean, in milliseconds.
+const SLOW_MARGIN_MS: u64 = 1_000;
+
+/// A load report with the time at which it was taken.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Report {
+    pub(crate) taken: Duration,
+    pub(crate) occupied: u32,
+    pub(crate) warm: bool,
+    sequence: u64,
+}
+
+/// The time during which a request was counted on a runner.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Stay {
+    pub(crate) granted: Duration,
+    pub(crate) ended: Option<Duration>,
+}
+
+/// A runner.
+#[derive(Debug)]
+pub(crate) struct Runner {
+    pub(crate) plan: RunnerPlan,
+    pub(crate) state: State,
+    pub(crate) report: Option<Report>,
+    /// Whether work that this dispatcher did not grant may run here.
+    pub(crate) doubt: bool,
+    learned: u32,
+    on_trial: bool,
+    failures: u32,
+    ended: VecDeque<Stay>,
+    orphans: Vec<Duration>,
+    first_token: Mean,
+    prefixes: VecDeque<u64>,
+    suspect_since: Duration,
+    /// The time since which only fresh answers count as evidence.
+    shrunk: Duration,
+}
+
+impl Runner {
+    pub(crate) fn new(plan: RunnerPlan, now: Duration) -> Self {
+        let mut runner = Self {
+            learned: plan.cold_limit,
+            state: State::initial(),
+            report: None,
+            doubt: false,
+            on_trial: false,
+            failures: 0,
+            ended: VecDeque::new(),
+            orphans: Vec::new(),
+            first_token: Mean::default(),
+            prefixes: VecDeque::new(),
+            suspect_since: Duration::ZERO,
+            shrunk: Duration::ZERO,
+            plan,
+        };
+        runner.place(now);
+        runner
+    }
+
+    pub(crate) fn replan(&mut self, plan: RunnerPlan, now: Duration) {
+        self.plan = plan;
+        self.learned = self.learned.clamp(self.floor(), self.plan.warm_limit.max(self.floor()));
+        self.place(now);
+    }
+
+    fn place(&mut self, now: Duration) {
+        let out = matches!(self.state, State::Draining | State::Out | State::Gone);
+        if self.plan.out && !out {
+            self.apply(Event::TakenOut, now);
+        } else if !self.plan.out && out {
+            self.apply(Event::PutBack, now);
+        }
+    }
+
+    const fn floor(&self) -> u32 {
+        self.plan.cold_limit
+    }
+
+    pub(crate) fn apply(&mut self, event: Event, now: Duration) {
+        let next = self.state.after(event);
+        let shrinks = matches!(next.limit(), Limit::Cold | Limit::None);
+        if next != self.state && shrinks {
+            self.learned = self.floor();
+            self.shrunk = now;
+        }
+        self.state = next;
+    }
+
+    /// Returns the limit that the state allows, before any share of it.
+    pub(crate) fn limit(&self) -> u32 {
+        let limit = match self.state.limit() {
+            Limit::None => 0,
+            Limit::Cold => self.floor(),
+            Limit::Learned => self.learned,
+        };
+        if self.on_trial { limit.min(1) } else { limit }
+    }
+
+    /// Returns whether the runner bears more than a cold one for certain.
+    pub(crate) fn is_warm(&self) -> bool {
+        self.state == State::Warm
+    }
+
+    pub(crate) fn load(&mut self, load: Option<Load>, now: Duration) {
+        let Some(load) = load else {
+            self.failures += 1;
+            if self.failures >= FAILED_REPORTS {
+                self.suspect(now);
+            }
+            return;
+        };
+        let taken = now.saturating_sub(load.age);
+        let stale =
+            self.report.is_some_and(|last| load.sequence < last.sequence && taken <= last.taken);
+        if stale {
+            return;
+        }
+        self.failures = 0;
+        let occupied = load.running.saturating_add(load.waiting);
+        self.report = Some(Report { taken, occupied, warm: load.warm, sequence: load.sequence });
+        if self.state == State::Suspect && taken < self.suspect_since {
+            return;
+        }
+        if self.state == State::Suspect {
+            self.on_trial = true;
+        }
+        self.apply(if load.warm { Event::ReportWarm } else { Event::ReportCold }, now);
+    }
+
+    pub(crate) fn suspect(&mut self, now: Duration) {
+        self.suspect_since = now;
+        self.apply(Event::Unreachable, now);
+    }
+
+    /// Lets a suspect without load reports be tried again, one request at a time.
+    pub(crate) fn retry(&mut self, kind: Kind, now: Duration) {
+        let due = now >= self.suspect_since + RETRY_SUSPECT;
+        let blind = kind == Kind::Plain && self.report.is_none();
+        if self.state == State::Suspect && blind && due {
+            self.on_trial = true;
+            self.apply(Event::Retry, now);
+        }
+    }
+
+    pub(crate) fn answered(
+        &mut self,
+        kind: Kind,
+        first_token_ms: Option<u32>,
+        granted: Duration,
+        now: Duration,
+    ) {
+        self.on_trial = false;
+        if first_token_ms.is_some_and(|first| self.is_slow(u64::from(first))) {
+            self.apply(Event::Slow, now);
+            return;
+        }
+        if let Some(first) = first_token_ms {
+            self.first_token.add(u64::from(first));
+        }
+        let cold = self.report.map_or(kind == Kind::Engine, |report| !report.warm);
+        if granted < self.shrunk || cold {
+            return;
+        }
+        self.apply(Event::Answered, now);
+        self.grow(now);
+    }
+
+    fn grow(&mut self, now: Duration) {
+        if self.state.limit() != Limit::Learned {
+            return;
+        }
+        self.learned = self.learned.saturating_add(1).min(self.plan.warm_limit.max(self.floor()));
+        if self.learned >= self.plan.warm_limit {
+            self.apply(Event::Grown, now);
+        }
+    }
+
+    fn is_slow(&self, first_ms: u64) -> bool {
+        let mean = self.first_token.value();
+        let learned = self.first_token.samples() >= FIRST_TOKEN_SAMPLES;
+        learned && first_ms > (mean * SLOW_FACTOR).max(mean + SLOW_MARGIN_MS)
+    }
+
+    pub(crate) fn remember_prefix(&mut self, prefix: u64) {
+        if prefix == 0 {
+            return;
+        }
+        self.prefixes.retain(|known| *known != prefix);
+        self.prefixes.push_back(prefix);
+        if self.prefixes.len() > PREFIXES {
+            self.prefixes.pop_front();
+        }
+    }
+
+    pub(crate) fn knows_prefix(&self, prefix: u64) -> bool {
+        prefix != 0 && self.prefixes.contains(&prefix)
+    }
+
+    pub(crate) fn end(&mut self, granted: Duration, now: Duration) {
+        self.ended.push_back(Stay { granted, ended: Some(now) });
+        self.forget(now);
+    }
+
+    pub(crate) fn orphan(&mut self, now: Duration) {
+        self.orphans.push(now);
+        self.doubt = true;
+    }
+
+    /// Drops what is too old to matter.
+    pub(crate) fn forget(&mut self, now: Duration) {
+        while self
+            .ended
+            .front()
+            .is_some_and(|stay| stay.ended.unwrap_or_default() + ENDED_MEMORY < now)
+        {
+            self.ended.pop_front();
+        }
+    }
+
+    /// Returns how many requests on the runner are not among the counted ones.
+    ///
+    /// `strict` gives the most that the last report allows, else the least.
+    pub(crate) fn foreign(
+        &self,
+        counted: &[Duration],
+        strict: bool,
+        kind: Kind,
+        now: Duration,
+    ) -> u32 {
+        let bound = if kind == Kind::Engine { ORPHAN_ENGINE } else { ORPHAN_PLAIN };
+        let taken = self.report.map(|report| report.taken);
+        let unseen = |lost: &&Duration| taken.is_none_or(|at| at < **lost) && now < **lost + bound;
+        let orphans = u32::try_from(self.orphans.iter().filter(unseen).count()).unwrap_or(u32::MAX);
+        let Some(report) = self.report else { return orphans };
+        let running = counted.iter().map(|granted| Stay { granted: *granted, ended: None });
+        let stays = running.chain(self.ended.iter().copied());
+        let own = stays.filter(|stay| stay.covers(report.taken, strict)).count();
+        let own = u32::try_from(own).unwrap_or(u32::MAX);
+        report.occupied.saturating_sub(own).max(orphans)
+    }
+
+    /// Returns whether a report taken at or after `since` is known.
+    pub(crate) fn reported_since(&self, since: Duration) -> bool {
+        self.report.is_some_and(|report| report.taken >= since)
+    }
+}
+
+impl Stay {
+    /// Returns whether the request surely (`strict`) or possibly was on the runner at a time.
+    fn covers(self, at: Duration, strict: bool) -> bool {
+        if strict {
+            self.granted + TRANSIT <= at && self.ended.is_none_or(|ended| ended >= at + TRANSIT)
+        } else {
+            self.granted <= at && self.ended.is_none_or(|ended| ended + TRANSIT >= at)
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/timing.rs
@@ -0,0 +1,42 @@
+//! Periods and bounds shared by dispatchers and entries.
+
+use std::time::Duration;
+
+/// Time without a poll after which a dispatcher must begin a new term before it grants.
+pub const LEASE: Duration = Duration::from_millis(1_500);
+/// Longest wait for the members' answers at the begin of a term.
+pub const GATHER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Wait after a loss of members before a side that is not surely the continuing one grants.
+pub const SETTLE: Duration = Duration::from_secs(3);
+/// Period at which members that have not answered are asked again.
+pub const ASK_PERIOD: Duration = Duration::from_millis(500);
+/// Period at which fairness counters go to the successors.
+pub const TOTALS_PERIOD: Duration = Duration::from_millis(500);
+/// Smallest time between two usage reports of an entry.
+pub const USAGE_PERIOD: Duration = Duration::from_millis(250);
+/// Period at which an entry reports a running request whose usage has not changed.
+pub const KEEPALIVE_PERIOD: Duration = Duration::from_secs(2);
+/// Time without a report after which a dispatcher asks the entry about a running request.
+pub const AUDIT_AFTER: Duration = Duration::from_secs(6);
+/// Time between two sendings of a grant that the entry has not confirmed.
+pub const GRANT_RESEND: Duration = Duration::from_secs(1);
+/// Time between two sendings of a waiting request that has no answer.
+pub const ENQUEUE_RESEND: Duration = Duration::from_secs(4);
+/// Time that an entry leaves a new owner to ask before it sends its waiting requests again.
+pub const TAKEOVER_GRACE: Duration = Duration::from_millis(750);
+/// Time after its patience at which an entry itself gives a request up.
+pub const REFUSE_GRACE: Duration = Duration::from_millis(500);
+/// Longest way of a frame or request between two processes that decisions allow for.
+pub const TRANSIT: Duration = Duration::from_millis(500);
+/// Longest time between two polls of a dispatcher.
+pub const TICK: Duration = Duration::from_millis(250);
+/// Time after the last interactive request during which slots stay closed to long ones.
+pub const RESERVE_HOLD: Duration = Duration::from_secs(10);
+/// Wait of a long or plain request after which it gets every fourth turn of its workspace.
+pub const AGING: Duration = Duration::from_secs(10);
+/// Time after which a plain runner without load reports is tried again.
+pub const RETRY_SUSPECT: Duration = Duration::from_secs(5);
+/// Time after which the requests of a lost entry count as gone from an engine without reports.
+pub const ORPHAN_ENGINE: Duration = Duration::from_secs(600);
+/// Time after which the requests of a lost entry count as gone from a plain runner.
+pub const ORPHAN_PLAIN: Duration = Duration::from_secs(30);
--- /dev/null
+++ b/crates/sched/src/workspace.rs
@@ -0,0 +1,62 @@
+//! What a dispatcher knows of one workspace.
+
+use crate::WorkspacePlan;
+use crate::charge::Account;
+use crate::queue::Queue;
+
+/// Queue limit of a workspace that the plan does not name yet.
+const UNKNOWN_QUEUE_LIMIT: u32 = 256;
+
+/// A workspace.
+#[derive(Debug)]
+pub(crate) struct Workspace {
+    pub(crate) account: Account,
+    pub(crate) queue: Queue,
+    pub(crate) queue_limit: u32,
+    pub(crate) running: u32,
+    pub(crate) refused: u64,
+    pub(crate) granted: u64,
+    pub(crate) planned: bool,
+}
+
+impl Workspace {
+    pub(crate) fn new(plan: &WorkspacePlan) -> Self {
+        Self {
+            account: Account::new(plan.weight),
+            queue: Queue::default(),
+            queue_limit: plan.queue_limit,
+            running: 0,
+            refused: 0,
+            granted: 0,
+            planned: true,
+        }
+    }
+
+    /// Creates a workspace that an entry knows from a newer configuration.
+    pub(crate) fn unplanned() -> Self {
+        Self {
+            account: Account::new(1),
+            queue: Queue::default(),
+            queue_limit: UNKNOWN_QUEUE_LIMIT,
+            running: 0,
+            refused: 0,
+            granted: 0,
+            planned: false,
+        }
+    }
+
+    pub(crate) fn replan(&mut self, plan: &WorkspacePlan) {
+        self.account.weight = plan.weight.max(1);
+        self.queue_limit = plan.queue_limit;
+        self.planned = true;
+    }
+
+    pub(crate) fn started(&mut self) {
+        self.running += 1;
+        self.account.observe_running(self.running);
+    }
+
+    pub(crate) const fn ended(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+}
