feat(conf): parse settings and configuration and follow the chain of versions

Need: a router reads its settings and every router must decide alike which configuration is in force. A file is decoded until no fault is left: each faulty field is replaced by a whole one and decoding starts again, so that one run reports all faults with line, column, path, what was found and what is allowed. Ruled out: a JSON parser of our own (serde_json decides what is JSON; our scanner only finds offsets) and stopping at the first fault.

Positions are taken from the text with its comments: in the first run a position behind a comment with a two-byte character was one column too far, since the stripped text has one blank for each byte.

A configuration record counts only on the version in force. A reader of a log that has dropped its first records waits for a checkpoint and then takes in the changes that it had read before it; property tests over generated logs with 256 cases each pass.

--- /dev/null
+++ b/crates/conf/src/field.rs
@@ -0,0 +1,135 @@
+//! Decoding of single fields, with a plain sentence for what is allowed.
+
+use std::net::SocketAddr;
+
+use base::Name;
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::de::Error;
+use serde_json::Value;
+
+/// Largest number of characters in a name.
+const NAME_LIMIT: usize = 64;
+/// Digits of a SHA-256 digest in hexadecimal.
+const DIGEST_DIGITS: usize = 64;
+/// Largest duration that a file may give, in milliseconds.
+const MILLIS_LIMIT: u64 = 86_400_000;
+
+const ADDRESS: &str = "an address with port such as \"127.0.0.1:8000\"";
+
+/// Decodes a name.
+pub(crate) fn name<'de, D: Deserializer<'de>>(source: D) -> Result<Name, D::Error> {
+    let allowed = "a name of 1 to 64 letters, digits, `-`, `_` or `.`";
+    checked(source, allowed, |text| is_name(text).then(|| Name::new(text)))
+}
+
+/// Decodes an address with port.
+pub(crate) fn address<'de, D: Deserializer<'de>>(source: D) -> Result<SocketAddr, D::Error> {
+    checked(source, ADDRESS, |text| text.parse().ok())
+}
+
+/// Decodes an address with port, or null for none.
+pub(crate) fn optional_address<'de, D: Deserializer<'de>>(
+    source: D,
+) -> Result<Option<SocketAddr>, D::Error> {
+    match Value::deserialize(source)? {
+        Value::Null => Ok(None),
+        value => address(value).map(Some).map_err(|_| expected(&format!("{ADDRESS}, or null"))),
+    }
+}
+
+/// Decodes the absolute path of a resource.
+pub(crate) fn path<'de, D: Deserializer<'de>>(source: D) -> Result<String, D::Error> {
+    let allowed = "a path that starts with `/` and has no blanks";
+    checked(source, allowed, |text| is_path(text).then(|| text.to_owned()))
+}
+
+/// Decodes a text that is not empty.
+pub(crate) fn text<'de, D: Deserializer<'de>>(source: D) -> Result<String, D::Error> {
+    checked(source, "PEM text or the path of a PEM file", |text| {
+        (!text.is_empty()).then(|| text.to_owned())
+    })
+}
+
+/// Decodes a list of texts that are not empty.
+pub(crate) fn texts<'de, D: Deserializer<'de>>(source: D) -> Result<Vec<String>, D::Error> {
+    let texts: Vec<Text> = list(source)?;
+    Ok(texts.into_iter().map(|text| text.0).collect())
+}
+
+/// Decodes a SHA-256 digest.
+pub(crate) fn digest<'de, D: Deserializer<'de>>(source: D) -> Result<String, D::Error> {
+    checked(source, "a SHA-256 digest of 64 lower-case hexadecimal digits", |text| {
+        is_digest(text).then(|| text.to_owned())
+    })
+}
+
+/// Decodes a list of SHA-256 digests.
+pub(crate) fn digests<'de, D: Deserializer<'de>>(source: D) -> Result<Vec<String>, D::Error> {
+    let digests: Vec<Digest> = list(source)?;
+    Ok(digests.into_iter().map(|digest| digest.0).collect())
+}
+
+/// Decodes a list with at least one entry.
+pub(crate) fn list<'de, T: Deserialize<'de>, D: Deserializer<'de>>(
+    source: D,
+) -> Result<Vec<T>, D::Error> {
+    let entries = Vec::deserialize(source)?;
+    if entries.is_empty() {
+        return Err(expected("a list with at least one entry"));
+    }
+    Ok(entries)
+}
+
+/// Decodes a duration in milliseconds.
+pub(crate) fn millis<'de, D: Deserializer<'de>>(source: D) -> Result<u64, D::Error> {
+    whole::<u64, 1, MILLIS_LIMIT, D>(source)
+}
+
+/// Decodes a whole number from `LEAST` to `MOST`.
+pub(crate) fn whole<'de, T, const LEAST: u64, const MOST: u64, D>(source: D) -> Result<T, D::Error>
+where
+    T: TryFrom<u64>,
+    D: Deserializer<'de>,
+{
+    let value = Value::deserialize(source)?;
+    let number = value.as_u64().filter(|number| (LEAST..=MOST).contains(number));
+    number
+        .and_then(|number| T::try_from(number).ok())
+        .ok_or_else(|| expected(&format!("a whole number from {LEAST} to {MOST}")))
+}
+
+/// A text that is not empty, as an entry of a list.
+#[derive(Deserialize)]
+struct Text(#[serde(deserialize_with = "text")] String);
+
+/// A digest, as an entry of a list.
+#[derive(Deserialize)]
+struct Digest(#[serde(deserialize_with = "digest")] String);
+
+fn checked<'de, T, D: Deserializer<'de>>(
+    source: D,
+    allowed: &str,
+    check: impl FnOnce(&str) -> Option<T>,
+) -> Result<T, D::Error> {
+    let value = Value::deserialize(source)?;
+    value.as_str().and_then(check).ok_or_else(|| expected(allowed))
+}
+
+fn expected<E: Error>(allowed: &str) -> E {
+    E::custom(format!("expected {allowed}"))
+}
+
+fn is_name(text: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    (1..=NAME_LIMIT).contains(&text.len()) && text.bytes().all(allowed)
+}
+
+fn is_path(text: &str) -> bool {
+    text.starts_with('/') && text.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
+fn is_digest(text: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+    text.len() == DIGEST_DIGITS && text.bytes().all(allowed)
+}
--- /dev/null
+++ b/crates/conf/tests/chain.rs
@@ -0,0 +1,180 @@
+//! The chain of versions: every reader decides alike.
+
+use conf::Chain;
+use conf::Record;
+use conf::Version;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// A small valid configuration that differs by the weight of its workspace.
+fn text(weight: u64) -> String {
+    let digest = conf::digest("secret");
+    let runner = r#"{ "name": "a", "address": "127.0.0.1:1", "zone": "z", "warm_limit": 1, "cold_limit": 1 }"#;
+    format!(
+        r#"{{ "workspaces": [{{ "name": "w", "weight": {weight}, "tokens_sha256": ["{digest}"] }}],
+        "services": [{{ "name": "s", "kind": "engine", "region": "r", "classes": ["long"], "runners": [{runner}] }}],
+        "zones": [{{ "name": "z", "region": "r" }}] }}"#
+    )
+}
+
+fn feed_all(mut chain: Chain, log: &[String], start: usize) -> Chain {
+    for (offset, body) in log.iter().enumerate().skip(start) {
+        chain.feed(offset as u64 + 1, body);
+    }
+    chain
+}
+
+fn change(base: u64, weight: u64) -> String {
+    Record::change(base, &text(weight)).encode()
+}
+
+#[test]
+fn records_have_the_published_shape() {
+    assert_eq!(Record::change(3, "{}").encode(), r#"{"base":3,"text":"{}"}"#);
+    let checkpoint = Record::decode(r#"{"checkpoint":3,"text":"{}"}"#).expect("a record");
+    assert_eq!(checkpoint.encode(), r#"{"checkpoint":3,"text":"{}"}"#);
+    assert_eq!(Record::decode(r#"{"base":3,"text":"{}","more":1}"#), None);
+}
+
+#[test]
+fn a_change_counts_only_on_the_version_in_force() {
+    let log = [change(0, 1), change(0, 2), change(1, 3), change(1, 4)];
+    let chain = feed_all(Chain::new(), &log, 0);
+    assert_eq!(chain.number(), 3);
+    assert_eq!(chain.version().map(|version| version.text.clone()), Some(text(3)));
+}
+
+#[test]
+fn an_invalid_text_or_record_changes_nothing() {
+    let log = [change(0, 1), change(1, 0), "no record".to_owned(), change(1, 2)];
+    assert_eq!(feed_all(Chain::new(), &log[..3], 0).number(), 1);
+    assert_eq!(feed_all(Chain::new(), &log, 0).number(), 4);
+}
+
+#[test]
+fn a_record_fed_again_changes_nothing() {
+    let mut chain = feed_all(Chain::new(), &[change(0, 1), change(1, 2)], 0);
+    assert_eq!(chain.feed(1, &change(0, 1)).map(|version| version.number), Some(2));
+}
+
+#[test]
+fn a_checkpoint_keeps_its_number_and_never_takes_back() {
+    let mut chain = feed_all(Chain::new(), &[change(0, 1)], 0);
+    let checkpoint = Record::checkpoint(chain.version().expect("a version")).encode();
+    assert_eq!(chain.feed(2, &checkpoint).map(|version| version.number), Some(1));
+    assert_eq!(chain.feed(3, &change(1, 2)).map(|version| version.number), Some(3));
+    assert_eq!(chain.feed(4, &checkpoint).map(|version| version.number), Some(3));
+    let mut late = Chain::trimmed();
+    assert_eq!(late.feed(2, &checkpoint).map(|version| version.number), Some(1));
+}
+
+#[test]
+fn a_reader_of_a_trimmed_log_waits_for_a_checkpoint() {
+    let mut chain = Chain::trimmed();
+    assert_eq!(chain.feed(7, &change(0, 1)), None);
+}
+
+#[test]
+fn a_reader_of_a_trimmed_log_takes_in_changes_read_before_a_late_checkpoint() {
+    let mut log = vec![change(0, 1), change(1, 2)];
+    let first = feed_all(Chain::new(), &log[..1], 0);
+    log.push(Record::checkpoint(first.version().expect("a version")).encode());
+    let late = feed_all(Chain::trimmed(), &log, 1);
+    assert_eq!(late.version(), feed_all(Chain::new(), &log, 0).version());
+}
+
+#[test]
+fn a_version_of_a_peer_counts_until_the_log_is_read_that_far() {
+    let log = [change(0, 1), change(1, 2), change(2, 3)];
+    let mut chain = feed_all(Chain::new(), &log[..1], 0);
+    assert_eq!(chain.adopt(2, &text(2)).map(|version| version.number), Some(2));
+    assert_eq!(chain.adopt(1, &text(1)).map(|version| version.number), Some(2));
+    assert_eq!(chain.adopt(3, "{}").map(|version| version.number), Some(2));
+    assert_eq!(chain.read_to(), 1);
+    let chain = feed_all(chain, &log, 1);
+    assert_eq!((chain.number(), chain.read_to()), (3, 3));
+}
+
+/// What one author writes: how many versions ago it read the log, and what then.
+#[derive(Debug, Clone)]
+enum Step {
+    Change { behind: usize, weight: u64 },
+    Checkpoint,
+    Garbage(String),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let change =
+        (0_usize..4, 0_u64..1000).prop_map(|(behind, weight)| Step::Change { behind, weight });
+    let garbage = "[ -~]{0,20}".prop_map(Step::Garbage);
+    let step = prop_oneof![4 => change, 2 => Just(Step::Checkpoint), 1 => garbage];
+    proptest::collection::vec(step, 1..24)
+}
+
+/// Writes the log and returns it with the offsets of its checkpoints.
+fn write(steps: &[Step]) -> (Vec<String>, Vec<usize>) {
+    let mut log = Vec::new();
+    let mut checkpoints = Vec::new();
+    let mut chain = Chain::new();
+    let mut seen = vec![0];
+    for step in steps {
+        let body = match (step, chain.version()) {
+            (Step::Change { behind, weight }, _) => {
+                change(seen[seen.len().saturating_sub(behind + 1)], *weight)
+            }
+            (Step::Checkpoint, Some(version)) => {
+                checkpoints.push(log.len());
+                Record::checkpoint(version).encode()
+            }
+            (Step::Checkpoint, None) => continue,
+            (Step::Garbage(text), _) => text.clone(),
+        };
+        let number = chain.feed(log.len() as u64 + 1, &body).map_or(0, |version| version.number);
+        seen.push(number);
+        log.push(body);
+    }
+    (log, checkpoints)
+}
+
+/// Returns a deterministic configuration of property tests.
+fn fixed(cases: u32) -> ProptestConfig {
+    ProptestConfig { cases, rng_seed: RngSeed::Fixed(20_261_203), ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(fixed(256))]
+
+    #[test]
+    fn readers_agree_from_the_first_checkpoint_that_they_read(
+        steps in steps(),
+        start in 0_usize..24,
+    ) {
+        let (log, checkpoints) = write(&steps);
+        let Some(checkpoint) = checkpoints.into_iter().find(|offset| *offset >= start) else {
+            return Ok(());
+        };
+        for end in checkpoint + 1..=log.len() {
+            let whole = feed_all(Chain::new(), &log[..end], 0);
+            let late = feed_all(Chain::trimmed(), &log[..end], start);
+            prop_assert_eq!(late.version(), whole.version());
+        }
+    }
+
+    #[test]
+    fn the_number_in_force_never_falls(steps in steps()) {
+        let (log, _) = write(&steps);
+        let mut chain = Chain::new();
+        let mut last = 0;
+        for (offset, body) in log.iter().enumerate() {
+            let number = chain.feed(offset as u64 + 1, body).map_or(0, |version| version.number);
+            prop_assert!(number >= last && number <= Version::number_at(offset as u64 + 1));
+            last = number;
+        }
+    }
+
+    #[test]
+    fn any_body_is_fed_without_a_panic(body in "\\PC{0,100}", offset in any::<u64>()) {
+        Chain::new().feed(offset, &body);
+        Chain::trimmed().feed(offset, &body);
+    }
+}
--- /dev/null
+++ b/crates/conf/tests/configuration.rs
@@ -0,0 +1,170 @@
+//! Configuration files: checks across fields, tokens, and what never fails.
+
+use conf::Configuration;
+use conf::Fault;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const EXAMPLE: &str = include_str!("../../../docs/configuration.example.json");
+const BIRCH: &str = "28744c37a4c95c708aeb43991be33c2c0e420606d45e5a3b3d623c42e1274353";
+const BEECH: &str = "0ada76a3da47bdd2721cfee3590709e0fe486b07cb830625a9c5bc132b726352";
+
+/// Replaces one text in the example and returns the faults as path and what is allowed.
+fn faults(from: &str, to: &str) -> Vec<(String, String)> {
+    let text = EXAMPLE.replacen(from, to, 1);
+    assert_ne!(text, EXAMPLE);
+    let error = Configuration::parse(&text).expect_err("the configuration is invalid");
+    let pair = |fault: &Fault| (fault.path.clone(), fault.allowed.clone());
+    error.current_context().faults().iter().map(pair).collect()
+}
+
+fn pair(path: &str, allowed: &str) -> (String, String) {
+    (path.to_owned(), allowed.to_owned())
+}
+
+#[test]
+fn the_example_is_valid_and_read_back_as_written() {
+    let example = Configuration::parse(EXAMPLE).expect("the example parses");
+    let written = serde_json::to_string(&example).expect("writable");
+    assert_eq!(Configuration::parse(&written).expect("valid"), example);
+}
+
+#[test]
+fn a_token_digest_leads_to_its_workspace() {
+    let example = Configuration::parse(EXAMPLE).expect("the example parses");
+    let name = |token| {
+        let workspace = example.workspace_of(&conf::digest(token));
+        workspace.map(|workspace| workspace.name.as_str().to_owned())
+    };
+    assert_eq!(name("birch-secret").as_deref(), Some("birch"));
+    assert_eq!(name("beech-secret").as_deref(), Some("beech"));
+    assert_eq!(name("secret"), None);
+}
+
+#[test]
+fn names_are_unique() {
+    let unique = |kind| format!("a name that no other {kind} has");
+    let [workspace, service, zone, runner] = ["workspace", "service", "zone", "runner"].map(unique);
+    assert_eq!(faults("\"beech\"", "\"birch\""), [pair("workspaces[1].name", &workspace)]);
+    assert_eq!(faults("\"billing\"", "\"chat\""), [pair("services[1].name", &service)]);
+    let zones = "{ \"name\": \"north-2\", \"region\": \"north\" }";
+    let repeated = format!("{zones}, {zones}");
+    assert_eq!(faults(zones, &repeated), [pair("zones[2].name", &zone)]);
+    assert_eq!(
+        faults("\"billing-1\"", "\"chat-2\""),
+        [pair("services[1].runners[0].name", &runner)]
+    );
+}
+
+#[test]
+fn two_runners_do_not_share_an_address() {
+    let expected = pair("services[0].runners[1].address", "an address that no other runner has");
+    assert_eq!(faults("192.0.2.22:9100", "192.0.2.21:9100"), [expected]);
+}
+
+#[test]
+fn a_token_belongs_to_one_workspace() {
+    let expected = pair("workspaces[1].tokens_sha256[0]", "a digest that stands nowhere else");
+    assert_eq!(faults(BEECH, BIRCH), [expected]);
+}
+
+#[test]
+fn zones_and_regions_are_known() {
+    assert_eq!(
+        faults("\"zone\": \"north-2\"", "\"zone\": \"north-3\""),
+        [pair("services[0].runners[1].zone", "the name of a zone")]
+    );
+    let text = EXAMPLE.replacen("\"region\": \"north\"", "\"region\": \"nroth\"", 1);
+    let error = Configuration::parse(&text).expect_err("the region is unknown");
+    let fault = &error.current_context().faults()[0];
+    assert_eq!(
+        (fault.path.as_str(), fault.allowed.as_str()),
+        ("services[0].region", "the region of a zone")
+    );
+    assert_eq!(fault.nearest.as_deref(), Some("north"));
+}
+
+#[test]
+fn a_runner_stands_in_the_region_of_its_service() {
+    let zone = "{ \"name\": \"north-2\", \"region\": \"north\" }";
+    let allowed = "a zone of region `north`, that of the service";
+    assert_eq!(
+        faults(zone, "{ \"name\": \"north-2\", \"region\": \"south\" }"),
+        [pair("services[0].runners[1].zone", allowed)]
+    );
+}
+
+#[test]
+fn classes_fit_the_kind_of_the_service() {
+    assert_eq!(
+        faults("\"long\"]", "\"once\", \"lookup\"]"),
+        [
+            pair("services[0].classes[1]", "`interactive` or `long` for an engine"),
+            pair("services[0].classes[2]", "`interactive` or `long` for an engine"),
+        ]
+    );
+    assert_eq!(
+        faults("\"once\"]", "\"long\", \"lookup\"]"),
+        [
+            pair("services[1].classes[1]", "`lookup` or `once` for a plain service"),
+            pair("services[1].classes[2]", "each class once"),
+        ]
+    );
+}
+
+#[test]
+fn limits_are_neither_zero_nor_too_large() {
+    assert_eq!(
+        faults("\"queue_limit\": 64", "\"queue_limit\": 0"),
+        [pair("workspaces[0].queue_limit", "a whole number from 1 to 1000000")]
+    );
+    assert_eq!(
+        faults("\"weight\": 3", "\"weight\": 1001"),
+        [pair("workspaces[0].weight", "a whole number from 1 to 1000")]
+    );
+    assert_eq!(
+        faults("\"cold_limit\": 4", "\"cold_limit\": 17"),
+        [pair("services[0].runners[0].cold_limit", "a whole number from 1 to 16, the warm limit")]
+    );
+}
+
+#[test]
+fn empty_lists_and_shape_faults_are_reported_together() {
+    let text = EXAMPLE
+        .replacen(&format!("[\"{BIRCH}\"]"), "[]", 1)
+        .replacen("\"engine\"", "\"engin\"", 1)
+        .replacen("\"classes\": [\"lookup\", \"once\"]", "\"classes\": [\"lookup\", \"onec\"]", 1);
+    let error = Configuration::parse(&text).expect_err("the configuration is invalid");
+    let faults: Vec<String> =
+        error.current_context().faults().iter().map(ToString::to_string).collect();
+    let expected = [
+        "line 9, column 24: workspaces[0].tokens_sha256: found an empty list, allowed is a list \
+         with at least one entry",
+        "line 21, column 15: services[0].kind: found \"engin\", allowed is `engine`, `plain`; did \
+         you mean `engine`?",
+        "line 55, column 29: services[1].classes[1]: found \"onec\", allowed is `interactive`, \
+         `long`, `lookup`, `once`; did you mean `once`?",
+    ];
+    assert_eq!(faults, expected);
+}
+
+/// Returns a deterministic configuration of property tests.
+fn fixed(cases: u32) -> ProptestConfig {
+    ProptestConfig { cases, rng_seed: RngSeed::Fixed(20_261_203), ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(fixed(128))]
+
+    #[test]
+    fn any_change_of_bytes_is_parsed_without_a_panic(
+        bytes in proptest::collection::vec(any::<u8>(), 0..12),
+        at in 0..EXAMPLE.len(),
+        removed in 0_usize..60,
+    ) {
+        let mut file = EXAMPLE.as_bytes().to_vec();
+        let end = (at + removed).min(file.len());
+        file.splice(at..end, bytes);
+        let _ = Configuration::parse(&String::from_utf8_lossy(&file));
+    }
+}
--- /dev/null
+++ b/crates/conf/tests/settings.rs
@@ -0,0 +1,130 @@
+//! Settings files: defaults, faults with their positions, and what never fails.
+
+use conf::Fault;
+use conf::Settings;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const WHOLE: &str = include_str!("settings.json");
+const EXAMPLE: &str = include_str!("../../../docs/settings.example.json");
+
+fn faults(text: &str) -> Vec<Fault> {
+    let error = Settings::parse(text).expect_err("the settings are invalid");
+    error.current_context().faults().to_vec()
+}
+
+fn fault(line: usize, column: usize, path: &str, found: &str, allowed: &str) -> Fault {
+    let [path, found, allowed] = [path, found, allowed].map(str::to_owned);
+    Fault { line, column, path, found, allowed, nearest: None }
+}
+
+#[test]
+fn the_example_is_valid() {
+    Settings::parse(EXAMPLE).expect("the example parses");
+}
+
+#[test]
+fn absent_fields_take_their_defaults() {
+    let settings = Settings::parse(WHOLE).expect("the file is valid");
+    assert_eq!(settings.threads, 2);
+    assert_eq!(settings.mode, conf::settings::Mode::Fleet);
+    assert_eq!(settings.log_level, conf::settings::Level::Info);
+    assert_eq!(settings.platform.instances_path, "/instances");
+    assert_eq!(settings.limits, conf::settings::Limits::default());
+    assert_eq!((settings.advertise, settings.peer_advertise, settings.statsd), (None, None, None));
+}
+
+#[test]
+fn written_settings_are_read_back() {
+    let settings = Settings::parse(WHOLE).expect("the file is valid");
+    let written = serde_json::to_string_pretty(&settings).expect("writable");
+    assert_eq!(Settings::parse(&written).expect("the file is valid"), settings);
+}
+
+#[test]
+fn an_unknown_field_names_the_nearest_allowed_one() {
+    let text = WHOLE.replace("\"key\"", "\"keys\"");
+    let mut unknown =
+        fault(11, 43, "peer_keys.keys", "unknown field `keys`", "`certificate`, `key`, `trust`");
+    unknown.nearest = Some("key".to_owned());
+    let missing = fault(11, 16, "peer_keys", "no field `key`", "an object that has `key`");
+    assert_eq!(faults(&text), [missing, unknown]);
+}
+
+#[test]
+fn all_faults_are_reported_in_the_order_of_the_file() {
+    let text = WHOLE
+        .replace("\"r1\"", "\"r 1\"")
+        .replace("\"127.0.0.1:7000\"", "7000")
+        .replace("{ \"log\"", "/* several\nlines ä */ { \"log\"")
+        .replace("\"127.0.0.1:9001\"", "\"localhost\"");
+    let address = "an address with port such as \"127.0.0.1:8000\"";
+    let name = "a name of 1 to 64 letters, digits, `-`, `_` or `.`";
+    let expected = [
+        fault(3, 11, "name", "\"r 1\"", name),
+        fault(7, 18, "peer_listen", "7000", address),
+        fault(10, 52, "platform.instances", "\"localhost\"", address),
+    ];
+    assert_eq!(faults(&text), expected);
+}
+
+#[test]
+fn a_field_given_twice_is_a_fault() {
+    let text = WHOLE.replace("\"zone\":", "\"name\": \"r2\", \"zone\":");
+    let expected = fault(4, 3, "name", "a second field of this name", "one field of each name");
+    assert_eq!(faults(&text), [expected]);
+}
+
+#[test]
+fn a_syntax_error_keeps_its_position_behind_comments() {
+    let text = "// ä\n/* two\nlines */ { \"name\": ä }";
+    let expected = fault(3, 20, "name", "'ä'", "JSON (expected value)");
+    assert_eq!(faults(text), [expected]);
+}
+
+#[test]
+fn what_has_no_end_is_reported_where_it_begins() {
+    let string = "a string that is closed by `\"`";
+    let comment = "a comment that is closed by `*/`";
+    assert_eq!(faults("{ // \"\n \"na"), [fault(2, 2, "", "'\"'", string)]);
+    assert_eq!(faults("{ \"/*\" /* "), [fault(1, 8, "", "'/'", comment)]);
+}
+
+#[test]
+fn an_unspecified_address_must_be_advertised() {
+    let text = WHOLE.replace("127.0.0.1:8000", "0.0.0.0:8000");
+    let allowed = "a concrete address, or one given in `advertise` as well";
+    assert_eq!(faults(&text), [fault(6, 13, "listen", "\"0.0.0.0:8000\"", allowed)]);
+}
+
+#[test]
+fn keys_are_not_shown_for_debugging() {
+    let settings = Settings::parse(WHOLE).expect("the file is valid");
+    assert!(!format!("{settings:?}").contains("r1-key.pem"));
+}
+
+/// Returns a deterministic configuration of property tests.
+fn fixed(cases: u32) -> ProptestConfig {
+    ProptestConfig { cases, rng_seed: RngSeed::Fixed(20_261_203), ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(fixed(256))]
+
+    #[test]
+    fn any_text_is_parsed_without_a_panic(text in "\\PC{0,200}") {
+        let _ = Settings::parse(&text);
+    }
+
+    #[test]
+    fn any_bytes_in_a_file_are_parsed_without_a_panic(
+        bytes in proptest::collection::vec(any::<u8>(), 0..12),
+        at in 0..WHOLE.len(),
+        removed in 0_usize..40,
+    ) {
+        let mut file = WHOLE.as_bytes().to_vec();
+        let end = (at + removed).min(file.len());
+        file.splice(at..end, bytes);
+        let _ = Settings::parse(&String::from_utf8_lossy(&file));
+    }
+}
