feat(claim): claim non-idempotent calls in the log before they are sent

A non-idempotent call may be sent by one router only, and a refusal that says not-run must be true. Memory of our processes may not stand in for the log.

The standing of a claim depends on the records before it alone: it is the first of its key or void for good. The other reading, that a later claim moves up when the holder releases the key, was ruled out: its router has answered its caller by then, so the key would be held by a claim that nobody runs. A release names the claim, may come before it (a delayed append), and is remembered.

Keys held are bounded: forgetting the oldest raises the age below which keys are refused. The window is the retention less three clock errors and the deadline.

--- /dev/null
+++ b/crates/claim/src/state.rs
@@ -0,0 +1,386 @@
+//! The state that the tasks of the claims share.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use base::Verdict;
+use indexmap::IndexMap;
+use plat::Error;
+use plat::Page;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+use uuid::Uuid;
+
+use crate::Answer;
+use crate::Claim;
+use crate::Decision;
+use crate::Digest;
+use crate::Entry;
+use crate::Limits;
+use crate::Outcome;
+use crate::Refusal;
+use crate::Release;
+use crate::Request;
+use crate::Scope;
+use crate::Settings;
+use crate::Standing;
+use crate::Status;
+use crate::Table;
+use crate::Ticket;
+use crate::View;
+use crate::entry;
+use crate::health::Health;
+use crate::health::RETRY_AFTER;
+use crate::limits;
+use crate::queue::Pending;
+use crate::queue::Queue;
+
+/// Claims that may wait to be read back.
+const WAITERS_LIMIT: usize = 10_000;
+/// Appends of one claim while its caller waits.
+const CLAIM_TRIES: u32 = 3;
+/// The first pause before a record or release is appended again.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Doublings of that pause.
+const RETRY_DOUBLINGS: u32 = 5;
+/// When callers may come back whose key is about to be released.
+const RELEASE_PAUSE: Duration = Duration::from_millis(200);
+
+/// Receives the decision on a claim.
+pub(crate) type Waiting = oneshot::Receiver<Decision>;
+
+/// What all tasks of the claims share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) log: plat::Log,
+    pub(crate) queued: Notify,
+    pub(crate) settled: Notify,
+    state: Mutex<State>,
+}
+
+/// A claim that waits to be read back.
+#[derive(Debug)]
+struct Waiter {
+    scope: Scope,
+    digest: Digest,
+    sender: oneshot::Sender<Decision>,
+}
+
+/// The place that has been read.
+#[derive(Debug, Default)]
+pub(crate) struct Tail {
+    /// The offset that is read next, once it is known.
+    pub(crate) position: Option<u64>,
+    /// The offset up to which the window must be read before calls are taken.
+    pub(crate) ready_at: u64,
+    /// Whether the window has been read.
+    pub(crate) ready: bool,
+    has_read: bool,
+    missed: bool,
+}
+
+/// The mutable part.
+#[derive(Debug)]
+pub(crate) struct State {
+    limits: Limits,
+    me: base::Name,
+    table: Table,
+    waiters: IndexMap<Uuid, Waiter>,
+    releasing: IndexMap<Uuid, Scope>,
+    pub(crate) queue: Queue,
+    pub(crate) health: Health,
+    pub(crate) tail: Tail,
+    pub(crate) in_flight: usize,
+    pub(crate) stopping: bool,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: Settings, log: plat::Log) -> Self {
+        let limits = Limits::new(settings.retention, settings.deadline);
+        let state = State {
+            limits,
+            me: settings.me.clone(),
+            table: Table::new(limits),
+            waiters: IndexMap::new(),
+            releasing: IndexMap::new(),
+            queue: Queue::default(),
+            health: Health::default(),
+            tail: Tail::default(),
+            in_flight: 0,
+            stopping: false,
+        };
+        let state = Mutex::new(state);
+        Self { settings, log, queued: Notify::new(), settled: Notify::new(), state }
+    }
+
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Begins a claim, or decides without one.
+    pub(crate) fn begin(&mut self, request: &Request) -> Result<(Uuid, Waiting), Decision> {
+        let scope = request.scope();
+        let digest = Digest(request.digest);
+        self.check(&scope, &digest)?;
+        let id = Uuid::new_v4();
+        let claim = Claim {
+            scope: scope.clone(),
+            id,
+            request: Uuid::from_u128(request.request.0),
+            router: self.me.clone(),
+            digest,
+        };
+        let (sender, receiver) = oneshot::channel();
+        self.waiters.insert(id, Waiter { scope, digest, sender });
+        self.queue.push(Pending::new(Entry::Claim(claim), Instant::now()));
+        Ok((id, receiver))
+    }
+
+    fn check(&self, scope: &Scope, digest: &Digest) -> Result<(), Decision> {
+        let now = Instant::now();
+        self.table.admit(scope, now_ms()).map_err(Decision::Refused)?;
+        if self.stopping {
+            return Err(Decision::Refused(Refusal::NotReady { retry_after: RETRY_AFTER }));
+        }
+        if self.tail.ready {
+            self.settled_decision(scope, digest)?;
+        }
+        if let Some(retry_after) = self.health.retry_after(now) {
+            return Err(Decision::Refused(Refusal::LogDown { retry_after }));
+        }
+        if !self.tail.ready {
+            return Err(Decision::Refused(Refusal::NotReady { retry_after: RETRY_AFTER }));
+        }
+        if self.waiters.len() >= WAITERS_LIMIT {
+            return Err(Decision::Refused(Refusal::LogDown { retry_after: RETRY_AFTER }));
+        }
+        Ok(())
+    }
+
+    /// Returns the decision as an error if an earlier claim of the key settles it.
+    fn settled_decision(&self, scope: &Scope, digest: &Digest) -> Result<(), Decision> {
+        match self.table.view(scope, digest) {
+            View::Free => Ok(()),
+            View::Held(id) if self.releasing.contains_key(&id) => Ok(()),
+            View::Held(_) => Err(Decision::Unfinished),
+            View::Reused => Err(Decision::Refused(Refusal::KeyReused)),
+            View::Finished(answer) => Err(Decision::Finished(answer)),
+        }
+    }
+
+    /// Gives up a claim whose decision nobody has got, and releases it if it may stand in the log.
+    pub(crate) fn abandon(&mut self, scope: &Scope, id: Uuid) {
+        self.waiters.swap_remove(&id);
+        let withdrawn = self.queue.withdraw(id);
+        if withdrawn.is_some_and(|pending| !pending.may_stand) {
+            return;
+        }
+        if !self.table.is_dead(scope, id) {
+            self.release(scope.clone(), id);
+        }
+    }
+
+    /// Queues the release of a claim that has not run.
+    pub(crate) fn release(&mut self, scope: Scope, id: Uuid) {
+        self.releasing.insert(id, scope.clone());
+        let entry = Entry::Release(Release { scope, id });
+        self.queue.push(Pending::new(entry, Instant::now()));
+    }
+
+    /// Queues the outcome of a claim that has run.
+    pub(crate) fn record(
+        &mut self,
+        ticket: &Ticket,
+        answer: Answer,
+    ) -> oneshot::Receiver<Result<(), Error>> {
+        let outcome = Outcome::new(ticket.scope.clone(), ticket.id, answer, self.limits.body);
+        let (sender, receiver) = oneshot::channel();
+        let mut pending = Pending::new(Entry::Outcome(outcome), Instant::now());
+        pending.done = Some(sender);
+        self.queue.push(pending);
+        receiver
+    }
+
+    /// Takes in the result of an append.
+    pub(crate) fn settle(&mut self, batch: Vec<Pending>, result: Result<u64, Error>) {
+        let now = Instant::now();
+        match result {
+            Ok(_) => self.health.append_worked(),
+            Err(error) => self.health.append_failed(error),
+        }
+        for mut pending in batch {
+            if let Some(done) = pending.done.take() {
+                // The caller may have stopped waiting.
+                done.send(result.map(|_| ())).ok();
+            }
+            if let Err(error) = result {
+                self.retry(pending, error, now);
+            }
+        }
+    }
+
+    fn retry(&mut self, mut pending: Pending, error: Error, now: Instant) {
+        pending.tries += 1;
+        pending.may_stand |= error.verdict() != Verdict::NotRun;
+        if matches!(pending.entry, Entry::Claim(_)) {
+            self.retry_claim(pending, error, now);
+        } else if self.is_wanted(&pending, now) {
+            let pause = RETRY_PAUSE * (1 << pending.tries.min(RETRY_DOUBLINGS));
+            self.queue.push_later(pending, now + pause);
+        }
+    }
+
+    fn retry_claim(&mut self, pending: Pending, error: Error, now: Instant) {
+        let id = pending.entry.id();
+        if !self.waiters.contains_key(&id) {
+            return;
+        }
+        let down = error == Error::Unreachable || pending.tries >= CLAIM_TRIES;
+        if !down && !self.health.is_closed(now) {
+            self.queue.push(pending);
+            return;
+        }
+        self.health.close(now);
+        if pending.may_stand {
+            self.release(pending.entry.scope().clone(), id);
+        }
+        self.answer(id, Decision::Refused(Refusal::LogDown { retry_after: RETRY_AFTER }));
+    }
+
+    fn is_wanted(&self, pending: &Pending, now: Instant) -> bool {
+        let (scope, id) = (pending.entry.scope(), pending.entry.id());
+        let known = self.table.is_finished(scope, id) || self.table.is_dead(scope, id);
+        let age = limits::millis(now.duration_since(pending.since));
+        !known && age < self.limits.retention_ms
+    }
+
+    /// Takes in the records of a page.
+    pub(crate) fn take_in(&mut self, page: &Page) {
+        let now_ms = now_ms();
+        let position = self.tail.position.unwrap_or(page.first);
+        if page.next < position {
+            log::warn!("claim: the log ends at {} before {position}", page.next);
+            self.tail.restart(page.first, page.next);
+            return;
+        }
+        if std::mem::take(&mut self.tail.missed) {
+            let until = page.records.first().map_or(now_ms, |record| record.time_ms);
+            self.table.missed_until(until);
+        }
+        for record in page.records.iter().filter(|record| record.offset >= position) {
+            self.take_in_record(&record.body, record.offset, now_ms);
+        }
+        self.tail.advance(position, page);
+        self.expire(now_ms);
+    }
+
+    fn take_in_record(&mut self, body: &str, offset: u64, now_ms: u64) {
+        let Some(entries) = entry::decode(body) else {
+            log::warn!("claim: record {offset} is not of a known form and is skipped");
+            return;
+        };
+        for entry in entries {
+            let standing = self.table.apply(&entry);
+            match (entry, standing) {
+                (Entry::Claim(claim), Some(standing)) => self.decide(claim.id, standing, now_ms),
+                (Entry::Release(release), _) => {
+                    self.releasing.swap_remove(&release.id);
+                }
+                _ => (),
+            }
+        }
+    }
+
+    /// Decides a claim of this router that was read back.
+    fn decide(&mut self, id: Uuid, standing: Standing, now_ms: u64) {
+        let Some(waiter) = self.waiters.get(&id) else { return };
+        let scope = waiter.scope.clone();
+        let decision = match (self.table.admit(&scope, now_ms), standing) {
+            (Err(refusal), _) => {
+                self.release(scope, id);
+                Decision::Refused(refusal)
+            }
+            (Ok(()), Standing::First) => Decision::Won(Ticket { scope, id }),
+            (Ok(()), Standing::Void) => {
+                let digest = waiter.digest;
+                match self.settled_decision(&scope, &digest) {
+                    Err(decision) => decision,
+                    Ok(()) => Decision::Refused(Refusal::LogDown { retry_after: RELEASE_PAUSE }),
+                }
+            }
+        };
+        self.answer(id, decision);
+    }
+
+    /// Hands a decision to the caller; one that has gone gives its claim up by itself.
+    fn answer(&mut self, id: Uuid, decision: Decision) {
+        if let Some(waiter) = self.waiters.swap_remove(&id) {
+            waiter.sender.send(decision).ok();
+        }
+    }
+
+    fn expire(&mut self, now_ms: u64) {
+        self.table.expire(now_ms);
+        let retention_ms = self.limits.retention_ms;
+        self.releasing.retain(|_, scope| {
+            scope.created_ms().unwrap_or(0).saturating_add(retention_ms) >= now_ms
+        });
+    }
+
+    /// Returns the state for operators.
+    pub(crate) fn status(&self) -> Status {
+        Status {
+            ready: self.tail.ready,
+            healthy: self.is_healthy(),
+            tail: self.tail.position.unwrap_or(0),
+            keys: self.table.len(),
+            bytes: self.table.bytes(),
+            waiting: self.waiters.len(),
+            queued: self.queue.len() + self.in_flight,
+            last_error: self.health.last_error().map(|error| error.to_string()),
+        }
+    }
+
+    /// Returns whether claims can be taken.
+    pub(crate) fn is_healthy(&self) -> bool {
+        self.tail.ready && self.health.retry_after(Instant::now()).is_none()
+    }
+}
+
+impl Tail {
+    /// Begins to read at the oldest record that is retained.
+    pub(crate) fn restart(&mut self, first: u64, next: u64) {
+        self.position = Some(first);
+        self.ready_at = next;
+        self.ready = false;
+        self.missed = self.has_read;
+    }
+
+    /// Returns whether all of the window is read, so that the next page makes the tail ready.
+    pub(crate) fn settles_window(&self) -> bool {
+        !self.ready && self.position.is_some_and(|position| position >= self.ready_at)
+    }
+
+    fn advance(&mut self, position: u64, page: &Page) {
+        let next = page.records.last().map_or(position, |record| record.offset + 1);
+        self.position = Some(next);
+        self.has_read = true;
+        if !self.ready && next >= self.ready_at {
+            log::info!("claim: the window is read up to offset {next}");
+            self.ready = true;
+        }
+    }
+}
+
+fn now_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    limits::millis(since_epoch)
+}
