feat(fake): prove the stand-ins on real sockets

A limited read now says where to go on, as readers of the log expect; it gave the end of the stream before. Links count dropped packets, so that a test waits for a drop rather than for a time. Modules follow the layout of the other crates.

--- a/crates/fake/src/engine/mod.rs
+++ b/crates/fake/src/engine.rs
@@ -20,6 +20,9 @@
 use serde_json::json;
 use tokio::net::TcpListener;
 
+use crate::engine::generation::Generation;
+use crate::engine::state::Engine;
+use crate::engine::state::Refusal;
 use crate::reply;
 use crate::reply::Abort;
 use crate::reply::Answer;
@@ -29,10 +32,6 @@
 use crate::server::Call;
 use crate::server::Hub;
 
-use generation::Generation;
-use state::Engine;
-use state::Refusal;
-
 pub use state::Load;
 pub use text::answer;
 pub use text::token;
--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -10,15 +10,14 @@
 use std::time::Duration;
 
 use clap::ArgMatches;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
-use tokio::task::JoinSet;
-
 use fake::engine;
 use fake::platform;
 use fake::proxy;
 use fake::server;
 use fake::service;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::task::JoinSet;
 
 /// Threads that serve requests.
 const WORKER_THREADS: usize = 2;
--- a/crates/fake/src/platform/log.rs
+++ b/crates/fake/src/platform/log.rs
@@ -53,6 +53,7 @@
 #[derive(Debug, Serialize)]
 pub(super) struct Page {
     records: Vec<Record>,
+    /// The offset to read from next.
     next: u64,
     first: u64,
     #[serde(skip)]
@@ -124,7 +125,8 @@
         let skipped = usize::try_from(from - first).unwrap_or(usize::MAX);
         let wanted = stream.kept.iter().skip(skipped).take(limit);
         let records: Vec<Record> = wanted.map(|kept| kept.record.clone()).collect();
-        Page { records, next: stream.next, first, is_gone: false }
+        let next = records.last().map_or(stream.next, |record| record.offset + 1);
+        Page { records, next, first, is_gone: false }
     }
 
     fn is_allowed(&mut self, now: Instant) -> bool {
--- a/crates/fake/src/proxy/mod.rs
+++ b/crates/fake/src/proxy.rs
@@ -20,6 +20,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
+use crate::proxy::link::Link;
 use crate::reply;
 use crate::reply::Answer;
 use crate::reply::Reply;
@@ -27,8 +28,6 @@
 use crate::server::Call;
 use crate::server::Hub;
 
-use link::Link;
-
 pub use link::Change;
 pub use link::Kind;
 pub use link::Traffic;
--- a/crates/fake/src/proxy/link.rs
+++ b/crates/fake/src/proxy/link.rs
@@ -78,6 +78,7 @@
 struct Counter {
     bytes: AtomicU64,
     packets: AtomicU64,
+    dropped: AtomicU64,
 }
 
 /// What has passed over a link.
@@ -95,6 +96,10 @@
     pub packets_to: u64,
     /// Packets or reads from the target to the client.
     pub packets_back: u64,
+    /// Packets dropped on the way to the target.
+    pub dropped_to: u64,
+    /// Packets dropped on the way back to the client.
+    pub dropped_back: u64,
 }
 
 /// One link.
@@ -134,14 +139,22 @@
     }
 
     pub(super) fn count(&self, direction: Direction, bytes: usize) {
-        let counter = match direction {
-            Direction::To => &self.to,
-            Direction::Back => &self.back,
-        };
+        let counter = self.counter(direction);
         counter.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
         counter.packets.fetch_add(1, Ordering::Relaxed);
     }
 
+    pub(super) fn count_dropped(&self, direction: Direction) {
+        self.counter(direction).dropped.fetch_add(1, Ordering::Relaxed);
+    }
+
+    const fn counter(&self, direction: Direction) -> &Counter {
+        match direction {
+            Direction::To => &self.to,
+            Direction::Back => &self.back,
+        }
+    }
+
     pub(super) fn traffic(&self) -> Traffic {
         Traffic {
             name: self.name.clone(),
@@ -150,6 +163,8 @@
             bytes_back: self.back.bytes.load(Ordering::Relaxed),
             packets_to: self.to.packets.load(Ordering::Relaxed),
             packets_back: self.back.packets.load(Ordering::Relaxed),
+            dropped_to: self.to.dropped.load(Ordering::Relaxed),
+            dropped_back: self.back.dropped.load(Ordering::Relaxed),
         }
     }
 }
--- a/crates/fake/src/proxy/udp.rs
+++ b/crates/fake/src/proxy/udp.rs
@@ -100,6 +100,7 @@
         let Ok(client) = clients.get(&socket, address).await else { continue };
         let faults = link.faults();
         if !faults.passes(Direction::To, client.generation) {
+            link.count_dropped(Direction::To);
             continue;
         }
         link.count(Direction::To, count);
@@ -180,6 +181,7 @@
             };
             let faults = self.link.faults();
             if !faults.passes(Direction::Back, self.generation) {
+                self.link.count_dropped(Direction::Back);
                 continue;
             }
             self.link.count(Direction::Back, count);
--- /dev/null
+++ b/crates/fake/tests/engine.rs
@@ -0,0 +1,158 @@
+//! The model engine.
+
+mod common;
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+
+use common::Fake;
+use common::HANG;
+use common::Line;
+use common::request;
+use common::until;
+use common::whole;
+use http_body_util::BodyExt;
+use serde_json::json;
+use tokio::net::TcpStream;
+
+const PATH: &str = "/v1/completions";
+
+fn body(prompt: &str, tokens: u32, stream: bool) -> String {
+    json!({ "prompt": prompt, "max_tokens": tokens, "stream": stream }).to_string()
+}
+
+fn events(prompt: &str, from: u32, end: u32) -> String {
+    let event = |index| json!({ "index": index, "text": fake::engine::token(prompt, index) });
+    let lines: String = (from..end).map(|index| format!("data: {}\n\n", event(index))).collect();
+    format!("{lines}data: [DONE]\n\n")
+}
+
+async fn ask(address: SocketAddr, body: &str, headers: &[(&str, &str)]) -> Option<common::Got> {
+    let asked = async {
+        let mut line = Line::open(address).await?;
+        let response = line.send(request("POST", PATH, body, headers)).await?;
+        whole(response).await
+    };
+    tokio::time::timeout(HANG, asked).await.expect("no hang")
+}
+
+#[tokio::test]
+async fn answers_are_whole_and_resume_where_they_are_told() {
+    let engine = Fake::start(&["engine", "--token-interval-ms", "1"]);
+    let text = body("a matte van", 5, true);
+    let first = ask(engine.address, &text, &[("x-attempt-id", "a.1")]).await.expect("an answer");
+    assert_eq!(first.text, events("a matte van", 0, 5));
+    let resumed = ask(engine.address, &text, &[("x-resume-from", "3")]).await.expect("an answer");
+    assert_eq!(resumed.text, events("a matte van", 3, 5));
+    let plain = ask(engine.address, &body("a matte van", 5, false), &[]).await.expect("an answer");
+    assert_eq!(plain.json(), json!({ "text": fake::engine::answer("a matte van", 5) }));
+    engine.put("/control/refuse_resume", &json!({ "on": true })).await;
+    let refused = ask(engine.address, &text, &[("x-resume-from", "3")]).await.expect("an answer");
+    assert_eq!(refused.status, 409);
+}
+
+#[tokio::test]
+async fn a_cold_engine_falls_over_when_it_gets_too_many_and_gets_warm_by_answers() {
+    let args = ["engine", "--cold", "--warm-after", "2", "--fall-ms", "100"];
+    let engine = Fake::start(&[args.as_slice(), &["--token-interval-ms", "1"]].concat());
+    let slow = body("x", 100_000, true);
+    let calls = tokio::join!(
+        ask(engine.address, &slow, &[]),
+        ask(engine.address, &slow, &[]),
+        ask(engine.address, &slow, &[]),
+    );
+    assert_eq!(calls, (None, None, None));
+    let report = until(&engine, "/control/journal", |report| report["falls"] == 1).await;
+    let outcomes: Vec<_> = report["requests"].as_array().expect("requests").iter().collect();
+    assert!(outcomes.iter().all(|entry| entry["outcome"] == "crashed"), "{outcomes:?}");
+    assert_eq!(report["peak_cold"], 3);
+    until(&engine, "/load", |load| load["warm"] == false && load["running"] == 0).await;
+    for _ in 0..2 {
+        ask(engine.address, &body("x", 1, true), &[]).await.expect("an answer");
+    }
+    until(&engine, "/load", |load| load["warm"] == true).await;
+}
+
+#[tokio::test]
+async fn a_fallen_engine_refuses_connections_and_comes_back_at_its_address() {
+    let engine = Fake::start(&["engine"]);
+    assert_eq!(ask(engine.address, &body("CRASH-RUNNER", 1, true), &[]).await, None);
+    let refused = async {
+        loop {
+            match TcpStream::connect(engine.address).await {
+                Ok(_) => tokio::task::yield_now().await,
+                Err(error) => return error.kind(),
+            }
+        }
+    };
+    let refused = tokio::time::timeout(HANG, refused).await.expect("refused in the end");
+    assert_eq!(refused, ErrorKind::ConnectionRefused);
+    until(&engine, "/load", |load| load["warm"] == false).await;
+}
+
+#[tokio::test]
+async fn cancelled_requests_leave_their_slots() {
+    let engine = Fake::start(&["engine", "--slots", "1"]);
+    let long = body("x", 100_000, true);
+    let mut line = Line::open(engine.address).await.expect("a connection");
+    let attempt = [("x-attempt-id", "a.1"), ("x-request-id", "a"), ("x-workspace", "crag")];
+    let response = line.send(request("POST", PATH, &long, &attempt)).await.expect("an answer");
+    let deleted = line_delete(engine.address, "a.1").await;
+    let ended = response.into_body().collect().await;
+    assert!(deleted && ended.is_err(), "the answer of a cancelled request is cut");
+    let mut line = Line::open(engine.address).await.expect("a connection");
+    let response = line.send(request("POST", PATH, &long, &[])).await.expect("an answer");
+    drop((line, response));
+    let report = until(&engine, "/control/journal", |report| report["cancels"] == 2).await;
+    let entry = &report["requests"][0];
+    let seen = (&entry["request"], &entry["attempt"], &entry["workspace"], &entry["outcome"]);
+    assert_eq!(seen, (&json!("a"), &json!("a.1"), &json!("crag"), &json!("cancelled")));
+}
+
+async fn line_delete(address: SocketAddr, attempt: &str) -> bool {
+    let mut line = Line::open(address).await.expect("a connection");
+    let got = line.ask("DELETE", &format!("{PATH}/{attempt}"), "").await.expect("an answer");
+    got.status == 200
+}
+
+#[tokio::test]
+async fn present_connections_go_silent_while_new_ones_work() {
+    let engine = Fake::start(&["engine", "--token-interval-ms", "1"]);
+    let mut old = Line::open(engine.address).await.expect("a connection");
+    old.ask("POST", PATH, &body("x", 1, true)).await.expect("an answer");
+    engine.put("/control/silent", &json!({ "on": true })).await;
+    let text = body("x", 1, true);
+    let (silent, new) = (old.ask("POST", PATH, &text), ask(engine.address, &text, &[]));
+    tokio::select! {
+        biased;
+        answered = silent => panic!("the old connection answered {answered:?}"),
+        answered = new => assert_eq!(answered.expect("an answer").text, events("x", 0, 1)),
+    }
+}
+
+#[tokio::test]
+async fn only_an_engine_that_checks_fencing_refuses_older_fences() {
+    let order = |fence: u64| json!({ "order": "load-model", "name": "m", "fence": fence });
+    for (args, status) in [(["engine"].as_slice(), 200), (&["engine", "--check-fencing"], 409)] {
+        let engine = Fake::start(args);
+        engine.post("/orders", &order(7).to_string()).await.expect("an answer");
+        let older = engine.post("/orders", &order(6).to_string()).await.expect("an answer");
+        assert_eq!(older.status, status);
+        let orders = engine.get("/control/journal").await.json()["orders"].clone();
+        assert_eq!(orders[1]["is_obeyed"], status == 200);
+    }
+}
+
+#[tokio::test]
+async fn raw_bytes_count_calls_but_neither_reports_nor_control() {
+    let engine = Fake::start(&["engine", "--token-interval-ms", "1"]);
+    engine.get("/load").await;
+    engine.put("/control/refuse_resume", &json!({ "on": false })).await;
+    let idle = engine.get("/control/journal").await.json();
+    assert_eq!((&idle["raw_bytes"], &idle["raw_connections"]), (&json!(0), &json!(0)));
+    let text = body("x", 1, true);
+    ask(engine.address, &text, &[]).await.expect("an answer");
+    let used = engine.get("/control/journal").await.json();
+    assert!(used["raw_bytes"].as_u64() > Some(text.len() as u64), "{}", used["raw_bytes"]);
+    assert_eq!(used["raw_connections"], 1);
+}
