feat(conf): take the log's retention from the settings

Need: the window in which a repeated call is recognised follows from how long the platform's log keeps records, which a router can't ask. Default: one hour.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -80,6 +80,9 @@
     /// The path at which instances are listed.
     #[serde(default = "default_instances_path", deserialize_with = "field::path")]
     pub instances_path: String,
+    /// How long the log keeps a record at least, in milliseconds.
+    #[serde(default = "default_retention_ms", deserialize_with = "field::millis")]
+    pub retention_ms: u64,
 }
 
 /// Keys for connections between routers: each is PEM text, or the path of a file that holds it.
@@ -178,10 +181,18 @@
     2
 }
 
+const fn default_retention_ms() -> u64 {
+    3_600_000
+}
+
 fn default_instances_path() -> String {
     "/instances".to_owned()
 }
 
+const fn default_retention_ms() -> u64 {
+    3_600_000
+}
+
 impl Settings {
     /// Parses a settings file.
     ///
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -30,6 +30,7 @@
     assert_eq!(settings.mode, conf::settings::Mode::Fleet);
     assert_eq!(settings.log_level, conf::settings::Level::Info);
     assert_eq!(settings.platform.instances_path, "/instances");
+    assert_eq!(settings.platform.retention_ms, 3_600_000);
     assert_eq!(settings.limits, conf::settings::Limits::default());
     assert_eq!((settings.advertise, settings.peer_advertise, settings.statsd), (None, None, None));
 }
