--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -81,7 +81,10 @@
     #[serde(default = "default_instances_path", deserialize_with = "field::path")]
     pub instances_path: String,
     /// How long the log keeps a record at least, in milliseconds.
-    #[serde(default = "default_retention_ms", deserialize_with = "field::millis")]
+    #[serde(
+        default = "default_retention_ms",
+        deserialize_with = "field::whole::<_, 1000, 31_536_000_000, _>"
+    )]
     pub retention_ms: u64,
 }
 
@@ -181,10 +184,6 @@
     2
 }
 
-const fn default_retention_ms() -> u64 {
-    3_600_000
-}
-
 fn default_instances_path() -> String {
     "/instances".to_owned()
 }
