--- /dev/null
+++ b/crates/front/src/address.rs
@@ -0,0 +1,72 @@
+//! Answers to callers who ask which router to use.
+
+use std::net::SocketAddr;
+
+use base::Name;
+use http::StatusCode;
+use serde::Serialize;
+
+use crate::Gate;
+use crate::Place;
+use crate::Problem;
+use crate::Snapshot;
+
+/// Largest number of addresses in one answer.
+const ADDRESSES: usize = 4;
+
+/// One router in an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub(crate) struct Address {
+    address: SocketAddr,
+    zone: Name,
+}
+
+/// The answer: routers in different zones first, with their time to live.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub(crate) struct Answer {
+    addresses: Vec<Address>,
+    ttl_ms: u64,
+}
+
+/// Chooses the addresses for a caller, rotated by `turn` so that callers spread.
+///
+/// # Errors
+/// Returns a problem when no router is usable.
+pub(crate) fn answer(gate: &Gate, turn: u64) -> Result<Answer, Problem> {
+    let snapshot = gate.snapshot.borrow().clone();
+    let addresses = choose(&snapshot, turn);
+    if addresses.is_empty() {
+        return Err(Problem::rejected(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no router takes new callers",
+        )
+        .retry_after(std::time::Duration::from_secs(1)));
+    }
+    Ok(Answer { addresses, ttl_ms: gate.settings.limits.drain_ms })
+}
+
+fn choose(snapshot: &Snapshot, turn: u64) -> Vec<Address> {
+    let mut usable: Vec<&Place> = snapshot.places.iter().filter(|place| place.usable).collect();
+    usable.sort_by(|a, b| a.name.cmp(&b.name));
+    if usable.is_empty() {
+        return Vec::new();
+    }
+    let start = usize::try_from(turn % usable.len() as u64).unwrap_or_default();
+    usable.rotate_left(start);
+    let mut chosen: Vec<&Place> = Vec::new();
+    for place in &usable {
+        if chosen.iter().all(|other| other.zone != place.zone) {
+            chosen.push(place);
+        }
+    }
+    for place in &usable {
+        if !chosen.contains(place) {
+            chosen.push(place);
+        }
+    }
+    chosen.truncate(ADDRESSES);
+    chosen
+        .into_iter()
+        .map(|place| Address { address: place.callers, zone: place.zone.clone() })
+        .collect()
+}
--- /dev/null
+++ b/crates/front/src/authority.rs
@@ -0,0 +1,68 @@
+//! Authentication of callers and operators by bearer tokens.
+
+use std::sync::Arc;
+
+use base::Name;
+use conf::Configuration;
+use http::HeaderMap;
+use http::StatusCode;
+use http::header::AUTHORIZATION;
+
+use crate::Gate;
+use crate::Problem;
+
+/// An authenticated caller.
+#[derive(Debug, Clone)]
+pub(crate) struct Caller {
+    /// The workspace that is charged.
+    pub(crate) workspace: Name,
+    /// The configuration in force when the call came in.
+    pub(crate) configuration: Arc<Configuration>,
+}
+
+/// Returns the workspace of a caller.
+///
+/// # Errors
+/// Returns a problem when no configuration is in force or the token is unknown.
+pub(crate) fn authenticate(gate: &Gate, headers: &HeaderMap) -> Result<Caller, Problem> {
+    let snapshot = gate.snapshot.borrow().clone();
+    let Some(configuration) = snapshot.configuration else {
+        return Err(Problem::rejected(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no configuration is in force yet",
+        )
+        .retry_after(std::time::Duration::from_secs(1)));
+    };
+    let token = bearer(headers)?;
+    let Some(workspace) = configuration.workspace_of(&conf::digest(token)) else {
+        return Err(Problem::rejected(StatusCode::UNAUTHORIZED, "the token is not known"));
+    };
+    Ok(Caller { workspace: workspace.name.clone(), configuration: Arc::clone(&configuration) })
+}
+
+/// Checks the token of an operator.
+///
+/// # Errors
+/// Returns a problem when the token is missing or wrong.
+pub(crate) fn authorize_operator(gate: &Gate, headers: &HeaderMap) -> Result<(), Problem> {
+    let token = bearer(headers)?;
+    if conf::digest(token).eq_ignore_ascii_case(&gate.settings.operator_token_sha256) {
+        Ok(())
+    } else {
+        Err(Problem::rejected(StatusCode::FORBIDDEN, "the token is not the operators' token"))
+    }
+}
+
+fn bearer(headers: &HeaderMap) -> Result<&str, Problem> {
+    headers
+        .get(AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .map(str::trim)
+        .ok_or_else(|| {
+            Problem::rejected(
+                StatusCode::UNAUTHORIZED,
+                "an Authorization header with a bearer token is needed",
+            )
+        })
+}
--- /dev/null
+++ b/crates/front/src/call.rs
@@ -0,0 +1,255 @@
+//! A checked call of a caller, ready to be queued.
+
+use std::time::Duration;
+
+use base::Class;
+use base::Cost;
+use base::Name;
+use base::RequestId;
+use bytes::Bytes;
+use conf::configuration::Kind;
+use conf::configuration::Service;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use serde::Deserialize;
+use uuid::Uuid;
+use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::Problem;
+use crate::authority::Caller;
+
+/// Bytes of a prompt that decide which runner's prefix cache fits.
+const PREFIX_BYTES: usize = 256;
+/// Tokens expected of a model call that gives no hint.
+const DEFAULT_TOKENS: u64 = 128;
+/// Cost expected of a plain call that gives no hint, in microseconds.
+const DEFAULT_PLAIN_COST: u64 = 10_000;
+/// Header with the class of a call.
+const CLASS_HEADER: &str = "aspenline-class";
+/// Header with the expected cost of a call.
+const HINT_HEADER: &str = "aspenline-cost-hint";
+/// Header with the longest wait of a call, in milliseconds.
+const DEADLINE_HEADER: &str = "aspenline-deadline-ms";
+/// Header with the key of a non-idempotent call.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// A call that has passed all checks.
+#[derive(Debug, Clone)]
+pub(crate) struct Call {
+    /// The id of the request.
+    pub(crate) request: RequestId,
+    /// The caller and the configuration at the time of the call.
+    pub(crate) caller: Caller,
+    /// The service called.
+    pub(crate) service: Name,
+    /// The class of the call.
+    pub(crate) class: Class,
+    /// The method sent to the runner.
+    pub(crate) method: Method,
+    /// Path and query sent to the runner.
+    pub(crate) path: String,
+    /// The body.
+    pub(crate) body: Bytes,
+    /// The media type of the body.
+    pub(crate) content_type: Option<HeaderValue>,
+    /// The key of a non-idempotent call.
+    pub(crate) key: Option<Uuid>,
+    /// The expected cost.
+    pub(crate) hint: Cost,
+    /// The digest of the prompt prefix, zero for none.
+    pub(crate) prefix: u64,
+    /// The longest wait in the queue.
+    pub(crate) patience: Duration,
+    /// Whether the caller wants the answer of a model as events.
+    pub(crate) streamed: bool,
+    /// The digest of workspace and content, by which a crashing request is known.
+    pub(crate) digest: u64,
+}
+
+/// The parts of an HTTP request that make up a call.
+#[derive(Debug)]
+pub(crate) struct Parts<'a> {
+    /// The name of the service.
+    pub(crate) service: &'a str,
+    /// Path and query behind the service's name.
+    pub(crate) path: String,
+    /// The method.
+    pub(crate) method: Method,
+    /// The headers.
+    pub(crate) headers: &'a HeaderMap,
+    /// The whole body.
+    pub(crate) body: Bytes,
+}
+
+/// The fields of a model call that the fleet reads.
+#[derive(Debug, Deserialize)]
+struct Completion {
+    prompt: String,
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+}
+
+impl Call {
+    /// Checks a request.
+    ///
+    /// # Errors
+    /// Returns a problem, always not-run, that says what is wrong.
+    pub(crate) fn check(caller: Caller, parts: Parts<'_>) -> Result<Self, Problem> {
+        let configuration = caller.configuration.clone();
+        let service = configuration
+            .services
+            .iter()
+            .find(|service| service.name.as_str() == parts.service)
+            .ok_or_else(|| {
+                Problem::rejected(
+                    StatusCode::NOT_FOUND,
+                    format!("there is no service {:?}", parts.service),
+                )
+            })?;
+        let class = class_of(service, &parts)?;
+        let completion = completion_of(service, &parts)?;
+        let default_hint = match &completion {
+            Some(completion) => Cost::tokens(completion.max_tokens.unwrap_or(DEFAULT_TOKENS)),
+            None => Cost(DEFAULT_PLAIN_COST),
+        };
+        let hint = match number(parts.headers, HINT_HEADER)? {
+            Some(tokens) if completion.is_some() => Cost::tokens(tokens),
+            Some(micros) => Cost(micros),
+            None => default_hint,
+        };
+        Ok(Self {
+            request: RequestId::generate(),
+            service: service.name.clone(),
+            class,
+            key: key_of(class, parts.headers)?,
+            hint,
+            prefix: completion.as_ref().map_or(0, |completion| prefix_digest(&completion.prompt)),
+            patience: patience_of(service, class, parts.headers)?,
+            streamed: completion.is_some_and(|completion| completion.stream),
+            digest: content_digest(&caller.workspace, &parts),
+            content_type: parts.headers.get(CONTENT_TYPE).cloned(),
+            method: parts.method,
+            path: parts.path,
+            body: parts.body,
+            caller,
+        })
+    }
+
+    /// Returns the service as configured when the call came in.
+    pub(crate) fn service(&self) -> &Service {
+        self.caller
+            .configuration
+            .services
+            .iter()
+            .find(|service| service.name == self.service)
+            .expect("the call was checked against this configuration")
+    }
+}
+
+fn class_of(service: &Service, parts: &Parts<'_>) -> Result<Class, Problem> {
+    let read_only = matches!(parts.method, Method::GET | Method::HEAD);
+    let class = match (service.kind, text(parts.headers, CLASS_HEADER)?) {
+        (Kind::Plain, _) if read_only => Class::Lookup,
+        (Kind::Plain, Some("lookup")) => Class::Lookup,
+        (Kind::Plain, _) => Class::Once,
+        (Kind::Engine, None) => Class::Interactive,
+        (Kind::Engine, Some(name)) => name.parse().map_err(|_| {
+            Problem::rejected(
+                StatusCode::BAD_REQUEST,
+                format!("{CLASS_HEADER} is {name:?}; allowed: interactive, long"),
+            )
+        })?,
+    };
+    if service.classes.contains(&class) {
+        Ok(class)
+    } else {
+        Err(Problem::rejected(
+            StatusCode::BAD_REQUEST,
+            format!("service {} serves no calls of class {class}", service.name),
+        ))
+    }
+}
+
+fn completion_of(service: &Service, parts: &Parts<'_>) -> Result<Option<Completion>, Problem> {
+    if service.kind == Kind::Plain {
+        return Ok(None);
+    }
+    if parts.method != Method::POST {
+        return Err(Problem::rejected(StatusCode::METHOD_NOT_ALLOWED, "model calls are POST"));
+    }
+    serde_json::from_slice(&parts.body).map(Some).map_err(|error| {
+        Problem::rejected(StatusCode::BAD_REQUEST, format!("the body is not a model call: {error}"))
+    })
+}
+
+fn key_of(class: Class, headers: &HeaderMap) -> Result<Option<Uuid>, Problem> {
+    if class.is_idempotent() {
+        return Ok(None);
+    }
+    let Some(key) = text(headers, KEY_HEADER)? else {
+        return Err(Problem::rejected(
+            StatusCode::BAD_REQUEST,
+            "a call that may not be repeated needs an Idempotency-Key, a UUID of version 7",
+        ));
+    };
+    match Uuid::parse_str(key.trim_matches('"')) {
+        Ok(key) if key.get_version_num() == 7 => Ok(Some(key)),
+        _ => Err(Problem::rejected(
+            StatusCode::BAD_REQUEST,
+            "Idempotency-Key must be a UUID of version 7",
+        )),
+    }
+}
+
+fn patience_of(service: &Service, class: Class, headers: &HeaderMap) -> Result<Duration, Problem> {
+    let longest = match class {
+        Class::Long => service.timeouts.long_queue_ms,
+        _ => service.timeouts.queue_ms,
+    };
+    let asked = number(headers, DEADLINE_HEADER)?.unwrap_or(longest);
+    Ok(Duration::from_millis(asked.min(longest)))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Problem> {
+    headers
+        .get(name)
+        .map(|value| {
+            value.to_str().map_err(|_| {
+                Problem::rejected(StatusCode::BAD_REQUEST, format!("{name} is not plain text"))
+            })
+        })
+        .transpose()
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Result<Option<u64>, Problem> {
+    text(headers, name)?
+        .map(|value| {
+            value.trim().parse().map_err(|_| {
+                Problem::rejected(
+                    StatusCode::BAD_REQUEST,
+                    format!("{name} is {value:?}, not a number"),
+                )
+            })
+        })
+        .transpose()
+}
+
+fn prefix_digest(prompt: &str) -> u64 {
+    let bytes = prompt.as_bytes();
+    xxh3_64(&bytes[..bytes.len().min(PREFIX_BYTES)]).max(1)
+}
+
+fn content_digest(workspace: &Name, parts: &Parts<'_>) -> u64 {
+    let mut digest = Xxh3::new();
+    digest.update(workspace.as_str().as_bytes());
+    digest.update(&[0]);
+    digest.update(parts.service.as_bytes());
+    digest.update(parts.path.as_bytes());
+    digest.update(&parts.body);
+    digest.digest()
+}
--- /dev/null
+++ b/crates/front/src/flow/mod.rs
@@ -0,0 +1,78 @@
+//! The life of a call: queued, granted, sent, answered; each kind of call in its own module.
+
+mod attempts;
+mod once;
+mod request;
+mod stream;
+mod whole;
+
+use std::sync::Arc;
+
+use base::Class;
+use base::EventKind;
+
+use crate::Gate;
+use crate::Problem;
+use crate::call::Call;
+use crate::reply::HungUp;
+use crate::reply::Reply;
+
+/// How a call ended.
+#[derive(Debug)]
+enum Ending {
+    /// The caller has the whole answer.
+    Answered,
+    /// The caller has the final refusal.
+    Refused(Problem),
+    /// The caller hung up.
+    HungUp,
+}
+
+impl From<HungUp> for Ending {
+    fn from(_: HungUp) -> Self {
+        Self::HungUp
+    }
+}
+
+/// Serves one call until the caller has its final answer and the runner's slot is given back.
+pub(crate) async fn serve(gate: Arc<Gate>, call: Call, reply: Reply) {
+    gate.meter.accept();
+    gate.first_attempt(&call.caller.workspace);
+    gate.note(
+        EventKind::Accepted,
+        call.request,
+        &call.caller.workspace,
+        None,
+        &format!("{} {}", call.class, call.service),
+    );
+    let ending = match call.class {
+        Class::Once => once::serve(&gate, &call, reply).await,
+        _ if call.streamed => stream::serve(&gate, &call, reply).await,
+        _ => whole::serve(&gate, &call, reply).await,
+    };
+    conclude(&gate, &call, &ending);
+}
+
+fn conclude(gate: &Gate, call: &Call, ending: &Ending) {
+    let workspace = &call.caller.workspace;
+    match ending {
+        Ending::Answered => {
+            gate.meter.answer();
+            gate.note(EventKind::Finished, call.request, workspace, None, "answered");
+        }
+        Ending::Refused(problem) => {
+            gate.meter.refuse(problem.verdict());
+            let detail = format!(
+                "{} {}: {}",
+                problem.status().as_u16(),
+                problem.verdict(),
+                problem.detail()
+            );
+            gate.note(EventKind::Refused, call.request, workspace, None, &detail);
+        }
+        Ending::HungUp => {
+            gate.meter.cancel();
+            gate.note(EventKind::Cancelled, call.request, workspace, None, "the caller hung up");
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/flow/once.rs
@@ -0,0 +1,220 @@
+//! Non-idempotent calls, which run at most once: each is claimed in the platform's log before its first byte is sent.
+
+use std::sync::Arc;
+
+use base::EventKind;
+use base::Verdict;
+use bytes::Bytes;
+use claim::Decision;
+use claim::Refusal;
+use claim::Ticket;
+use http::HeaderValue;
+use http::StatusCode;
+use sha2::Digest;
+use sha2::Sha256;
+
+use super::Ending;
+use super::attempts::Attempts;
+use super::attempts::Stop;
+use super::whole;
+use super::whole::Answer;
+use crate::Gate;
+use crate::Problem;
+use crate::call::Call;
+use crate::reply::Reply;
+use crate::runner::Fault;
+use crate::seat::Seat;
+
+/// What the claim of a call allows.
+enum Claimed {
+    /// The call may be sent under this ticket.
+    Won(Ticket),
+    /// The call is answered without being sent.
+    Settled(Result<Answer, Problem>),
+}
+
+/// Serves a call; once it is claimed, a caller that hangs up no longer stops it.
+pub(super) async fn serve(gate: &Arc<Gate>, call: &Call, mut reply: Reply) -> Ending {
+    let mut attempts = Attempts::new(gate, call);
+    let mut ticket = None;
+    loop {
+        let acquired = match &ticket {
+            None => attempts.acquire(reply.hung_up()).await,
+            Some(_) => attempts.acquire(std::future::pending()).await,
+        };
+        let seat = match acquired {
+            Ok(seat) => seat,
+            Err(Stop::HungUp) => return Ending::HungUp,
+            Err(Stop::Refused(problem)) => {
+                release(gate, ticket).await;
+                return refuse(reply, problem);
+            }
+        };
+        if ticket.is_none() {
+            match claim_call(gate, call).await {
+                Claimed::Won(won) => ticket = Some(won),
+                Claimed::Settled(settled) => {
+                    seat.end(wire::Outcome::Unused);
+                    return settle(reply, settled);
+                }
+            }
+        }
+        match whole::fetch(gate, call, &seat).await {
+            Ok(answer) => return finish(gate, call, &attempts, seat, ticket, reply, answer).await,
+            Err(fault) if fault.verdict == Verdict::NotRun => {
+                attempts.failed(seat, fault);
+            }
+            Err(fault) => return give_up(&mut attempts, seat, fault, reply),
+        }
+    }
+}
+
+async fn claim_call(gate: &Gate, call: &Call) -> Claimed {
+    let Some(key) = call.key else {
+        return Claimed::Settled(Err(Problem::rejected(
+            StatusCode::BAD_REQUEST,
+            "the call has no Idempotency-Key",
+        )));
+    };
+    let request = claim::Request {
+        workspace: call.caller.workspace.clone(),
+        service: call.service.clone(),
+        key,
+        digest: content_digest(call),
+        request: call.request,
+    };
+    match gate.claims.claim(request).await {
+        Decision::Won(ticket) => {
+            gate.note(
+                EventKind::Claimed,
+                call.request,
+                &call.caller.workspace,
+                None,
+                &format!("key {key}"),
+            );
+            Claimed::Won(ticket)
+        }
+        Decision::Finished(answer) => Claimed::Settled(Ok(recorded(answer))),
+        Decision::Unfinished => Claimed::Settled(Err(Problem::new(
+            StatusCode::CONFLICT,
+            Verdict::MayHaveRun,
+            "a call with this key was sent before and its outcome is not known",
+        )
+        .request(call.request))),
+        Decision::Refused(refusal) => {
+            Claimed::Settled(Err(refusal_problem(&refusal).request(call.request)))
+        }
+    }
+}
+
+async fn finish(
+    gate: &Gate,
+    call: &Call,
+    attempts: &Attempts<'_>,
+    seat: Seat,
+    ticket: Option<Ticket>,
+    reply: Reply,
+    answer: Answer,
+) -> Ending {
+    attempts.answered(seat);
+    let outcome = claim::Answer {
+        status: answer.status.as_u16(),
+        content_type: answer
+            .content_type
+            .as_ref()
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned),
+        body: answer.body.to_vec(),
+    };
+    let sent = reply.send(answer.response());
+    if let Some(ticket) = ticket {
+        match gate.claims.record(&ticket, outcome).await {
+            Ok(()) => {
+                gate.note(EventKind::Recorded, call.request, &call.caller.workspace, None, "");
+            }
+            Err(error) => log::warn!(
+                "front: the outcome of call {} is not recorded yet: {error}",
+                call.request
+            ),
+        }
+    }
+    match sent {
+        Ok(()) => Ending::Answered,
+        Err(hung_up) => hung_up.into(),
+    }
+}
+
+fn give_up(attempts: &mut Attempts<'_>, seat: Seat, fault: Fault, reply: Reply) -> Ending {
+    attempts.failed(seat, fault);
+    let detail = format!(
+        "the call was sent and its answer did not arrive ({}); it is not sent again",
+        fault.kind
+    );
+    refuse(reply, attempts.problem(StatusCode::BAD_GATEWAY, &detail))
+}
+
+async fn release(gate: &Gate, ticket: Option<Ticket>) {
+    if let Some(ticket) = ticket {
+        gate.claims.release(ticket).await;
+    }
+}
+
+fn settle(reply: Reply, settled: Result<Answer, Problem>) -> Ending {
+    match settled {
+        Ok(answer) => match reply.send(answer.response()) {
+            Ok(()) => Ending::Answered,
+            Err(hung_up) => hung_up.into(),
+        },
+        Err(problem) => refuse(reply, problem),
+    }
+}
+
+fn refuse(reply: Reply, problem: Problem) -> Ending {
+    match reply.refuse(&problem) {
+        Ok(()) => Ending::Refused(problem),
+        Err(hung_up) => hung_up.into(),
+    }
+}
+
+fn recorded(answer: claim::Answer) -> Answer {
+    Answer {
+        status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK),
+        content_type: answer.content_type.and_then(|text| HeaderValue::from_str(&text).ok()),
+        body: Bytes::from(answer.body),
+    }
+}
+
+fn refusal_problem(refusal: &Refusal) -> Problem {
+    match refusal {
+        Refusal::KeyTooOld => {
+            Problem::rejected(StatusCode::BAD_REQUEST, "the Idempotency-Key is too old")
+        }
+        Refusal::KeyFromFuture => {
+            Problem::rejected(StatusCode::BAD_REQUEST, "the Idempotency-Key is from the future")
+        }
+        Refusal::KeyReused => Problem::rejected(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "the Idempotency-Key was used for another call",
+        ),
+        Refusal::NotReady { retry_after } => Problem::rejected(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "this router is still reading the claims of earlier calls",
+        )
+        .retry_after(*retry_after),
+        Refusal::LogDown { retry_after } => Problem::rejected(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the platform's log does not answer, so calls that may not be repeated are not taken",
+        )
+        .retry_after(*retry_after),
+    }
+}
+
+fn content_digest(call: &Call) -> [u8; 32] {
+    let mut digest = Sha256::new();
+    digest.update(call.method.as_str());
+    digest.update([0]);
+    digest.update(&call.path);
+    digest.update([0]);
+    digest.update(&call.body);
+    digest.finalize().into()
+}
--- /dev/null
+++ b/crates/front/src/flow/request.rs
@@ -0,0 +1,53 @@
+//! Requests to runners.
+
+use base::Attempt;
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::header::CONTENT_TYPE;
+use http::header::HOST;
+use http_body_util::Full;
+
+use crate::call::Call;
+use crate::runner::ATTEMPT_HEADER;
+use crate::runner::attempt_value;
+use crate::seat::Seat;
+
+/// Header with the request id.
+const REQUEST_HEADER: &str = "x-request-id";
+/// Header with the workspace.
+const WORKSPACE_HEADER: &str = "x-workspace";
+/// Header with the idempotency key.
+const KEY_HEADER: &str = "idempotency-key";
+/// Header with the index of the first event that is wanted.
+const RESUME_HEADER: &str = "x-resume-from";
+
+/// Builds the request of one attempt, resuming at event `resume_from` when it is not zero.
+pub(super) fn build(call: &Call, seat: &Seat, resume_from: u64) -> Request<Full<Bytes>> {
+    let mut builder = Request::builder()
+        .method(call.method.clone())
+        .uri(&call.path)
+        .header(HOST, seat.address().to_string())
+        .header(REQUEST_HEADER, call.request.to_string())
+        .header(ATTEMPT_HEADER, attempt_value(seat.attempt()))
+        .header(WORKSPACE_HEADER, header_text(call.caller.workspace.as_str()));
+    if let Some(content_type) = &call.content_type {
+        builder = builder.header(CONTENT_TYPE, content_type);
+    }
+    if let Some(key) = call.key {
+        builder = builder.header(KEY_HEADER, key.to_string());
+    }
+    if resume_from > 0 {
+        builder = builder.header(RESUME_HEADER, resume_from);
+    }
+    builder.body(Full::new(call.body.clone())).expect("method, path and headers were parsed before")
+}
+
+/// Returns the attempt of a seat as the runner must return it.
+pub(super) const fn attempt_of(seat: &Seat) -> Attempt {
+    seat.attempt()
+}
+
+fn header_text(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).unwrap_or(HeaderValue::from_static("unprintable"))
+}
--- /dev/null
+++ b/crates/front/src/flow/whole.rs
@@ -0,0 +1,138 @@
+//! Idempotent calls whose answer is handed over in one piece.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::Class;
+use base::Cost;
+use base::EventKind;
+use bytes::Bytes;
+use gotham::helpers::http::Body;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use serde::Deserialize;
+
+use super::Ending;
+use super::attempts::Attempts;
+use super::attempts::Stop;
+use super::request;
+use crate::Gate;
+use crate::call::Call;
+use crate::problem;
+use crate::reply::Reply;
+use crate::runner;
+use crate::runner::Fault;
+use crate::runner::Kind;
+use crate::seat::Seat;
+
+/// Largest answer that is handed over in one piece, in bytes.
+pub(super) const ANSWER_BYTES: usize = 8 << 20;
+
+/// A whole answer of a runner.
+#[derive(Debug, Clone)]
+pub(super) struct Answer {
+    /// The status code.
+    pub(super) status: StatusCode,
+    /// The media type.
+    pub(super) content_type: Option<HeaderValue>,
+    /// The body.
+    pub(super) body: Bytes,
+}
+
+/// The part of a model's answer that tells its cost.
+#[derive(Debug, Deserialize)]
+struct Completion {
+    usage: Option<Usage>,
+}
+
+/// The cost of a model's answer.
+#[derive(Debug, Deserialize)]
+struct Usage {
+    completion_tokens: u64,
+}
+
+impl Answer {
+    /// Returns the response to the caller.
+    pub(super) fn response(self) -> Response<Body> {
+        let mut response = Response::new(problem::full(self.body));
+        *response.status_mut() = self.status;
+        if let Some(content_type) = self.content_type {
+            response.headers_mut().insert(CONTENT_TYPE, content_type);
+        }
+        response
+    }
+}
+
+/// Serves a call, trying other runners as long as retries are allowed.
+pub(super) async fn serve(gate: &Arc<Gate>, call: &Call, mut reply: Reply) -> Ending {
+    let mut attempts = Attempts::new(gate, call);
+    loop {
+        let seat = match attempts.acquire(reply.hung_up()).await {
+            Ok(seat) => seat,
+            Err(Stop::HungUp) => return Ending::HungUp,
+            Err(Stop::Refused(problem)) => {
+                return match reply.refuse(&problem) {
+                    Ok(()) => Ending::Refused(problem),
+                    Err(hung_up) => hung_up.into(),
+                };
+            }
+        };
+        let answered = tokio::select! {
+            answered = fetch(gate, call, &seat) => answered,
+            () = reply.hung_up() => return Ending::HungUp,
+        };
+        match answered {
+            Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE => {
+                attempts.overloaded(seat)
+            }
+            Ok(answer) => {
+                attempts.answered(seat);
+                return match reply.send(answer.response()) {
+                    Ok(()) => Ending::Answered,
+                    Err(hung_up) => hung_up.into(),
+                };
+            }
+            Err(fault) => {
+                attempts.failed(seat, fault);
+            }
+        }
+    }
+}
+
+/// Makes one attempt and reads the whole answer.
+pub(super) async fn fetch(gate: &Gate, call: &Call, seat: &Seat) -> Result<Answer, Fault> {
+    let timeouts = &call.service().timeouts;
+    let between_bytes = Duration::from_millis(timeouts.between_bytes_ms);
+    let sent = Instant::now();
+    gate.note(EventKind::Sent, call.request, &call.caller.workspace, Some(seat.runner()), "");
+    let exchange = runner::exchange(
+        &gate.tasks,
+        seat.address(),
+        request::build(call, seat, 0),
+        Duration::from_millis(timeouts.first_byte_ms),
+    )
+    .await?;
+    if !runner::belongs_to(&exchange.response, request::attempt_of(seat)) {
+        return Err(Fault::after_sending(Kind::Crossed));
+    }
+    let status = exchange.response.status();
+    let content_type = exchange.response.headers().get(CONTENT_TYPE).cloned();
+    let body =
+        runner::read_whole(exchange.response.into_body(), ANSWER_BYTES, between_bytes).await?;
+    drop(exchange.connection);
+    seat.use_work(cost_of(call, &body, sent.elapsed()));
+    Ok(Answer { status, content_type, body })
+}
+
+fn cost_of(call: &Call, body: &[u8], elapsed: Duration) -> Cost {
+    match call.class {
+        Class::Lookup | Class::Once => Cost(u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)),
+        Class::Interactive | Class::Long => serde_json::from_slice::<Completion>(body)
+            .ok()
+            .and_then(|completion| completion.usage)
+            .map_or(call.hint, |usage| Cost::tokens(usage.completion_tokens)),
+    }
+}
--- /dev/null
+++ b/crates/front/src/gate.rs
@@ -0,0 +1,116 @@
+//! What all calls of a router share.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::Clock;
+use base::Event;
+use base::EventKind;
+use base::Name;
+use base::RequestId;
+use base::Ring;
+use claim::Claims;
+use claim::Crashes;
+use claim::Judgement;
+use conf::Settings;
+use indexmap::IndexMap;
+use sched::Budget;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
+
+use crate::Meter;
+use crate::Order;
+use crate::Snapshot;
+
+/// Largest number of workspaces whose retry budget is kept.
+const BUDGETS: usize = 4_096;
+
+/// The shared handle of traffic threads.
+#[derive(Debug)]
+pub struct Gate {
+    /// The settings of this router.
+    pub settings: Settings,
+    /// Orders to the control thread.
+    pub orders: mpsc::UnboundedSender<Order>,
+    /// The state of the fleet.
+    pub snapshot: watch::Receiver<Snapshot>,
+    /// Claims of non-idempotent calls.
+    pub claims: Arc<Claims>,
+    /// Requests that are suspected of crashing runners.
+    pub crashes: Arc<Mutex<Crashes>>,
+    /// Retry budgets by workspace.
+    pub budgets: Mutex<IndexMap<Name, Budget>>,
+    /// The time line of this process.
+    pub ring: Arc<Ring>,
+    /// The hybrid logical clock of this process.
+    pub clock: Arc<Clock>,
+    /// Counters of calls.
+    pub meter: Arc<Meter>,
+    /// All tasks of calls, joined at shutdown.
+    pub tasks: TaskTracker,
+    /// The start of this process.
+    pub started: Instant,
+}
+
+impl Gate {
+    /// Returns the monotonic time since the start of the process.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Sends an order to the control thread; it is lost only when that thread has ended.
+    pub fn order(&self, order: Order) {
+        if self.orders.send(order).is_err() {
+            log::warn!("front: the control thread has ended");
+        }
+    }
+
+    /// Records an event of a request on the time line.
+    pub fn note(
+        &self,
+        kind: EventKind,
+        request: RequestId,
+        workspace: &Name,
+        runner: Option<&Name>,
+        detail: &str,
+    ) {
+        self.ring.push(Event {
+            at: self.clock.now(),
+            process: self.settings.name.clone(),
+            kind,
+            request: Some(request),
+            workspace: Some(workspace.clone()),
+            runner: runner.cloned(),
+            detail: detail.to_owned(),
+        });
+    }
+
+    /// Judges whether a request is known to crash runners.
+    pub fn judge(&self, digest: u64) -> Judgement {
+        let now = self.now();
+        self.crashes.lock().unwrap_or_else(PoisonError::into_inner).judge(digest, now)
+    }
+
+    /// Takes a first attempt into the retry budget of a workspace.
+    pub fn first_attempt(&self, workspace: &Name) {
+        self.with_budget(workspace, Budget::attempt);
+    }
+
+    /// Takes a retry from the budget of a workspace; returns whether there was one left.
+    pub fn may_retry(&self, workspace: &Name) -> bool {
+        self.with_budget(workspace, Budget::retry)
+    }
+
+    fn with_budget<T>(&self, workspace: &Name, change: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        if budgets.len() >= BUDGETS && !budgets.contains_key(workspace) {
+            budgets.swap_remove_index(0);
+        }
+        change(budgets.entry(workspace.clone()).or_default())
+    }
+}
--- /dev/null
+++ b/crates/front/src/handler.rs
@@ -0,0 +1,180 @@
+//! Routes of the HTTP interface, as a gotham router.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gotham::handler::HandlerResult;
+use gotham::helpers::http::Body;
+use gotham::middleware::state::StateMiddleware;
+use gotham::pipeline::new_pipeline;
+use gotham::pipeline::single_pipeline;
+use gotham::prelude::DefineSingleRoute;
+use gotham::prelude::DrawRoutes;
+use gotham::prelude::FromState;
+use gotham::router::Router;
+use gotham::router::build_router;
+use gotham::state::State;
+use gotham::state::StateData;
+use http::HeaderMap;
+use http::Method;
+use http::Response;
+use http::StatusCode;
+use http::Uri;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use tokio::time;
+
+use crate::Gate;
+use crate::Problem;
+use crate::address;
+use crate::authority;
+use crate::call::Call;
+use crate::call::Parts;
+use crate::flow;
+use crate::operator;
+use crate::problem;
+use crate::reply::Reply;
+
+/// Path under which services are called.
+const SERVICES: &str = "/v1/services/";
+
+/// The gate in the state of a request.
+#[derive(Debug, Clone)]
+pub(crate) struct Shared {
+    pub(crate) gate: Arc<Gate>,
+    turn: Arc<AtomicU64>,
+}
+
+impl StateData for Shared {}
+
+impl std::panic::RefUnwindSafe for Shared {}
+
+/// A request taken out of gotham's state, which cannot be held while waiting.
+#[derive(Debug)]
+pub(crate) struct Request {
+    /// The gate of this router.
+    pub(crate) gate: Arc<Gate>,
+    /// The method.
+    pub(crate) method: Method,
+    /// Path and query.
+    pub(crate) uri: Uri,
+    /// The headers.
+    pub(crate) headers: HeaderMap,
+    /// The body, still to be read.
+    pub(crate) body: Body,
+}
+
+impl Request {
+    /// Takes a request out of the state.
+    pub(crate) fn take(state: &mut State) -> Self {
+        Self {
+            gate: Arc::clone(&Shared::borrow_from(state).gate),
+            method: Method::take_from(state),
+            uri: Uri::take_from(state),
+            headers: HeaderMap::take_from(state),
+            body: Body::take_from(state),
+        }
+    }
+}
+
+/// Builds the router of all HTTP requests.
+pub(crate) fn routes(gate: Arc<Gate>) -> Router {
+    let shared = Shared { gate, turn: Arc::new(AtomicU64::new(0)) };
+    let (chain, pipelines) =
+        single_pipeline(new_pipeline().add(StateMiddleware::new(shared)).build());
+    build_router(chain, pipelines, |route| {
+        let any = vec![
+            Method::GET,
+            Method::HEAD,
+            Method::POST,
+            Method::PUT,
+            Method::PATCH,
+            Method::DELETE,
+        ];
+        route.get("/v1/addresses").to_async(addresses);
+        route.request(any, "/v1/services/*").to_async(call);
+        route.get("/operator/status").to_async(operator::status);
+        route.get("/operator/timeline").to_async(operator::timeline);
+        route.get("/operator/config").to_async(operator::config);
+        route.post("/operator/config").to_async(operator::apply);
+        route.post("/operator/placement").to_async(operator::place);
+    })
+}
+
+/// Turns the result of a handler into its response.
+pub(crate) fn respond(state: State, result: Result<Response<Body>, Problem>) -> HandlerResult {
+    Ok((state, result.unwrap_or_else(|problem| problem.response())))
+}
+
+/// Reads the whole body of a request within the limits of the settings.
+pub(crate) async fn read_body(gate: &Gate, body: Body) -> Result<Bytes, Problem> {
+    let limits = &gate.settings.limits;
+    let whole = Limited::new(body, limits.body_bytes).collect();
+    match time::timeout(Duration::from_millis(limits.body_timeout_ms), whole).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Problem::rejected(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            format!("the body is larger than {} bytes", limits.body_bytes),
+        )),
+        Ok(Err(_)) => {
+            Err(Problem::rejected(StatusCode::BAD_REQUEST, "the body did not arrive whole"))
+        }
+        Err(_) => {
+            Err(Problem::rejected(StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time"))
+        }
+    }
+}
+
+async fn addresses(state: State) -> HandlerResult {
+    let shared = Shared::borrow_from(&state).clone();
+    let turn = shared.turn.fetch_add(1, Ordering::Relaxed);
+    let result = authority::authenticate(&shared.gate, HeaderMap::borrow_from(&state))
+        .and_then(|_| address::answer(&shared.gate, turn))
+        .map(|answer| problem::json(StatusCode::OK, &answer));
+    respond(state, result)
+}
+
+async fn call(mut state: State) -> HandlerResult {
+    let request = Request::take(&mut state);
+    let gate = Arc::clone(&request.gate);
+    let result = match check(request).await {
+        Ok(call) => run(gate, call).await,
+        Err(problem) => {
+            gate.meter.refuse(problem.verdict());
+            Err(problem)
+        }
+    };
+    respond(state, result)
+}
+
+async fn check(request: Request) -> Result<Call, Problem> {
+    let Request { gate, method, uri, headers, body } = request;
+    let caller = authority::authenticate(&gate, &headers)?;
+    let rest = uri.path().strip_prefix(SERVICES).unwrap_or_default();
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let query = uri.query().map(|query| format!("?{query}")).unwrap_or_default();
+    let body = read_body(&gate, body).await?;
+    Call::check(
+        caller,
+        Parts { service, path: format!("/{path}{query}"), method, headers: &headers, body },
+    )
+}
+
+async fn run(gate: Arc<Gate>, call: Call) -> Result<Response<Body>, Problem> {
+    let request = call.request;
+    let (reply, head) = Reply::new();
+    let tasks = gate.tasks.clone();
+    tasks.spawn(flow::serve(gate, call, reply));
+    head.await.map_err(|_| {
+        Problem::new(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            base::Verdict::MayHaveRun,
+            "the call ended without an answer",
+        )
+        .request(request)
+    })
+}
--- /dev/null
+++ b/crates/front/src/meter.rs
@@ -0,0 +1,83 @@
+//! Counters of calls, refusals and answers, kept by traffic threads.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use base::Verdict;
+use serde::Serialize;
+
+/// Counts what happened to calls at this router.
+#[derive(Debug, Default)]
+pub struct Meter {
+    accepted: AtomicU64,
+    answered: AtomicU64,
+    cancelled: AtomicU64,
+    retried: AtomicU64,
+    not_run: AtomicU64,
+    may_have_run: AtomicU64,
+    ran: AtomicU64,
+}
+
+/// The counters at one moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Reading {
+    /// Calls that passed authentication.
+    pub accepted: u64,
+    /// Calls whose whole answer was handed over.
+    pub answered: u64,
+    /// Calls whose caller hung up.
+    pub cancelled: u64,
+    /// Attempts after the first.
+    pub retried: u64,
+    /// Refusals with the verdict not-run.
+    pub not_run: u64,
+    /// Refusals with the verdict may-have-run.
+    pub may_have_run: u64,
+    /// Refusals with the verdict ran.
+    pub ran: u64,
+}
+
+impl Meter {
+    /// Counts an accepted call.
+    pub fn accept(&self) {
+        self.accepted.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts an answered call.
+    pub fn answer(&self) {
+        self.answered.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a call whose caller hung up.
+    pub fn cancel(&self) {
+        self.cancelled.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts an attempt after the first.
+    pub fn retry(&self) {
+        self.retried.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a refusal by its verdict.
+    pub fn refuse(&self, verdict: Verdict) {
+        let counter = match verdict {
+            Verdict::NotRun => &self.not_run,
+            Verdict::MayHaveRun => &self.may_have_run,
+            Verdict::Ran => &self.ran,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns all counters.
+    pub fn read(&self) -> Reading {
+        Reading {
+            accepted: self.accepted.load(Ordering::Relaxed),
+            answered: self.answered.load(Ordering::Relaxed),
+            cancelled: self.cancelled.load(Ordering::Relaxed),
+            retried: self.retried.load(Ordering::Relaxed),
+            not_run: self.not_run.load(Ordering::Relaxed),
+            may_have_run: self.may_have_run.load(Ordering::Relaxed),
+            ran: self.ran.load(Ordering::Relaxed),
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/operator.rs
@@ -0,0 +1,151 @@
+//! The interface of operators: status, time line, configuration and placement.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gotham::handler::HandlerResult;
+use gotham::helpers::http::Body;
+use gotham::state::State;
+use http::Response;
+use http::StatusCode;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::sync::oneshot;
+
+use crate::Applied;
+use crate::Gate;
+use crate::Order;
+use crate::Placement;
+use crate::Problem;
+use crate::authority;
+use crate::handler;
+use crate::handler::Request;
+use crate::problem;
+
+/// When an operator may come back after the platform's log did not answer.
+const LOG_RETRY: Duration = Duration::from_secs(2);
+
+/// A configuration to publish.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Publication {
+    base: u64,
+    text: String,
+}
+
+/// A request whose body has been read.
+struct Read<T> {
+    gate: Arc<Gate>,
+    value: T,
+}
+
+/// The version that is in force.
+#[derive(Debug, Serialize)]
+struct InForce {
+    version: u64,
+}
+
+/// The counter of a placement order.
+#[derive(Debug, Serialize)]
+struct Placed {
+    counter: u64,
+}
+
+/// Answers with the status of this router.
+pub(crate) async fn status(mut state: State) -> HandlerResult {
+    let result = ask(operator(&mut state), |reply| Order::Status { reply }).await;
+    handler::respond(state, result.map(|status| problem::json(StatusCode::OK, &status)))
+}
+
+/// Answers with the events of this router.
+pub(crate) async fn timeline(mut state: State) -> HandlerResult {
+    let result = operator(&mut state)
+        .map(|request| problem::json(StatusCode::OK, &request.gate.ring.snapshot()));
+    handler::respond(state, result)
+}
+
+/// Answers with the configuration in force.
+pub(crate) async fn config(mut state: State) -> HandlerResult {
+    let content = ask(operator(&mut state), |reply| Order::Config { reply }).await;
+    let result = content.map(|content| match content {
+        Some(content) => problem::json(StatusCode::OK, &content),
+        None => Problem::rejected(StatusCode::NOT_FOUND, "no configuration is in force").response(),
+    });
+    handler::respond(state, result)
+}
+
+/// Publishes a configuration.
+pub(crate) async fn apply(mut state: State) -> HandlerResult {
+    let request = operator(&mut state);
+    handler::respond(state, publish(request).await)
+}
+
+/// Takes a zone or an instance out or back.
+pub(crate) async fn place(mut state: State) -> HandlerResult {
+    let request = operator(&mut state);
+    handler::respond(state, order_placement(request).await)
+}
+
+async fn publish(request: Result<Request, Problem>) -> Result<Response<Body>, Problem> {
+    let Read { gate, value } = body::<Publication>(request?).await?;
+    let Publication { base, text } = value;
+    send(&gate, |reply| Order::Apply { base, text, reply }).await.and_then(applied)
+}
+
+async fn order_placement(request: Result<Request, Problem>) -> Result<Response<Body>, Problem> {
+    let Read { gate, value } = body::<Placement>(request?).await?;
+    let counter = send(&gate, |reply| Order::Place { placement: value, reply }).await?;
+    Ok(problem::json(StatusCode::OK, &Placed { counter }))
+}
+
+fn applied(result: Applied) -> Result<Response<Body>, Problem> {
+    match result {
+        Applied::InForce(version) => Ok(problem::json(StatusCode::OK, &InForce { version })),
+        Applied::Conflict(version) => Err(Problem::rejected(
+            StatusCode::CONFLICT,
+            format!("another configuration came first: version {version} is in force"),
+        )),
+        Applied::Invalid(reason) => {
+            Err(Problem::rejected(StatusCode::UNPROCESSABLE_ENTITY, reason))
+        }
+        Applied::Unavailable => Err(Problem::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            base::Verdict::MayHaveRun,
+            "the platform's log did not answer; ask for the version in force before trying again",
+        )
+        .retry_after(LOG_RETRY)),
+    }
+}
+
+fn operator(state: &mut State) -> Result<Request, Problem> {
+    let request = Request::take(state);
+    authority::authorize_operator(&request.gate, &request.headers)?;
+    Ok(request)
+}
+
+async fn ask<T>(
+    request: Result<Request, Problem>,
+    order: impl FnOnce(oneshot::Sender<T>) -> Order,
+) -> Result<T, Problem> {
+    send(&request?.gate, order).await
+}
+
+async fn send<T>(
+    gate: &Gate,
+    order: impl FnOnce(oneshot::Sender<T>) -> Order,
+) -> Result<T, Problem> {
+    let (reply, answer) = oneshot::channel();
+    gate.order(order(reply));
+    answer.await.map_err(|_| {
+        Problem::rejected(StatusCode::SERVICE_UNAVAILABLE, "the router is shutting down")
+    })
+}
+
+async fn body<T: DeserializeOwned>(request: Request) -> Result<Read<T>, Problem> {
+    let bytes = handler::read_body(&request.gate, request.body).await?;
+    let value = serde_json::from_slice(&bytes).map_err(|error| {
+        Problem::rejected(StatusCode::BAD_REQUEST, format!("the body is not valid: {error}"))
+    })?;
+    Ok(Read { gate: request.gate, value })
+}
--- /dev/null
+++ b/crates/front/src/reply.rs
@@ -0,0 +1,99 @@
+//! The way back to the caller of one call.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use gotham::helpers::http::Body;
+use http::HeaderValue;
+use http::Response;
+use http::header::CONTENT_TYPE;
+use http_body::Frame;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time;
+
+use crate::Problem;
+
+/// Events buffered for a slow caller before the runner is made to wait.
+const BUFFERED_EVENTS: usize = 16;
+/// How long a caller may take no bytes before its call is cut.
+const STALL_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Sends the head of the answer to a call, once.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    head: oneshot::Sender<Response<Body>>,
+}
+
+/// Sends the events of a streamed answer.
+#[derive(Debug)]
+pub(crate) struct Stream {
+    events: mpsc::Sender<Result<Frame<Bytes>, io::Error>>,
+}
+
+/// The caller has hung up or takes no bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct HungUp;
+
+impl Reply {
+    /// Creates a reply and the receiver of its head.
+    pub(crate) fn new() -> (Self, oneshot::Receiver<Response<Body>>) {
+        let (head, receiver) = oneshot::channel();
+        (Self { head }, receiver)
+    }
+
+    /// Completes when the caller hangs up.
+    pub(crate) async fn hung_up(&mut self) {
+        self.head.closed().await;
+    }
+
+    /// Sends a whole answer.
+    pub(crate) fn send(self, response: Response<Body>) -> Result<(), HungUp> {
+        self.head.send(response).map_err(|_| HungUp)
+    }
+
+    /// Sends a problem.
+    pub(crate) fn refuse(self, problem: &Problem) -> Result<(), HungUp> {
+        self.send(problem.response())
+    }
+
+    /// Begins a streamed answer of server-sent events.
+    pub(crate) fn stream(self) -> Result<Stream, HungUp> {
+        let (events, mut receiver) = mpsc::channel(BUFFERED_EVENTS);
+        let body = StreamBody::new(stream::poll_fn(move |context| receiver.poll_recv(context)))
+            .boxed_unsync();
+        let mut response = Response::new(body);
+        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        self.send(response)?;
+        Ok(Stream { events })
+    }
+}
+
+impl Stream {
+    /// Completes when the caller hangs up.
+    pub(crate) async fn hung_up(&self) {
+        self.events.closed().await;
+    }
+
+    /// Sends one event, waiting for a slow caller up to a limit.
+    pub(crate) async fn event(&self, data: &str) -> Result<(), HungUp> {
+        self.write(format!("data: {data}\n\n")).await
+    }
+
+    /// Ends the stream with an explicit error event.
+    pub(crate) async fn fail(&self, problem: &Problem) -> Result<(), HungUp> {
+        self.write(format!("event: error\ndata: {}\n\n", problem.json())).await
+    }
+
+    async fn write(&self, text: String) -> Result<(), HungUp> {
+        let frame = Frame::data(Bytes::from(text));
+        match time::timeout(STALL_TIMEOUT, self.events.send(Ok(frame))).await {
+            Ok(Ok(())) => Ok(()),
+            _ => Err(HungUp),
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/seat.rs
@@ -0,0 +1,98 @@
+//! A granted slot of a runner, given back exactly once.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use base::Attempt;
+use base::Cost;
+use base::Name;
+use wire::Done;
+use wire::Outcome;
+use wire::Shard;
+
+use crate::Gate;
+use crate::Order;
+
+/// The right of one attempt to use a runner.
+#[derive(Debug)]
+pub(crate) struct Seat {
+    gate: Arc<Gate>,
+    shard: Shard,
+    attempt: Attempt,
+    runner: Name,
+    address: SocketAddr,
+    used: Arc<AtomicU64>,
+    first_token: Option<Duration>,
+    outcome: Outcome,
+}
+
+impl Seat {
+    /// Takes over a granted slot; dropped without [`Seat::end`], it counts as cancelled.
+    pub(crate) fn new(
+        gate: Arc<Gate>,
+        shard: Shard,
+        attempt: Attempt,
+        runner: Name,
+        address: SocketAddr,
+        used: Arc<AtomicU64>,
+    ) -> Self {
+        Self {
+            gate,
+            shard,
+            attempt,
+            runner,
+            address,
+            used,
+            first_token: None,
+            outcome: Outcome::Cancelled,
+        }
+    }
+
+    /// Returns the attempt.
+    pub(crate) const fn attempt(&self) -> Attempt {
+        self.attempt
+    }
+
+    /// Returns the runner.
+    pub(crate) const fn runner(&self) -> &Name {
+        &self.runner
+    }
+
+    /// Returns the address of the runner.
+    pub(crate) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets the work used so far.
+    pub(crate) fn use_work(&self, used: Cost) {
+        self.used.store(used.0, Ordering::Relaxed);
+    }
+
+    /// Records the time to the first token.
+    pub(crate) fn first_token(&mut self, after: Duration) {
+        self.first_token.get_or_insert(after);
+    }
+
+    /// Gives the slot back with this outcome.
+    pub(crate) fn end(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.gate.order(Order::Done(Done {
+            shard: self.shard.clone(),
+            request: self.attempt.request,
+            attempt: self.attempt.number,
+            used: Cost(self.used.load(Ordering::Relaxed)),
+            outcome: self.outcome,
+            first_token_ms: self
+                .first_token
+                .map(|after| u32::try_from(after.as_millis()).unwrap_or(u32::MAX)),
+        }));
+    }
+}
--- /dev/null
+++ b/crates/front/src/server.rs
@@ -0,0 +1,138 @@
+//! The accept loop of a router, with a graceful shutdown that cuts no call.
+
+use std::io;
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+use std::time::Duration;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+use gotham::router::Router;
+use gotham::service::call_handler;
+use gotham::state::State;
+use http::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::time;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::Gate;
+use crate::handler;
+
+/// Pause after a failed accept, so that a lack of file descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Why the server could not start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Error {
+    /// The address could not be bound.
+    Bind(SocketAddr),
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Bind(address) => write!(f, "cannot listen on {address}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// A listening server.
+#[derive(Debug)]
+pub struct Server {
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+impl Server {
+    /// Binds the address of the callers.
+    ///
+    /// # Errors
+    /// Returns [`Error::Bind`] when the address is taken or not local.
+    pub async fn bind(address: SocketAddr) -> Result<Self, Report<Error>> {
+        let listener = TcpListener::bind(address).await.change_context(Error::Bind(address))?;
+        let address = listener.local_addr().change_context(Error::Bind(address))?;
+        Ok(Self { listener, address })
+    }
+
+    /// Returns the bound address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves connections until `stop`, then finishes the open ones and returns.
+    pub async fn run(self, gate: Arc<Gate>, stop: CancellationToken) {
+        let router = handler::routes(Arc::clone(&gate));
+        let connections = TaskTracker::new();
+        let permits = Arc::new(Semaphore::new(gate.settings.limits.connections));
+        loop {
+            let accepted = tokio::select! {
+                () = stop.cancelled() => break,
+                accepted = accept(&self.listener, &permits) => accepted,
+            };
+            let Ok((stream, peer, permit)) = accepted else {
+                time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let serving = serve(stream, peer, router.clone(), Arc::clone(&gate), stop.clone());
+            connections.spawn(async move {
+                serving.await;
+                drop(permit);
+            });
+        }
+        drop(self.listener);
+        connections.close();
+        connections.wait().await;
+    }
+}
+
+/// An accepted connection with its place among the allowed ones.
+type Accepted = (TcpStream, SocketAddr, tokio::sync::OwnedSemaphorePermit);
+
+async fn accept(listener: &TcpListener, permits: &Arc<Semaphore>) -> io::Result<Accepted> {
+    let permit = Arc::clone(permits).acquire_owned().await.map_err(io::Error::other)?;
+    let (stream, peer) = listener.accept().await?;
+    stream.set_nodelay(true)?;
+    Ok((stream, peer, permit))
+}
+
+async fn serve(
+    stream: TcpStream,
+    peer: SocketAddr,
+    router: Router,
+    gate: Arc<Gate>,
+    stop: CancellationToken,
+) {
+    let limits = &gate.settings.limits;
+    let service = service_fn(move |request: Request<Incoming>| {
+        let state = State::from_request(request, peer);
+        call_handler(router.clone(), AssertUnwindSafe(state))
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
+        .max_buf_size(limits.header_bytes.max(8_192))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let served = tokio::select! {
+        served = connection.as_mut() => served,
+        () = stop.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = served {
+        log::debug!("front: connection of {peer} ended: {error}");
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/config.rs
@@ -0,0 +1,180 @@
+//! The configuration in force: read from the log, or from a peer while the log does not answer.
+
+use std::time::Duration;
+
+use base::EventKind;
+use base::Name;
+use conf::Chain;
+use conf::Configuration;
+use conf::Record;
+use front::Applied;
+use mesh::Register;
+use tokio::sync::oneshot;
+use wire::ConfigContent;
+use wire::Frame;
+
+use super::Control;
+use crate::input::Input;
+use crate::tail::CONFIG_STREAM;
+
+/// Key of the register that holds the version in force.
+pub(super) const REGISTER: &str = "config";
+/// Longest wait until a published configuration is read back.
+const APPLY_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// A configuration that an operator publishes through this router.
+#[derive(Debug)]
+pub(crate) struct Pending {
+    ticket: u64,
+    text: String,
+    deadline: Duration,
+    /// The number of the version, once the log has answered the append.
+    number: Option<u64>,
+    reply: oneshot::Sender<Applied>,
+}
+
+impl Control {
+    /// Publishes a configuration: valid, and based on the version in force, or not at all.
+    pub(super) fn apply(&mut self, base: u64, text: String, reply: oneshot::Sender<Applied>) {
+        if let Err(report) = Configuration::parse(&text) {
+            drop(reply.send(Applied::Invalid(report.current_context().to_string())));
+            return;
+        }
+        if base != self.chain.number() {
+            drop(reply.send(Applied::Conflict(self.chain.number())));
+            return;
+        }
+        self.tickets += 1;
+        let ticket = self.tickets;
+        let body = Record::change(base, &text).encode();
+        let deadline = self.now() + APPLY_TIMEOUT;
+        self.pending.push(Pending { ticket, text, deadline, number: None, reply });
+        let log = self.log.clone();
+        let feed = self.ports.feed.clone();
+        self.tasks.spawn(async move {
+            let result = log.append(CONFIG_STREAM, &body).await;
+            drop(feed.send(Input::Appended { ticket, result }).await);
+        });
+    }
+
+    /// Takes in the result of an append.
+    pub(super) fn appended(&mut self, ticket: u64, result: &Result<u64, plat::Error>) {
+        let Some(index) = self.pending.iter().position(|pending| pending.ticket == ticket) else {
+            return;
+        };
+        match result {
+            Ok(offset) => {
+                self.pending[index].number = Some(conf::Version::number_at(*offset));
+                self.answer_pending();
+            }
+            Err(error) if error.verdict() == base::Verdict::NotRun => {
+                let pending = self.pending.swap_remove(index);
+                drop(pending.reply.send(Applied::Unavailable));
+            }
+            Err(_) => {
+                log::info!("node: the answer to a configuration append was lost; reading it back");
+            }
+        }
+    }
+
+    /// Takes in a record of the configuration stream.
+    pub(super) fn config_record(&mut self, offset: u64, body: &str) {
+        let before = self.chain.number();
+        self.chain.feed(offset, body);
+        self.config_read_to(offset, body);
+        self.config_changed(before);
+    }
+
+    /// Starts again from the oldest retained record, which only a checkpoint can follow.
+    pub(super) fn config_trimmed(&mut self) {
+        if self.chain.version().is_none() {
+            self.chain = Chain::trimmed();
+        }
+    }
+
+    /// Returns the content of the version in force.
+    pub(super) fn config_content(&self) -> Option<ConfigContent> {
+        let version = self.chain.version()?;
+        Some(ConfigContent { version: version.number, text: version.text.clone() })
+    }
+
+    /// Sends a peer the version in force when it is at least as new as asked.
+    pub(super) fn config_pulled(&self, from: &Name, wanted: u64) {
+        if let Some(content) = self.config_content().filter(|content| content.version >= wanted) {
+            self.mesh.send(from, Frame::ConfigPush(content));
+        }
+    }
+
+    /// Takes in the content of a version from a peer.
+    pub(super) fn config_pushed(&mut self, content: &ConfigContent) {
+        let before = self.chain.number();
+        self.chain.adopt(content.version, &content.text);
+        self.config_changed(before);
+    }
+
+    /// Takes in the news of a version that is in force elsewhere.
+    pub(super) fn config_registered(&self, register: &Register) {
+        if register.counter > self.chain.number() && register.by != self.me {
+            self.mesh.send(&register.by, Frame::ConfigPull { version: register.counter });
+        }
+    }
+
+    /// Gives up on publications that were not read back in time.
+    pub(super) fn expire_pending(&mut self) {
+        let now = self.now();
+        while let Some(index) = self.pending.iter().position(|pending| pending.deadline <= now) {
+            let pending = self.pending.swap_remove(index);
+            drop(pending.reply.send(Applied::Unavailable));
+        }
+    }
+
+    fn config_changed(&mut self, before: u64) {
+        let number = self.chain.number();
+        if number != before {
+            log::info!("node: configuration {number} is in force");
+            self.note(EventKind::Config, &format!("configuration {number} is in force"));
+            self.mesh.publish(Register {
+                key: Name::from(REGISTER),
+                counter: number,
+                out_wins: false,
+                value: Vec::new(),
+                by: self.me.clone(),
+            });
+            self.review();
+        }
+        self.answer_pending();
+    }
+
+    /// Recognises a publication whose answer was lost by its text.
+    fn config_read_to(&mut self, offset: u64, body: &str) {
+        let Some(Record::Change(change)) = Record::decode(body) else { return };
+        let number = conf::Version::number_at(offset);
+        let lost = self
+            .pending
+            .iter_mut()
+            .find(|pending| pending.number.is_none() && pending.text == change.text);
+        if let Some(pending) = lost {
+            pending.number = Some(number);
+        }
+    }
+
+    /// Answers publications that the chain has passed.
+    fn answer_pending(&mut self) {
+        let read_to = self.chain.read_to();
+        while let Some(index) = self.pending.iter().position(|pending| {
+            pending.number.is_some_and(|number| number <= conf::Version::number_at(read_to))
+        }) {
+            let pending = self.pending.swap_remove(index);
+            let in_force = self.chain.version();
+            let won = in_force.is_some_and(|version| {
+                Some(version.number) >= pending.number && version.text == pending.text
+            });
+            let applied = if won {
+                Applied::InForce(pending.number.unwrap_or_default())
+            } else {
+                Applied::Conflict(self.chain.number())
+            };
+            drop(pending.reply.send(applied));
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/mod.rs
@@ -0,0 +1,257 @@
+//! The control state of a router, owned by one thread.
+//!
+//! Everything that is decided is decided here: who owns which shard, who runs next, what is in force. Traffic threads
+//! send [`front::Order`]s and read [`front::Snapshot`]s; background tasks send [`Input`]s.
+
+mod config;
+mod order;
+mod placement;
+mod route;
+mod status;
+mod view;
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::Clock;
+use base::Event;
+use base::EventKind;
+use base::Name;
+use base::RequestId;
+use base::Ring;
+use claim::Claims;
+use claim::Crashes;
+use conf::Chain;
+use conf::Settings;
+use conf::settings::Mode;
+use front::Decision;
+use front::Meter;
+use front::Order;
+use front::Snapshot;
+use indexmap::IndexMap;
+use mesh::Member;
+use mesh::Mesh;
+use plat::Instance;
+use plat::Log;
+use sched::Dispatcher;
+use sched::Entry;
+use sched::baseline::Local;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time;
+use wire::Shard;
+
+use crate::input::Input;
+use crate::input::Target;
+use crate::usage::Usage;
+
+pub(crate) use config::Pending;
+
+/// Longest time between two looks at the state when nothing happens.
+const IDLE_WAKE: Duration = Duration::from_millis(250);
+/// Orders and inputs taken in before decisions are made again.
+const BATCH: usize = 64;
+
+/// What the control thread is connected to.
+#[derive(Debug)]
+pub(crate) struct Ports {
+    /// Orders of traffic threads.
+    pub(crate) orders: mpsc::UnboundedReceiver<Order>,
+    /// Messages of background tasks.
+    pub(crate) inputs: mpsc::Receiver<Input>,
+    /// For background tasks started here.
+    pub(crate) feed: mpsc::Sender<Input>,
+    /// Events of the links to other routers.
+    pub(crate) events: mpsc::Receiver<mesh::Event>,
+    /// The state shown to traffic threads.
+    pub(crate) snapshot: watch::Sender<Snapshot>,
+    /// The runners whose load is asked for.
+    pub(crate) targets: watch::Sender<Vec<Target>>,
+}
+
+/// What the control thread shares with traffic threads.
+#[derive(Debug, Clone)]
+pub(crate) struct Shared {
+    /// The settings of this router.
+    pub(crate) settings: Settings,
+    /// The hybrid logical clock.
+    pub(crate) clock: Arc<Clock>,
+    /// The time line.
+    pub(crate) ring: Arc<Ring>,
+    /// Requests that are suspected of crashing runners.
+    pub(crate) crashes: Arc<Mutex<Crashes>>,
+    /// Counters of calls.
+    pub(crate) meter: Arc<Meter>,
+    /// Claims of non-idempotent calls.
+    pub(crate) claims: Arc<Claims>,
+    /// The start of the process.
+    pub(crate) started: Instant,
+}
+
+/// A call of this router that waits for a decision.
+#[derive(Debug)]
+struct Waiting {
+    used: Arc<AtomicU64>,
+    reply: oneshot::Sender<Decision>,
+}
+
+/// The control state.
+#[derive(Debug)]
+pub(crate) struct Control {
+    shared: Shared,
+    me: Name,
+    mesh: Arc<Mesh>,
+    log: Log,
+    ports: Ports,
+    tasks: JoinSet<()>,
+    entry: Entry,
+    baseline: Option<IndexMap<Shard, Local>>,
+    dispatchers: IndexMap<Shard, Dispatcher>,
+    waiting: IndexMap<RequestId, Waiting>,
+    usage: Usage,
+    chain: Chain,
+    pending: Vec<Pending>,
+    tickets: u64,
+    members: Vec<Member>,
+    instances: Vec<Instance>,
+    log_up: bool,
+    leaving: bool,
+}
+
+impl Control {
+    /// Creates the state of a router that knows nothing yet.
+    pub(crate) fn new(shared: Shared, mesh: Arc<Mesh>, log: Log, ports: Ports) -> Self {
+        let me = shared.settings.name.clone();
+        let baseline = match shared.settings.mode {
+            Mode::Fleet => None,
+            Mode::Baseline => Some(IndexMap::new()),
+        };
+        Self {
+            entry: Entry::new(me.clone()),
+            me,
+            baseline,
+            mesh,
+            log,
+            ports,
+            shared,
+            tasks: JoinSet::new(),
+            dispatchers: IndexMap::new(),
+            waiting: IndexMap::new(),
+            usage: Usage::default(),
+            chain: Chain::new(),
+            pending: Vec::new(),
+            tickets: 0,
+            members: Vec::new(),
+            instances: Vec::new(),
+            log_up: true,
+            leaving: false,
+        }
+    }
+
+    /// Runs until told to stop, then joins all that it has started.
+    pub(crate) async fn run(mut self) {
+        self.begin();
+        while self.step().await {
+            self.settle();
+        }
+        self.tasks.abort_all();
+        while self.tasks.join_next().await.is_some() {}
+    }
+
+    /// Waits for the next input, then takes in what else is there; returns false at the end.
+    async fn step(&mut self) -> bool {
+        let wake = time::Instant::from_std(self.shared.started + self.next_wake());
+        let mut going = tokio::select! {
+            biased;
+            Some(input) = self.ports.inputs.recv() => self.input(input),
+            Some(event) = self.ports.events.recv() => self.event(event),
+            Some(order) = self.ports.orders.recv() => self.order(order),
+            () = time::sleep_until(wake) => true,
+        };
+        for _ in 0..BATCH {
+            let mut idle = true;
+            if let Ok(event) = self.ports.events.try_recv() {
+                going &= self.event(event);
+                idle = false;
+            }
+            if let Ok(order) = self.ports.orders.try_recv() {
+                going &= self.order(order);
+                idle = false;
+            }
+            if idle {
+                break;
+            }
+        }
+        while self.tasks.try_join_next().is_some() {}
+        going
+    }
+
+    fn input(&mut self, input: Input) -> bool {
+        match input {
+            Input::Instances(list) => self.listed(list),
+            Input::Config { offset, body } => self.config_record(offset, &body),
+            Input::ConfigTrimmed => self.config_trimmed(),
+            Input::Placement { body } => self.placement_record(&body),
+            Input::Log { up } => self.log_state(up),
+            Input::Load { shard, runner, load } => self.loaded(&shard, &runner, load),
+            Input::Appended { ticket, result } => self.appended(ticket, &result),
+            Input::Leave => self.leave(),
+            Input::Stop => return false,
+        }
+        true
+    }
+
+    fn event(&mut self, event: mesh::Event) -> bool {
+        match event {
+            mesh::Event::Frame { from, frame } => self.received(&from, &frame),
+            mesh::Event::Members(members) => self.membership(members),
+            mesh::Event::Register(register) => self.registered(&register),
+        }
+        true
+    }
+
+    fn next_wake(&self) -> Duration {
+        let now = self.now();
+        let wakes = self
+            .dispatchers
+            .values()
+            .filter_map(|dispatcher| dispatcher.next_wake(now))
+            .chain(self.entry.next_wake(now));
+        wakes.min().unwrap_or(now + IDLE_WAKE).clamp(now, now + IDLE_WAKE)
+    }
+
+    fn now(&self) -> Duration {
+        self.shared.started.elapsed()
+    }
+
+    fn log_state(&mut self, up: bool) {
+        if self.log_up != up {
+            self.log_up = up;
+            let detail = if up { "the log answers again" } else { "the log does not answer" };
+            log::warn!("node: {detail}");
+            self.note(EventKind::Log, detail);
+        }
+    }
+
+    fn note(&self, kind: EventKind, detail: &str) {
+        self.shared.ring.push(Event {
+            at: self.shared.clock.now(),
+            process: self.me.clone(),
+            kind,
+            request: None,
+            workspace: None,
+            runner: None,
+            detail: detail.to_owned(),
+        });
+    }
+
+    fn with_crashes<T>(&self, change: impl FnOnce(&mut Crashes) -> T) -> T {
+        change(&mut self.shared.crashes.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/order.rs
@@ -0,0 +1,57 @@
+//! Orders of traffic threads.
+
+use front::Order;
+use front::Submission;
+use wire::Frame;
+
+use super::Control;
+use super::Waiting;
+
+impl Control {
+    /// Takes in an order; returns whether the thread goes on.
+    pub(super) fn order(&mut self, order: Order) -> bool {
+        let now = self.now();
+        match order {
+            Order::Submit(submission) => self.submit(submission),
+            Order::Cancel { shard, request } => {
+                self.waiting.swap_remove(&request);
+                self.entry.cancel(&shard, request, now);
+            }
+            Order::Done(done) => {
+                self.usage.forget(done.request);
+                self.finished(done);
+            }
+            Order::Crash(crash) => self.broadcast(&Frame::Crash(crash)),
+            Order::Apply { base, text, reply } => self.apply(base, text, reply),
+            Order::Place { placement, reply } => {
+                let counter = self.place(&placement);
+                let _unheard = reply.send(counter);
+            }
+            Order::Status { reply } => drop(reply.send(self.status())),
+            Order::Config { reply } => drop(reply.send(self.config_content())),
+        }
+        true
+    }
+
+    fn submit(&mut self, submission: Submission) {
+        let Submission { enqueue, used, reply } = submission;
+        let now = self.now();
+        self.waiting.insert(enqueue.request, Waiting { used, reply });
+        match &mut self.baseline {
+            Some(locals) => {
+                if let Some(local) = locals.get_mut(&enqueue.shard) {
+                    local.submit(enqueue, now);
+                }
+            }
+            None => self.entry.submit(enqueue, now),
+        }
+    }
+
+    fn broadcast(&self, frame: &Frame) {
+        for member in &self.members {
+            if member.name != self.me && member.state.is_live() {
+                self.mesh.send(&member.name, frame.clone());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/placement.rs
@@ -0,0 +1,151 @@
+//! Zones and instances that operators take out and back, and routers that leave.
+//!
+//! Each is a register that gossip spreads at once, so that an order works while the log is down; the log keeps it for
+//! routers that start empty.
+
+use std::time::Duration;
+
+use base::EventKind;
+use base::Name;
+use front::Placement;
+use indexmap::IndexSet;
+use mesh::Register;
+use plat::Log;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time;
+
+use super::Control;
+use crate::tail::PLACEMENT_STREAM;
+
+/// Prefix of registers that tell whether a router leaves.
+const LEAVING: &str = "leaving/";
+/// Value of a register whose subject is out or leaving.
+const OUT: &[u8] = b"out";
+/// Value of a register whose subject is back.
+const BACK: &[u8] = b"back";
+/// Pause before the log is asked again to keep an order.
+const KEEP_PAUSE: Duration = Duration::from_millis(500);
+
+/// An order as the log keeps it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Kept {
+    key: Name,
+    counter: u64,
+    out: bool,
+    by: Name,
+}
+
+/// Returns whether a runner or router is out, by itself or with its zone.
+pub(super) fn is_out(out: &IndexSet<Name>, zone: &Name, name: &Name) -> bool {
+    out.contains(zone_key(zone).as_str()) || out.contains(instance_key(name).as_str())
+}
+
+fn zone_key(zone: &Name) -> String {
+    format!("zone/{zone}")
+}
+
+fn instance_key(name: &Name) -> String {
+    format!("instance/{name}")
+}
+
+impl Control {
+    /// Takes a zone or an instance out or back and returns the counter of the order.
+    pub(super) fn place(&mut self, placement: &Placement) -> u64 {
+        let key = Name::from(format!("{}/{}", placement.kind, placement.name).as_str());
+        let known = self.mesh.registers().into_iter().find(|register| register.key == key);
+        let counter = known.map_or(0, |register| register.counter) + 1;
+        let kept = Kept { key, counter, out: placement.out, by: self.me.clone() };
+        self.mesh.publish(register_of(&kept));
+        self.keep(&kept);
+        self.placed(&kept);
+        counter
+    }
+
+    /// Takes in an order that the log has kept.
+    pub(super) fn placement_record(&mut self, body: &str) {
+        let Ok(kept) = serde_json::from_str::<Kept>(body) else {
+            log::warn!("node: a record of the placement stream is malformed");
+            return;
+        };
+        let register = register_of(&kept);
+        let known = self.mesh.registers().into_iter().find(|register| register.key == kept.key);
+        if known.is_none_or(|known| register.beats(&known)) {
+            self.mesh.publish(register);
+            self.placed(&kept);
+        }
+    }
+
+    /// Takes in a register that gossip has brought.
+    pub(super) fn registered(&mut self, register: &Register) {
+        if register.key.as_str() == super::config::REGISTER {
+            self.config_registered(register);
+            return;
+        }
+        let state = if register.value == OUT { "out" } else { "back" };
+        self.note(
+            EventKind::Placement,
+            &format!("{} is {state}, counter {}", register.key, register.counter),
+        );
+        self.review();
+    }
+
+    /// Returns the keys of all that is out.
+    pub(super) fn out(&self) -> IndexSet<Name> {
+        let registers = self.mesh.registers().into_iter();
+        registers
+            .filter(|register| register.value == OUT && !register.key.as_str().starts_with(LEAVING))
+            .map(|register| register.key)
+            .collect()
+    }
+
+    /// Returns whether a router has said that it leaves.
+    pub(super) fn is_leaving(&self, name: &Name) -> bool {
+        let key = format!("{LEAVING}{name}");
+        self.mesh
+            .registers()
+            .iter()
+            .any(|register| register.key.as_str() == key && register.value == OUT)
+    }
+
+    /// Tells the fleet whether this router leaves.
+    pub(super) fn publish_leaving(&self, leaving: bool) {
+        let key = Name::from(format!("{LEAVING}{}", self.me).as_str());
+        let counter = self.shared.clock.now().millis();
+        self.mesh.publish(register_of(&Kept { key, counter, out: leaving, by: self.me.clone() }));
+    }
+
+    fn placed(&mut self, kept: &Kept) {
+        let state = if kept.out { "out" } else { "back" };
+        log::info!("node: {} is {state}", kept.key);
+        self.note(
+            EventKind::Placement,
+            &format!("{} is {state}, counter {}", kept.key, kept.counter),
+        );
+        self.review();
+    }
+
+    fn keep(&mut self, kept: &Kept) {
+        let body = serde_json::to_string(kept).expect("an order has only plain fields");
+        let log = self.log.clone();
+        self.tasks.spawn(keep_in_log(log, body));
+    }
+}
+
+/// Appends an order until the log has taken it; a second copy changes nothing.
+async fn keep_in_log(log: Log, body: String) {
+    while log.append(PLACEMENT_STREAM, &body).await.is_err() {
+        time::sleep(KEEP_PAUSE).await;
+    }
+}
+
+fn register_of(kept: &Kept) -> Register {
+    Register {
+        key: kept.key.clone(),
+        counter: kept.counter,
+        out_wins: kept.out,
+        value: if kept.out { OUT } else { BACK }.to_vec(),
+        by: kept.by.clone(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/route.rs
@@ -0,0 +1,217 @@
+//! Frames between the entry and the dispatchers of this router and those of others.
+
+use base::Event;
+use base::EventKind;
+use base::Name;
+use front::Decision;
+use indexmap::IndexMap;
+use sched::Action;
+use sched::EntryAction;
+use sched::Note;
+use wire::Done;
+use wire::Frame;
+use wire::Grant;
+use wire::NotOwner;
+use wire::Refuse;
+use wire::Shard;
+use wire::Term;
+
+use super::Control;
+
+/// Rounds of delivery between own entry and own dispatchers in one settling.
+const ROUNDS: usize = 16;
+
+impl Control {
+    /// Makes all decisions that are due and delivers what they send.
+    pub(super) fn settle(&mut self) {
+        self.expire_pending();
+        self.report_usage();
+        if self.baseline.is_some() {
+            self.settle_alone();
+            return;
+        }
+        for _ in 0..ROUNDS {
+            let sent = self.poll_dispatchers() + self.poll_entry();
+            if sent == 0 {
+                break;
+            }
+        }
+    }
+
+    /// Takes in a frame of another router.
+    pub(super) fn received(&mut self, from: &Name, frame: &Frame) {
+        match frame {
+            Frame::ConfigPull { version } => self.config_pulled(from, *version),
+            Frame::ConfigPush(content) => self.config_pushed(content),
+            Frame::Crash(crash) => {
+                let now = self.now();
+                self.with_crashes(|crashes| crashes.crashed(crash, now));
+            }
+            _ => self.deliver(from, frame),
+        }
+    }
+
+    fn deliver(&mut self, from: &Name, frame: &Frame) {
+        let now = self.now();
+        match frame {
+            Frame::Grant(_) | Frame::Refuse(_) | Frame::TakeOver(_) | Frame::NotOwner(_) => {
+                self.entry.frame(from, frame, now);
+            }
+            Frame::Totals(totals) => {
+                self.entry.frame(from, frame, now);
+                if let Some(dispatcher) = self.dispatchers.get_mut(&totals.shard) {
+                    dispatcher.frame(from, frame, now);
+                }
+            }
+            Frame::Usage(usages) => self.deliver_usage(from, usages),
+            Frame::Enqueue(enqueue) => self.deliver_to(from, &enqueue.shard, frame),
+            Frame::Cancel(cancel) => self.deliver_to(from, &cancel.shard, frame),
+            Frame::Done(done) => self.deliver_to(from, &done.shard, frame),
+            Frame::Resync(resync) => self.deliver_to(from, &resync.shard, frame),
+            Frame::ConfigPull { .. } | Frame::ConfigPush(_) | Frame::Crash(_) => (),
+        }
+    }
+
+    fn deliver_to(&mut self, from: &Name, shard: &Shard, frame: &Frame) {
+        let now = self.now();
+        match self.dispatchers.get_mut(shard) {
+            Some(dispatcher) => dispatcher.frame(from, frame, now),
+            None => {
+                let answer = Frame::NotOwner(NotOwner { shard: shard.clone() });
+                self.send(from, answer);
+            }
+        }
+    }
+
+    fn deliver_usage(&mut self, from: &Name, usages: &[wire::Usage]) {
+        let now = self.now();
+        for usage in usages {
+            if let Some(dispatcher) = self.dispatchers.get_mut(&usage.shard) {
+                dispatcher.frame(from, &Frame::Usage(vec![usage.clone()]), now);
+            }
+        }
+    }
+
+    fn send(&mut self, to: &Name, frame: Frame) {
+        if *to == self.me {
+            let me = self.me.clone();
+            self.deliver(&me, &frame);
+        } else {
+            self.mesh.send(to, frame);
+        }
+    }
+
+    fn poll_dispatchers(&mut self) -> usize {
+        let now = self.now();
+        let mut actions = Vec::new();
+        for dispatcher in self.dispatchers.values_mut() {
+            if dispatcher.needs_term() {
+                dispatcher.renew(Term(self.shared.clock.now()));
+            }
+            actions.extend(dispatcher.poll(now));
+        }
+        let count = actions.len();
+        for action in actions {
+            match action {
+                Action::Send { to, frame } => self.send(&to, frame),
+                Action::Event(note) => self.record(note),
+            }
+        }
+        count
+    }
+
+    fn poll_entry(&mut self) -> usize {
+        let now = self.now();
+        let actions = self.entry.poll(now);
+        let count = actions.len();
+        for action in actions {
+            self.entry_action(action);
+        }
+        count
+    }
+
+    fn entry_action(&mut self, action: EntryAction) {
+        match action {
+            EntryAction::Send { to, frame } => self.send(&to, frame),
+            EntryAction::Granted(grant) => self.granted(grant),
+            EntryAction::Refused(refuse) => self.refused(refuse),
+        }
+    }
+
+    fn granted(&mut self, grant: Grant) {
+        let Some(waiting) = self.waiting.swap_remove(&grant.request) else {
+            self.give_back(&grant);
+            return;
+        };
+        self.usage.follow(grant.request, grant.shard.clone(), waiting.used);
+        if let Err(Decision::Granted(grant)) = waiting.reply.send(Decision::Granted(grant)) {
+            self.usage.forget(grant.request);
+            self.give_back(&grant);
+        }
+    }
+
+    fn refused(&mut self, refuse: Refuse) {
+        if let Some(waiting) = self.waiting.swap_remove(&refuse.request) {
+            drop(waiting.reply.send(Decision::Refused(refuse)));
+        }
+    }
+
+    fn give_back(&mut self, grant: &Grant) {
+        let done = Done {
+            shard: grant.shard.clone(),
+            request: grant.request,
+            attempt: grant.attempt,
+            used: base::Cost::ZERO,
+            outcome: wire::Outcome::Unused,
+            first_token_ms: None,
+        };
+        self.finished(done);
+    }
+
+    /// Takes in that an attempt no longer uses its runner.
+    pub(super) fn finished(&mut self, done: Done) {
+        let now = self.now();
+        match &mut self.baseline {
+            Some(locals) => {
+                if let Some(local) = locals.get_mut(&done.shard) {
+                    local.done(&done, now);
+                }
+            }
+            None => self.entry.done(done, now),
+        }
+    }
+
+    fn report_usage(&mut self) {
+        let now = self.now();
+        if self.baseline.is_some() {
+            return;
+        }
+        for reading in self.usage.read() {
+            self.entry.usage(&reading.shard, reading.request, reading.used, now);
+        }
+    }
+
+    fn settle_alone(&mut self) {
+        let now = self.now();
+        let locals = self.baseline.iter_mut().flat_map(IndexMap::values_mut);
+        let actions: Vec<EntryAction> = locals.flat_map(|local| local.poll(now)).collect();
+        for action in actions {
+            self.entry_action(action);
+        }
+    }
+
+    fn record(&self, note: Note) {
+        if note.kind == EventKind::Runner || note.kind == EventKind::Dispatcher {
+            log::info!("sched: {}", note.detail);
+        }
+        self.shared.ring.push(Event {
+            at: self.shared.clock.now(),
+            process: self.me.clone(),
+            kind: note.kind,
+            request: note.request,
+            workspace: note.workspace,
+            runner: note.runner,
+            detail: note.detail,
+        });
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/view.rs
@@ -0,0 +1,268 @@
+//! Who is alive, who owns which shard, and what traffic threads are shown of it.
+
+use std::sync::Arc;
+
+use base::EventKind;
+use base::Name;
+use conf::Configuration;
+use conf::configuration::Kind;
+use conf::configuration::Service;
+use front::Place;
+use front::Snapshot;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use mesh::Candidate;
+use mesh::Member;
+use mesh::State;
+use plat::Instance;
+use sched::Dispatcher;
+use sched::Plan;
+use sched::RunnerPlan;
+use sched::WorkspacePlan;
+use sched::baseline::Local;
+use wire::Shard;
+use wire::Term;
+
+use super::Control;
+use super::placement;
+use crate::input::Target;
+
+impl Control {
+    /// Tells the fleet that this process has begun.
+    pub(super) fn begin(&mut self) {
+        self.members = self.mesh.members();
+        self.publish_leaving(false);
+        self.note(EventKind::Process, "the router has started");
+        self.review();
+    }
+
+    /// Takes in the platform's instance list.
+    pub(super) fn listed(&mut self, list: Vec<Instance>) {
+        if list == self.instances {
+            return;
+        }
+        let candidates = list.iter().map(|instance| Candidate {
+            name: instance.name.clone(),
+            address: instance.peers,
+            zone: instance.zone.clone(),
+            region: instance.region.clone(),
+            leaving: instance.leaving,
+        });
+        self.mesh.candidates(candidates.collect());
+        self.instances = list;
+        self.review();
+    }
+
+    /// Takes in a changed view of the members.
+    pub(super) fn membership(&mut self, members: Vec<Member>) {
+        for member in &members {
+            let before = self.members.iter().find(|known| known.name == member.name);
+            let changed = before.is_none_or(|known| {
+                known.state != member.state || known.incarnation != member.incarnation
+            });
+            if changed {
+                self.note(
+                    EventKind::Member,
+                    &format!("member {} is {}", member.name, member.state),
+                );
+            }
+        }
+        self.members = members;
+        self.review();
+    }
+
+    /// Begins to leave: callers are sent elsewhere and shards are handed over.
+    pub(super) fn leave(&mut self) {
+        self.leaving = true;
+        self.publish_leaving(true);
+        self.note(EventKind::Process, "the router is leaving");
+        self.review();
+    }
+
+    /// Takes in the load report of a runner.
+    pub(super) fn loaded(&mut self, shard: &Shard, runner: &Name, load: Option<sched::Load>) {
+        let now = self.now();
+        if let Some(dispatcher) = self.dispatchers.get_mut(shard) {
+            dispatcher.load(runner, load, now);
+        }
+    }
+
+    /// Brings shards, plans and the snapshot up to date after any change.
+    pub(super) fn review(&mut self) {
+        let configuration =
+            self.chain.version().map(|version| Arc::new(version.configuration.clone()));
+        let out = self.out();
+        if let Some(configuration) = &configuration {
+            self.review_shards(configuration, &out);
+        }
+        self.ports.snapshot.send_replace(Snapshot {
+            configuration,
+            version: self.chain.number(),
+            places: self.places(&out),
+            out,
+            leaving: self.leaving,
+        });
+    }
+
+    fn review_shards(&mut self, configuration: &Configuration, out: &IndexSet<Name>) {
+        let plans: Vec<Plan> = configuration
+            .services
+            .iter()
+            .map(|service| plan(configuration, service, out))
+            .collect();
+        self.dispatchers.retain(|shard, _| plans.iter().any(|plan| plan.shard == *shard));
+        for plan in &plans {
+            match &mut self.baseline {
+                Some(locals) => review_local(locals, plan),
+                None => self.review_owner(plan, out),
+            }
+        }
+        self.review_targets(configuration);
+    }
+
+    fn review_owner(&mut self, plan: &Plan, out: &IndexSet<Name>) {
+        let now = self.now();
+        let shard = &plan.shard;
+        let candidates = self.dispatcher_candidates(&shard.region, out);
+        let owner = sched::owner(shard, &candidates).cloned();
+        let alive = self.alive_in(&shard.region);
+        let listed = self.listed_in(&shard.region).max(alive.len());
+        if owner.as_ref() != Some(&self.me) {
+            self.dispatchers.swap_remove(shard);
+        } else if let Some(dispatcher) = self.dispatchers.get_mut(shard) {
+            dispatcher.replan(plan.clone(), now);
+            dispatcher.members(alive, listed, now);
+        } else {
+            let term = Term(self.shared.clock.now());
+            log::info!("sched: this router becomes dispatcher of {shard} in term {term}");
+            self.note(
+                EventKind::Dispatcher,
+                &format!("{} dispatches {shard} in term {term}", self.me),
+            );
+            let dispatcher =
+                Dispatcher::new(plan.clone(), self.me.clone(), term, alive, listed, now);
+            self.dispatchers.insert(shard.clone(), dispatcher);
+        }
+        self.entry.owner(shard, owner, now);
+    }
+
+    fn review_targets(&mut self, configuration: &Configuration) {
+        let mut targets = Vec::new();
+        for service in &configuration.services {
+            let shard = shard_of(service);
+            if !self.dispatchers.contains_key(&shard) {
+                continue;
+            }
+            targets.extend(service.runners.iter().map(|runner| Target {
+                shard: shard.clone(),
+                runner: runner.name.clone(),
+                address: runner.address,
+            }));
+        }
+        self.ports.targets.send_if_modified(|known| {
+            let changed = *known != targets;
+            *known = targets;
+            changed
+        });
+    }
+
+    fn dispatcher_candidates(&self, region: &Name, out: &IndexSet<Name>) -> Vec<Name> {
+        let staying: Vec<&Member> = self
+            .members
+            .iter()
+            .filter(|member| {
+                member.state.is_live() && member.region == *region && !self.is_leaving(&member.name)
+            })
+            .collect();
+        let inside: Vec<Name> = staying
+            .iter()
+            .filter(|member| !placement::is_out(out, &member.zone, &member.name))
+            .map(|member| member.name.clone())
+            .collect();
+        if inside.is_empty() {
+            staying.iter().map(|member| member.name.clone()).collect()
+        } else {
+            inside
+        }
+    }
+
+    fn alive_in(&self, region: &Name) -> Vec<Name> {
+        let alive =
+            self.members.iter().filter(|member| member.state.is_live() && member.region == *region);
+        alive.map(|member| member.name.clone()).collect()
+    }
+
+    fn listed_in(&self, region: &Name) -> usize {
+        let has_left = |name: &Name| {
+            self.members.iter().any(|member| member.name == *name && member.state == State::Left)
+        };
+        self.instances
+            .iter()
+            .filter(|instance| instance.region == *region && !has_left(&instance.name))
+            .count()
+    }
+
+    fn places(&self, out: &IndexSet<Name>) -> Vec<Place> {
+        let mut places = Vec::new();
+        for instance in &self.instances {
+            let alive = instance.name == self.me
+                || self
+                    .members
+                    .iter()
+                    .any(|member| member.name == instance.name && member.state.is_live());
+            if !alive {
+                continue;
+            }
+            let leaving = instance.leaving || self.is_leaving(&instance.name);
+            places.push(Place {
+                name: instance.name.clone(),
+                zone: instance.zone.clone(),
+                callers: instance.callers,
+                usable: !leaving && !placement::is_out(out, &instance.zone, &instance.name),
+            });
+        }
+        places
+    }
+}
+
+/// Gives a router that decides alone the plan of a shard when it has changed.
+fn review_local(locals: &mut IndexMap<Shard, Local>, plan: &Plan) {
+    if locals.get(&plan.shard).is_none_or(|local| local.plan() != plan) {
+        locals.insert(plan.shard.clone(), Local::new(plan.clone()));
+    }
+}
+
+/// Returns the shard of a service.
+fn shard_of(service: &Service) -> Shard {
+    Shard { service: service.name.clone(), region: service.region.clone(), index: 0 }
+}
+
+fn plan(configuration: &Configuration, service: &Service, out: &IndexSet<Name>) -> Plan {
+    Plan {
+        shard: shard_of(service),
+        kind: match service.kind {
+            Kind::Engine => sched::Kind::Engine,
+            Kind::Plain => sched::Kind::Plain,
+        },
+        runners: service
+            .runners
+            .iter()
+            .map(|runner| RunnerPlan {
+                name: runner.name.clone(),
+                zone: runner.zone.clone(),
+                warm_limit: runner.warm_limit,
+                cold_limit: runner.cold_limit,
+                out: placement::is_out(out, &runner.zone, &runner.name),
+            })
+            .collect(),
+        workspaces: configuration
+            .workspaces
+            .iter()
+            .map(|workspace| WorkspacePlan {
+                name: workspace.name.clone(),
+                weight: workspace.weight,
+                queue_limit: workspace.queue_limit,
+            })
+            .collect(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/load.rs
@@ -0,0 +1,42 @@
+//! Asks the runners of this router's shards for their load reports.
+
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time;
+use tokio::time::MissedTickBehavior;
+use tokio_util::task::TaskTracker;
+
+use crate::input::Input;
+use crate::input::Target;
+
+/// Time from one round of questions to the next.
+const LOAD_PERIOD: Duration = Duration::from_millis(400);
+/// Longest wait for a report.
+const LOAD_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// Asks all targets again and again; ends when the control thread is gone.
+pub(crate) async fn poll(targets: watch::Receiver<Vec<Target>>, inputs: mpsc::Sender<Input>) {
+    let connections = TaskTracker::new();
+    let mut ticks = time::interval(LOAD_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let mut round = JoinSet::new();
+        for target in targets.borrow().iter().cloned() {
+            let connections = connections.clone();
+            round.spawn(async move {
+                let load = front::fetch_load(&connections, target.address, LOAD_TIMEOUT).await;
+                Input::Load { shard: target.shard, runner: target.runner, load }
+            });
+        }
+        while let Some(answer) = round.join_next().await {
+            let Ok(input) = answer else { continue };
+            if inputs.send(input).await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/usage.rs
@@ -0,0 +1,65 @@
+//! The work used by running calls, read from counters that traffic threads write.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use base::Cost;
+use base::RequestId;
+use indexmap::IndexMap;
+use wire::Shard;
+
+/// A running call.
+#[derive(Debug)]
+struct Running {
+    shard: Shard,
+    counter: Arc<AtomicU64>,
+    reported: Cost,
+}
+
+/// New usage of one call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Reading {
+    /// The shard of the runner.
+    pub(crate) shard: Shard,
+    /// The request.
+    pub(crate) request: RequestId,
+    /// All work used by this attempt so far.
+    pub(crate) used: Cost,
+}
+
+/// The running calls of this router.
+#[derive(Debug, Default)]
+pub(crate) struct Usage {
+    running: IndexMap<RequestId, Running>,
+}
+
+impl Usage {
+    /// Begins to follow a call.
+    pub(crate) fn follow(&mut self, request: RequestId, shard: Shard, counter: Arc<AtomicU64>) {
+        self.running.insert(request, Running { shard, counter, reported: Cost::ZERO });
+    }
+
+    /// Stops following a call.
+    pub(crate) fn forget(&mut self, request: RequestId) {
+        self.running.swap_remove(&request);
+    }
+
+    /// Returns the calls whose usage has grown since the last reading.
+    pub(crate) fn read(&mut self) -> Vec<Reading> {
+        let mut readings = Vec::new();
+        for (request, running) in &mut self.running {
+            let used = Cost(running.counter.load(Ordering::Relaxed));
+            if used > running.reported {
+                running.reported = used;
+                readings.push(Reading { shard: running.shard.clone(), request: *request, used });
+            }
+        }
+        readings
+    }
+
+    /// Returns the number of running calls.
+    pub(crate) fn len(&self) -> usize {
+        self.running.len()
+    }
+}
--- a/crates/sched/src/baseline.rs
+++ b/crates/sched/src/baseline.rs
@@ -42,6 +42,12 @@
         Self { plan, waiting: VecDeque::new(), running: IndexMap::new(), outbox: Vec::new() }
     }
 
+    /// Returns the plan.
+    #[must_use]
+    pub const fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
     /// Takes in a request of a caller.
     pub fn submit(&mut self, enqueue: Enqueue, now: Duration) {
         let deadline = now + Duration::from_millis(u64::from(enqueue.patience_ms));
