--- a/crates/front/src/flow/whole.rs
+++ b/crates/front/src/flow/whole.rs
@@ -86,7 +86,7 @@
         };
         match answered {
             Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE => {
-                attempts.overloaded(seat)
+                attempts.overloaded(seat);
             }
             Ok(answer) => {
                 attempts.answered(seat);
