fix(front): tell a caller when to ask again for an unrecorded outcome

Weighed: recording before answering (every call pays one more append, about 10 ms here), holding the repeat back (not accepted by the users), a hint (chosen). Before: no Retry-After; after: 1 s. Also: the control thread no longer logs runner changes a second time without their runner.

--- a/crates/front/src/flow/once.rs
+++ b/crates/front/src/flow/once.rs
@@ -1,6 +1,7 @@
 //! Non-idempotent calls, which run at most once: each is claimed in the platform's log before its first byte is sent.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use base::EventKind;
 use base::Verdict;
@@ -25,6 +26,9 @@
 use crate::runner::Fault;
 use crate::seat::Seat;
 
+/// When a caller may ask again for the outcome of a call that was sent before.
+const OUTCOME_RETRY: Duration = Duration::from_secs(1);
+
 /// What the claim of a call allows.
 enum Claimed {
     /// The call may be sent under this ticket.
@@ -98,8 +102,9 @@
         Decision::Unfinished => Claimed::Settled(Err(Problem::new(
             StatusCode::CONFLICT,
             Verdict::MayHaveRun,
-            "a call with this key was sent before and its outcome is not known",
+            "a call with this key was sent before and its outcome is not recorded; ask again with the same key",
         )
+        .retry_after(OUTCOME_RETRY)
         .request(call.request))),
         Decision::Refused(refusal) => {
             Claimed::Settled(Err(refusal_problem(&refusal).request(call.request)))
--- a/crates/node/src/control/route.rs
+++ b/crates/node/src/control/route.rs
@@ -1,7 +1,6 @@
 //! Frames between the entry and the dispatchers of this router and those of others.
 
 use base::Event;
-use base::EventKind;
 use base::Name;
 use front::Decision;
 use indexmap::IndexMap;
@@ -201,9 +200,6 @@
     }
 
     fn record(&self, note: Note) {
-        if note.kind == EventKind::Runner || note.kind == EventKind::Dispatcher {
-            log::info!("sched: {}", note.detail);
-        }
         self.shared.ring.push(Event {
             at: self.shared.clock.now(),
             process: self.me.clone(),
