fix(node): do not dispatch before the fleet is known

Cause: seen in the first demo run, where three routers started before the instance list named the others: each took itself for the whole fleet and became dispatcher of both shards with the full limits, which could overrun a cold runner. Ruled out: the gathering timeout, which asks known members only. Now a router without a list and without a met member shows no configuration: calls are refused at once as not-run and it owns no shard.

--- a/crates/front/src/authority.rs
+++ b/crates/front/src/authority.rs
@@ -29,7 +29,7 @@
     let Some(configuration) = snapshot.configuration else {
         return Err(Problem::rejected(
             StatusCode::SERVICE_UNAVAILABLE,
-            "no configuration is in force yet",
+            "this router has no configuration yet or has not joined the fleet",
         )
         .retry_after(std::time::Duration::from_secs(1)));
     };
--- a/crates/node/src/control/view.rs
+++ b/crates/node/src/control/view.rs
@@ -89,8 +89,8 @@
 
     /// Brings shards, plans and the snapshot up to date after any change.
     pub(super) fn review(&mut self) {
-        let configuration =
-            self.chain.version().map(|version| Arc::new(version.configuration.clone()));
+        let version = self.chain.version().filter(|_| self.has_joined());
+        let configuration = version.map(|version| Arc::new(version.configuration.clone()));
         let out = self.out();
         if let Some(configuration) = &configuration {
             self.review_shards(configuration, &out);
@@ -166,6 +166,11 @@
         });
     }
 
+    /// Returns whether this router knows of the fleet: alone without a list, it would take itself for all of it.
+    fn has_joined(&self) -> bool {
+        !self.instances.is_empty() || self.members.iter().any(|member| member.name != self.me)
+    }
+
     fn dispatcher_candidates(&self, region: &Name, out: &IndexSet<Name>) -> Vec<Name> {
         let staying: Vec<&Member> = self
             .members
--- a/xtask/src/check.rs
+++ b/xtask/src/check.rs
@@ -2,8 +2,12 @@
 
 use std::process::Command;
 
+use crate::demo;
 use crate::imports;
 
+/// The seed of property tests.
+const SEED: &str = "20261203";
+
 /// Runs every check and returns whether all passed.
 pub(crate) fn run_all() -> bool {
     cargo(&["fmt", "--all", "--check"], &[])
@@ -13,11 +17,18 @@
             &["doc", "--workspace", "--no-deps", "--quiet"],
             &[("RUSTDOCFLAGS", "--deny warnings")],
         )
-        && cargo(&["test", "--workspace"], &[("PROPTEST_RNG_SEED", "20261203")])
+        && build()
+        && cargo(&["test", "--workspace"], &[("PROPTEST_RNG_SEED", SEED)])
+        && demo::run()
+}
+
+/// Builds all binaries that tests and tasks start.
+pub(crate) fn build() -> bool {
+    cargo(&["build", "--workspace", "--quiet"], &[])
 }
 
 /// Runs cargo with these arguments and variables and returns whether it succeeded.
-pub(crate) fn cargo(args: &[&str], variables: &[(&str, &str)]) -> bool {
+fn cargo(args: &[&str], variables: &[(&str, &str)]) -> bool {
     println!("xtask: cargo {}", args.join(" "));
     let mut command = Command::new(env!("CARGO"));
     command.args(args).envs(variables.iter().copied());
--- /dev/null
+++ b/xtask/src/demo.rs
@@ -0,0 +1,135 @@
+//! A minute's tour with real processes: three routers, the stand-ins, a call of each kind, and the time line.
+
+use std::env;
+use std::path::PathBuf;
+use std::process::Command;
+use std::time::Duration;
+
+use base::Class;
+use error_stack::Report;
+use error_stack::ResultExt;
+use rig::Answer;
+use rig::Call;
+use rig::Fleet;
+use rig::RunnerPlan;
+use rig::ServicePlan;
+use rig::WorkspacePlan;
+use tokio::runtime;
+
+use crate::Error;
+use crate::check;
+
+/// The region of the demo.
+const REGION: &str = "midlands";
+/// Longest wait for the fleet to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Longest wait for a router to end.
+const END_TIMEOUT: Duration = Duration::from_secs(20);
+/// How long handed-out addresses live, in milliseconds.
+const DRAIN_MS: u64 = 500;
+
+/// Builds all binaries and runs the demo; returns whether every call was served.
+pub(crate) fn run() -> bool {
+    if !check::build() {
+        return false;
+    }
+    let runtime = match runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("xtask: no runtime: {error}");
+            return false;
+        }
+    };
+    match runtime.block_on(tour()) {
+        Ok(whole) => whole,
+        Err(report) => {
+            eprintln!("xtask: the demo failed: {report:?}");
+            false
+        }
+    }
+}
+
+async fn tour() -> Result<bool, Report<Error>> {
+    let mut fleet = start().await?;
+    println!("demo: three routers, two engines, one plain service and the platform are running");
+    let whole = calls(&fleet).await;
+    println!("\ndemo: the merged time line of all routers");
+    let shown = show_timeline(&fleet);
+    for index in 0..fleet.router_count() {
+        fleet.terminate(index).change_context(Error::Demo)?;
+    }
+    let mut clean = true;
+    for index in 0..fleet.router_count() {
+        clean &= fleet.wait(index, END_TIMEOUT).change_context(Error::Demo)?.success();
+    }
+    println!("\ndemo: all routers have left; calls served: {whole}, clean exits: {clean}");
+    Ok(whole && shown && clean)
+}
+
+async fn start() -> Result<Fleet, Report<Error>> {
+    let runner = RunnerPlan::new();
+    let mut fleet = Fleet::builder()
+        .zone("derby", REGION)
+        .zone("nottingham", REGION)
+        .zone("leicester", REGION)
+        .routers(3)
+        .workspace(WorkspacePlan::new("peak-wall"))
+        .service(ServicePlan::engine("belay-llm", REGION).runners(2, &runner))
+        .service(ServicePlan::plain("ledger-app", REGION).runners(1, &runner))
+        .setting("limits", serde_json::json!({ "drain_ms": DRAIN_MS }))
+        .start()
+        .await
+        .change_context(Error::Demo)?;
+    fleet.settle(READY_TIMEOUT).await.change_context(Error::Demo)?;
+    Ok(fleet)
+}
+
+async fn calls(fleet: &Fleet) -> bool {
+    let question = "Which grade is the blue route?";
+    let summary = "Summarise the season.";
+    let tick = Call::once("ledger-app", "/ascents", "{\"route\":17}");
+    let repeat = tick.clone();
+    let kinds = [
+        ("an interactive question, streamed", 0, Call::completion("belay-llm", question, 8)),
+        (
+            "a long summary, streamed",
+            1,
+            Call::completion("belay-llm", summary, 24).class(Class::Long),
+        ),
+        ("a lookup", 2, Call::lookup("ledger-app", "/routes/17")),
+        ("an ascent, which may not be repeated", 0, tick),
+        ("the same ascent again, at another router", 1, repeat),
+    ];
+    let mut whole = true;
+    for (title, router, call) in kinds {
+        let answer = fleet.caller_of("peak-wall", router).call(&call).await;
+        println!("\ndemo: {title}, through r{}", router + 1);
+        print_answer(&answer);
+        whole &= answer.is_success();
+    }
+    whole
+}
+
+fn print_answer(answer: &Answer) {
+    if answer.tokens.is_empty() {
+        println!("  {:?} {}", answer.status, String::from_utf8_lossy(&answer.body));
+    } else {
+        println!("  {:?} {}", answer.status, answer.text());
+    }
+}
+
+/// Runs the operators' command against all routers.
+fn show_timeline(fleet: &Fleet) -> bool {
+    let mut command = Command::new(binary("aspenline"));
+    command.arg("timeline").args(["--token", rig::OPERATOR_TOKEN]);
+    for index in 0..fleet.router_count() {
+        command.args(["--router", &fleet.router(index).callers().to_string()]);
+    }
+    command.status().is_ok_and(|status| status.success())
+}
+
+/// Returns a binary that was built beside this one.
+fn binary(name: &str) -> PathBuf {
+    let directory = env::current_exe().ok().and_then(|path| path.parent().map(PathBuf::from));
+    directory.unwrap_or_default().join(name)
+}
--- /dev/null
+++ b/xtask/src/error.rs
@@ -0,0 +1,21 @@
+//! Why a project task failed.
+
+use std::error;
+use std::fmt;
+
+/// Why a project task failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Error {
+    /// The demo could not be run to its end.
+    Demo,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Demo => f.write_str("the demo could not be run to its end"),
+        }
+    }
+}
+
+impl error::Error for Error {}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,20 +1,28 @@
-//! Project tasks: `cargo xtask ci` runs all checks.
+//! Project tasks: `cargo xtask ci` runs all checks, `cargo xtask demo` shows a small fleet at work.
 
 mod check;
+mod demo;
+mod error;
 mod imports;
 
 use std::process::ExitCode;
 
 use clap::Command;
 
+pub(crate) use error::Error;
+
 fn main() -> ExitCode {
     let cli = Command::new("xtask")
         .about("Project tasks")
         .subcommand_required(true)
-        .subcommand(Command::new("ci").about("Runs all checks"))
+        .subcommand(Command::new("ci").about("Runs all checks, as CI does"))
+        .subcommand(
+            Command::new("demo").about("Starts a small fleet and makes a call of each kind"),
+        )
         .subcommand(Command::new("imports").about("Checks the layout of imports"));
     let done = match cli.get_matches().subcommand_name() {
         Some("ci") => check::run_all(),
+        Some("demo") => demo::run(),
         _ => imports::check(),
     };
     if done { ExitCode::SUCCESS } else { ExitCode::FAILURE }
