feat(rig): run fleets of real processes and call them as callers do

Proofs need real processes, cut links and callers whose answers are checked token by token. The rig starts the platform, runners, an optional network of links and routers, each from its own copy of the binaries, so that a rebuild during a run changes nothing. A load is bounded in time and number, and its calls depend on the seed alone.

Ending a stand-in by SIGTERM right after its ready line killed it, since its handler was installed later; it now is before that line. Found by the test of the process handle.

Routers are not part of these tests yet.

--- a/crates/fake/src/journal.rs
+++ b/crates/fake/src/journal.rs
@@ -1,13 +1,14 @@
 //! The journal of all requests that a runner has received.
 
 use http::HeaderMap;
+use serde::Deserialize;
 use serde::Serialize;
 use strum::Display;
 
 use crate::reply;
 
 /// How a request ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Display)]
 #[serde(rename_all = "kebab-case")]
 #[strum(serialize_all = "kebab-case")]
 pub enum Outcome {
@@ -22,7 +23,7 @@
 }
 
 /// One request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// The id of the request.
     pub request: Option<String>,
@@ -47,7 +48,7 @@
     /// Requests running and queued when it came, with itself.
     pub peak: u32,
     /// Number of the execution, if the call was executed.
-    #[serde(skip_serializing_if = "Option::is_none")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub execution: Option<u64>,
     /// Digest of the body, in hex.
     pub digest: String,
@@ -93,7 +94,7 @@
 }
 
 /// Everything that a runner reports about what it received.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// All requests, oldest first.
     pub requests: Vec<Entry>,
@@ -112,7 +113,7 @@
 }
 
 /// One order that a runner has received.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
     /// What was ordered.
     pub order: String,
--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -48,6 +48,8 @@
     let (name, matches) = matches.subcommand().expect("clap demands a subcommand");
     let address = cli::value::<SocketAddr>(matches, "listen");
     let listener = server::bind(address)?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
     let mut ready = io::stdout();
     writeln!(ready, "{}", serde_json::json!({ "ready": listener.local_addr()?.to_string() }))?;
     ready.flush()?;
@@ -55,8 +57,6 @@
     if matches.get_flag("exit-with-stdin") {
         input.spawn_blocking(|| io::stdin().read_to_end(&mut Vec::new()));
     }
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
         served = serve(name, matches, listener) => served,
         _ = terminate.recv() => Ok(()),
--- /dev/null
+++ b/crates/rig/src/caller.rs
@@ -0,0 +1,210 @@
+//! A caller of the fleet.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use error_stack::Report;
+use error_stack::ResultExt;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use serde::Deserialize;
+use tokio::time::Instant;
+
+use crate::Answer;
+use crate::Call;
+use crate::Error;
+use crate::Failure;
+use crate::answer::Arriving;
+use crate::exchange;
+use crate::exchange::Opened;
+
+/// How long a caller waits for a list of addresses.
+const ADDRESSES_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a caller waits for a connection to a router.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// One router in a list of addresses.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Place {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    #[serde(default)]
+    pub zone: String,
+}
+
+/// The answer to the question which routers to use.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Addresses {
+    /// The routers, best first.
+    pub addresses: Vec<Place>,
+    /// How long the list may be used.
+    pub ttl_ms: u64,
+}
+
+/// A caller with the token of a workspace; clones share the list of routers.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    token: String,
+    routers: Arc<Mutex<Vec<SocketAddr>>>,
+    is_direct: bool,
+}
+
+impl Caller {
+    /// Creates a caller that knows some routers.
+    #[must_use]
+    pub fn new(token: &str, routers: &[SocketAddr]) -> Self {
+        let routers = Arc::new(Mutex::new(routers.to_vec()));
+        Self { token: token.to_owned(), routers, is_direct: false }
+    }
+
+    /// Creates a caller that calls a runner without any router.
+    #[must_use]
+    pub fn direct(runner: SocketAddr) -> Self {
+        Self { is_direct: true, ..Self::new("direct", &[runner]) }
+    }
+
+    /// Returns the routers in the order in which they are tried.
+    #[must_use]
+    pub fn routers(&self) -> Vec<SocketAddr> {
+        self.lock().clone()
+    }
+
+    /// Replaces the known routers.
+    pub fn set_routers(&self, routers: &[SocketAddr]) {
+        *self.lock() = routers.to_vec();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<SocketAddr>> {
+        self.routers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Asks the known routers, one after another, which ones to use.
+    ///
+    /// # Errors
+    /// Returns the error of the last router when none answers.
+    pub async fn addresses(&self, service: &str) -> Result<Addresses, Report<Error>> {
+        let mut last = Report::new(Error::Unknown("router".to_owned()));
+        for router in self.routers() {
+            match self.addresses_at(router, service).await {
+                Ok(addresses) => return Ok(addresses),
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+
+    /// Asks one router which ones to use, for a service or, if its name is empty, for any.
+    ///
+    /// # Errors
+    /// Returns an error when it doesn't answer with a list.
+    pub async fn addresses_at(
+        &self,
+        router: SocketAddr,
+        service: &str,
+    ) -> Result<Addresses, Report<Error>> {
+        let what = format!("addresses at {router}");
+        let path = match service {
+            "" => "/v1/addresses".to_owned(),
+            service => format!("/v1/addresses?service={service}"),
+        };
+        let request = Request::builder()
+            .uri(path)
+            .header(http::header::HOST, router.to_string())
+            .header(http::header::AUTHORIZATION, format!("Bearer {}", self.token))
+            .body(Full::new(Bytes::new()))
+            .change_context_lazy(|| Error::Malformed(what.clone()))?;
+        let answer = exchange::send(router, request, ADDRESSES_TIMEOUT).await?;
+        if !answer.status().is_success() {
+            return Err(Report::new(Error::Refused(format!("{what}: {}", answer.status()))));
+        }
+        serde_json::from_slice(answer.body()).change_context(Error::Malformed(what))
+    }
+
+    /// Asks which routers to use and uses these from now on.
+    ///
+    /// # Errors
+    /// Returns an error when no router answers.
+    pub async fn refresh(&self, service: &str) -> Result<(), Report<Error>> {
+        let addresses = self.addresses(service).await?;
+        let routers: Vec<SocketAddr> =
+            addresses.addresses.iter().map(|place| place.address).collect();
+        self.set_routers(&routers);
+        Ok(())
+    }
+
+    /// Sends a call to the first router that can be connected to; nothing is sent twice.
+    pub async fn call(&self, call: &Call) -> Answer {
+        let started = Instant::now();
+        let mut arriving = Arriving::default();
+        let work = self.attempt(call, started, &mut arriving);
+        let failure = match tokio::time::timeout(call.timeout, work).await {
+            Ok(failure) => failure,
+            Err(_) => Some(Failure::Timeout),
+        };
+        arriving.finish(failure, started.elapsed())
+    }
+
+    async fn attempt(
+        &self,
+        call: &Call,
+        started: Instant,
+        arriving: &mut Arriving,
+    ) -> Option<Failure> {
+        let Some((router, opened)) = self.connect().await else { return Some(Failure::Connect) };
+        arriving.answer.router = Some(router);
+        let prefix =
+            if self.is_direct { String::new() } else { format!("/v1/services/{}", call.service) };
+        let Some(request) = call.request(&router.to_string(), &prefix, &self.token) else {
+            return Some(Failure::Connect);
+        };
+        let Opened { mut sender, connection } = opened;
+        let work = async {
+            let Ok(response) = sender.send_request(request).await else {
+                return Some(Failure::NoHead);
+            };
+            let (parts, mut body) = response.into_parts();
+            arriving.answer.status = Some(parts.status);
+            arriving.answer.headers = parts.headers;
+            arriving.answer.head_at = Some(started.elapsed());
+            while let Some(frame) = body.frame().await {
+                let Ok(frame) = frame else { return Some(Failure::Broken) };
+                if let Ok(bytes) = frame.into_data() {
+                    arriving.piece(&bytes, started.elapsed());
+                }
+                let tokens = arriving.answer.tokens.len();
+                if call.hang_up_after.is_some_and(|limit| tokens >= limit as usize) {
+                    return Some(Failure::HungUp);
+                }
+            }
+            None
+        };
+        exchange::drive(connection, work).await
+    }
+
+    /// Connects to the first router that answers; those that don't are tried last from now on.
+    async fn connect(&self) -> Option<(SocketAddr, Opened)> {
+        for router in self.routers() {
+            let opened = tokio::time::timeout(CONNECT_TIMEOUT, exchange::open(router)).await;
+            if let Ok(Some(opened)) = opened {
+                return Some((router, opened));
+            }
+            self.put_last(router);
+        }
+        None
+    }
+
+    fn put_last(&self, router: SocketAddr) {
+        let mut routers = self.lock();
+        if let Some(place) = routers.iter().position(|known| *known == router) {
+            let router = routers.remove(place);
+            routers.push(router);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/events.rs
@@ -0,0 +1,46 @@
+//! Parsing of server-sent events.
+
+/// One event.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Event {
+    /// The kind, empty for the default one.
+    pub(crate) kind: String,
+    /// The data.
+    pub(crate) data: String,
+}
+
+/// A parser that is fed piece by piece.
+#[derive(Debug, Default)]
+pub(crate) struct Parser {
+    pending: Vec<u8>,
+    event: Event,
+}
+
+impl Parser {
+    /// Takes in bytes and returns the events that they complete.
+    pub(crate) fn feed(&mut self, bytes: &[u8]) -> Vec<Event> {
+        self.pending.extend_from_slice(bytes);
+        let mut events = Vec::new();
+        while let Some(end) = self.pending.iter().position(|byte| *byte == b'\n') {
+            let line: Vec<u8> = self.pending.drain(..=end).collect();
+            let line = String::from_utf8_lossy(&line).trim_end().to_owned();
+            events.extend(self.line(&line));
+        }
+        events
+    }
+
+    fn line(&mut self, line: &str) -> Option<Event> {
+        if line.is_empty() {
+            let event = std::mem::take(&mut self.event);
+            return (event != Event::default()).then_some(event);
+        }
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "event" => value.clone_into(&mut self.event.kind),
+            "data" => self.event.data.push_str(value),
+            _ => {}
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/rig/src/exchange.rs
@@ -0,0 +1,140 @@
+//! One request over a connection of its own.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use error_stack::Report;
+use error_stack::ResultExt;
+use http::Method;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::Connection;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
+
+use crate::Error;
+
+/// How long a part may take to answer an order of the rig.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The two ends of a new connection.
+pub(crate) struct Opened {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) connection: Connection<TokioIo<TcpStream>, Full<Bytes>>,
+}
+
+/// Opens a connection.
+pub(crate) async fn open(address: SocketAddr) -> Option<Opened> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    Some(Opened { sender, connection })
+}
+
+/// Runs a connection beside the work that uses it.
+pub(crate) async fn drive<T>(
+    connection: Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    work: impl Future<Output = T>,
+) -> T {
+    let driven = async {
+        let _ = connection.await;
+        std::future::pending::<Infallible>().await
+    };
+    tokio::select! {
+        done = work => done,
+        never = driven => match never {},
+    }
+}
+
+/// Sends a request and returns the whole answer.
+///
+/// # Errors
+/// Returns [`Error::NoAnswer`] when no whole answer comes in time.
+pub async fn send(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    timeout: Duration,
+) -> Result<Response<Bytes>, Report<Error>> {
+    let what = format!("{} {} at {address}", request.method(), request.uri());
+    let failed = || Error::NoAnswer(what.clone());
+    let exchange = async {
+        let Opened { mut sender, connection } =
+            open(address).await.ok_or_else(|| Report::new(failed()))?;
+        let work = async {
+            let response = sender.send_request(request).await.change_context_lazy(failed)?;
+            let (parts, body) = response.into_parts();
+            let bytes = body.collect().await.change_context_lazy(failed)?.to_bytes();
+            Ok(Response::from_parts(parts, bytes))
+        };
+        drive(connection, work).await
+    };
+    tokio::time::timeout(timeout, exchange).await.change_context_lazy(failed)?
+}
+
+/// Reads a JSON document.
+///
+/// # Errors
+/// Returns an error when there is no answer, a refusal or something else than wanted.
+pub async fn get<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, Report<Error>> {
+    order(address, Method::GET, path, Bytes::new()).await
+}
+
+/// Sends a JSON document by `PUT` and returns the answer.
+///
+/// # Errors
+/// Returns an error when there is no answer, a refusal or something else than wanted.
+pub async fn put<B: Serialize, T: DeserializeOwned>(
+    address: SocketAddr,
+    path: &str,
+    body: &B,
+) -> Result<T, Report<Error>> {
+    order(address, Method::PUT, path, text(body)).await
+}
+
+/// Sends a JSON document by `POST` and returns the answer.
+///
+/// # Errors
+/// Returns an error when there is no answer, a refusal or something else than wanted.
+pub async fn post<B: Serialize, T: DeserializeOwned>(
+    address: SocketAddr,
+    path: &str,
+    body: &B,
+) -> Result<T, Report<Error>> {
+    order(address, Method::POST, path, text(body)).await
+}
+
+fn text<B: Serialize>(body: &B) -> Bytes {
+    Bytes::from(serde_json::to_vec(body).expect("orders have only plain fields"))
+}
+
+async fn order<T: DeserializeOwned>(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Result<T, Report<Error>> {
+    let what = format!("{method} {path} at {address}");
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(http::header::HOST, address.to_string())
+        .body(Full::new(body))
+        .change_context_lazy(|| Error::Malformed(what.clone()))?;
+    let answer = send(address, request, ORDER_TIMEOUT).await?;
+    if !answer.status().is_success() {
+        let body = String::from_utf8_lossy(answer.body()).into_owned();
+        return Err(
+            Report::new(Error::Refused(format!("{what}: {}", answer.status()))).attach(body)
+        );
+    }
+    serde_json::from_slice(answer.body()).change_context_lazy(|| Error::Malformed(what))
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,1 +1,66 @@
-//! Placeholder.
+//! Runs real processes of a fleet and of its stand-ins, and calls them as callers do.
+//!
+//! [`Fleet::builder`] starts the platform, runners, an optional faulty network and routers; [`Caller`] sends
+//! requests and checks the answers; [`Load`] sends many of them in a reproducible order.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! let times: Vec<Duration> = (1..=100).map(Duration::from_millis).collect();
+//! assert_eq!(rig::percentile(&times, 99.0), Some(Duration::from_millis(99)));
+//! ```
+
+mod answer;
+mod builder;
+mod call;
+mod caller;
+mod error;
+mod events;
+pub mod exchange;
+mod fleet;
+mod load;
+mod mix;
+mod network;
+mod part;
+mod percentile;
+mod plan;
+mod process;
+mod record;
+mod router;
+mod space;
+
+pub use answer::Answer;
+pub use answer::Failure;
+pub use answer::Fault;
+pub use answer::Problem;
+pub use answer::Token;
+pub use builder::Builder;
+pub use call::Call;
+pub use call::Prompt;
+pub use caller::Addresses;
+pub use caller::Caller;
+pub use caller::Place;
+pub use error::Error;
+pub use fake::platform::Faults;
+pub use fleet::Fleet;
+pub use fleet::OPERATOR_TOKEN;
+pub use load::Arrival;
+pub use load::Load;
+pub use load::Stream;
+pub use mix::Mix;
+pub use network::Change;
+pub use network::Network;
+pub use network::Traffic;
+pub use part::Part;
+pub use percentile::percentile;
+pub use plan::RunnerPlan;
+pub use plan::ServicePlan;
+pub use plan::WorkspacePlan;
+pub use plan::ZonePlan;
+pub use process::Launch;
+pub use process::Process;
+pub use process::Ready;
+pub use record::Record;
+pub use router::Listed;
+pub use router::Router;
+pub use space::Space;
--- /dev/null
+++ b/crates/rig/src/load.rs
@@ -0,0 +1,183 @@
+//! Many calls in an order that a seed decides.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::Call;
+use crate::Caller;
+use crate::Mix;
+use crate::Record;
+
+/// Calls of one open stream that may be under way; at this number it waits for one to end.
+const UNDER_WAY: usize = 4096;
+/// How long a refused caller waits at least and at most before it calls again.
+const PAUSES: [Duration; 2] = [Duration::from_millis(20), Duration::from_secs(2)];
+/// Calls of a load unless told otherwise.
+const LIMIT: u64 = 100_000;
+
+/// When calls begin.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Arrival {
+    /// At random times, whatever becomes of earlier ones.
+    Open {
+        /// Calls in one second on average.
+        per_second: f64,
+    },
+    /// Each caller begins a call when its last one has ended.
+    Closed {
+        /// Callers at the same time.
+        callers: u32,
+    },
+}
+
+/// The calls of one workspace.
+#[derive(Debug, Clone)]
+pub struct Stream {
+    workspace: String,
+    caller: Caller,
+    arrival: Arrival,
+    mix: Arc<Mix>,
+}
+
+impl Stream {
+    /// Creates the calls of a workspace.
+    #[must_use]
+    pub fn new(workspace: &str, caller: Caller, arrival: Arrival, mix: Mix) -> Self {
+        Self { workspace: workspace.to_owned(), caller, arrival, mix: Arc::new(mix) }
+    }
+}
+
+/// Many calls, bounded in time and number.
+#[derive(Debug, Clone)]
+pub struct Load {
+    seed: u64,
+    duration: Duration,
+    limit: u64,
+    streams: Vec<Stream>,
+}
+
+/// What all calls of one stream share.
+#[derive(Debug, Clone)]
+struct Run {
+    stream: Stream,
+    begin: Instant,
+    duration: Duration,
+    limit: u64,
+    made: Arc<AtomicU64>,
+}
+
+impl Load {
+    /// Creates a load whose calls begin within a time.
+    #[must_use]
+    pub const fn new(seed: u64, duration: Duration) -> Self {
+        Self { seed, duration, limit: LIMIT, streams: Vec::new() }
+    }
+
+    /// Sets the number of calls of each stream at most.
+    #[must_use]
+    pub const fn at_most(mut self, calls: u64) -> Self {
+        self.limit = calls;
+        self
+    }
+
+    /// Adds the calls of a workspace.
+    #[must_use]
+    pub fn stream(mut self, stream: Stream) -> Self {
+        self.streams.push(stream);
+        self
+    }
+
+    /// Sends all calls, waits for all answers and returns the records by the time of their begin.
+    pub async fn run(self) -> Vec<Record> {
+        let begin = Instant::now();
+        let mut tasks = JoinSet::new();
+        for (index, stream) in (0u64..).zip(self.streams) {
+            let seed = self.seed.wrapping_add(index << 32);
+            let (duration, limit) = (self.duration, self.limit);
+            let made = Arc::new(AtomicU64::new(0));
+            let arrival = stream.arrival;
+            let run = Run { stream, begin, duration, limit, made };
+            match arrival {
+                Arrival::Open { per_second } => drop(tasks.spawn(open(run, seed, per_second))),
+                Arrival::Closed { callers } => {
+                    for caller in 0..u64::from(callers) {
+                        tasks.spawn(closed(run.clone(), seed.wrapping_add(caller)));
+                    }
+                }
+            }
+        }
+        let mut records = tasks.join_all().await.concat();
+        records.sort_by_key(|record| record.started);
+        records
+    }
+}
+
+impl Run {
+    /// Makes the next call, or nothing when the bound in number is reached.
+    fn make(&self, random: &mut StdRng) -> Option<Call> {
+        let number = self.made.fetch_add(1, Ordering::Relaxed);
+        if number < self.limit { self.stream.mix.make(random, number) } else { None }
+    }
+
+    async fn call(&self, call: &Call) -> Record {
+        let started = self.begin.elapsed();
+        let answer = self.stream.caller.call(call).await;
+        Record::new(&self.stream.workspace, started, call, &answer)
+    }
+}
+
+async fn open(run: Run, seed: u64, per_second: f64) -> Vec<Record> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut records = Vec::new();
+    let mut tasks = JoinSet::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += pause_until_next(&mut random, per_second);
+        if at >= run.duration {
+            break;
+        }
+        let Some(call) = run.make(&mut random) else { break };
+        tokio::time::sleep_until(run.begin + at).await;
+        while let Some(record) = tasks.try_join_next() {
+            records.extend(record);
+        }
+        if tasks.len() >= UNDER_WAY {
+            records.extend(tasks.join_next().await.and_then(Result::ok));
+        }
+        let run = run.clone();
+        tasks.spawn(async move { run.call(&call).await });
+    }
+    records.extend(tasks.join_all().await);
+    records
+}
+
+/// Returns an exponentially distributed time, as between independent callers.
+fn pause_until_next(random: &mut StdRng, per_second: f64) -> Duration {
+    let uniform: f64 = random.random();
+    let seconds = -(1.0 - uniform).ln() / per_second.max(f64::MIN_POSITIVE);
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::from_secs(u64::from(u32::MAX)))
+}
+
+async fn closed(run: Run, seed: u64) -> Vec<Record> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut records = Vec::new();
+    while run.begin.elapsed() < run.duration {
+        let Some(call) = run.make(&mut random) else { break };
+        let record = run.call(&call).await;
+        let pause = record.retry_after.unwrap_or_default().clamp(PAUSES[0], PAUSES[1]);
+        let is_success = record.is_success;
+        records.push(record);
+        if !is_success {
+            tokio::time::sleep(pause).await;
+        }
+    }
+    records
+}
--- /dev/null
+++ b/crates/rig/src/mix.rs
@@ -0,0 +1,66 @@
+//! A mix of calls.
+
+use std::fmt;
+
+use rand::Rng;
+use rand::rngs::StdRng;
+
+use crate::Call;
+
+/// Makes the call of a number.
+type Make = Box<dyn Fn(&mut StdRng, u64) -> Call + Send + Sync>;
+
+struct Part {
+    weight: u32,
+    make: Make,
+}
+
+/// Calls that are chosen by weight.
+#[derive(Default)]
+pub struct Mix {
+    parts: Vec<Part>,
+}
+
+impl Mix {
+    /// Creates a mix of one kind of call.
+    #[must_use]
+    pub fn of<F>(make: F) -> Self
+    where
+        F: Fn(&mut StdRng, u64) -> Call + Send + Sync + 'static,
+    {
+        Self::default().and(1, make)
+    }
+
+    /// Adds a kind of call; a weight of 0 leaves it out.
+    #[must_use]
+    pub fn and<F>(mut self, weight: u32, make: F) -> Self
+    where
+        F: Fn(&mut StdRng, u64) -> Call + Send + Sync + 'static,
+    {
+        self.parts.push(Part { weight, make: Box::new(make) });
+        self
+    }
+
+    /// Makes a call, or nothing if the mix is empty.
+    pub(crate) fn make(&self, random: &mut StdRng, number: u64) -> Option<Call> {
+        let total: u32 = self.parts.iter().map(|part| part.weight).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut drawn = random.random_range(0..total);
+        for part in &self.parts {
+            if drawn < part.weight {
+                return Some((part.make)(random, number));
+            }
+            drawn -= part.weight;
+        }
+        None
+    }
+}
+
+impl fmt::Debug for Mix {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let weights: Vec<u32> = self.parts.iter().map(|part| part.weight).collect();
+        f.debug_struct("Mix").field("weights", &weights).finish()
+    }
+}
--- /dev/null
+++ b/crates/rig/src/process.rs
@@ -0,0 +1,246 @@
+//! One child process.
+
+use std::fs;
+use std::fs::File;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::ChildStdin;
+use std::process::ChildStdout;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use serde::Deserialize;
+
+use crate::Error;
+
+/// Time between two looks at whether a process has ended.
+const EXIT_POLL: Duration = Duration::from_millis(5);
+/// Bytes at the end of a log that an error report carries.
+const LOG_TAIL: usize = 2000;
+
+/// How to start a process.
+#[derive(Debug, Clone)]
+pub struct Launch {
+    name: String,
+    binary: PathBuf,
+    log: PathBuf,
+    args: Vec<String>,
+    input: Option<String>,
+}
+
+impl Launch {
+    /// Creates the description of a process whose log goes to a file.
+    #[must_use]
+    pub fn new(name: &str, binary: PathBuf, log: PathBuf) -> Self {
+        Self { name: name.to_owned(), binary, log, args: Vec::new(), input: None }
+    }
+
+    /// Adds arguments.
+    #[must_use]
+    pub fn args<T: AsRef<str>>(mut self, args: &[T]) -> Self {
+        self.args.extend(args.iter().map(|arg| arg.as_ref().to_owned()));
+        self
+    }
+
+    /// Sets the whole standard input; without it, standard input stays open until the process is dropped.
+    #[must_use]
+    pub fn input(mut self, text: &str) -> Self {
+        self.input = Some(text.to_owned());
+        self
+    }
+}
+
+/// What a process says when it is ready.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+pub struct Ready {
+    /// Where it listens.
+    pub ready: SocketAddr,
+    /// Where it listens for other routers, if it is one.
+    #[serde(default)]
+    pub peers: Option<SocketAddr>,
+}
+
+/// A child process; dropping it kills and reaps it.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    log: PathBuf,
+    child: Child,
+    _input: Option<ChildStdin>,
+    first_line: Receiver<String>,
+    reader: Option<JoinHandle<()>>,
+}
+
+impl Process {
+    /// Starts a process without waiting until it is ready.
+    ///
+    /// # Errors
+    /// Returns [`Error::Start`] when it can't be started and [`Error::Space`] when its log can't be opened.
+    pub fn start(launch: &Launch) -> Result<Self, Report<Error>> {
+        let failed = || Error::Start(launch.name.clone());
+        let log = File::options().create(true).append(true).open(&launch.log);
+        let mut child = Command::new(&launch.binary)
+            .args(&launch.args)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(log.change_context(Error::Space)?)
+            .spawn()
+            .change_context_lazy(failed)?;
+        let (sender, first_line) = mpsc::sync_channel(1);
+        let output = child.stdout.take().expect("standard output is piped");
+        let reader = thread::Builder::new()
+            .name(format!("{} output", launch.name))
+            .spawn(move || drain(output, &sender));
+        let input = child.stdin.take();
+        let mut process = Self {
+            name: launch.name.clone(),
+            log: launch.log.clone(),
+            child,
+            _input: None,
+            first_line,
+            reader: Some(reader.change_context_lazy(failed)?),
+        };
+        process._input = feed(input, launch.input.as_deref()).change_context_lazy(failed)?;
+        Ok(process)
+    }
+
+    /// Waits until the process says that it is ready.
+    ///
+    /// # Errors
+    /// Returns [`Error::NotReady`] with the end of its log when it ends, says something else or takes too long.
+    pub fn ready(&self, timeout: Duration) -> Result<Ready, Report<Error>> {
+        let failed = || Report::new(Error::NotReady(self.name.clone())).attach(self.log_tail());
+        let line = self.first_line.recv_timeout(timeout).map_err(|_| failed())?;
+        serde_json::from_str(&line).map_err(|_| failed().attach(line))
+    }
+
+    /// Returns the name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns whether the process runs or is paused.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Returns what the process has logged so far.
+    #[must_use]
+    pub fn log(&self) -> String {
+        fs::read(&self.log)
+            .map(|bytes| String::from_utf8_lossy(&bytes).into_owned())
+            .unwrap_or_default()
+    }
+
+    fn log_tail(&self) -> String {
+        let log = self.log();
+        let start = log.len().saturating_sub(LOG_TAIL);
+        String::from_utf8_lossy(&log.as_bytes()[start..]).into_owned()
+    }
+
+    /// Ends the process at once (`SIGKILL`) and reaps it.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Stops the process until it is woken (`SIGSTOP`).
+    ///
+    /// # Errors
+    /// Returns [`Error::Ended`] when it has ended.
+    pub fn pause(&mut self) -> Result<(), Report<Error>> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets a paused process go on (`SIGCONT`).
+    ///
+    /// # Errors
+    /// Returns [`Error::Ended`] when it has ended.
+    pub fn wake(&mut self) -> Result<(), Report<Error>> {
+        self.signal(Signal::CONT)
+    }
+
+    /// Asks the process to end (`SIGTERM`).
+    ///
+    /// # Errors
+    /// Returns [`Error::Ended`] when it has ended.
+    pub fn terminate(&mut self) -> Result<(), Report<Error>> {
+        self.signal(Signal::TERM)
+    }
+
+    /// Waits until the process has ended.
+    ///
+    /// # Errors
+    /// Returns [`Error::NotEnded`] when it takes too long.
+    pub fn wait(&mut self, timeout: Duration) -> Result<ExitStatus, Report<Error>> {
+        let deadline = Instant::now() + timeout;
+        loop {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Ok(status);
+            }
+            if Instant::now() >= deadline {
+                return Err(Report::new(Error::NotEnded(self.name.clone())));
+            }
+            thread::sleep(EXIT_POLL);
+        }
+    }
+
+    /// Sends a signal; the child isn't reaped yet, so its id can't belong to another process.
+    fn signal(&mut self, signal: Signal) -> Result<(), Report<Error>> {
+        let ended = || Error::Ended(self.name.clone());
+        if !matches!(self.child.try_wait(), Ok(None)) {
+            return Err(Report::new(ended()));
+        }
+        rustix::process::kill_process(Pid::from_child(&self.child), signal)
+            .change_context_lazy(ended)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+        if let Some(reader) = self.reader.take() {
+            let _ = reader.join();
+        }
+    }
+}
+
+/// Writes the input and closes it, or keeps it open if there is none.
+fn feed(input: Option<ChildStdin>, text: Option<&str>) -> std::io::Result<Option<ChildStdin>> {
+    match (input, text) {
+        (Some(mut input), Some(text)) => input.write_all(text.as_bytes()).map(|()| None),
+        (input, _) => Ok(input),
+    }
+}
+
+/// Passes the first line on and reads the rest, so that the process never waits for a reader.
+fn drain(output: ChildStdout, first_line: &SyncSender<String>) {
+    let mut output = BufReader::new(output);
+    let mut line = String::new();
+    while output.read_line(&mut line).is_ok_and(|count| count > 0) {
+        let _ = first_line.try_send(std::mem::take(&mut line));
+    }
+}
--- /dev/null
+++ b/crates/rig/src/record.rs
@@ -0,0 +1,82 @@
+//! The record of one call under load.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::Class;
+use base::Verdict;
+
+use crate::Answer;
+use crate::Call;
+use crate::Failure;
+use crate::Fault;
+
+/// What became of one call, without its text.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Record {
+    /// The workspace.
+    pub workspace: String,
+    /// The service.
+    pub service: String,
+    /// The class.
+    pub class: Class,
+    /// The idempotency key.
+    pub key: Option<String>,
+    /// When the call began, since the load began.
+    pub started: Duration,
+    /// The router that was called.
+    pub router: Option<SocketAddr>,
+    /// The status, if a head arrived.
+    pub status: Option<u16>,
+    /// The verdict of a refusal.
+    pub verdict: Option<Verdict>,
+    /// When a refused caller is to come back.
+    pub retry_after: Option<Duration>,
+    /// Why there is no whole answer.
+    pub failure: Option<Failure>,
+    /// How a model's answer differs from the right one.
+    pub fault: Option<Fault>,
+    /// When each token arrived, since the call began.
+    pub tokens: Vec<Duration>,
+    /// How long the call took.
+    pub total: Duration,
+    /// Whether the call succeeded with the right answer.
+    pub is_success: bool,
+}
+
+impl Record {
+    /// Sums up a call and its answer.
+    #[must_use]
+    pub fn new(workspace: &str, started: Duration, call: &Call, answer: &Answer) -> Self {
+        let check = |prompt: &crate::Prompt| answer.check_whole(&prompt.text, prompt.max_tokens);
+        let fault = call.prompt.as_ref().and_then(|prompt| check(prompt).err());
+        Self {
+            workspace: workspace.to_owned(),
+            service: call.service.clone(),
+            class: call.effective_class(),
+            key: call.key.clone(),
+            started,
+            router: answer.router,
+            status: answer.status.map(|status| status.as_u16()),
+            verdict: answer.verdict(),
+            retry_after: answer.retry_after(),
+            failure: answer.failure,
+            tokens: answer.tokens.iter().map(|token| token.at).collect(),
+            total: answer.total,
+            is_success: answer.is_success() && fault.is_none(),
+            fault,
+        }
+    }
+
+    /// Returns when the first token arrived, since the call began.
+    #[must_use]
+    pub fn first_token(&self) -> Option<Duration> {
+        self.tokens.first().copied()
+    }
+
+    /// Returns the times between each token and the next.
+    #[must_use]
+    pub fn gaps(&self) -> Vec<Duration> {
+        self.tokens.windows(2).map(|pair| pair[1].saturating_sub(pair[0])).collect()
+    }
+}
--- /dev/null
+++ b/crates/rig/src/router.rs
@@ -0,0 +1,119 @@
+//! One router of a fleet.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use error_stack::Report;
+use serde_json::Value;
+use serde_json::json;
+use strum::Display;
+
+use crate::Error;
+use crate::Launch;
+use crate::Process;
+use crate::Space;
+
+/// The binary of routers.
+const BINARY: &str = "aspenline";
+/// How long a router may take to start.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// How the platform lists an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Listed {
+    /// It runs.
+    Live,
+    /// The platform is about to take it away.
+    Leaving,
+    /// It isn't on the list.
+    Absent,
+}
+
+/// One router.
+#[derive(Debug)]
+pub struct Router {
+    name: String,
+    zone: String,
+    region: String,
+    settings: Value,
+    binary: PathBuf,
+    log: PathBuf,
+    callers: SocketAddr,
+    peers: SocketAddr,
+    pub(crate) listed: Listed,
+    /// The process.
+    pub process: Process,
+}
+
+impl Router {
+    /// Starts a router with settings that leave its ports open.
+    pub(crate) fn start(space: &Space, settings: Value) -> Result<Self, Report<Error>> {
+        let text = |field: &str| settings[field].as_str().unwrap_or_default().to_owned();
+        let (name, zone, region) = (text("name"), text("zone"), text("region"));
+        let (binary, log) = (space.binary(BINARY)?, space.log(&name));
+        let process = Process::start(&launch(&name, &binary, &log, &settings))?;
+        let unknown = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listed = Listed::Live;
+        let (callers, peers) = (unknown, unknown);
+        Ok(Self { name, zone, region, settings, binary, log, callers, peers, listed, process })
+    }
+
+    /// Waits until the router is ready and keeps its ports for later starts.
+    pub(crate) fn wait_ready(&mut self) -> Result<(), Report<Error>> {
+        let ready = self.process.ready(START_TIMEOUT)?;
+        let missing = || Report::new(Error::NotReady(self.name.clone())).attach("no peers address");
+        self.peers = ready.peers.ok_or_else(missing)?;
+        self.callers = ready.ready;
+        self.settings["listen"] = json!(self.callers);
+        self.settings["peer_listen"] = json!(self.peers);
+        Ok(())
+    }
+
+    /// Ends the process if it runs, and starts it again with the same settings and ports.
+    pub(crate) fn restart(&mut self) -> Result<(), Report<Error>> {
+        self.process.kill();
+        self.process =
+            Process::start(&launch(&self.name, &self.binary, &self.log, &self.settings))?;
+        self.wait_ready()
+    }
+
+    /// Returns the name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the zone.
+    #[must_use]
+    pub fn zone(&self) -> &str {
+        &self.zone
+    }
+
+    /// Returns where callers connect.
+    #[must_use]
+    pub const fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Returns where other routers connect.
+    #[must_use]
+    pub const fn peers(&self) -> SocketAddr {
+        self.peers
+    }
+
+    /// Returns the entry on a list of instances, with the address at which a viewer reaches its peers' port.
+    pub(crate) fn entry(&self, peers: SocketAddr) -> Option<Value> {
+        let entry = json!({
+            "name": self.name, "callers": self.callers, "peers": peers, "zone": self.zone,
+            "region": self.region, "state": self.listed.to_string(),
+        });
+        (self.listed != Listed::Absent).then_some(entry)
+    }
+}
+
+fn launch(name: &str, binary: &std::path::Path, log: &std::path::Path, settings: &Value) -> Launch {
+    let launch = Launch::new(name, binary.to_owned(), log.to_owned());
+    launch.args(&["serve", "--settings", "-"]).input(&settings.to_string())
+}
--- /dev/null
+++ b/crates/rig/src/space.rs
@@ -0,0 +1,80 @@
+//! The directory of a run, with its own copies of the binaries.
+
+use std::env;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+
+use crate::Error;
+
+/// Number of the last directory that this process has made.
+static LAST: AtomicU32 = AtomicU32::new(0);
+
+/// The directory of a run; it is removed with its value.
+#[derive(Debug)]
+pub struct Space {
+    directory: PathBuf,
+    copying: Mutex<()>,
+}
+
+impl Space {
+    /// Creates a directory.
+    ///
+    /// # Errors
+    /// Returns [`Error::Space`] when it can't be made.
+    pub fn new() -> Result<Self, Report<Error>> {
+        let number = LAST.fetch_add(1, Ordering::Relaxed);
+        let directory = env::temp_dir().join(format!("aspenline-{}-{number}", process::id()));
+        fs::create_dir_all(&directory).change_context(Error::Space)?;
+        Ok(Self { directory, copying: Mutex::new(()) })
+    }
+
+    /// Returns the directory.
+    #[must_use]
+    pub fn directory(&self) -> &Path {
+        &self.directory
+    }
+
+    /// Returns the file that takes the log of a process.
+    #[must_use]
+    pub fn log(&self, name: &str) -> PathBuf {
+        self.directory.join(format!("{name}.log"))
+    }
+
+    /// Returns this run's own copy of a binary, which a rebuild doesn't change.
+    ///
+    /// # Errors
+    /// Returns [`Error::NoBinary`] when it isn't built and [`Error::Space`] when it can't be copied.
+    pub fn binary(&self, name: &str) -> Result<PathBuf, Report<Error>> {
+        let _copying = self.copying.lock().unwrap_or_else(PoisonError::into_inner);
+        let copy = self.directory.join(name);
+        if !copy.exists() {
+            let found = find(name).ok_or_else(|| Report::new(Error::NoBinary(name.to_owned())))?;
+            if fs::hard_link(&found, &copy).is_err() {
+                fs::copy(&found, &copy).change_context(Error::Space)?;
+            }
+        }
+        Ok(copy)
+    }
+}
+
+impl Drop for Space {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.directory);
+    }
+}
+
+/// Finds a binary in the directory of the running executable or one above it.
+fn find(name: &str) -> Option<PathBuf> {
+    let executable = env::current_exe().ok()?;
+    let candidates = executable.ancestors().skip(1).take(3).map(|parent| parent.join(name));
+    candidates.into_iter().find(|path| path.is_file())
+}
--- /dev/null
+++ b/crates/rig/tests/process.rs
@@ -0,0 +1,72 @@
+//! Child processes and the directory of a run.
+
+use std::fs;
+use std::os::unix::process::ExitStatusExt;
+use std::time::Duration;
+use std::time::Instant;
+
+use rig::Error;
+use rig::Launch;
+use rig::Part;
+use rig::Process;
+use rig::Space;
+
+/// A limit that only a hanging process reaches.
+const HANG: Duration = Duration::from_secs(20);
+
+/// Returns the letter of a process's state as the system gives it.
+fn state(id: u32) -> Option<char> {
+    let text = fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+    text.rsplit_once(") ")?.1.chars().next()
+}
+
+fn wait_for_state(id: u32, is_wanted: impl Fn(Option<char>) -> bool) {
+    let deadline = Instant::now() + HANG;
+    while !is_wanted(state(id)) {
+        assert!(Instant::now() < deadline, "state {:?}", state(id));
+        std::thread::yield_now();
+    }
+}
+
+#[test]
+fn a_process_is_paused_woken_terminated_and_killed() {
+    let space = Space::new().expect("a directory");
+    let mut part = Part::start(&space, "platform", &["platform"]).expect("started");
+    let id = part.process.id();
+    part.process.pause().expect("running");
+    wait_for_state(id, |state| state == Some('T'));
+    part.process.wake().expect("paused");
+    wait_for_state(id, |state| state != Some('T'));
+    part.process.terminate().expect("running");
+    assert!(part.process.wait(HANG).expect("ended").success());
+    let error = part.process.pause().expect_err("no process to pause");
+    assert_eq!(*error.current_context(), Error::Ended("platform".to_owned()));
+    let mut other = Part::start(&space, "other", &["platform"]).expect("started");
+    other.process.pause().expect("running");
+    other.process.kill();
+    assert_eq!(other.process.wait(HANG).expect("ended").signal(), Some(9));
+}
+
+#[test]
+fn dropping_a_process_ends_it_and_dropping_the_space_removes_its_directory() {
+    let space = Space::new().expect("a directory");
+    let directory = space.directory().to_owned();
+    let part = Part::start(&space, "platform", &["platform"]).expect("started");
+    let id = part.process.id();
+    assert!(directory.join("aspenline-fake").is_file() && state(id).is_some());
+    drop(part);
+    assert_eq!(state(id), None);
+    drop(space);
+    assert!(!directory.exists());
+}
+
+#[test]
+fn a_process_that_is_never_ready_is_reported_with_its_log() {
+    let space = Space::new().expect("a directory");
+    let binary = space.binary("aspenline-fake").expect("built");
+    let launch = Launch::new("odd", binary, space.log("odd")).args(&["no-such-part"]);
+    let process = Process::start(&launch).expect("started");
+    let error = process.ready(HANG).expect_err("not ready");
+    assert_eq!(*error.current_context(), Error::NotReady("odd".to_owned()));
+    assert!(format!("{error:?}").contains("no-such-part"), "{error:?}");
+}
