feat(node,plat): grant no new work to a runner that the platform takes away

Need: a leaving runner gets no new work after a few seconds. The platform lists live and leaving instances; its list now may name runners, and a leaving runner counts as out in the plan of its shard. What runs there finishes. Weighed: asking operators to take such a runner out by hand (too late). The plan of a shard has a module of its own.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod config;
 mod order;
 mod placement;
+mod plan;
 mod route;
 mod status;
 mod view;
@@ -35,7 +36,7 @@
 use indexmap::IndexMap;
 use mesh::Member;
 use mesh::Mesh;
-use plat::Instance;
+use plat::Listing;
 use plat::Log;
 use sched::Dispatcher;
 use sched::Entry;
@@ -119,7 +120,7 @@
     pending: Vec<Pending>,
     tickets: u64,
     members: Vec<Member>,
-    instances: Vec<Instance>,
+    listing: Listing,
     log_up: bool,
     leaving: bool,
 }
@@ -148,7 +149,7 @@
             pending: Vec::new(),
             tickets: 0,
             members: Vec::new(),
-            instances: Vec::new(),
+            listing: Listing::default(),
             log_up: true,
             leaving: false,
         }
--- a/crates/node/src/control/placement.rs
+++ b/crates/node/src/control/placement.rs
@@ -39,15 +39,16 @@
 
 /// Returns whether a runner or router is out, by itself or with its zone.
 pub(super) fn is_out(out: &IndexSet<Name>, zone: &Name, name: &Name) -> bool {
-    out.contains(zone_key(zone).as_str()) || out.contains(instance_key(name).as_str())
+    out.contains(zone_key(zone).as_str()) || out.contains(&instance_key(name))
 }
 
 fn zone_key(zone: &Name) -> String {
     format!("zone/{zone}")
 }
 
-fn instance_key(name: &Name) -> String {
-    format!("instance/{name}")
+/// Returns the key of an instance that is out.
+pub(super) fn instance_key(name: &Name) -> Name {
+    Name::from(format!("instance/{name}").as_str())
 }
 
 impl Control {
--- a/crates/node/src/control/status.rs
+++ b/crates/node/src/control/status.rs
@@ -75,7 +75,8 @@
 
     fn member_states(&self) -> Vec<Member> {
         let callers = |name: &Name| {
-            self.instances
+            self.listing
+                .instances
                 .iter()
                 .find(|instance| instance.name == *name)
                 .map(|instance| instance.callers)
--- a/crates/node/src/control/view.rs
+++ b/crates/node/src/control/view.rs
@@ -5,26 +5,23 @@
 use base::EventKind;
 use base::Name;
 use conf::Configuration;
-use conf::configuration::Kind;
-use conf::configuration::Service;
 use front::Place;
 use front::Snapshot;
-use indexmap::IndexMap;
 use indexmap::IndexSet;
 use mesh::Candidate;
 use mesh::Member;
 use mesh::State;
-use plat::Instance;
+use plat::Listing;
 use sched::Dispatcher;
 use sched::Plan;
-use sched::RunnerPlan;
-use sched::WorkspacePlan;
-use sched::baseline::Local;
 use wire::Shard;
 use wire::Term;
 
 use super::Control;
 use super::placement;
+use super::plan::plan;
+use super::plan::review_local;
+use super::plan::shard_of;
 use crate::input::Target;
 
 impl Control {
@@ -37,11 +34,11 @@
     }
 
     /// Takes in the platform's instance list.
-    pub(super) fn listed(&mut self, list: Vec<Instance>) {
-        if list == self.instances {
+    pub(super) fn listed(&mut self, listing: Listing) {
+        if listing == self.listing {
             return;
         }
-        let candidates = list.iter().map(|instance| Candidate {
+        let candidates = listing.instances.iter().map(|instance| Candidate {
             name: instance.name.clone(),
             address: instance.peers,
             zone: instance.zone.clone(),
@@ -49,7 +46,7 @@
             leaving: instance.leaving,
         });
         self.mesh.candidates(candidates.collect());
-        self.instances = list;
+        self.listing = listing;
         self.review();
     }
 
@@ -91,7 +88,8 @@
     pub(super) fn review(&mut self) {
         let version = self.chain.version().filter(|_| self.has_joined());
         let configuration = version.map(|version| Arc::new(version.configuration.clone()));
-        let out = self.out();
+        let mut out = self.out();
+        out.extend(self.listing.leaving_runners.iter().map(placement::instance_key));
         if let Some(configuration) = &configuration {
             self.review_shards(configuration, &out);
         }
@@ -168,7 +166,8 @@
 
     /// Returns whether this router knows of the fleet: alone without a list, it would take itself for all of it.
     fn has_joined(&self) -> bool {
-        !self.instances.is_empty() || self.members.iter().any(|member| member.name != self.me)
+        !self.listing.instances.is_empty()
+            || self.members.iter().any(|member| member.name != self.me)
     }
 
     fn dispatcher_candidates(&self, region: &Name, out: &IndexSet<Name>) -> Vec<Name> {
@@ -201,7 +200,8 @@
         let has_left = |name: &Name| {
             self.members.iter().any(|member| member.name == *name && member.state == State::Left)
         };
-        self.instances
+        self.listing
+            .instances
             .iter()
             .filter(|instance| instance.region == *region && !has_left(&instance.name))
             .count()
@@ -209,7 +209,7 @@
 
     fn places(&self, out: &IndexSet<Name>) -> Vec<Place> {
         let mut places = Vec::new();
-        for instance in &self.instances {
+        for instance in &self.listing.instances {
             let alive = instance.name == self.me
                 || self
                     .members
@@ -229,45 +229,3 @@
         places
     }
 }
-
-/// Gives a router that decides alone the plan of a shard when it has changed.
-fn review_local(locals: &mut IndexMap<Shard, Local>, plan: &Plan) {
-    if locals.get(&plan.shard).is_none_or(|local| local.plan() != plan) {
-        locals.insert(plan.shard.clone(), Local::new(plan.clone()));
-    }
-}
-
-/// Returns the shard of a service.
-fn shard_of(service: &Service) -> Shard {
-    Shard { service: service.name.clone(), region: service.region.clone(), index: 0 }
-}
-
-fn plan(configuration: &Configuration, service: &Service, out: &IndexSet<Name>) -> Plan {
-    Plan {
-        shard: shard_of(service),
-        kind: match service.kind {
-            Kind::Engine => sched::Kind::Engine,
-            Kind::Plain => sched::Kind::Plain,
-        },
-        runners: service
-            .runners
-            .iter()
-            .map(|runner| RunnerPlan {
-                name: runner.name.clone(),
-                zone: runner.zone.clone(),
-                warm_limit: runner.warm_limit,
-                cold_limit: runner.cold_limit,
-                out: placement::is_out(out, &runner.zone, &runner.name),
-            })
-            .collect(),
-        workspaces: configuration
-            .workspaces
-            .iter()
-            .map(|workspace| WorkspacePlan {
-                name: workspace.name.clone(),
-                weight: workspace.weight,
-                queue_limit: workspace.queue_limit,
-            })
-            .collect(),
-    }
-}
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -3,14 +3,14 @@
 use std::net::SocketAddr;
 
 use base::Name;
-use plat::Instance;
+use plat::Listing;
 use wire::Shard;
 
 /// A message from a background task to the control state.
 #[derive(Debug)]
 pub(crate) enum Input {
     /// The platform's instance list.
-    Instances(Vec<Instance>),
+    Instances(Listing),
     /// A record of the configuration stream.
     Config {
         /// Its offset in the log.
--- a/crates/plat/src/instances.rs
+++ b/crates/plat/src/instances.rs
@@ -17,6 +17,15 @@
     path: Arc<str>,
 }
 
+/// What the platform lists.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// The instances that run routers.
+    pub instances: Vec<Instance>,
+    /// The runners whose instances the platform is about to take away.
+    pub leaving_runners: Vec<Name>,
+}
+
 /// One instance of the fleet.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Instance {
@@ -35,8 +44,16 @@
 }
 
 #[derive(Deserialize)]
-struct Listing {
+struct Document {
     instances: Vec<Item>,
+    #[serde(default)]
+    runners: Vec<Runner>,
+}
+
+#[derive(Deserialize)]
+struct Runner {
+    name: Name,
+    state: State,
 }
 
 #[derive(Deserialize)]
@@ -67,9 +84,13 @@
     ///
     /// # Errors
     /// Returns an error when the list can't be read or is malformed.
-    pub async fn fetch(&self) -> Result<Vec<Instance>, Error> {
-        let listing: Listing = self.client.get(self.path.to_string(), CALL_TIMEOUT).await?;
-        Ok(listing.instances.into_iter().map(Instance::from).collect())
+    pub async fn fetch(&self) -> Result<Listing, Error> {
+        let document: Document = self.client.get(self.path.to_string(), CALL_TIMEOUT).await?;
+        let leaving = document.runners.into_iter().filter(|runner| runner.state == State::Leaving);
+        Ok(Listing {
+            instances: document.instances.into_iter().map(Instance::from).collect(),
+            leaving_runners: leaving.map(|runner| runner.name).collect(),
+        })
     }
 }
 
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -17,6 +17,7 @@
 pub use error::Error;
 pub use instances::Instance;
 pub use instances::Instances;
+pub use instances::Listing;
 pub use log::Log;
 pub use log::Page;
 pub use log::Record;
--- a/crates/plat/tests/instances.rs
+++ b/crates/plat/tests/instances.rs
@@ -4,12 +4,13 @@
 use plat::Error;
 use plat::Instance;
 use plat::Instances;
+use plat::Listing;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
-async fn fetch(body: &str) -> Result<Vec<Instance>, Error> {
+async fn fetch(body: &str) -> Result<Listing, Error> {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address");
     let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
@@ -30,7 +31,8 @@
 async fn listed_instances_are_returned() {
     let body = r#"{"instances":[
         {"name":"r1","callers":"127.0.0.1:1","peers":"127.0.0.1:2","zone":"z1","region":"north","state":"live"},
-        {"name":"r2","callers":"127.0.0.1:3","peers":"127.0.0.1:4","zone":"z2","region":"north","state":"leaving"}]}"#;
+        {"name":"r2","callers":"127.0.0.1:3","peers":"127.0.0.1:4","zone":"z2","region":"north","state":"leaving"}],
+        "runners":[{"name":"e1","state":"live"},{"name":"e2","state":"leaving"}]}"#;
     let instance = |name, port, zone, leaving| Instance {
         name: Name::new(name),
         callers: ([127, 0, 0, 1], port).into(),
@@ -39,7 +41,10 @@
         region: Name::new("north"),
         leaving,
     };
-    let expected = vec![instance("r1", 1, "z1", false), instance("r2", 3, "z2", true)];
+    let expected = Listing {
+        instances: vec![instance("r1", 1, "z1", false), instance("r2", 3, "z2", true)],
+        leaving_runners: vec![Name::new("e2")],
+    };
     assert_eq!(fetch(body).await, Ok(expected));
 }
 
--- a/crates/plat/tests/support/mod.rs
+++ b/crates/plat/tests/support/mod.rs
@@ -57,6 +57,7 @@
     held: Vec<String>,
     appends: u64,
     throttled: u64,
+    refusals: u64,
     connections: u64,
     silent_before: u64,
     window: Option<(Instant, u32)>,
@@ -159,6 +160,11 @@
         self.shared.state().throttled
     }
 
+    /// Returns the number of appends that got 503.
+    pub(crate) fn refusals(&self) -> u64 {
+        self.shared.state().refusals
+    }
+
     /// Returns the number of connections accepted so far.
     pub(crate) fn connections(&self) -> u64 {
         self.shared.state().connections
@@ -265,6 +271,7 @@
     }
     let mut state = shared.state();
     if state.faults.down {
+        state.refusals += 1;
         return Ok(respond(503, "{}"));
     }
     if state.is_throttled() {
