feat(aspenline): add the command line of routers and operators

Need: run a router, check files before they reach one, and steer the fleet from a terminal with exit codes that scripts can rely on.

A shown configuration tells its version in the first line and apply takes it as its base. Weighed against always taking the version in force: then an edit of an older file would replace another operator's change without notice.

Syntax errors no longer show the placeholder of an unfinished path.

--- /dev/null
+++ b/crates/aspenline/src/command/check.rs
@@ -0,0 +1,90 @@
+//! `check`: checks a settings or configuration file without a router.
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use conf::Configuration;
+use conf::Error;
+use conf::Settings;
+use strum::VariantNames;
+
+use crate::failure::Failure;
+use crate::keys;
+use crate::output;
+use crate::source;
+use crate::source::Source;
+
+/// What a file is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumString, VariantNames)]
+#[strum(serialize_all = "kebab-case")]
+enum Kind {
+    Settings,
+    Configuration,
+}
+
+/// Returns the command.
+pub(crate) fn command() -> Command {
+    let file = Arg::new("file").value_name("FILE").required(true).help("The file, or - for input");
+    let kind = Arg::new("kind")
+        .long("kind")
+        .value_name("KIND")
+        .value_parser(Kind::VARIANTS.to_vec())
+        .help("What the file is [default: told by its content]");
+    let keys = Arg::new("keys")
+        .long("keys")
+        .action(ArgAction::SetTrue)
+        .help("Reads the key files of settings as well and checks that they can be used");
+    Command::new("check")
+        .about("Checks a settings or configuration file")
+        .after_help(
+            "Prints all faults with line, column, field, what was found and what is allowed.\n\n\
+             Examples:\n  aspenline check settings.json --keys\n  \
+             aspenline check fleet.json --kind configuration",
+        )
+        .arg(file)
+        .arg(kind)
+        .arg(keys)
+}
+
+/// Runs the command.
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), Failure> {
+    let source = source::read(matches.get_one::<String>("file").expect("clap demands the file"))?;
+    let given = matches.get_one::<String>("kind").and_then(|kind| kind.parse().ok());
+    let kind = given.map_or_else(|| kind_of(&source), Ok)?;
+    match kind {
+        Kind::Settings => {
+            let mut settings = Settings::parse(&source.text)
+                .map_err(|report| invalid(&source, report.current_context()))?;
+            if matches.get_flag("keys") {
+                keys::load(&mut settings, &source.directory)
+                    .map_err(|failure| Failure::Invalid(format!("{}: {failure}", source.name)))?;
+            }
+        }
+        Kind::Configuration => {
+            Configuration::parse(&source.text)
+                .map_err(|report| invalid(&source, report.current_context()))?;
+        }
+    }
+    output::text(&format!("{}: valid {kind}", source.name))
+}
+
+/// Takes the kind for which a file has fewer faults.
+fn kind_of(source: &Source) -> Result<Kind, Failure> {
+    let Err(settings) = Settings::parse(&source.text) else { return Ok(Kind::Settings) };
+    let Err(configuration) = Configuration::parse(&source.text) else {
+        return Ok(Kind::Configuration);
+    };
+    let [settings, configuration] =
+        [settings, configuration].map(|report| report.current_context().faults().to_vec());
+    if settings == configuration {
+        let faults: Vec<String> = settings.iter().map(ToString::to_string).collect();
+        return Err(Failure::Invalid(format!("{}: {}", source.name, faults.join("\n  "))));
+    }
+    let settings_like = settings.len() < configuration.len();
+    Ok(if settings_like { Kind::Settings } else { Kind::Configuration })
+}
+
+fn invalid(source: &Source, error: &Error) -> Failure {
+    Failure::Invalid(format!("{}: {error}", source.name))
+}
--- /dev/null
+++ b/crates/aspenline/src/command/config.rs
@@ -0,0 +1,86 @@
+//! `config`: shows the configuration in force.
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use http::StatusCode;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::failure::Failure;
+use crate::operator;
+use crate::operator::Call;
+use crate::operator::Operator;
+use crate::output;
+
+/// Begin of the first line of a shown file, which tells its version.
+const MARK: &str = "// based on version ";
+
+/// A configuration and its version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Content {
+    /// The version.
+    pub(crate) version: u64,
+    /// The text of the file.
+    pub(crate) text: String,
+}
+
+/// Returns the command.
+pub(crate) fn command() -> Command {
+    let json = Arg::new("json")
+        .long("json")
+        .action(ArgAction::SetTrue)
+        .help("Prints version and text as JSON");
+    let show = Command::new("show")
+        .about("Prints the configuration in force")
+        .after_help(
+            "The first line tells the version, so that `apply` can notice another operator's change.\n\n\
+             Example:\n  aspenline config show --router 192.0.2.11:8000 > fleet.json",
+        )
+        .arg(json);
+    Command::new("config")
+        .about("Shows the configuration in force")
+        .subcommand_required(true)
+        .subcommand(operator::options(show))
+}
+
+/// Runs the command.
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), Failure> {
+    let (_, matches) = matches.subcommand().expect("clap demands a subcommand");
+    let operator = Operator::from_matches(matches)?;
+    let content = operator::runtime()?
+        .block_on(fetch(&operator))?
+        .ok_or_else(|| Failure::Failed("no configuration is in force".to_owned()))?;
+    if matches.get_flag("json") {
+        return output::json(&content);
+    }
+    output::text(&marked(&content))
+}
+
+/// Asks for the configuration in force.
+pub(crate) async fn fetch(operator: &Operator) -> Result<Option<Content>, Failure> {
+    let answer = operator.answer(&Call::get("/operator/config")).await?;
+    if answer.status == StatusCode::NOT_FOUND {
+        return Ok(None);
+    }
+    if !answer.status.is_success() {
+        return Err(answer.failure());
+    }
+    serde_json::from_slice(&answer.body)
+        .map(Some)
+        .map_err(|error| Failure::Failed(format!("{}: {error}", answer.router)))
+}
+
+/// Returns the version that the first line of a file tells.
+pub(crate) fn marked_version(text: &str) -> Option<u64> {
+    text.lines().next()?.strip_prefix(MARK)?.trim().parse().ok()
+}
+
+fn marked(content: &Content) -> String {
+    let text = match marked_version(&content.text) {
+        Some(_) => content.text.split_once('\n').map_or("", |(_, rest)| rest),
+        None => &content.text,
+    };
+    format!("{MARK}{}\n{text}", content.version)
+}
--- /dev/null
+++ b/crates/aspenline/src/command/placement.rs
@@ -0,0 +1,49 @@
+//! `zone` and `instance`: take a zone or an instance out or back.
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use serde_json::json;
+
+use crate::failure::Failure;
+use crate::fleet;
+use crate::operator;
+use crate::operator::Call;
+use crate::operator::Operator;
+use crate::output;
+
+/// Returns the command for one kind of place.
+pub(crate) fn command(kind: &'static str, about: &'static str) -> Command {
+    Command::new(kind)
+        .about(about)
+        .after_help(format!(
+            "A call that runs is not cut.\n\n\
+             Examples:\n  aspenline {kind} out NAME --router 192.0.2.11:8000\n  \
+             aspenline {kind} back NAME --router 192.0.2.11:8000"
+        ))
+        .subcommand_required(true)
+        .subcommand(order("out", "Sends no new calls there"))
+        .subcommand(order("back", "Sends calls there again"))
+}
+
+fn order(name: &'static str, about: &'static str) -> Command {
+    let target = Arg::new("name").value_name("NAME").required(true).help("Its name");
+    let json = Arg::new("json").long("json").action(ArgAction::SetTrue).help("Prints JSON");
+    operator::options(Command::new(name).about(about).arg(target).arg(json))
+}
+
+/// Runs the command.
+pub(crate) fn run(kind: &str, matches: &ArgMatches) -> Result<(), Failure> {
+    let (direction, matches) = matches.subcommand().expect("clap demands a subcommand");
+    let name = matches.get_one::<String>("name").expect("clap demands the name");
+    let operator = Operator::from_matches(matches)?;
+    let order = json!({ "kind": kind, "name": name, "out": direction == "out" });
+    let call = Call::post("/operator/placement", &order);
+    let answer = operator::runtime()?.block_on(operator.call(&call))?.json()?;
+    if matches.get_flag("json") {
+        return output::json(&answer);
+    }
+    let counter = fleet::text(&answer, "counter");
+    output::text(&format!("{kind} {name} is {direction} (order {counter})"))
+}
--- /dev/null
+++ b/crates/aspenline/src/command/status.rs
@@ -0,0 +1,168 @@
+//! `status`: shows what routers know of the fleet.
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use serde_json::Value;
+
+use crate::failure::Failure;
+use crate::fleet;
+use crate::fleet::text;
+use crate::operator;
+use crate::operator::Answer;
+use crate::operator::Call;
+use crate::operator::Operator;
+use crate::output;
+use crate::table::Table;
+
+/// Returns the command.
+pub(crate) fn command() -> Command {
+    let all = Arg::new("all")
+        .long("all")
+        .action(ArgAction::SetTrue)
+        .help("Asks all routers of the fleet, not only one");
+    let json = Arg::new("json").long("json").action(ArgAction::SetTrue).help("Prints JSON");
+    let command = Command::new("status")
+        .about("Shows members, shards, what is out, and what control costs")
+        .after_help(
+            "Examples:\n  aspenline status --router 192.0.2.11:8000\n  \
+             aspenline status --router 192.0.2.11:8000 --all --json",
+        )
+        .arg(all)
+        .arg(json);
+    operator::options(command)
+}
+
+/// Runs the command.
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), Failure> {
+    let operator = Operator::from_matches(matches)?;
+    let runtime = operator::runtime()?;
+    let call = Call::get("/operator/status");
+    if !matches.get_flag("all") {
+        let status = runtime.block_on(operator.call(&call))?.json()?;
+        return match matches.get_flag("json") {
+            true => output::json(&status),
+            false => output::text(&render(&status)),
+        };
+    }
+    let gathered = runtime.block_on(fleet::gather(&operator, &call))?;
+    let read: Result<Vec<Value>, Failure> = gathered.answers.iter().map(Answer::json).collect();
+    let statuses = read?;
+    if matches.get_flag("json") {
+        output::json(&statuses)?;
+    } else {
+        let blocks: Vec<String> = statuses.iter().map(render).collect();
+        output::text(&blocks.join("\n"))?;
+    }
+    fleet::report_missing(&gathered.missing)
+}
+
+/// Writes a status as text; fields that this version does not know are left out.
+fn render(status: &Value) -> String {
+    let mut page = format!(
+        "router {} in zone {}, configuration {}, log {}\n",
+        text(status, "router"),
+        text(status, "zone"),
+        text(status, "version"),
+        up_or_down(status),
+    );
+    let out: Vec<String> = entries(status, "out").map(plain).collect();
+    page.push_str(&format!("out: {}\n", if out.is_empty() { "-".into() } else { out.join(", ") }));
+    page.push_str(&pairs(status, "control"));
+    page.push_str(&pairs(status, "calls"));
+    page.push_str(&pairs(status, "refused"));
+    section(&mut page, &members(status));
+    section(&mut page, &shards(status));
+    section(&mut page, &workspaces(status));
+    section(&mut page, &runners(status));
+    page
+}
+
+fn section(page: &mut String, table: &Table) {
+    if table.len() > 0 {
+        page.push('\n');
+        page.push_str(&table.render());
+    }
+}
+
+fn up_or_down(status: &Value) -> &'static str {
+    match status.get("log_up").and_then(Value::as_bool) {
+        Some(true) => "reachable",
+        Some(false) => "UNREACHABLE",
+        None => "-",
+    }
+}
+
+fn members(status: &Value) -> Table {
+    let mut table = Table::new(&["MEMBER", "ZONE", "STATE", "CALLERS"]);
+    for member in entries(status, "members") {
+        table.push(cells(member, &["name", "zone", "state", "callers"]));
+    }
+    table
+}
+
+fn shards(status: &Value) -> Table {
+    let mut table =
+        Table::new(&["SHARD", "TERM", "GATHERING", "GAP", "LARGEST", "BOUND", "UTILISATION"]);
+    for shard in entries(status, "shards") {
+        let mut row = vec![name_of(shard)];
+        row.extend(cells(shard, &["term", "gathering", "gap", "largest_gap", "bound"]));
+        let used = shard.get("utilisation").and_then(Value::as_f64);
+        row.push(used.map_or_else(|| "-".to_owned(), |used| format!("{:.1} %", used * 100.0)));
+        table.push(row);
+    }
+    table
+}
+
+fn workspaces(status: &Value) -> Table {
+    let fields = ["name", "weight", "charge", "backlog", "running", "granted", "refused"];
+    let heading =
+        ["SHARD", "WORKSPACE", "WEIGHT", "CHARGE", "BACKLOG", "RUNNING", "GRANTED", "REFUSED"];
+    nested(status, "workspaces", &heading, &fields)
+}
+
+fn runners(status: &Value) -> Table {
+    let heading = ["SHARD", "RUNNER", "STATE", "LIMIT", "RUNNING", "WARM"];
+    nested(status, "runners", &heading, &["name", "state", "limit", "running", "warm"])
+}
+
+fn nested(status: &Value, list: &str, heading: &[&str], fields: &[&str]) -> Table {
+    let mut table = Table::new(heading);
+    for shard in entries(status, "shards") {
+        for entry in entries(shard, list) {
+            let mut row = vec![name_of(shard)];
+            row.extend(cells(entry, fields));
+            table.push(row);
+        }
+    }
+    table
+}
+
+/// Returns the name of a shard as `service/region/index`.
+fn name_of(shard: &Value) -> String {
+    match shard.get("shard") {
+        Some(key) if key.is_object() => cells(key, &["service", "region", "index"]).join("/"),
+        _ => text(shard, "shard"),
+    }
+}
+
+/// Writes the fields of an object in one line.
+fn pairs(status: &Value, field: &str) -> String {
+    let Some(object) = status.get(field).and_then(Value::as_object) else { return String::new() };
+    let pairs: Vec<String> =
+        object.iter().map(|(name, value)| format!("{name} {}", plain(value))).collect();
+    format!("{field}: {}\n", pairs.join(", "))
+}
+
+fn cells(value: &Value, fields: &[&str]) -> Vec<String> {
+    fields.iter().map(|field| text(value, field)).collect()
+}
+
+fn entries<'a>(value: &'a Value, field: &str) -> impl Iterator<Item = &'a Value> {
+    value.get(field).and_then(Value::as_array).into_iter().flatten()
+}
+
+fn plain(value: &Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
+}
--- /dev/null
+++ b/crates/aspenline/src/failure.rs
@@ -0,0 +1,43 @@
+//! Failures of commands and their exit codes.
+
+use std::error;
+use std::fmt;
+use std::process::ExitCode;
+
+/// Why a command did not do what it was asked to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// It failed.
+    Failed(String),
+    /// A file or argument is invalid.
+    Invalid(String),
+    /// Another operator's configuration came first.
+    Conflict(String),
+    /// No router could be reached, or the router could not reach the platform.
+    Unreachable(String),
+}
+
+impl Failure {
+    /// Returns the exit code.
+    pub(crate) fn code(&self) -> ExitCode {
+        ExitCode::from(match self {
+            Self::Failed(_) => 1,
+            Self::Invalid(_) => 2,
+            Self::Conflict(_) => 3,
+            Self::Unreachable(_) => 4,
+        })
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Failed(text)
+            | Self::Invalid(text)
+            | Self::Conflict(text)
+            | Self::Unreachable(text) => f.write_str(text),
+        }
+    }
+}
+
+impl error::Error for Failure {}
--- a/crates/aspenline/src/lib.rs
+++ b/crates/aspenline/src/lib.rs
@@ -1,1 +1,13 @@
-//! Facade.
+//! The aspenline router fleet: a facade over its crates. The binary of the same name is its command line.
+//!
+//! ```
+//! let digest = aspenline::conf::digest("secret");
+//! assert_eq!(digest.len(), 64);
+//! ```
+
+pub use base;
+pub use conf;
+pub use front;
+pub use mesh;
+pub use node;
+pub use plat;
--- a/crates/aspenline/src/main.rs
+++ b/crates/aspenline/src/main.rs
@@ -1,2 +1,25 @@
-//! Entry point of the command line.
-fn main() {}
+//! The command line of aspenline: one file for each command.
+
+mod cli;
+mod command;
+mod failure;
+mod fleet;
+mod keys;
+mod operator;
+mod output;
+mod source;
+mod table;
+mod timeline;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = cli::command().get_matches();
+    match cli::run(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("aspenline: {failure}");
+            failure.code()
+        }
+    }
+}
--- /dev/null
+++ b/crates/aspenline/src/source.rs
@@ -0,0 +1,41 @@
+//! Files that a command reads.
+
+use std::fs;
+use std::io;
+use std::io::Read;
+use std::path::Path;
+use std::path::PathBuf;
+
+use crate::failure::Failure;
+
+/// The name that stands for standard input.
+const STANDARD_INPUT: &str = "-";
+
+/// A text and where it came from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Source {
+    /// What it is called in messages.
+    pub(crate) name: String,
+    /// The directory to which its paths are relative.
+    pub(crate) directory: PathBuf,
+    /// The text.
+    pub(crate) text: String,
+}
+
+/// Reads a file, or standard input for `-`.
+pub(crate) fn read(path: &str) -> Result<Source, Failure> {
+    if path == STANDARD_INPUT {
+        let mut text = String::new();
+        let read = io::stdin().read_to_string(&mut text);
+        read.map_err(|error| Failure::Invalid(format!("can't read standard input: {error}")))?;
+        return Ok(Source { name: "standard input".to_owned(), directory: PathBuf::new(), text });
+    }
+    let directory = Path::new(path).parent().map(Path::to_path_buf).unwrap_or_default();
+    Ok(Source { name: path.to_owned(), directory, text: file(Path::new(path))? })
+}
+
+/// Reads a file as text.
+pub(crate) fn file(path: &Path) -> Result<String, Failure> {
+    fs::read_to_string(path)
+        .map_err(|error| Failure::Invalid(format!("can't read {}: {error}", path.display())))
+}
--- /dev/null
+++ b/crates/aspenline/src/table.rs
@@ -0,0 +1,42 @@
+//! Text in aligned columns.
+
+/// Rows of cells under a heading.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// Creates a table with the names of its columns.
+    pub(crate) fn new(heading: &[&str]) -> Self {
+        Self { rows: vec![heading.iter().map(|name| (*name).to_owned()).collect()] }
+    }
+
+    /// Adds a row.
+    pub(crate) fn push(&mut self, row: Vec<String>) {
+        self.rows.push(row);
+    }
+
+    /// Returns the number of rows below the heading.
+    pub(crate) const fn len(&self) -> usize {
+        self.rows.len() - 1
+    }
+
+    /// Writes the table with columns as wide as their widest cell.
+    pub(crate) fn render(&self) -> String {
+        let columns = self.rows.iter().map(Vec::len).max().unwrap_or(0);
+        let width = |column: usize| {
+            let cells = self.rows.iter().filter_map(|row| row.get(column));
+            cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+        };
+        let widths: Vec<usize> = (0..columns).map(width).collect();
+        let mut text = String::new();
+        for row in &self.rows {
+            let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
+            let line = cells.collect::<Vec<_>>().join("  ");
+            text.push_str(line.trim_end());
+            text.push('\n');
+        }
+        text
+    }
+}
--- a/crates/conf/src/document.rs
+++ b/crates/conf/src/document.rs
@@ -251,9 +251,20 @@
     pointer
 }
 
+/// Writes a path without the steps that a syntax error left open.
 fn dotted(path: &Path) -> String {
-    let text = path.to_string();
-    if text == "." { String::new() } else { text }
+    let mut text = String::new();
+    for segment in path {
+        match segment {
+            Segment::Seq { index } => text.push_str(&format!("[{index}]")),
+            Segment::Map { key } => {
+                text.push_str(if text.is_empty() { "" } else { "." });
+                text.push_str(key);
+            }
+            Segment::Enum { .. } | Segment::Unknown => {}
+        }
+    }
+    text
 }
 
 /// Turns every index of a pointer to zero, since the stand-in lists hold one entry.
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -83,6 +83,16 @@
     assert_eq!(faults(text), [expected]);
 }
 
+#[test]
+fn a_file_that_ends_too_early_is_reported_at_its_end() {
+    let end = |path: &str| {
+        let allowed = "JSON (EOF while parsing an object)";
+        fault(1, if path.is_empty() { 3 } else { 15 }, path, "the end of the file", allowed)
+    };
+    assert_eq!(faults("{ "), [end("")]);
+    assert_eq!(faults("{ \"limits\": { "), [end("limits")]);
+}
+
 #[test]
 fn what_has_no_end_is_reported_where_it_begins() {
     let string = "a string that is closed by `\"`";
