--- a/xtask/src/check.rs
+++ b/xtask/src/check.rs
@@ -28,7 +28,7 @@
 }
 
 /// Runs cargo with these arguments and variables and returns whether it succeeded.
-fn cargo(args: &[&str], variables: &[(&str, &str)]) -> bool {
+pub(crate) fn cargo(args: &[&str], variables: &[(&str, &str)]) -> bool {
     println!("xtask: cargo {}", args.join(" "));
     let mut command = Command::new(env!("CARGO"));
     command.args(args).envs(variables.iter().copied());
--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -8,12 +8,15 @@
 pub(crate) enum Error {
     /// The demo could not be run to its end.
     Demo,
+    /// A measurement could not be run to its end.
+    Measure,
 }
 
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Demo => f.write_str("the demo could not be run to its end"),
+            Self::Measure => f.write_str("the measurement could not be run to its end"),
         }
     }
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod error;
 mod imports;
+mod measure;
 
 use std::process::ExitCode;
 
@@ -19,10 +20,12 @@
         .subcommand(
             Command::new("demo").about("Starts a small fleet and makes a call of each kind"),
         )
+        .subcommand(measure::command())
         .subcommand(Command::new("imports").about("Checks the layout of imports"));
-    let done = match cli.get_matches().subcommand_name() {
-        Some("ci") => check::run_all(),
-        Some("demo") => demo::run(),
+    let done = match cli.get_matches().subcommand() {
+        Some(("ci", _)) => check::run_all(),
+        Some(("demo", _)) => demo::run(),
+        Some(("measure", arguments)) => measure::run(arguments),
         _ => imports::check(),
     };
     if done { ExitCode::SUCCESS } else { ExitCode::FAILURE }
--- /dev/null
+++ b/xtask/src/measure/cost.rs
@@ -0,0 +1,92 @@
+//! What control costs the routers, from their own counters.
+
+use error_stack::Report;
+use error_stack::ResultExt;
+use http::Method;
+use rig::Fleet;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Error;
+
+/// The counters of a router at one moment.
+#[derive(Debug, Clone, Copy, Deserialize)]
+pub(crate) struct Counters {
+    sent_bytes: u64,
+    received_bytes: u64,
+    control_cpu_us: u64,
+    process_cpu_us: u64,
+    rss_kb: u64,
+    uptime_ms: u64,
+}
+
+/// What one dispatcher says of its shard.
+#[derive(Debug, Clone, Deserialize)]
+pub(crate) struct Shard {
+    pub(crate) shard: Key,
+    pub(crate) bound: u64,
+    pub(crate) largest_gap: u64,
+    pub(crate) utilisation: Option<f64>,
+}
+
+/// The service of a shard.
+#[derive(Debug, Clone, Deserialize)]
+pub(crate) struct Key {
+    pub(crate) service: String,
+}
+
+/// The part of a router's status that is measured.
+#[derive(Debug, Clone, Deserialize)]
+pub(crate) struct Status {
+    pub(crate) shards: Vec<Shard>,
+    pub(crate) control: Counters,
+}
+
+/// The cost of control of one router over a window.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub(crate) struct Cost {
+    /// Bytes sent and received a second.
+    pub(crate) bytes_per_second: f64,
+    /// Processor time of the control thread, in percent of a core.
+    pub(crate) control_percent: f64,
+    /// Processor time of the whole process, in percent of a core.
+    pub(crate) process_percent: f64,
+    /// Resident memory, in MiB.
+    pub(crate) memory_mib: f64,
+}
+
+/// Reads the status of all routers.
+pub(crate) async fn statuses(fleet: &Fleet) -> Result<Vec<Status>, Report<Error>> {
+    let mut statuses = Vec::new();
+    for index in 0..fleet.router_count() {
+        let answer = fleet
+            .operate(index, Method::GET, "/operator/status", "")
+            .await
+            .change_context(Error::Measure)?;
+        statuses.push(serde_json::from_slice(answer.body()).change_context(Error::Measure)?);
+    }
+    Ok(statuses)
+}
+
+/// Returns the cost of each router between two readings.
+pub(crate) fn between(before: &[Status], after: &[Status]) -> Vec<Cost> {
+    before.iter().zip(after).map(|(before, after)| cost(before.control, after.control)).collect()
+}
+
+fn cost(before: Counters, after: Counters) -> Cost {
+    let seconds = as_f64(after.uptime_ms - before.uptime_ms) / 1_000.0;
+    let bytes = after.sent_bytes + after.received_bytes - before.sent_bytes - before.received_bytes;
+    let percent = |micros: u64| as_f64(micros) / seconds / 10_000.0;
+    Cost {
+        bytes_per_second: as_f64(bytes) / seconds,
+        control_percent: percent(after.control_cpu_us - before.control_cpu_us),
+        process_percent: percent(after.process_cpu_us - before.process_cpu_us),
+        memory_mib: as_f64(after.rss_kb) / 1_024.0,
+    }
+}
+
+/// Returns a counter for arithmetic.
+#[expect(clippy::cast_precision_loss, reason = "counters of a short run are far below 2^52")]
+pub(crate) const fn as_f64(count: u64) -> f64 {
+    count as f64
+}
--- /dev/null
+++ b/xtask/src/measure/gap.rs
@@ -0,0 +1,63 @@
+//! The service gap between workspaces that always have waiting work, seen from their callers.
+
+use std::time::Duration;
+
+use rig::Record;
+
+use super::profile::LARGE;
+use super::profile::workspace;
+
+/// Width of a step of time in which tokens are counted.
+const STEP: Duration = Duration::from_millis(100);
+
+/// Returns the largest difference, over all intervals of the window and all pairs, of tokens per weight.
+pub(crate) fn largest(records: &[Record], from: Duration, to: Duration) -> f64 {
+    let served: Vec<Vec<f64>> = LARGE
+        .iter()
+        .map(|large| {
+            cumulative(records, &workspace(large.number), from, to, f64::from(large.weight))
+        })
+        .collect();
+    let mut largest: f64 = 0.0;
+    for (index, one) in served.iter().enumerate() {
+        for other in &served[index + 1..] {
+            largest = largest.max(spread(one, other));
+        }
+    }
+    largest
+}
+
+/// Returns the tokens per weight that a workspace has been served by the end of each step.
+fn cumulative(
+    records: &[Record],
+    name: &str,
+    from: Duration,
+    to: Duration,
+    weight: f64,
+) -> Vec<f64> {
+    let steps = usize::try_from((to - from).as_millis() / STEP.as_millis()).unwrap_or(0) + 1;
+    let mut counts = vec![0.0; steps];
+    for record in records.iter().filter(|record| record.workspace == name) {
+        for token in &record.tokens {
+            let at = record.started + *token;
+            if at >= from && at < to {
+                let step = usize::try_from((at - from).as_millis() / STEP.as_millis()).unwrap_or(0);
+                counts[step] += 1.0 / weight;
+            }
+        }
+    }
+    let mut sum = 0.0;
+    for count in &mut counts {
+        sum += *count;
+        *count = sum;
+    }
+    counts
+}
+
+/// Returns the largest change of the difference over any interval.
+fn spread(one: &[f64], other: &[f64]) -> f64 {
+    let differences = one.iter().zip(other).map(|(a, b)| a - b).chain([0.0]);
+    let (low, high) =
+        differences.fold((0.0_f64, 0.0_f64), |(low, high), next| (low.min(next), high.max(next)));
+    high - low
+}
--- /dev/null
+++ b/xtask/src/measure/mod.rs
@@ -0,0 +1,108 @@
+//! `cargo xtask measure`: the same load on the fleet and on the baseline, side by side.
+
+mod cost;
+mod gap;
+mod profile;
+mod report;
+mod trial;
+
+use std::process::Command;
+use std::time::Duration;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::value_parser;
+use tokio::runtime;
+
+use crate::check;
+use profile::Profile;
+use report::Report;
+use trial::Mode;
+use trial::Trial;
+
+/// Seconds of load in one trial unless told otherwise.
+const SECONDS: &str = "35";
+/// Seed of the load unless told otherwise.
+const SEED: &str = "1";
+/// Set in the process that was built with optimisation.
+const OPTIMISED: &str = "ASPENLINE_OPTIMISED";
+
+/// Returns the description of the command.
+pub(crate) fn command() -> clap::Command {
+    clap::Command::new("measure")
+        .about("Measures fairness gap, utilisation, control cost and latency against the baseline")
+        .arg(
+            Arg::new("profile")
+                .long("profile")
+                .value_parser(["trentside", "limkraftur"])
+                .default_value("trentside")
+                .help("The deployment whose size is taken"),
+        )
+        .arg(
+            Arg::new("seconds")
+                .long("seconds")
+                .value_parser(value_parser!(u64).range(15..=600))
+                .default_value(SECONDS)
+                .help("Seconds of load in each trial"),
+        )
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_parser(value_parser!(u64))
+                .default_value(SEED)
+                .help("Seed of the load"),
+        )
+        .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).help("Prints JSON"))
+}
+
+/// Runs both trials and returns whether all targets were met.
+pub(crate) fn run(arguments: &ArgMatches) -> bool {
+    if std::env::var_os(OPTIMISED).is_none() {
+        return run_optimised();
+    }
+    let profile = match arguments.get_one::<String>("profile").map(String::as_str) {
+        Some("limkraftur") => Profile::limkraftur(),
+        _ => Profile::trentside(),
+    };
+    let seconds = arguments.get_one("seconds").copied().unwrap_or(15);
+    let seed = arguments.get_one("seed").copied().unwrap_or(1);
+    let trial = Trial { profile, seed, duration: Duration::from_secs(seconds) };
+    let runtime = runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build();
+    let measured = match runtime {
+        Ok(runtime) => runtime.block_on(both(&trial)),
+        Err(error) => {
+            eprintln!("xtask: no runtime: {error}");
+            return false;
+        }
+    };
+    match measured {
+        Ok(report) => report.print(arguments.get_flag("json")),
+        Err(failure) => {
+            eprintln!("xtask: the measurement failed: {failure:?}");
+            false
+        }
+    }
+}
+
+/// Builds with optimisation and runs this command again in that build.
+fn run_optimised() -> bool {
+    if !check::cargo(&["build", "--release", "--workspace", "--quiet"], &[]) {
+        return false;
+    }
+    let mut command = Command::new("target/release/xtask");
+    command.args(std::env::args_os().skip(1)).env(OPTIMISED, "1");
+    command.status().is_ok_and(|status| status.success())
+}
+
+async fn both(trial: &Trial) -> Result<Report, error_stack::Report<crate::Error>> {
+    let fleet = trial.run(Mode::Fleet).await?;
+    let baseline = trial.run(Mode::Baseline).await?;
+    Ok(Report {
+        profile: trial.profile.name,
+        seed: trial.seed,
+        seconds: trial.duration.as_secs(),
+        fleet,
+        baseline,
+    })
+}
--- /dev/null
+++ b/xtask/src/measure/profile.rs
@@ -0,0 +1,210 @@
+//! The sizes of the two deployments and the load that they bear.
+
+use base::Class;
+use rand::Rng;
+use rand::rngs::StdRng;
+use rig::Arrival;
+use rig::Builder;
+use rig::Call;
+use rig::Fleet;
+use rig::Load;
+use rig::Mix;
+use rig::RunnerPlan;
+use rig::ServicePlan;
+use rig::Stream;
+use rig::WorkspacePlan;
+
+/// Routers of a deployment.
+pub(crate) const ROUTERS: usize = 9;
+/// Engines of a deployment.
+const ENGINES: usize = 20;
+/// Runners of the plain service.
+const PLAIN_RUNNERS: usize = 3;
+/// Slots of an engine.
+pub(crate) const SLOTS: u32 = 4;
+/// Requests that a cold engine bears.
+const COLD_LIMIT: u32 = 2;
+/// Workspaces, the large ones first.
+const WORKSPACES: usize = 16;
+
+/// A deployment.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Profile {
+    /// Its name.
+    pub(crate) name: &'static str,
+    /// Its region.
+    pub(crate) region: &'static str,
+    /// Its zones.
+    pub(crate) zones: [&'static str; 3],
+    /// Its model service.
+    pub(crate) engine: &'static str,
+    /// Its plain service.
+    pub(crate) plain: &'static str,
+    /// Time between two tokens of an engine, in milliseconds.
+    token_ms: u32,
+}
+
+/// A workspace that always has waiting work.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Large {
+    /// The number of its name.
+    pub(crate) number: usize,
+    /// Its weight.
+    pub(crate) weight: u32,
+    callers: u32,
+    class: Class,
+    tokens: [u32; 2],
+    /// The first and last router that its callers use.
+    routers: [usize; 2],
+}
+
+/// The large workspaces, unevenly spread over the routers.
+pub(crate) const LARGE: [Large; 3] = [
+    Large {
+        number: 1,
+        weight: 1,
+        callers: 60,
+        class: Class::Long,
+        tokens: [60, 160],
+        routers: [0, 0],
+    },
+    Large {
+        number: 2,
+        weight: 1,
+        callers: 40,
+        class: Class::Long,
+        tokens: [20, 60],
+        routers: [1, 2],
+    },
+    Large {
+        number: 3,
+        weight: 2,
+        callers: 90,
+        class: Class::Interactive,
+        tokens: [16, 48],
+        routers: [0, 8],
+    },
+];
+
+impl Profile {
+    /// Returns the climbers' deployment.
+    pub(crate) const fn trentside() -> Self {
+        Self {
+            name: "trentside",
+            region: "midlands",
+            zones: ["derby", "nottingham", "leicester"],
+            engine: "belay-llm",
+            plain: "ledger-app",
+            token_ms: 30,
+        }
+    }
+
+    /// Returns the wrap shops' deployment.
+    pub(crate) const fn limkraftur() -> Self {
+        Self {
+            name: "limkraftur",
+            region: "is-reykjanes",
+            zones: ["rnes-a", "rnes-b", "rnes-c"],
+            engine: "wrap-assist",
+            plain: "shop-orders",
+            token_ms: 35,
+        }
+    }
+
+    /// Returns the fleet with runners and workspaces, not yet started.
+    pub(crate) fn fleet(&self) -> Builder {
+        let token_ms = self.token_ms.to_string();
+        let slots = SLOTS.to_string();
+        let engine = RunnerPlan::new()
+            .args(&["--slots", &slots, "--token-interval-ms", &token_ms])
+            .limits(SLOTS, COLD_LIMIT);
+        let mut builder = Fleet::builder().routers(ROUTERS);
+        for zone in self.zones {
+            builder = builder.zone(zone, self.region);
+        }
+        for number in 1..=WORKSPACES {
+            let large = LARGE.iter().find(|large| large.number == number);
+            let weight = large.map_or(1, |large| large.weight);
+            let plan = WorkspacePlan::new(&workspace(number)).weight(weight).queue_limit(256);
+            builder = builder.workspace(plan);
+        }
+        builder
+            .service(ServicePlan::engine(self.engine, self.region).runners(ENGINES, &engine))
+            .service(
+                ServicePlan::plain(self.plain, self.region)
+                    .runners(PLAIN_RUNNERS, &RunnerPlan::new()),
+            )
+    }
+
+    /// Adds all calls to a load.
+    pub(crate) fn load(&self, fleet: &Fleet, mut load: Load) -> Load {
+        for large in LARGE {
+            for router in large.routers[0]..=large.routers[1] {
+                load = load.stream(self.large(fleet, large, router));
+            }
+        }
+        for number in LARGE.len() + 1..=WORKSPACES {
+            load = load.stream(self.small(fleet, number)).stream(self.plain(fleet, number));
+        }
+        load
+    }
+
+    fn large(&self, fleet: &Fleet, large: Large, router: usize) -> Stream {
+        let name = workspace(large.number);
+        let routers = u32::try_from(large.routers[1] - large.routers[0] + 1).unwrap_or(1);
+        let service = self.engine;
+        let mix = Mix::of(move |random, number| {
+            model_call(service, large.class, large.tokens, random, number)
+        });
+        let arrival = Arrival::Closed { callers: large.callers / routers };
+        Stream::new(&name, fleet.caller_of(&name, router), arrival, mix)
+    }
+
+    fn small(&self, fleet: &Fleet, number: usize) -> Stream {
+        let name = workspace(number);
+        let service = self.engine;
+        let mix = Mix::of(move |random, number| {
+            model_call(service, Class::Interactive, [8, 24], random, number)
+        });
+        Stream::new(
+            &name,
+            fleet.caller_of(&name, number % ROUTERS),
+            Arrival::Open { per_second: 0.5 },
+            mix,
+        )
+    }
+
+    fn plain(&self, fleet: &Fleet, number: usize) -> Stream {
+        let name = workspace(number);
+        let service = self.plain;
+        let mix = Mix::of(move |_, number| Call::lookup(service, &format!("/entries/{number}")))
+            .and(1, move |_, number| {
+                Call::once(service, "/entries", &format!("{{\"entry\":{number}}}"))
+            });
+        Stream::new(
+            &name,
+            fleet.caller_of(&name, (number + 4) % ROUTERS),
+            Arrival::Open { per_second: 1.0 },
+            mix,
+        )
+    }
+}
+
+/// Returns the name of a workspace.
+pub(crate) fn workspace(number: usize) -> String {
+    format!("w{number}")
+}
+
+fn model_call(
+    service: &str,
+    class: Class,
+    tokens: [u32; 2],
+    random: &mut StdRng,
+    number: u64,
+) -> Call {
+    let count = random.random_range(tokens[0]..=tokens[1]);
+    let rough_hint = u64::from(random.random_range(count / 2..=count * 2));
+    Call::completion(service, &format!("question {number}"), count)
+        .class(class)
+        .cost_hint(rough_hint)
+}
--- /dev/null
+++ b/xtask/src/measure/trial.rs
@@ -0,0 +1,258 @@
+//! One run of the load on real processes.
+
+use std::time::Duration;
+
+use base::Class;
+use base::Verdict;
+use error_stack::Report;
+use error_stack::ResultExt;
+use rig::Fleet;
+use rig::Load;
+use rig::Record;
+use serde::Serialize;
+use tokio::time;
+use tokio::time::Instant;
+
+use super::cost;
+use super::cost::Cost;
+use super::cost::Shard;
+use super::cost::Status;
+use super::gap;
+use super::profile::LARGE;
+use super::profile::Profile;
+use super::profile::SLOTS;
+use super::profile::workspace;
+use crate::Error;
+
+/// Longest wait for the fleet to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time between the meeting of the routers and the load.
+const SETTLE: Duration = Duration::from_secs(4);
+/// Load before the window that is measured.
+const WARM_UP: Duration = Duration::from_secs(6);
+/// Load behind the window that is measured.
+const COOL_DOWN: Duration = Duration::from_secs(2);
+/// Time from one look at the engines to the next.
+const SAMPLE_PERIOD: Duration = Duration::from_millis(250);
+
+/// Whether the fleet decides together or each router alone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Mode {
+    /// Routers decide together.
+    Fleet,
+    /// Each router decides alone, least outstanding first.
+    Baseline,
+}
+
+/// A load on a deployment.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Trial {
+    /// The deployment.
+    pub(crate) profile: Profile,
+    /// The seed of the load.
+    pub(crate) seed: u64,
+    /// How long calls begin.
+    pub(crate) duration: Duration,
+}
+
+/// Times of a class, in milliseconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub(crate) struct Times {
+    /// Half of all calls are faster.
+    pub(crate) p50: f64,
+    /// 95 in 100 calls are faster.
+    pub(crate) p95: f64,
+    /// 99 in 100 calls are faster.
+    pub(crate) p99: f64,
+    /// The number of calls or gaps.
+    pub(crate) count: usize,
+}
+
+/// How calls ended.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub(crate) struct Endings {
+    /// Whole answers.
+    pub(crate) answered: usize,
+    /// Refusals with the verdict not-run.
+    pub(crate) not_run: usize,
+    /// Refusals with another verdict.
+    pub(crate) other_verdict: usize,
+    /// Neither whole nor refused.
+    pub(crate) failed: usize,
+}
+
+/// What one trial has shown.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct Outcome {
+    /// The largest gap seen by callers, in tokens per weight.
+    pub(crate) gap_tokens: f64,
+    /// The stated bound, in tokens per weight, if the mode has one.
+    pub(crate) bound_tokens: Option<f64>,
+    /// The largest gap of charges seen by the dispatcher, in tokens per weight.
+    pub(crate) charged_gap_tokens: Option<f64>,
+    /// Busy slots of the engines while work waited, as a fraction.
+    pub(crate) utilisation: f64,
+    /// The same as counted by the dispatcher.
+    pub(crate) own_utilisation: Option<f64>,
+    /// Requests that waited inside engines on average.
+    pub(crate) queued_in_engines: f64,
+    /// The cost of control by router.
+    pub(crate) costs: Vec<Cost>,
+    /// First-token times of interactive calls of workspaces within their share.
+    pub(crate) first_token_within_share: Times,
+    /// First-token times of interactive calls of the backlogged workspace.
+    pub(crate) first_token_backlogged: Times,
+    /// First-token times of long calls.
+    pub(crate) first_token_long: Times,
+    /// Times between two tokens.
+    pub(crate) between_tokens: Times,
+    /// How calls ended.
+    pub(crate) endings: Endings,
+}
+
+/// What was read during the window.
+#[derive(Debug)]
+struct Watched {
+    before: Vec<Status>,
+    after: Vec<Status>,
+    seen: Seen,
+}
+
+/// What was seen of the engines.
+#[derive(Debug, Clone, Copy, Default)]
+struct Seen {
+    busy: f64,
+    queued: f64,
+    samples: f64,
+}
+
+impl Trial {
+    /// Starts a fleet, runs the load and returns what was measured.
+    pub(crate) async fn run(&self, mode: Mode) -> Result<Outcome, Report<Error>> {
+        let fleet = self.start(mode).await?;
+        let load = self.profile.load(&fleet, Load::new(self.seed, self.duration));
+        let (records, watched) = tokio::join!(load.run(), self.watch(&fleet));
+        let Watched { before, after, seen } = watched?;
+        let mut shards = after.iter().flat_map(|status| &status.shards);
+        let shard = shards.find(|shard| shard.shard.service == self.profile.engine);
+        let costs = cost::between(&before, &after);
+        Ok(self.outcome(&records, seen, shard, costs))
+    }
+
+    async fn start(&self, mode: Mode) -> Result<Fleet, Report<Error>> {
+        let mut builder = self.profile.fleet();
+        if mode == Mode::Baseline {
+            builder = builder.setting("mode", "baseline".into());
+        }
+        let mut fleet = builder.start().await.change_context(Error::Measure)?;
+        fleet.settle(READY_TIMEOUT).await.change_context(Error::Measure)?;
+        time::sleep(SETTLE).await;
+        Ok(fleet)
+    }
+
+    /// Reads the routers' counters at both ends of the window and looks at the engines in between.
+    async fn watch(&self, fleet: &Fleet) -> Result<Watched, Report<Error>> {
+        let begin = Instant::now();
+        time::sleep_until(begin + WARM_UP).await;
+        let before = cost::statuses(fleet).await?;
+        let mut seen = Seen::default();
+        while begin.elapsed() < self.window_end() {
+            seen.add(fleet).await;
+            time::sleep(SAMPLE_PERIOD).await;
+        }
+        let after = cost::statuses(fleet).await?;
+        Ok(Watched { before, after, seen })
+    }
+
+    const fn window_end(&self) -> Duration {
+        self.duration.saturating_sub(COOL_DOWN)
+    }
+
+    fn outcome(
+        &self,
+        records: &[Record],
+        seen: Seen,
+        shard: Option<&Shard>,
+        costs: Vec<Cost>,
+    ) -> Outcome {
+        let within: Vec<&Record> = records
+            .iter()
+            .filter(|record| record.started >= WARM_UP && record.started < self.window_end())
+            .collect();
+        let large =
+            |record: &Record| LARGE.iter().any(|large| workspace(large.number) == record.workspace);
+        let first = |class: Class, is_large: bool| {
+            let chosen =
+                within.iter().filter(|record| record.class == class && large(record) == is_large);
+            let times: Vec<Duration> = chosen.filter_map(|record| record.first_token()).collect();
+            Times::of(&times)
+        };
+        let between: Vec<Duration> = within.iter().flat_map(|record| record.gaps()).collect();
+        Outcome {
+            gap_tokens: gap::largest(records, WARM_UP, self.window_end()),
+            bound_tokens: shard.map(|shard| tokens(shard.bound)),
+            charged_gap_tokens: shard.map(|shard| tokens(shard.largest_gap)),
+            utilisation: seen.busy / seen.samples.max(1.0),
+            own_utilisation: shard.and_then(|shard| shard.utilisation),
+            queued_in_engines: seen.queued / seen.samples.max(1.0),
+            costs,
+            first_token_within_share: first(Class::Interactive, false),
+            first_token_backlogged: first(Class::Interactive, true),
+            first_token_long: first(Class::Long, true),
+            between_tokens: Times::of(&between),
+            endings: Endings::of(records),
+        }
+    }
+}
+
+impl Seen {
+    /// Adds one look at all engines; plain runners are left out.
+    async fn add(&mut self, fleet: &Fleet) {
+        let slots = f64::from(SLOTS);
+        let mut engines = 0.0;
+        let (mut busy, mut queued) = (0.0, 0.0);
+        for runner in fleet.runners().values() {
+            let Ok(load) = runner.load().await else { continue };
+            if load.slots == SLOTS {
+                engines += 1.0;
+                busy += f64::from(load.running.min(SLOTS)) / slots;
+                queued += f64::from(load.waiting);
+            }
+        }
+        if engines > 0.0 {
+            self.busy += busy / engines;
+            self.queued += queued;
+            self.samples += 1.0;
+        }
+    }
+}
+
+impl Times {
+    fn of(times: &[Duration]) -> Self {
+        let millis = |percent: f64| {
+            rig::percentile(times, percent).map_or(0.0, |time| time.as_secs_f64() * 1_000.0)
+        };
+        Self { p50: millis(50.0), p95: millis(95.0), p99: millis(99.0), count: times.len() }
+    }
+}
+
+impl Endings {
+    fn of(records: &[Record]) -> Self {
+        let mut endings = Self::default();
+        for record in records {
+            let counter = match record.verdict {
+                _ if record.is_success => &mut endings.answered,
+                Some(Verdict::NotRun) => &mut endings.not_run,
+                Some(_) => &mut endings.other_verdict,
+                None => &mut endings.failed,
+            };
+            *counter += 1;
+        }
+        endings
+    }
+}
+
+/// Returns the tokens of a cost in milli-tokens.
+fn tokens(cost: u64) -> f64 {
+    cost::as_f64(cost) / cost::as_f64(base::Cost::PER_TOKEN)
+}
