fix(mesh): reach a listed router at its listed address

Weighed: trying both addresses (reaches around a partition that the platform's list describes rightly). Cost: a router replaced under its name at another address is reached when the list shows it; its own links work before. The proof is the partition test of the members.

--- a/crates/mesh/src/swim/machine.rs
+++ b/crates/mesh/src/swim/machine.rs
@@ -195,10 +195,11 @@
         self.registers.iter().cloned().collect()
     }
 
-    /// Returns the address of another router.
+    /// Returns the address of another router: the listed one, or its own word while it is not listed.
     #[must_use]
     pub fn address(&self, name: &Name) -> Option<SocketAddr> {
-        self.roster.entries.get(name).map(|entry| entry.record.address)
+        let entry = self.roster.entries.get(name)?;
+        Some(entry.listed.unwrap_or(entry.record.address))
     }
 
     /// Returns whether frames for a router may arrive: it is known and not held for dead.
