feat(node): keep configuration and placement beyond the log's retention

Need: an accepted configuration never reverts and survives the retention of the log. One member, chosen by rendezvous hashing, appends the version in force and all zone and instance orders again four times within the retention; a checkpoint that was overtaken is followed by one of the newer version (the late-checkpoint race that the conf tests describe). A lost pull of a newer version is asked again from one member after another. Weighed: every router republishes (nine times the records), reset by the records read (a fleet that restarts late in the retention would wait too long). Proof: the configuration tests with a short retention.

--- a/crates/node/src/control/config.rs
+++ b/crates/node/src/control/config.rs
@@ -21,6 +21,8 @@
 pub(super) const REGISTER: &str = "config";
 /// Longest wait until a published configuration is read back.
 const APPLY_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time from one question for a newer version to the next.
+const CHASE_PERIOD: Duration = Duration::from_millis(500);
 
 /// A configuration that an operator publishes through this router.
 #[derive(Debug)]
@@ -113,12 +115,33 @@
     }
 
     /// Takes in the news of a version that is in force elsewhere.
-    pub(super) fn config_registered(&self, register: &Register) {
+    pub(super) fn config_registered(&mut self, register: &Register) {
+        self.config_wanted = self.config_wanted.max(register.counter);
         if register.counter > self.chain.number() && register.by != self.me {
             self.mesh.send(&register.by, Frame::ConfigPull { version: register.counter });
         }
     }
 
+    /// Asks one member after another for a version that is in force elsewhere, until it is in force here.
+    pub(super) fn chase_config(&mut self) {
+        let now = self.now();
+        let version = self.config_wanted;
+        if version <= self.chain.number() || now < self.config_chase_due {
+            return;
+        }
+        self.config_chase_due = now + CHASE_PERIOD;
+        self.config_chases += 1;
+        let others: Vec<&Name> = self
+            .members
+            .iter()
+            .filter(|member| member.state.is_live() && member.name != self.me)
+            .map(|member| &member.name)
+            .collect();
+        if let Some(peer) = others.get(self.config_chases % others.len().max(1)) {
+            self.mesh.send(peer, Frame::ConfigPull { version });
+        }
+    }
+
     /// Gives up on publications that were not read back in time.
     pub(super) fn expire_pending(&mut self) {
         let now = self.now();
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod order;
 mod placement;
 mod plan;
+mod republish;
 mod route;
 mod status;
 mod view;
@@ -118,6 +119,10 @@
     usage: Usage,
     chain: Chain,
     pending: Vec<Pending>,
+    config_wanted: u64,
+    config_chase_due: Duration,
+    config_chases: usize,
+    republish_due: Duration,
     tickets: u64,
     members: Vec<Member>,
     listing: Listing,
@@ -147,6 +152,10 @@
             usage: Usage::default(),
             chain: Chain::new(),
             pending: Vec::new(),
+            config_wanted: 0,
+            config_chase_due: Duration::ZERO,
+            config_chases: 0,
+            republish_due: Duration::ZERO,
             tickets: 0,
             members: Vec::new(),
             listing: Listing::default(),
@@ -202,6 +211,7 @@
             Input::Log { up } => self.log_state(up),
             Input::Load { shard, runner, load } => self.loaded(&shard, &runner, load),
             Input::Appended { ticket, result } => self.appended(ticket, &result),
+            Input::Republished { number } => self.republish_ended(number),
             Input::Leave => self.leave(),
             Input::Stop => return false,
         }
--- a/crates/node/src/control/placement.rs
+++ b/crates/node/src/control/placement.rs
@@ -92,11 +92,24 @@
         self.review();
     }
 
+    /// Returns all orders about zones and instances, as the log keeps them.
+    pub(super) fn kept_orders(&self) -> Vec<String> {
+        let registers = self.mesh.registers().into_iter();
+        let orders = registers.filter(|register| is_order(&register.key));
+        let kept = orders.map(|register| Kept {
+            out: register.value == OUT,
+            key: register.key,
+            counter: register.counter,
+            by: register.by,
+        });
+        kept.map(|kept| encode(&kept)).collect()
+    }
+
     /// Returns the keys of all that is out.
     pub(super) fn out(&self) -> IndexSet<Name> {
         let registers = self.mesh.registers().into_iter();
         registers
-            .filter(|register| register.value == OUT && !register.key.as_str().starts_with(LEAVING))
+            .filter(|register| register.value == OUT && is_order(&register.key))
             .map(|register| register.key)
             .collect()
     }
@@ -128,7 +141,7 @@
     }
 
     fn keep(&mut self, kept: &Kept) {
-        let body = serde_json::to_string(kept).expect("an order has only plain fields");
+        let body = encode(kept);
         let log = self.log.clone();
         self.tasks.spawn(keep_in_log(log, body));
     }
@@ -141,6 +154,15 @@
     }
 }
 
+/// Returns whether a register is an order about a zone or instance.
+fn is_order(key: &Name) -> bool {
+    key.as_str().starts_with("zone/") || key.as_str().starts_with("instance/")
+}
+
+fn encode(kept: &Kept) -> String {
+    serde_json::to_string(kept).expect("an order has only plain fields")
+}
+
 fn register_of(kept: &Kept) -> Register {
     Register {
         key: kept.key.clone(),
--- /dev/null
+++ b/crates/node/src/control/republish.rs
@@ -0,0 +1,78 @@
+//! Publishes the configuration in force and all placement orders again before the log drops their records.
+//!
+//! One member does it, chosen by rendezvous hashing. A version that is overtaken while its checkpoint is appended is
+//! followed by a checkpoint of the newer one, so that a reader that starts at the late record is right again at once.
+
+use std::time::Duration;
+
+use conf::Record;
+use plat::Log;
+use tokio::sync::mpsc;
+use wire::Shard;
+
+use super::Control;
+use crate::input::Input;
+use crate::tail::CONFIG_STREAM;
+use crate::tail::PLACEMENT_STREAM;
+
+/// How often everything is published again within the retention of the log.
+const TIMES_IN_RETENTION: u32 = 4;
+/// Time from the start of a router to its first publication, at most.
+pub(super) const FIRST_PUBLICATION: Duration = Duration::from_secs(5);
+/// Time until a publication that failed or was overtaken is made again.
+const REPEAT_PAUSE: Duration = Duration::from_millis(500);
+
+impl Control {
+    /// Publishes everything again when it is time and this router's turn.
+    pub(super) fn republish(&mut self) {
+        let now = self.now();
+        if now < self.republish_due || !self.log_up || !self.is_republisher() {
+            return;
+        }
+        let Some(version) = self.chain.version() else { return };
+        let number = version.number;
+        let checkpoint = Record::checkpoint(version).encode();
+        self.republish_due = now + self.republish_period();
+        let orders = self.kept_orders();
+        let log = self.log.clone();
+        let feed = self.ports.feed.clone();
+        self.tasks.spawn(append_all(log, number, checkpoint, orders, feed));
+    }
+
+    /// Takes in the end of a publication; one that failed or was overtaken is made again soon.
+    pub(super) fn republish_ended(&mut self, number: Option<u64>) {
+        if number != Some(self.chain.number()) {
+            self.republish_due = self.now() + REPEAT_PAUSE;
+        }
+    }
+
+    /// Returns the time from one publication to the next.
+    pub(super) fn republish_period(&self) -> Duration {
+        Duration::from_millis(self.shared.settings.platform.retention_ms) / TIMES_IN_RETENTION
+    }
+
+    fn is_republisher(&self) -> bool {
+        let live: Vec<_> = self
+            .members
+            .iter()
+            .filter(|member| member.state.is_live())
+            .map(|member| member.name.clone())
+            .collect();
+        sched::owner(&Shard::new(CONFIG_STREAM, "", 0), &live) == Some(&self.me)
+    }
+}
+
+async fn append_all(
+    log: Log,
+    number: u64,
+    checkpoint: String,
+    orders: Vec<String>,
+    feed: mpsc::Sender<Input>,
+) {
+    let mut done = log.append(CONFIG_STREAM, &checkpoint).await.is_ok();
+    for order in orders {
+        done &= log.append(PLACEMENT_STREAM, &order).await.is_ok();
+    }
+    let number = done.then_some(number);
+    drop(feed.send(Input::Republished { number }).await);
+}
--- a/crates/node/src/control/route.rs
+++ b/crates/node/src/control/route.rs
@@ -24,6 +24,8 @@
     /// Makes all decisions that are due and delivers what they send.
     pub(super) fn settle(&mut self) {
         self.expire_pending();
+        self.chase_config();
+        self.republish();
         self.report_usage();
         if self.baseline.is_some() {
             self.settle_alone();
--- a/crates/node/src/control/view.rs
+++ b/crates/node/src/control/view.rs
@@ -22,6 +22,7 @@
 use super::plan::plan;
 use super::plan::review_local;
 use super::plan::shard_of;
+use super::republish::FIRST_PUBLICATION;
 use crate::input::Target;
 
 impl Control {
@@ -29,6 +30,7 @@
     pub(super) fn begin(&mut self) {
         self.members = self.mesh.members();
         self.publish_leaving(false);
+        self.republish_due = self.now() + self.republish_period().min(FIRST_PUBLICATION);
         self.note(EventKind::Process, "the router has started");
         self.review();
     }
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -46,6 +46,11 @@
         /// Its offset, or why there is none.
         result: Result<u64, plat::Error>,
     },
+    /// A configuration was published again; none when the log did not take it.
+    Republished {
+        /// The number of its version.
+        number: Option<u64>,
+    },
     /// This router begins to leave.
     Leave,
     /// The control thread ends.
