feat(xtask): measure slopes and count frames

Adds frames per second to the measurement and measure-slopes, which varies routers, runners, workspaces and request rate around today's size.

--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -4,7 +4,9 @@
 mod demo;
 mod error;
 mod imports;
+mod matrix;
 mod measure;
+mod slope;
 
 use std::process::ExitCode;
 
@@ -20,12 +22,16 @@
         .subcommand(
             Command::new("demo").about("Starts a small fleet and makes a call of each kind"),
         )
+        .subcommand(matrix::command())
         .subcommand(measure::command())
+        .subcommand(slope::command())
         .subcommand(Command::new("imports").about("Checks the layout of imports"));
     let done = match cli.get_matches().subcommand() {
         Some(("ci", _)) => check::run_all(),
         Some(("demo", _)) => demo::run(),
+        Some(("matrix", arguments)) => matrix::run(arguments),
         Some(("measure", arguments)) => measure::run(arguments),
+        Some(("measure-slopes", arguments)) => slope::run(arguments),
         _ => imports::check(),
     };
     if done { ExitCode::SUCCESS } else { ExitCode::FAILURE }
--- a/xtask/src/measure/cost.rs
+++ b/xtask/src/measure/cost.rs
@@ -13,6 +13,8 @@
 #[derive(Debug, Clone, Copy, Deserialize)]
 pub(crate) struct Counters {
     sent_bytes: u64,
+    frames_sent: u64,
+    frames_received: u64,
     received_bytes: u64,
     control_cpu_us: u64,
     process_cpu_us: u64,
@@ -47,6 +49,8 @@
 pub(crate) struct Cost {
     /// Bytes sent and received a second.
     pub(crate) bytes_per_second: f64,
+    /// Frames sent and received a second.
+    pub(crate) frames_per_second: f64,
     /// Processor time of the control thread, in percent of a core.
     pub(crate) control_percent: f64,
     /// Processor time of the whole process, in percent of a core.
@@ -76,9 +80,12 @@
 fn cost(before: Counters, after: Counters) -> Cost {
     let seconds = as_f64(after.uptime_ms - before.uptime_ms) / 1_000.0;
     let bytes = after.sent_bytes + after.received_bytes - before.sent_bytes - before.received_bytes;
+    let frames =
+        after.frames_sent + after.frames_received - before.frames_sent - before.frames_received;
     let percent = |micros: u64| as_f64(micros) / seconds / 10_000.0;
     Cost {
         bytes_per_second: as_f64(bytes) / seconds,
+        frames_per_second: as_f64(frames) / seconds,
         control_percent: percent(after.control_cpu_us - before.control_cpu_us),
         process_percent: percent(after.process_cpu_us - before.process_cpu_us),
         memory_mib: as_f64(after.rss_kb) / 1_024.0,
@@ -90,3 +97,9 @@
 pub(crate) const fn as_f64(count: u64) -> f64 {
     count as f64
 }
+
+/// Returns a number of things for arithmetic.
+#[expect(clippy::cast_precision_loss, reason = "counts of a short run are far below 2^52")]
+pub(crate) const fn count(number: usize) -> f64 {
+    number as f64
+}
--- a/xtask/src/measure/mod.rs
+++ b/xtask/src/measure/mod.rs
@@ -1,6 +1,6 @@
 //! `cargo xtask measure`: the same load on the fleet and on the baseline, side by side.
 
-mod cost;
+pub(crate) mod cost;
 mod gap;
 mod profile;
 mod report;
@@ -58,7 +58,7 @@
 
 /// Runs both trials and returns whether all targets were met.
 pub(crate) fn run(arguments: &ArgMatches) -> bool {
-    if std::env::var_os(OPTIMISED).is_none() {
+    if !is_optimised() {
         return run_optimised();
     }
     let profile = match arguments.get_one::<String>("profile").map(String::as_str) {
@@ -85,8 +85,13 @@
     }
 }
 
+/// Returns whether this is the process that was built with optimisation.
+pub(crate) fn is_optimised() -> bool {
+    std::env::var_os(OPTIMISED).is_some()
+}
+
 /// Builds with optimisation and runs this command again in that build.
-fn run_optimised() -> bool {
+pub(crate) fn run_optimised() -> bool {
     if !check::cargo(&["build", "--release", "--workspace", "--quiet"], &[]) {
         return false;
     }
--- a/xtask/src/measure/report.rs
+++ b/xtask/src/measure/report.rs
@@ -3,6 +3,7 @@
 use serde::Serialize;
 
 use super::cost::Cost;
+use super::cost::count;
 use super::trial::Outcome;
 use super::trial::Times;
 
@@ -82,6 +83,7 @@
         row("requests queued inside engines", fleet.queued_in_engines, baseline.queued_in_engines);
         row("control bytes/s, largest router", largest(fleet, bytes), largest(baseline, bytes));
         row("control bytes/s, mean", mean(fleet, bytes), mean(baseline, bytes));
+        row("control frames/s, largest router", largest(fleet, frames), largest(baseline, frames));
         row(
             "control thread % of a core, largest",
             largest(fleet, control),
@@ -177,6 +179,10 @@
     cost.bytes_per_second
 }
 
+const fn frames(cost: &Cost) -> f64 {
+    cost.frames_per_second
+}
+
 const fn control(cost: &Cost) -> f64 {
     cost.control_percent
 }
@@ -188,8 +194,3 @@
 const fn memory(cost: &Cost) -> f64 {
     cost.memory_mib
 }
-
-#[expect(clippy::cast_precision_loss, reason = "counts of a short run are far below 2^52")]
-const fn count(number: usize) -> f64 {
-    number as f64
-}
--- /dev/null
+++ b/xtask/src/slope/fit.rs
@@ -0,0 +1,25 @@
+//! A straight line through measured points.
+
+/// The line of least squares.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Line {
+    /// Change of the value for one more of the size.
+    pub(crate) slope: f64,
+    /// The value at size zero.
+    pub(crate) intercept: f64,
+}
+
+impl Line {
+    /// Fits a line through points of size and value.
+    pub(crate) fn through(points: impl Iterator<Item = (f64, f64)>) -> Self {
+        let points: Vec<(f64, f64)> = points.collect();
+        let count = points.iter().map(|_| 1.0).sum::<f64>().max(1.0);
+        let mean_size = points.iter().map(|point| point.0).sum::<f64>() / count;
+        let mean_value = points.iter().map(|point| point.1).sum::<f64>() / count;
+        let spread: f64 = points.iter().map(|point| (point.0 - mean_size).powi(2)).sum();
+        let common: f64 =
+            points.iter().map(|point| (point.0 - mean_size) * (point.1 - mean_value)).sum();
+        let slope = if spread > 0.0 { common / spread } else { 0.0 };
+        Self { slope, intercept: mean_value - slope * mean_size }
+    }
+}
--- /dev/null
+++ b/xtask/src/slope/point.rs
@@ -0,0 +1,169 @@
+//! One point: a fleet of given sizes under a given rate of requests.
+
+use std::fmt;
+use std::time::Duration;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+use rig::Arrival;
+use rig::Call;
+use rig::Fleet;
+use rig::Load;
+use rig::Mix;
+use rig::RunnerPlan;
+use rig::ServicePlan;
+use rig::Stream;
+use rig::WorkspacePlan;
+use serde::Serialize;
+use tokio::time;
+
+use super::Size;
+use crate::Error;
+use crate::measure::cost;
+use crate::measure::cost::Cost;
+
+/// The model service.
+const SERVICE: &str = "chat";
+/// The region.
+const REGION: &str = "north";
+/// Longest wait for the fleet to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time between the meeting of the routers and the load.
+const SETTLE: Duration = Duration::from_secs(4);
+/// Load before the first reading.
+const WARM_UP: Duration = Duration::from_secs(2);
+/// Tokens of an answer.
+const TOKENS: u32 = 40;
+
+/// Sizes and rate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub(crate) struct Point {
+    /// Routers.
+    pub(crate) routers: usize,
+    /// Runners of one model service.
+    pub(crate) runners: usize,
+    /// Workspaces, which send equally many requests.
+    pub(crate) workspaces: usize,
+    /// Requests of the whole fleet in one second.
+    pub(crate) requests_per_second: u32,
+}
+
+/// What was read at a point.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub(crate) struct Reading {
+    point: Point,
+    busiest: Cost,
+    mean: Cost,
+}
+
+/// A value with its name.
+type Value = (&'static str, fn(&Reading) -> f64);
+
+impl Reading {
+    /// The names of the columns.
+    pub(crate) const HEADER: &str =
+        "  routers runners workspaces req/s | busiest B/s  cpu%  MiB | mean B/s  cpu%  MiB";
+    /// The values through which lines are fitted.
+    pub(crate) const VALUES: [Value; 6] = [
+        ("busiest bytes/s", |reading| reading.busiest.bytes_per_second),
+        ("busiest control %", |reading| reading.busiest.control_percent),
+        ("busiest memory MiB", |reading| reading.busiest.memory_mib),
+        ("mean bytes/s", |reading| reading.mean.bytes_per_second),
+        ("mean control %", |reading| reading.mean.control_percent),
+        ("mean memory MiB", |reading| reading.mean.memory_mib),
+    ];
+
+    /// Returns a size of the point.
+    pub(crate) fn at(&self, size: Size) -> f64 {
+        match size {
+            Size::Routers => cost::count(self.point.routers),
+            Size::Runners => cost::count(self.point.runners),
+            Size::Workspaces => cost::count(self.point.workspaces),
+            Size::RequestsPerSecond => f64::from(self.point.requests_per_second),
+        }
+    }
+}
+
+impl fmt::Display for Reading {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Point { routers, runners, workspaces, requests_per_second } = self.point;
+        write!(f, "  {routers:>7} {runners:>7} {workspaces:>10} {requests_per_second:>5}")?;
+        for cost in [self.busiest, self.mean] {
+            write!(
+                f,
+                " | {:>8.0} {:>5.2} {:>4.1}",
+                cost.bytes_per_second, cost.control_percent, cost.memory_mib
+            )?;
+        }
+        Ok(())
+    }
+}
+
+impl Point {
+    /// Starts a fleet of these sizes and reads what its control costs.
+    pub(crate) async fn measure(self, duration: Duration) -> Result<Reading, Report<Error>> {
+        let mut fleet = self.builder().start().await.change_context(Error::Measure)?;
+        fleet.settle(READY_TIMEOUT).await.change_context(Error::Measure)?;
+        time::sleep(SETTLE).await;
+        let load = self.load(&fleet, Load::new(1, duration + WARM_UP));
+        let (_, costs) = tokio::join!(load.run(), read(&fleet, duration));
+        let costs = costs?;
+        let reading = Reading { point: self, busiest: busiest(&costs), mean: mean(&costs) };
+        eprintln!("xtask: {reading}");
+        Ok(reading)
+    }
+
+    fn builder(self) -> rig::Builder {
+        let engine =
+            RunnerPlan::new().args(&["--slots", "8", "--token-interval-ms", "25"]).limits(8, 2);
+        let mut builder = Fleet::builder().routers(self.routers);
+        for zone in ["north-1", "north-2", "north-3"] {
+            builder = builder.zone(zone, REGION);
+        }
+        for number in 1..=self.workspaces {
+            builder = builder.workspace(WorkspacePlan::new(&format!("w{number}")));
+        }
+        builder.service(ServicePlan::engine(SERVICE, REGION).runners(self.runners, &engine))
+    }
+
+    fn load(self, fleet: &Fleet, mut load: Load) -> Load {
+        let per_second = f64::from(self.requests_per_second) / cost::count(self.workspaces);
+        for number in 1..=self.workspaces {
+            let name = format!("w{number}");
+            let caller = fleet.caller_of(&name, number % self.routers);
+            let mix = Mix::of(|_, number| {
+                Call::completion(SERVICE, &format!("question {number}"), TOKENS)
+            });
+            load = load.stream(Stream::new(&name, caller, Arrival::Open { per_second }, mix));
+        }
+        load
+    }
+}
+
+async fn read(fleet: &Fleet, duration: Duration) -> Result<Vec<Cost>, Report<Error>> {
+    time::sleep(WARM_UP).await;
+    let before = cost::statuses(fleet).await?;
+    time::sleep(duration).await;
+    let after = cost::statuses(fleet).await?;
+    Ok(cost::between(&before, &after))
+}
+
+fn busiest(costs: &[Cost]) -> Cost {
+    costs
+        .iter()
+        .copied()
+        .max_by(|a, b| a.bytes_per_second.total_cmp(&b.bytes_per_second))
+        .unwrap_or_default()
+}
+
+fn mean(costs: &[Cost]) -> Cost {
+    let count = cost::count(costs.len()).max(1.0);
+    let sum = |part: fn(&Cost) -> f64| costs.iter().map(part).sum::<f64>() / count;
+    Cost {
+        bytes_per_second: sum(|cost| cost.bytes_per_second),
+        frames_per_second: sum(|cost| cost.frames_per_second),
+        control_percent: sum(|cost| cost.control_percent),
+        process_percent: sum(|cost| cost.process_percent),
+        memory_mib: sum(|cost| cost.memory_mib),
+    }
+}
