--- a/crates/claim/src/commit.rs
+++ b/crates/claim/src/commit.rs
@@ -20,9 +20,12 @@
 /// How long a first entry waits for others.
 const COMMIT_DELAY: Duration = Duration::from_millis(2);
 /// The shortest time from one append to the next.
-const SHORTEST_PACE: Duration = Duration::from_millis(10);
+const SHORTEST_PACE: Duration = Duration::from_millis(25);
 /// The longest time from one append to the next.
-const LONGEST_PACE: Duration = Duration::from_millis(320);
+const LONGEST_PACE: Duration = Duration::from_millis(400);
+
+/// The factor of that time after an append that was not refused.
+const SPEED_UP: f64 = 0.98;
 
 /// The time from one append to the next.
 struct Pace {
@@ -44,7 +47,7 @@
     fn adapt(&mut self, result: Result<u64, Error>) {
         let period = match result {
             Err(Error::Unavailable { .. }) => self.period * 2,
-            _ => self.period.mul_f64(0.95),
+            _ => self.period.mul_f64(SPEED_UP),
         };
         self.period = period.clamp(SHORTEST_PACE, LONGEST_PACE);
     }
--- a/crates/claim/src/health.rs
+++ b/crates/claim/src/health.rs
@@ -63,7 +63,7 @@
     }
 
     /// Returns whether claims are refused after a failed append.
-    pub(crate) fn is_closed(&self, now: Instant) -> bool {
+    fn is_closed(&self, now: Instant) -> bool {
         self.down_until.is_some_and(|until| now < until)
     }
 
--- a/crates/claim/src/state.rs
+++ b/crates/claim/src/state.rs
@@ -43,7 +43,7 @@
 /// Claims that may wait to be read back.
 const WAITERS_LIMIT: usize = 10_000;
 /// Appends of one claim while its caller waits.
-const CLAIM_TRIES: u32 = 3;
+const CLAIM_TRIES: u32 = 5;
 /// The first pause before a record or release is appended again.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Doublings of that pause.
@@ -244,7 +244,7 @@
             return;
         }
         let down = error == Error::Unreachable || pending.tries >= CLAIM_TRIES;
-        if !down && !self.health.is_closed(now) {
+        if !down && self.health.retry_after(now).is_none() {
             self.queue.push(pending);
             return;
         }
--- a/crates/claim/tests/claims.rs
+++ b/crates/claim/tests/claims.rs
@@ -155,6 +155,19 @@
     assert_eq!(server.appends(), 1);
 }
 
+#[tokio::test]
+async fn a_throttled_claim_is_appended_again_within_the_deadline() {
+    let server = Server::start().await;
+    let claims = start(&server).await;
+    server.faults(|faults| faults.appends_per_second = Some(0));
+    let unthrottle = async {
+        until(|| server.throttled() == 1).await;
+        server.faults(|faults| faults.appends_per_second = None);
+    };
+    let (told, ()) = tokio::join!(told(&claims, Uuid::now_v7()), unthrottle);
+    assert_eq!(told, "won");
+}
+
 #[tokio::test]
 async fn silent_connections_are_replaced_within_the_deadline() {
     let server = Server::start().await;
