fix(claim): tell two attempts at one request on the same runner apart

Cause (found by reading, no run): wire::Crash named the request only, so a second crash alone of the same request on a service's only runner counted as the first one again, and a third crash was allowed. Now it names the attempt. Before: the new test judged Suspect; after: Refused.

--- a/crates/claim/src/crashes.rs
+++ b/crates/claim/src/crashes.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
+use base::Attempt;
 use base::Name;
-use base::RequestId;
 use indexmap::IndexMap;
 
 /// For how long a crash counts.
@@ -32,7 +32,7 @@
 /// One crash of a runner.
 #[derive(Debug, PartialEq, Eq)]
 struct Crash {
-    request: RequestId,
+    attempt: Attempt,
     runner: Name,
     alone: bool,
 }
@@ -63,7 +63,7 @@
         self.expire(now);
         self.make_room(news.digest);
         let case = self.cases.entry(news.digest).or_default();
-        let crash = Crash { request: news.request, runner: news.runner.clone(), alone: news.alone };
+        let crash = Crash { attempt: news.attempt, runner: news.runner.clone(), alone: news.alone };
         if case.seen.contains(&crash) {
             return;
         }
--- a/crates/claim/tests/crashes.rs
+++ b/crates/claim/tests/crashes.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use base::Attempt;
 use base::RequestId;
 use claim::Crashes;
 use claim::Judgement;
@@ -19,7 +20,16 @@
 const ROUTERS: usize = 3;
 
 fn crash(digest: u64, request: u128, alone: bool) -> Crash {
-    Crash { digest, runner: "e1".into(), request: RequestId(request), alone }
+    let attempt = Attempt { request: RequestId(request), number: 1 };
+    Crash { digest, runner: "e1".into(), attempt, alone }
+}
+
+#[test]
+fn two_attempts_alone_on_the_same_runner_count_as_two_crashes() {
+    let first = crash(CULPRIT, 1, true);
+    let mut second = first.clone();
+    second.attempt.number = 2;
+    assert_eq!(judge_all(&[first, second]), Judgement::Refused);
 }
 
 fn judge_all(news: &[Crash]) -> Judgement {
--- a/crates/front/src/flow/attempts.rs
+++ b/crates/front/src/flow/attempts.rs
@@ -121,9 +121,7 @@
     /// Takes in that the attempt was answered, which clears a suspected request that ran alone.
     pub(super) fn answered(&self, seat: Seat) {
         if self.alone {
-            let mut crashes =
-                self.gate.crashes.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-            crashes.cleared(self.call.digest);
+            self.gate.with_crashes(|crashes| crashes.cleared(self.call.digest));
         }
         seat.end(Outcome::Answered);
     }
@@ -243,24 +241,15 @@
     }
 
     fn report_crash(&self, seat: &Seat) {
-        self.gate.order(Order::Crash(Crash {
-            digest: self.call.digest,
-            runner: seat.runner().clone(),
-            request: self.call.request,
-            alone: self.alone,
-        }));
         let news = Crash {
             digest: self.call.digest,
             runner: seat.runner().clone(),
-            request: self.call.request,
+            attempt: seat.attempt(),
             alone: self.alone,
         };
         let now = self.gate.now();
-        self.gate
-            .crashes
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
-            .crashed(&news, now);
+        self.gate.with_crashes(|crashes| crashes.crashed(&news, now));
+        self.gate.order(Order::Crash(news));
     }
 
     fn give_back(&mut self, seat: Seat, outcome: Outcome) {
--- a/crates/front/src/gate.rs
+++ b/crates/front/src/gate.rs
@@ -93,7 +93,12 @@
     /// Judges whether a request is known to crash runners.
     pub fn judge(&self, digest: u64) -> Judgement {
         let now = self.now();
-        self.crashes.lock().unwrap_or_else(PoisonError::into_inner).judge(digest, now)
+        self.with_crashes(|crashes| crashes.judge(digest, now))
+    }
+
+    /// Works on the requests that are suspected of crashing runners.
+    pub(crate) fn with_crashes<T>(&self, work: impl FnOnce(&mut Crashes) -> T) -> T {
+        work(&mut self.crashes.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
     /// Takes a first attempt into the retry budget of a workspace.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,5 +1,6 @@
 //! Frames between entries and dispatchers.
 
+use base::Attempt;
 use base::Class;
 use base::Cost;
 use base::Name;
@@ -245,7 +246,7 @@
     /// The crashed runner.
     pub runner: Name,
     /// The attempt that it served.
-    pub request: RequestId,
+    pub attempt: Attempt,
     /// Whether the request was the only one on the runner.
     pub alone: bool,
 }
