--- a/xtask/src/measure/mod.rs
+++ b/xtask/src/measure/mod.rs
@@ -15,11 +15,11 @@
 use clap::value_parser;
 use tokio::runtime;
 
+use self::profile::Profile;
+use self::report::Report;
+use self::trial::Mode;
+use self::trial::Trial;
 use crate::check;
-use profile::Profile;
-use report::Report;
-use trial::Mode;
-use trial::Trial;
 
 /// Seconds of load in one trial unless told otherwise.
 const SECONDS: &str = "35";
--- a/xtask/src/slope/mod.rs
+++ b/xtask/src/slope/mod.rs
@@ -12,10 +12,10 @@
 use serde::Serialize;
 use tokio::runtime;
 
+use self::fit::Line;
+use self::point::Point;
+use self::point::Reading;
 use crate::measure;
-use fit::Line;
-use point::Point;
-use point::Reading;
 
 /// Seconds of load at each point unless told otherwise.
 const SECONDS: &str = "10";
