feat(sched): bound idle reserve, credit and counters over rebuilds

(2) Under misleading hints the gap passed the reported bound after a rebuild: the end of gathering was missed when the last answer ended it, so workspaces were not lifted, and the inherited charges were not in the bound. Both are mended; an entry now tells a new dispatcher only the usage that an earlier one has heard. (3) A workspace that no free slot fits could save credit without limit; it keeps the refund part of the bound. Unchanged counters are no longer sent twice a second.

--- a/crates/sched/src/answer.rs
+++ b/crates/sched/src/answer.rs
@@ -70,7 +70,8 @@
             workspace: running.workspace.clone(),
             class: running.class,
             runner: running.runner.clone(),
-            used: running.used,
+            // What no dispatcher has heard yet follows with the next usage report.
+            used: running.reported.map_or(Cost::ZERO, |(used, _)| used),
         });
         let totals = self.owners.get(shard).and_then(|owner| owner.totals.clone());
         Resync { shard: shard.clone(), term, waiting, running: running.collect(), totals }
--- a/crates/sched/src/charge.rs
+++ b/crates/sched/src/charge.rs
@@ -94,8 +94,12 @@
 /// Returns the bound on the gap between the charges of two backlogged workspaces.
 pub(crate) fn bound<'a>(accounts: impl Iterator<Item = &'a Account> + Clone) -> Cost {
     let overshoot = accounts.clone().map(Account::overshoot).max().unwrap_or_default();
-    let refund = accounts.map(Account::refund).max().unwrap_or_default();
-    overshoot + refund
+    overshoot + credit(accounts)
+}
+
+/// Returns the credit that a workspace keeps while others are granted past it.
+pub(crate) fn credit<'a>(accounts: impl Iterator<Item = &'a Account>) -> Cost {
+    accounts.map(Account::refund).max().unwrap_or_default()
 }
 
 /// The name under which the virtual time travels among the counters.
--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -20,9 +20,11 @@
 use crate::charge::Entered;
 use crate::chart::Event;
 use crate::gather::Gather;
+use crate::idle::Allowance;
 use crate::meter::Meter;
 use crate::runner::Runner;
 use crate::timing::TICK;
+use crate::totals::Copies;
 use crate::workspace::Workspace;
 
 /// A granted request.
@@ -58,10 +60,11 @@
     pub(crate) held: Option<Held>,
     pub(crate) virtual_time: Cost,
     pub(crate) last_interactive: Option<Duration>,
-    pub(crate) inherited_gap: Cost,
+    pub(crate) idle: Allowance,
+    /// The largest charge that an earlier dispatcher has counted.
+    pub(crate) inherited: Cost,
     pub(crate) meter: Meter,
-    pub(crate) totals_due: Duration,
-    pub(crate) totals_sequence: u64,
+    pub(crate) copies: Copies,
     pub(crate) outbox: Vec<Action>,
 }
 
@@ -95,10 +98,10 @@
             held: None,
             virtual_time: Cost::ZERO,
             last_interactive: None,
-            inherited_gap: Cost::ZERO,
+            idle: Allowance::new(now),
+            inherited: Cost::ZERO,
             meter: Meter::new(now),
-            totals_due: now,
-            totals_sequence: 0,
+            copies: Copies::default(),
             outbox: Vec::new(),
         };
         dispatcher.replan(plan, now);
--- a/crates/sched/src/free.rs
+++ b/crates/sched/src/free.rs
@@ -62,8 +62,12 @@
         u32::try_from(here.filter(|running| long(running.class)).count()).unwrap_or(u32::MAX)
     }
 
-    /// Returns whether an interactive request waits or is likely to come.
+    /// Returns whether an interactive request waits or is likely to come, and slots may stand
+    /// idle for it.
     fn keeps_reserve(&self, now: Duration) -> bool {
+        if !self.idle.allows() {
+            return false;
+        }
         let recent = self.last_interactive.is_some_and(|last| now < last + RESERVE_HOLD);
         let waits = || {
             let mut all = self.workspaces.values().flat_map(|workspace| workspace.queue.iter());
--- a/crates/sched/src/gather.rs
+++ b/crates/sched/src/gather.rs
@@ -18,6 +18,7 @@
 use crate::timing::LEASE;
 use crate::timing::SETTLE;
 use crate::timing::TRANSIT;
+use crate::totals::Copies;
 
 /// What is known of a member in this term.
 #[derive(Debug, Clone, Copy)]
@@ -35,6 +36,8 @@
     listed: usize,
     since: Duration,
     done: bool,
+    /// Whether the dispatcher has acted on the end of the gathering.
+    pub(crate) finished: bool,
     asked: Option<Duration>,
     polled: Duration,
     expired: bool,
@@ -55,6 +58,7 @@
             listed,
             since: now,
             done: false,
+            finished: false,
             asked: None,
             polled: now,
             expired: false,
@@ -183,7 +187,7 @@
         let listed = self.gather.listed;
         self.gather = Gather::new(term, members, listed, now);
         self.gather.inherited = true;
-        self.totals_sequence = 0;
+        self.copies = Copies::default();
         for runner in self.runners.values_mut() {
             runner.doubt = true;
         }
--- a/crates/sched/src/grant.rs
+++ b/crates/sched/src/grant.rs
@@ -12,8 +12,6 @@
 use wire::Frame;
 use wire::Grant;
 use wire::Refuse;
-use wire::Total;
-use wire::Totals;
 
 use crate::Action;
 use crate::Dispatcher;
@@ -24,13 +22,8 @@
 use crate::free::Slots;
 use crate::meter;
 use crate::queue::Waiting;
-use crate::rendezvous::successors;
 use crate::timing::AUDIT_AFTER;
 use crate::timing::GRANT_RESEND;
-use crate::timing::TOTALS_PERIOD;
-
-/// Members other than the dispatcher that hold its counters.
-const COUNTER_COPIES: usize = 2;
 
 /// A request and the runner chosen for it.
 struct Choice {
@@ -44,10 +37,9 @@
         if !self.keep_lease(now) {
             return mem::take(&mut self.outbox);
         }
-        let gathered = self.gather.is_done();
         self.gather.review(now);
         self.ask_unheard(now);
-        if !gathered && self.gather.is_done() {
+        if !self.gather.finished && self.gather.is_done() {
             self.finish_gathering();
         }
         self.settle_runners(now);
@@ -100,12 +92,14 @@
         })
     }
 
-    /// Lets workspaces that no free slot fits keep at most one bound of credit.
+    /// Lets workspaces that no free slot fits keep only the credit that keeps the gap in its bound.
     fn limit_credit(&mut self, passed_over: &[Name], granted: &Name) {
         if passed_over.is_empty() {
             return;
         }
-        let floor = self.workspaces[granted].account.charge.saturating_sub(self.bound());
+        let accounts = self.workspaces.values().map(|known| &known.account);
+        let credit = charge::credit(accounts);
+        let floor = self.workspaces[granted].account.charge.saturating_sub(credit);
         for name in passed_over {
             self.workspaces[name].account.lift(floor);
         }
@@ -233,35 +227,14 @@
         }
     }
 
-    fn send_totals(&mut self, now: Duration) {
-        if now < self.totals_due {
-            return;
-        }
-        self.totals_due = now + TOTALS_PERIOD;
-        self.totals_sequence += 1;
-        let counters = self.workspaces.iter().map(|(name, workspace)| Total {
-            workspace: name.clone(),
-            charge: workspace.account.charge,
-        });
-        let time = Total { workspace: charge::virtual_time_name(), charge: self.floor() };
-        let totals = Totals {
-            shard: self.shard.clone(),
-            term: self.gather.term(),
-            sequence: self.totals_sequence,
-            totals: counters.chain([time]).collect(),
-        };
-        let others: Vec<Name> =
-            self.gather.members().filter(|member| **member != self.me).cloned().collect();
-        for successor in successors(&self.shard, &others, COUNTER_COPIES) {
-            self.send(&successor, Frame::Totals(totals.clone()));
-        }
-    }
-
     fn measure(&mut self, now: Duration) {
         let slots = self.slots(now);
         let backlogged = !self.waiting.is_empty();
         let used = slots.iter().map(|slots| slots.occupied.min(slots.limit)).sum();
         let usable = slots.iter().map(|slots| slots.limit).sum();
+        let closed: u32 = slots.iter().map(|slots| slots.free - slots.free_for_long).sum();
+        let idle = if backlogged { closed } else { 0 };
+        self.idle.advance(idle, if backlogged { usable } else { 0 }, now);
         self.meter.advance(meter::Slots { used, usable, backlogged }, now);
         if self.gather.is_done() {
             self.meter.observe_gap(self.gap());
@@ -279,7 +252,8 @@
     /// Returns the bound on the gap.
     pub(crate) fn bound(&self) -> Cost {
         let accounts = self.workspaces.values().map(|workspace| &workspace.account);
-        charge::bound(accounts).max(self.inherited_gap)
+        let inherited = self.inherited.saturating_sub(self.floor());
+        charge::bound(accounts) + inherited
     }
 
     /// Returns the least charge of a backlogged workspace, or the virtual time if there is none.
@@ -290,11 +264,13 @@
 
     /// Lifts workspaces without history after all counters were heard.
     fn finish_gathering(&mut self) {
+        self.gather.finished = true;
         let floor = self.virtual_time;
         for workspace in self.workspaces.values_mut().filter(|known| !known.queue.is_empty()) {
             workspace.account.lift(floor);
         }
-        self.inherited_gap = self.gap();
+        let charges = self.workspaces.values().map(|known| known.account.charge);
+        self.inherited = charges.max().unwrap_or_default();
         log::info!("sched: dispatcher of {} has gathered", self.shard);
     }
 
--- a/crates/sched/src/inbox.rs
+++ b/crates/sched/src/inbox.rs
@@ -66,7 +66,7 @@
             self.last_interactive = Some(now);
         }
         let floor = self.floor();
-        let gathered = self.gather.is_done();
+        let gathered = self.gather.finished;
         self.waiting.insert(waiting.enqueue.request, name.clone());
         let workspace = &mut self.workspaces[&name];
         if gathered && workspace.queue.is_empty() {
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -24,6 +24,7 @@
 mod free;
 mod gather;
 mod grant;
+mod idle;
 mod inbox;
 mod limit;
 mod mean;
@@ -37,6 +38,7 @@
 mod runner;
 mod status;
 pub mod timing;
+mod totals;
 mod workspace;
 
 pub use budget::Budget;
--- a/crates/sched/src/timing.rs
+++ b/crates/sched/src/timing.rs
@@ -30,7 +30,7 @@
 pub const TRANSIT: Duration = Duration::from_millis(500);
 /// Longest time between two polls of a dispatcher.
 pub const TICK: Duration = Duration::from_millis(250);
-/// Time after the last interactive request during which slots stay closed to long ones.
+/// Time after the last interactive request during which further ones are likely.
 pub const RESERVE_HOLD: Duration = Duration::from_secs(10);
 /// Wait of a long or plain request after which it gets every fourth turn of its workspace.
 pub const AGING: Duration = Duration::from_secs(10);
@@ -42,3 +42,5 @@
 pub const ORPHAN_PLAIN: Duration = Duration::from_secs(30);
 /// Time without a call after which an entry takes no grants until it is asked again.
 pub const ENTRY_LEASE: Duration = Duration::from_secs(1);
+/// Period at which unchanged fairness counters go to the successors again.
+pub const TOTALS_REPEAT: Duration = Duration::from_secs(4);
--- a/crates/sched/tests/common/mod.rs
+++ b/crates/sched/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, unreachable_pub, missing_docs)]
 
 pub mod fleet;
+pub mod shop;
 
 use std::time::Duration;
 
--- a/crates/sched/tests/dispatcher.rs
+++ b/crates/sched/tests/dispatcher.rs
@@ -16,14 +16,22 @@
 use common::ready;
 use common::refusals;
 use common::request;
+use common::resync;
 use common::runner;
 use common::shard;
 use common::term;
 use common::workspace;
 use sched::Dispatcher;
 use sched::Kind;
+use wire::Done;
+use wire::Enqueue;
 use wire::Frame;
+use wire::Outcome;
 use wire::Refuse;
+use wire::Resync;
+use wire::Total;
+use wire::Totals;
+use wire::Usage;
 
 fn single(cold: u32, warm: u32) -> Dispatcher {
     let workspaces = vec![workspace("x", 1, 100), workspace("y", 1, 100)];
@@ -77,3 +85,198 @@
     }
     assert_eq!(granted(&dispatcher.poll(ms(700))), [4]);
 }
+
+fn submit(dispatcher: &mut Dispatcher, ids: std::ops::RangeInclusive<u128>, at: u64) -> Vec<u128> {
+    for id in ids {
+        enqueue(dispatcher, request(id, "x", Class::Interactive), ms(at));
+    }
+    granted(&dispatcher.poll(ms(at)))
+}
+
+fn end(dispatcher: &mut Dispatcher, id: u128, outcome: Outcome, at: u64) {
+    let done = Done { outcome, ..answered(id, Cost::tokens(1)) };
+    dispatcher.frame(&name("r1"), &Frame::Done(done), ms(at));
+}
+
+#[test]
+fn paused_dispatcher_grants_nothing_before_a_new_term() {
+    let mut dispatcher = single(2, 2);
+    assert_eq!(submit(&mut dispatcher, 1..=1, 3_000), []);
+    assert!(dispatcher.needs_term());
+    dispatcher.renew(term(2));
+    assert_eq!(granted(&dispatcher.poll(ms(3_000))), []);
+    dispatcher.load(&name("e1"), Some(load(0, false, 1)), ms(3_010));
+    dispatcher.frame(&name("r1"), &resync(term(2)), ms(3_010));
+    assert_eq!(submit(&mut dispatcher, 2..=2, 3_010), [1, 2]);
+}
+
+#[test]
+fn nothing_is_granted_until_all_members_have_answered() {
+    let (me, other) = (name("r1"), name("r2"));
+    let plan = plan(Kind::Engine, vec![runner("e1", 2, 2)], vec![workspace("x", 1, 9)]);
+    let members = vec![me.clone(), other.clone()];
+    let mut dispatcher = Dispatcher::new(plan, me.clone(), term(1), members, 2, ms(0));
+    dispatcher.frame(&me, &resync(term(1)), ms(0));
+    assert_eq!(submit(&mut dispatcher, 1..=1, 0), []);
+    let running = wire::Running {
+        request: RequestId(9),
+        attempt: 1,
+        workspace: name("x"),
+        class: Class::Long,
+        runner: name("e1"),
+        used: Cost::ZERO,
+    };
+    let held = Resync {
+        shard: shard(),
+        term: term(1),
+        waiting: Vec::new(),
+        running: vec![running],
+        totals: None,
+    };
+    dispatcher.frame(&other, &Frame::Resync(held), ms(10));
+    dispatcher.load(&name("e1"), Some(load(1, false, 1)), ms(600));
+    assert_eq!(submit(&mut dispatcher, 2..=2, 600), [1]);
+}
+
+#[test]
+fn minority_side_uses_its_part_after_settling_and_a_report() {
+    let members: Vec<_> = ["r1", "r2"].map(name).to_vec();
+    let plan = plan(Kind::Engine, vec![runner("e1", 5, 5)], vec![workspace("x", 1, 9)]);
+    let mut dispatcher = Dispatcher::new(plan, name("r1"), term(1), members.clone(), 5, ms(0));
+    for member in &members {
+        dispatcher.frame(member, &resync(term(1)), ms(0));
+    }
+    assert_eq!(submit(&mut dispatcher, 1..=5, 0), []);
+    for at in [1_000, 2_000, 3_000] {
+        dispatcher.load(&name("e1"), Some(load(0, false, at)), ms(at - 1));
+        assert_eq!(granted(&dispatcher.poll(ms(at))), []);
+    }
+    dispatcher.load(&name("e1"), Some(load(0, false, 3_001)), ms(3_001));
+    assert_eq!(granted(&dispatcher.poll(ms(3_001))), [1, 2]);
+}
+
+#[test]
+fn suspected_request_runs_alone() {
+    let mut dispatcher = single(2, 2);
+    assert_eq!(submit(&mut dispatcher, 1..=1, 0), [1]);
+    let alone = Enqueue { alone: true, ..request(2, "x", Class::Interactive) };
+    enqueue(&mut dispatcher, alone, ms(0));
+    assert_eq!(submit(&mut dispatcher, 3..=3, 0), []);
+    end(&mut dispatcher, 1, Outcome::Answered, 10);
+    assert_eq!(granted(&dispatcher.poll(ms(10))), [2]);
+    end(&mut dispatcher, 2, Outcome::Answered, 20);
+    assert_eq!(granted(&dispatcher.poll(ms(20))), [3]);
+}
+
+#[test]
+fn request_that_no_runner_may_serve_is_refused_at_once() {
+    let mut dispatcher = single(2, 2);
+    let avoid = vec![name("e1")];
+    enqueue(&mut dispatcher, Enqueue { avoid, ..request(1, "x", Class::Interactive) }, ms(0));
+    let refused = refusals(&dispatcher.poll(ms(0)));
+    assert_eq!(refused.iter().map(|refuse| refuse.flooded).collect::<Vec<_>>(), [false]);
+}
+
+#[test]
+fn wait_that_is_over_is_refused_when_it_is_over() {
+    let mut dispatcher = single(1, 1);
+    assert_eq!(submit(&mut dispatcher, 1..=1, 0), [1]);
+    enqueue(&mut dispatcher, Enqueue { patience_ms: 40, ..request(2, "x", Class::Long) }, ms(0));
+    assert_eq!(refusals(&dispatcher.poll(ms(0))), []);
+    assert_eq!(dispatcher.next_wake(ms(0)), Some(ms(40)));
+    assert_eq!(refusals(&dispatcher.poll(ms(40))).len(), 1);
+}
+
+#[test]
+fn workspace_back_from_idle_has_saved_nothing() {
+    let mut dispatcher = single(1, 1);
+    for id in 1..=20 {
+        assert_eq!(submit(&mut dispatcher, id..=id, 100), [id]);
+        let done = Frame::Done(answered(id, Cost::tokens(100)));
+        dispatcher.frame(&name("r1"), &done, ms(100));
+    }
+    enqueue(&mut dispatcher, request(30, "y", Class::Interactive), ms(100));
+    let status = dispatcher.status(ms(100));
+    let charges: Vec<Cost> = status.workspaces.iter().map(|known| known.charge).collect();
+    assert_eq!(charges, [Cost::tokens(2_000), Cost::tokens(1_900)]);
+}
+
+#[test]
+fn restart_keeps_the_debt_that_a_successor_holds() {
+    let plan = plan(
+        Kind::Plain,
+        vec![runner("p1", 1, 1)],
+        vec![workspace("x", 1, 9), workspace("y", 1, 9)],
+    );
+    let mut dispatcher = Dispatcher::new(plan, name("r1"), term(2), vec![name("r1")], 1, ms(0));
+    let total = |text, tokens| Total { workspace: name(text), charge: Cost::tokens(tokens) };
+    let totals = vec![total("x", 500), total("y", 200)];
+    let totals = Totals { shard: shard(), term: term(1), sequence: 7, totals };
+    let held = Resync {
+        shard: shard(),
+        term: term(2),
+        waiting: vec![request(1, "x", Class::Interactive), request(2, "y", Class::Long)],
+        running: Vec::new(),
+        totals: Some(totals),
+    };
+    dispatcher.frame(&name("r1"), &Frame::Resync(held), ms(0));
+    assert_eq!(granted(&dispatcher.poll(ms(0))), [2]);
+}
+
+#[test]
+fn unreachable_runner_gets_nothing_until_a_report_succeeds() {
+    let mut dispatcher = single(2, 2);
+    assert_eq!(submit(&mut dispatcher, 1..=1, 0), [1]);
+    end(&mut dispatcher, 1, Outcome::Unreachable, 10);
+    assert_eq!(submit(&mut dispatcher, 2..=3, 10), []);
+    dispatcher.load(&name("e1"), Some(load(0, true, 1)), ms(50));
+    assert_eq!(granted(&dispatcher.poll(ms(50))), [2]);
+}
+
+#[test]
+fn broken_connection_turns_a_warm_runner_cold() {
+    let mut dispatcher = single(1, 3);
+    dispatcher.load(&name("e1"), Some(load(0, true, 1)), ms(0));
+    for id in 1..=3 {
+        submit(&mut dispatcher, id..=id, 0);
+        end(&mut dispatcher, id, Outcome::Answered, 0);
+    }
+    assert_eq!(submit(&mut dispatcher, 4..=6, 0), [4, 5, 6]);
+    end(&mut dispatcher, 4, Outcome::Broken, 5);
+    assert_eq!(submit(&mut dispatcher, 7..=7, 5), []);
+    end(&mut dispatcher, 5, Outcome::Answered, 9);
+    end(&mut dispatcher, 6, Outcome::Answered, 9);
+    assert_eq!(submit(&mut dispatcher, 8..=9, 9), [7]);
+}
+
+#[test]
+fn a_slot_is_closed_to_long_requests_until_its_idle_allowance_is_spent() {
+    let mut dispatcher = single(2, 2);
+    assert_eq!(submit(&mut dispatcher, 1..=1, 0), [1]);
+    end(&mut dispatcher, 1, Outcome::Answered, 0);
+    for id in 2..=3 {
+        enqueue(&mut dispatcher, request(id, "y", Class::Long), ms(0));
+    }
+    assert_eq!(granted(&dispatcher.poll(ms(0))), [2]);
+    let usage = Usage { shard: shard(), request: RequestId(2), used: Cost::ZERO };
+    dispatcher.frame(&name("r1"), &Frame::Usage(vec![usage]), ms(0));
+    for at in (250..=2_250).step_by(250) {
+        assert_eq!(granted(&dispatcher.poll(ms(at))), []);
+    }
+    assert_eq!(granted(&dispatcher.poll(ms(2_500))), []);
+    assert_eq!(granted(&dispatcher.poll(ms(2_750))), [3]);
+}
+
+#[test]
+fn affinity_chooses_among_free_runners() {
+    let runners = vec![runner("e1", 2, 2), runner("e2", 2, 2)];
+    let mut dispatcher = ready(plan(Kind::Engine, runners, vec![workspace("x", 1, 9)]));
+    let mut placed = Vec::new();
+    for id in 1..=4 {
+        let prefix = u64::from(id != 2) * 7;
+        enqueue(&mut dispatcher, Enqueue { prefix, ..request(id, "x", Class::Interactive) }, ms(0));
+        let grants = common::grants(&dispatcher.poll(ms(0)));
+        placed.extend(grants.into_iter().map(|grant| grant.runner));
+    }
+    assert_eq!(placed, ["e1", "e2", "e1", "e2"].map(name));
+}
