fix(node): answer a placement order once another process has it

Cause (found by the zones test, 1 of 5 runs red): a router answered 'zone out' right after queueing the gossip; killed at once, it took the order with it. Ruled out: gossip loss, the order was at no other router after 3 s. Now the order also goes to all members as a frame that each acknowledges, and the operator is answered at the first acknowledgement or when the log has it; after 1 s without either, 503 may-have-run. Also a NotOwner frame reaches the dispatcher it answers, not only the entry.

--- a/crates/front/src/operator.rs
+++ b/crates/front/src/operator.rs
@@ -96,6 +96,14 @@
 async fn order_placement(request: Result<Request, Problem>) -> Result<Response<Body>, Problem> {
     let Read { gate, value } = body::<Placement>(request?).await?;
     let counter = send(&gate, |reply| Order::Place { placement: value, reply }).await?;
+    let counter = counter.ok_or_else(|| {
+        Problem::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            base::Verdict::MayHaveRun,
+            "only this router has the order so far; give it again to be sure",
+        )
+        .retry_after(LOG_RETRY)
+    })?;
     Ok(problem::json(StatusCode::OK, &Placed { counter }))
 }
 
--- a/crates/front/src/order.rs
+++ b/crates/front/src/order.rs
@@ -108,8 +108,8 @@
     Place {
         /// The order.
         placement: Placement,
-        /// Receives the counter of the order.
-        reply: oneshot::Sender<u64>,
+        /// Receives the counter of the order; none when no other process has it yet.
+        reply: oneshot::Sender<Option<u64>>,
     },
     /// An operator asks for the status.
     Status {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -49,6 +49,7 @@
 use tokio::time;
 use wire::Shard;
 
+use self::placement::PendingOrder;
 use crate::input::Input;
 use crate::input::Target;
 use crate::usage::Usage;
@@ -119,6 +120,7 @@
     usage: Usage,
     chain: Chain,
     pending: Vec<Pending>,
+    pending_orders: Vec<PendingOrder>,
     config_wanted: u64,
     config_chase_due: Duration,
     config_chases: usize,
@@ -152,6 +154,7 @@
             usage: Usage::default(),
             chain: Chain::new(),
             pending: Vec::new(),
+            pending_orders: Vec::new(),
             config_wanted: 0,
             config_chase_due: Duration::ZERO,
             config_chases: 0,
@@ -212,6 +215,7 @@
             Input::Load { shard, runner, load } => self.loaded(&shard, &runner, load),
             Input::Appended { ticket, result } => self.appended(ticket, &result),
             Input::Republished { number } => self.republish_ended(number),
+            Input::OrderKept(order) => self.order_heard(&order),
             Input::Leave => self.leave(),
             Input::Stop => return false,
         }
--- a/crates/node/src/control/order.rs
+++ b/crates/node/src/control/order.rs
@@ -23,10 +23,7 @@
             }
             Order::Crash(crash) => self.broadcast(&Frame::Crash(crash)),
             Order::Apply { base, text, reply } => self.apply(base, text, reply),
-            Order::Place { placement, reply } => {
-                let counter = self.place(&placement);
-                let _unheard = reply.send(counter);
-            }
+            Order::Place { placement, reply } => self.place(&placement, reply),
             Order::Status { reply } => drop(reply.send(self.status())),
             Order::Config { reply } => drop(reply.send(self.config_content())),
         }
@@ -47,7 +44,8 @@
         }
     }
 
-    fn broadcast(&self, frame: &Frame) {
+    /// Sends a frame to all other live members.
+    pub(super) fn broadcast(&self, frame: &Frame) {
         for member in &self.members {
             if member.name != self.me && member.state.is_live() {
                 self.mesh.send(&member.name, frame.clone());
--- a/crates/node/src/control/placement.rs
+++ b/crates/node/src/control/placement.rs
@@ -11,11 +11,13 @@
 use indexmap::IndexSet;
 use mesh::Register;
 use plat::Log;
-use serde::Deserialize;
-use serde::Serialize;
+use tokio::sync::oneshot;
 use tokio::time;
+use wire::Frame;
+use wire::Placed;
 
 use super::Control;
+use crate::input::Input;
 use crate::tail::PLACEMENT_STREAM;
 
 /// Prefix of registers that tell whether a router leaves.
@@ -27,14 +29,15 @@
 /// Pause before the log is asked again to keep an order.
 const KEEP_PAUSE: Duration = Duration::from_millis(500);
 
-/// An order as the log keeps it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct Kept {
-    key: Name,
-    counter: u64,
-    out: bool,
-    by: Name,
+/// Longest wait until a member or the log has an order too.
+const HEARD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// An order that no other process is known to have.
+#[derive(Debug)]
+pub(super) struct PendingOrder {
+    order: Placed,
+    deadline: Duration,
+    reply: oneshot::Sender<Option<u64>>,
 }
 
 /// Returns whether a runner or router is out, by itself or with its zone.
@@ -52,29 +55,62 @@
 }
 
 impl Control {
-    /// Takes a zone or an instance out or back and returns the counter of the order.
-    pub(super) fn place(&mut self, placement: &Placement) -> u64 {
+    /// Takes a zone or an instance out or back; answered once a member or the log has the order too.
+    pub(super) fn place(&mut self, placement: &Placement, reply: oneshot::Sender<Option<u64>>) {
         let key = Name::from(format!("{}/{}", placement.kind, placement.name).as_str());
         let known = self.mesh.registers().into_iter().find(|register| register.key == key);
         let counter = known.map_or(0, |register| register.counter) + 1;
-        let kept = Kept { key, counter, out: placement.out, by: self.me.clone() };
+        let kept = Placed { key, counter, out: placement.out, by: self.me.clone() };
         self.mesh.publish(register_of(&kept));
+        self.broadcast(&Frame::Placed(kept.clone()));
         self.keep(&kept);
         self.placed(&kept);
-        counter
+        let deadline = self.now() + HEARD_TIMEOUT;
+        self.pending_orders.push(PendingOrder { order: kept, deadline, reply });
+    }
+
+    /// Takes in that a member or the log has an order of this router, which answers the operator.
+    pub(super) fn order_heard(&mut self, order: &Placed) {
+        while let Some(index) =
+            self.pending_orders.iter().position(|pending| pending.order == *order)
+        {
+            let pending = self.pending_orders.swap_remove(index);
+            let _unheard = pending.reply.send(Some(order.counter));
+        }
+    }
+
+    /// Answers operators whose order nobody else has in time.
+    pub(super) fn expire_orders(&mut self) {
+        let now = self.now();
+        while let Some(index) =
+            self.pending_orders.iter().position(|pending| pending.deadline <= now)
+        {
+            let pending = self.pending_orders.swap_remove(index);
+            let _unheard = pending.reply.send(None);
+        }
+    }
+
+    /// Takes in an order that another router has taken, and tells it so.
+    pub(super) fn order_received(&mut self, from: &Name, order: &Placed) {
+        self.merge_order(order);
+        self.mesh.send(from, Frame::PlacedHeard(order.clone()));
     }
 
     /// Takes in an order that the log has kept.
     pub(super) fn placement_record(&mut self, body: &str) {
-        let Ok(kept) = serde_json::from_str::<Kept>(body) else {
+        let Ok(kept) = serde_json::from_str::<Placed>(body) else {
             log::warn!("node: a record of the placement stream is malformed");
             return;
         };
-        let register = register_of(&kept);
-        let known = self.mesh.registers().into_iter().find(|register| register.key == kept.key);
-        if known.is_none_or(|known| register.beats(&known)) {
+        self.merge_order(&kept);
+    }
+
+    fn merge_order(&mut self, order: &Placed) {
+        let register = register_of(order);
+        let known = self.mesh.registers().into_iter().find(|register| register.key == order.key);
+        if is_order(&order.key) && known.is_none_or(|known| register.beats(&known)) {
             self.mesh.publish(register);
-            self.placed(&kept);
+            self.placed(order);
         }
     }
 
@@ -96,7 +132,7 @@
     pub(super) fn kept_orders(&self) -> Vec<String> {
         let registers = self.mesh.registers().into_iter();
         let orders = registers.filter(|register| is_order(&register.key));
-        let kept = orders.map(|register| Kept {
+        let kept = orders.map(|register| Placed {
             out: register.value == OUT,
             key: register.key,
             counter: register.counter,
@@ -127,10 +163,10 @@
     pub(super) fn publish_leaving(&self, leaving: bool) {
         let key = Name::from(format!("{LEAVING}{}", self.me).as_str());
         let counter = self.shared.clock.now().millis();
-        self.mesh.publish(register_of(&Kept { key, counter, out: leaving, by: self.me.clone() }));
+        self.mesh.publish(register_of(&Placed { key, counter, out: leaving, by: self.me.clone() }));
     }
 
-    fn placed(&mut self, kept: &Kept) {
+    fn placed(&mut self, kept: &Placed) {
         let state = if kept.out { "out" } else { "back" };
         log::info!("node: {} is {state}", kept.key);
         self.note(
@@ -140,10 +176,15 @@
         self.review();
     }
 
-    fn keep(&mut self, kept: &Kept) {
+    fn keep(&mut self, kept: &Placed) {
         let body = encode(kept);
         let log = self.log.clone();
-        self.tasks.spawn(keep_in_log(log, body));
+        let feed = self.ports.feed.clone();
+        let order = kept.clone();
+        self.tasks.spawn(async move {
+            keep_in_log(log, body).await;
+            drop(feed.send(Input::OrderKept(order)).await);
+        });
     }
 }
 
@@ -159,11 +200,11 @@
     key.as_str().starts_with("zone/") || key.as_str().starts_with("instance/")
 }
 
-fn encode(kept: &Kept) -> String {
+fn encode(kept: &Placed) -> String {
     serde_json::to_string(kept).expect("an order has only plain fields")
 }
 
-fn register_of(kept: &Kept) -> Register {
+fn register_of(kept: &Placed) -> Register {
     Register {
         key: kept.key.clone(),
         counter: kept.counter,
--- a/crates/node/src/control/route.rs
+++ b/crates/node/src/control/route.rs
@@ -24,6 +24,7 @@
     /// Makes all decisions that are due and delivers what they send.
     pub(super) fn settle(&mut self) {
         self.expire_pending();
+        self.expire_orders();
         self.chase_config();
         self.republish();
         self.report_usage();
@@ -44,6 +45,8 @@
         match frame {
             Frame::ConfigPull { version } => self.config_pulled(from, *version),
             Frame::ConfigPush(content) => self.config_pushed(content),
+            Frame::Placed(order) => self.order_received(from, order),
+            Frame::PlacedHeard(order) => self.order_heard(order),
             Frame::Crash(crash) => {
                 let now = self.now();
                 self.with_crashes(|crashes| crashes.crashed(crash, now));
@@ -55,9 +58,15 @@
     fn deliver(&mut self, from: &Name, frame: &Frame) {
         let now = self.now();
         match frame {
-            Frame::Grant(_) | Frame::Refuse(_) | Frame::TakeOver(_) | Frame::NotOwner(_) => {
+            Frame::Grant(_) | Frame::Refuse(_) | Frame::TakeOver(_) => {
                 self.entry.frame(from, frame, now);
             }
+            Frame::NotOwner(not_owner) => {
+                self.entry.frame(from, frame, now);
+                if let Some(dispatcher) = self.dispatchers.get_mut(&not_owner.shard) {
+                    dispatcher.frame(from, frame, now);
+                }
+            }
             Frame::Totals(totals) => {
                 self.entry.frame(from, frame, now);
                 if let Some(dispatcher) = self.dispatchers.get_mut(&totals.shard) {
@@ -69,7 +78,11 @@
             Frame::Cancel(cancel) => self.deliver_to(from, &cancel.shard, frame),
             Frame::Done(done) => self.deliver_to(from, &done.shard, frame),
             Frame::Resync(resync) => self.deliver_to(from, &resync.shard, frame),
-            Frame::ConfigPull { .. } | Frame::ConfigPush(_) | Frame::Crash(_) => (),
+            Frame::ConfigPull { .. }
+            | Frame::ConfigPush(_)
+            | Frame::Placed(_)
+            | Frame::PlacedHeard(_)
+            | Frame::Crash(_) => (),
         }
     }
 
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -51,6 +51,8 @@
         /// The number of its version.
         number: Option<u64>,
     },
+    /// The log has an operator's order of this router.
+    OrderKept(wire::Placed),
     /// This router begins to leave.
     Leave,
     /// The control thread ends.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -42,6 +42,10 @@
     },
     /// The content of a configuration version.
     ConfigPush(ConfigContent),
+    /// The router that took an operator's order to all: a zone or instance is out or back.
+    Placed(Placed),
+    /// The answer to [`Frame::Placed`].
+    PlacedHeard(Placed),
     /// Any router to all: a runner crashed while it served a request with this digest.
     Crash(Crash),
 }
@@ -238,6 +242,19 @@
     pub text: String,
 }
 
+/// An operator's order about a zone or an instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placed {
+    /// The kind and name of what is placed, such as `zone/derby`.
+    pub key: Name,
+    /// The version of the order: the higher one wins.
+    pub counter: u64,
+    /// Whether it is out; wins over back at the same counter.
+    pub out: bool,
+    /// The router that took the order.
+    pub by: Name,
+}
+
 /// A crash of a runner while it served a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
