--- a/crates/sched/src/free.rs
+++ b/crates/sched/src/free.rs
@@ -26,42 +26,64 @@
     pub(crate) free_for_long: u32,
 }
 
+/// The granted requests on one runner.
+#[derive(Debug, Clone, Default)]
+struct Here {
+    /// When each was granted.
+    granted: Vec<Duration>,
+    /// How many are long.
+    long: u32,
+    /// Whether one must run alone.
+    runs_alone: bool,
+}
+
 impl Dispatcher {
     /// Returns the slots of all runners.
     pub(crate) fn slots(&self, now: Duration) -> Vec<Slots> {
         let reserved = self.keeps_reserve(now);
-        self.runners
-            .iter()
-            .map(|(name, runner)| self.slots_of(name, runner, reserved, now))
+        let census = self.census();
+        let runners = self.runners.iter().zip(&census);
+        runners
+            .map(|((name, runner), here)| self.slots_of(name, runner, here, reserved, now))
             .collect()
     }
 
-    fn slots_of(&self, name: &Name, runner: &Runner, reserved: bool, now: Duration) -> Slots {
-        let counted = self.counted(name);
+    /// Counts the granted requests of all runners in one pass.
+    fn census(&self) -> Vec<Here> {
+        let mut census = vec![Here::default(); self.runners.len()];
+        for running in self.running.values() {
+            let Some(index) = self.runners.get_index_of(&running.runner) else { continue };
+            let here = &mut census[index];
+            here.granted.push(running.granted);
+            here.long += u32::from(Lane::of(running.class) == Lane::Long);
+            here.runs_alone |= running.alone;
+        }
+        census
+    }
+
+    fn slots_of(
+        &self,
+        name: &Name,
+        runner: &Runner,
+        here: &Here,
+        reserved: bool,
+        now: Duration,
+    ) -> Slots {
+        let counted = &here.granted;
         let own = u32::try_from(counted.len()).unwrap_or(u32::MAX);
         let strict = !runner.is_warm() && (runner.doubt || !self.gather.is_complete());
-        let foreign = runner.foreign(&counted, strict, self.kind, now);
+        let foreign = runner.foreign(counted, strict, self.kind, now);
         let whole = runner.limit();
         let limit = self.gather.share(whole);
         let occupied = own.saturating_add(foreign);
-        let open = self.permits(runner, now) && !self.runs_alone(name);
+        let open = self.permits(runner, now) && !here.runs_alone;
         let free = limit.saturating_sub(own).min(whole.saturating_sub(occupied));
         let free = if open { free } else { 0 };
         let closed = if reserved { reserve(limit) } else { 0 };
-        let long = (limit - closed).saturating_sub(self.long_on(name));
+        let long = (limit - closed).saturating_sub(here.long);
         Slots { runner: name.clone(), limit, occupied, free, free_for_long: free.min(long) }
     }
 
-    fn runs_alone(&self, runner: &Name) -> bool {
-        self.running.values().any(|running| running.alone && running.runner == *runner)
-    }
-
-    fn long_on(&self, runner: &Name) -> u32 {
-        let long = |class: Class| Lane::of(class) == Lane::Long;
-        let here = self.running.values().filter(|running| running.runner == *runner);
-        u32::try_from(here.filter(|running| long(running.class)).count()).unwrap_or(u32::MAX)
-    }
-
     /// Returns whether an interactive request waits or is likely to come, and slots may stand
     /// idle for it.
     fn keeps_reserve(&self, now: Duration) -> bool {
--- a/crates/sched/tests/common/fleet.rs
+++ b/crates/sched/tests/common/fleet.rs
@@ -89,6 +89,8 @@
     pub fates: IndexMap<RequestId, Fate>,
     pub durations: std::ops::Range<u64>,
     pub loss: f64,
+    /// When requests were granted.
+    pub grants: Vec<Duration>,
     plan: Plan,
     rng: StdRng,
     events: BTreeMap<(Duration, u64), Event>,
@@ -105,6 +107,7 @@
             fates: IndexMap::new(),
             durations: 100..3_000,
             loss: 0.02,
+            grants: Vec::new(),
             plan,
             rng: StdRng::seed_from_u64(seed),
             events: BTreeMap::new(),
@@ -175,6 +178,13 @@
         self.fates.iter().filter(|(_, fate)| odd(fate)).map(|(request, _)| *request).collect()
     }
 
+    /// Returns the node that dispatches, if exactly one does.
+    pub fn dispatcher(&self) -> Option<usize> {
+        let dispatches = |node: &&Node| node.dispatcher.is_some();
+        let one = self.nodes.iter().filter(dispatches).count() == 1;
+        self.nodes.iter().position(|node| one && node.dispatcher.is_some())
+    }
+
     fn step(&mut self, event: Event) {
         if let Some(node) = event.node() {
             if !self.nodes[node].alive {
@@ -264,6 +274,7 @@
             EntryAction::Refused(refuse) => self.fates[&refuse.request].refused += 1,
             EntryAction::Granted(grant) => {
                 self.fates[&grant.request].granted += 1;
+                self.grants.push(self.now);
                 let place = self.plan.runners.iter().position(|known| known.name == grant.runner);
                 let runner = place.expect("granted runners are planned");
                 let attempt = Attempt { request: grant.request, number: grant.attempt };
