feat(xtask): run every fault at every step of a request's life

Single tests can't show that for each of 15 faults at each of 9 steps, so a matrix strikes calls on a fleet of real processes.

A cell holds the call at its step by the means of the stand-ins (full slots, slow links, slow reads of the log), sees in the time line and the runners' journals that the step is reached, strikes, and checks the caller's answer, the verdict against the journals, the executions of the key after repeats elsewhere, that each router serves each kind of call afterwards, and that none has panicked. Sleeping instead of watching the time line was ruled out: a loaded machine misses the step unseen.

The stand-ins learn to hold reads of the log, to turn an engine warm, and to let a plain service fall.

--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -147,6 +147,7 @@
     match name {
         "journal" => return reply::json(StatusCode::OK, &engine.report()),
         "cold" => engine.turn_cold(),
+        "warm" => engine.turn_warm(),
         "crash" => engine.fall(),
         "silent" | "refuse_resume" => match reply::parse::<Switch>(bytes) {
             Ok(switch) if name == "silent" => engine.silence(switch.on),
--- a/crates/fake/src/engine/state.rs
+++ b/crates/fake/src/engine/state.rs
@@ -204,6 +204,11 @@
         state.completed = 0;
     }
 
+    /// Turns warm at once.
+    pub(super) fn turn_warm(&self) {
+        self.state().is_cold = false;
+    }
+
     pub(super) fn silence(&self, is_on: bool) {
         if is_on {
             self.hub.stall();
--- a/crates/fake/src/platform.rs
+++ b/crates/fake/src/platform.rs
@@ -55,6 +55,8 @@
     pub log_down: Option<bool>,
     /// Delay of each call of the log.
     pub log_delay_ms: Option<u64>,
+    /// Delay of each answer to a read that holds records.
+    pub read_delay_ms: Option<u64>,
     /// How many appends take effect without an answer.
     pub lose_answers: Option<u32>,
     /// All reads of the list of instances fail.
@@ -65,6 +67,7 @@
     fn merge(&mut self, other: Self) {
         self.log_down = other.log_down.or(self.log_down);
         self.log_delay_ms = other.log_delay_ms.or(self.log_delay_ms);
+        self.read_delay_ms = other.read_delay_ms.or(self.read_delay_ms);
         self.lose_answers = other.lose_answers.or(self.lose_answers);
         self.instances_down = other.instances_down.or(self.instances_down);
     }
@@ -197,13 +200,26 @@
             if page.is_gone() {
                 return Ok(reply::json(StatusCode::GONE, &page.bounds()));
             }
-            if !page.is_empty() || Instant::now() >= deadline {
+            if !page.is_empty() {
+                return Ok(self.late(&page).await);
+            }
+            if Instant::now() >= deadline {
                 return Ok(reply::json(StatusCode::OK, &page));
             }
             let _ = tokio::time::timeout_at(deadline, changed).await;
         }
     }
 
+    /// Answers with records after the delay of reads.
+    async fn late(&self, page: &log::Page) -> reply::Answer {
+        let delay = self.state().faults.read_delay_ms.unwrap_or_default();
+        tokio::time::sleep(Duration::from_millis(delay)).await;
+        if self.log_is_down() {
+            return reply::empty(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        reply::json(StatusCode::OK, page)
+    }
+
     async fn bounds(&self, stream: &str) -> Reply {
         if !self.log_is_up().await {
             return Ok(reply::empty(StatusCode::SERVICE_UNAVAILABLE));
--- a/crates/fake/src/service.rs
+++ b/crates/fake/src/service.rs
@@ -29,6 +29,8 @@
 use crate::server::Call;
 use crate::server::Hub;
 
+/// How long connections are refused after a fall.
+const FALL: Duration = Duration::from_millis(500);
 /// The header that names the attempt.
 const ATTEMPT: &str = "x-attempt-id";
 
@@ -233,6 +235,11 @@
                     self.hub.stall();
                 }
             }),
+            "fall" => {
+                self.state().falls += 1;
+                self.hub.fall(FALL);
+                Ok(())
+            }
             "crash" => reply::parse::<Crash>(bytes).map(|crash| self.state().crash = crash),
             "late" => reply::parse::<Late>(bytes).map(|late| self.state().late = Some(late)),
             _ => return reply::empty(StatusCode::NOT_FOUND),
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod exchange;
 mod fleet;
 mod load;
+pub mod matrix;
 mod mix;
 mod network;
 mod part;
--- /dev/null
+++ b/crates/rig/src/matrix/cell.rs
@@ -0,0 +1,138 @@
+//! One cell of the matrix and how it ended.
+
+use std::fmt;
+use std::time::Duration;
+
+use strum::Display;
+use strum::EnumIter;
+use strum::EnumString;
+use strum::IntoEnumIterator;
+
+use crate::Call;
+use crate::matrix::Fault;
+use crate::matrix::Step;
+
+/// The service of models.
+pub(super) const MODEL: &str = "belay";
+/// The plain service.
+pub(super) const PLAIN: &str = "ledger";
+/// Tokens of the model call.
+pub(super) const TOKENS: u32 = 30;
+
+/// The kind of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumIter, EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Kind {
+    /// A streamed model call.
+    Model,
+    /// A non-idempotent call.
+    Once,
+}
+
+impl Kind {
+    /// Returns the service that is called.
+    pub(super) const fn service(self) -> &'static str {
+        match self {
+            Self::Model => MODEL,
+            Self::Once => PLAIN,
+        }
+    }
+
+    /// Returns a call with this text, which is the prompt or the body.
+    pub(super) fn call(self, text: &str) -> Call {
+        match self {
+            Self::Model => Call::completion(MODEL, text, TOKENS),
+            Self::Once => Call::once(PLAIN, "/ascents", text),
+        }
+    }
+}
+
+/// One cell of the matrix.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Cell {
+    /// The fault.
+    pub fault: Fault,
+    /// The step at which it strikes.
+    pub step: Step,
+    /// The kind of call.
+    pub kind: Kind,
+    /// What decides about the roles of routers and about small delays.
+    pub seed: u64,
+}
+
+impl Cell {
+    /// Returns all cells, those that can't happen included.
+    #[must_use]
+    pub fn all(seed: u64) -> Vec<Self> {
+        let mut cells = Vec::new();
+        for fault in Fault::iter() {
+            for step in Step::iter() {
+                cells.extend(Kind::iter().map(|kind| Self { fault, step, kind, seed }));
+            }
+        }
+        cells
+    }
+
+    /// Returns the cells of the quick subset.
+    #[must_use]
+    pub fn quick(seed: u64) -> Vec<Self> {
+        let picked = [
+            (Fault::KillEntry, Step::Claimed, Kind::Once),
+            (Fault::KillEntry, Step::Sent, Kind::Once),
+            (Fault::KillDispatcher, Step::Queued, Kind::Model),
+            (Fault::PauseDispatcher, Step::Granted, Kind::Model),
+            (Fault::Cut, Step::Accepted, Kind::Once),
+            (Fault::SilentRunner, Step::Streaming, Kind::Model),
+            (Fault::RunnerCrash, Step::FirstByte, Kind::Model),
+            (Fault::LogDown, Step::Claimed, Kind::Once),
+            (Fault::LostAnswer, Step::Granted, Kind::Once),
+            (Fault::EmptyRestart, Step::Finished, Kind::Once),
+        ];
+        picked.map(|(fault, step, kind)| Self { fault, step, kind, seed }).to_vec()
+    }
+
+    /// Returns why the cell can't happen, if so.
+    #[must_use]
+    pub const fn missing(&self) -> Option<&'static str> {
+        self.fault.missing(self.kind, self.step)
+    }
+}
+
+impl fmt::Display for Cell {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} at {} of {}", self.fault, self.step, self.kind)
+    }
+}
+
+/// What the caller got for the struck call in a cell that passed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Ending {
+    /// The whole right answer.
+    Whole,
+    /// A final refusal or an explicit error.
+    Refused,
+    /// The connection broke with the router.
+    Broken,
+}
+
+/// How a cell ended.
+#[derive(Debug, Clone)]
+pub struct Report {
+    /// The cell.
+    pub cell: Cell,
+    /// What the struck call got.
+    pub ending: Option<Ending>,
+    /// All that was wrong; nothing if the cell passed.
+    pub faults: Vec<String>,
+    /// How long the cell took.
+    pub took: Duration,
+}
+
+impl Report {
+    /// Returns whether all checks held.
+    #[must_use]
+    pub const fn is_passed(&self) -> bool {
+        self.faults.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/rig/src/matrix/ground.rs
@@ -0,0 +1,122 @@
+//! The fleet on which cells are run.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use error_stack::Report;
+use http::Method;
+use indexmap::IndexMap;
+use serde_json::json;
+
+use crate::Error;
+use crate::Faults;
+use crate::Fleet;
+use crate::RunnerPlan;
+use crate::ServicePlan;
+use crate::WorkspacePlan;
+use crate::matrix;
+use crate::matrix::Cell;
+use crate::matrix::cell::MODEL;
+use crate::matrix::cell::PLAIN;
+use crate::matrix::heal;
+use crate::matrix::trial::Trial;
+
+/// The region of all zones.
+const REGION: &str = "midlands";
+/// The workspace of struck calls.
+pub(super) const PROBE: &str = "crag";
+/// The workspace of calls that hold slots.
+pub(super) const FILLER: &str = "gym";
+/// Slots of each runner.
+const SLOTS: u32 = 2;
+/// Longest wait for the fleet to be ready for a cell.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A fleet of three routers behind a faulty network.
+#[derive(Debug)]
+pub struct Ground {
+    pub(super) fleet: Fleet,
+    /// Number of the next call, so that no two calls are alike.
+    pub(super) number: u64,
+}
+
+impl Ground {
+    /// Starts the fleet.
+    ///
+    /// # Errors
+    /// Returns an error when it doesn't start.
+    pub async fn start() -> Result<Self, Report<Error>> {
+        let timeouts = json!({
+            "first_byte_ms": 2500, "between_bytes_ms": 1500, "queue_ms": 8000, "long_queue_ms": 8000,
+        });
+        let args = ["--first-token-ms", "400", "--token-interval-ms", "30", "--fall-ms", "500"];
+        let engine = RunnerPlan::new().args(&args).limits(SLOTS, SLOTS);
+        let service = RunnerPlan::new().args(&["--service-ms", "500"]).limits(SLOTS, SLOTS);
+        let fleet = Fleet::builder()
+            .zone("derby", REGION)
+            .zone("matlock", REGION)
+            .zone("buxton", REGION)
+            .routers(3)
+            .workspace(WorkspacePlan::new(PROBE))
+            .workspace(WorkspacePlan::new(FILLER))
+            .service(
+                ServicePlan::engine(MODEL, REGION)
+                    .runners(2, &engine)
+                    .field("timeouts", timeouts.clone()),
+            )
+            .service(
+                ServicePlan::plain(PLAIN, REGION).runners(2, &service).field("timeouts", timeouts),
+            )
+            .setting("log_level", json!("debug"))
+            .proxied()
+            .start()
+            .await?;
+        Ok(Self { fleet, number: 0 })
+    }
+
+    /// Runs a cell and brings the fleet back to order.
+    pub async fn run(&mut self, cell: Cell) -> matrix::Report {
+        let begun = Instant::now();
+        let mut report =
+            matrix::Report { cell, ending: None, faults: Vec::new(), took: Duration::ZERO };
+        match self.roles(cell, READY_TIMEOUT).await {
+            Ok(roles) => Trial::new(self, roles, &mut report).run().await,
+            Err(error) => report.faults.push(format!("the fleet wasn't ready: {error:#}")),
+        }
+        report.faults.extend(self.restore().await);
+        report.took = begun.elapsed();
+        report
+    }
+
+    /// Returns the logs of all routers by name.
+    #[must_use]
+    pub fn logs(&self) -> IndexMap<String, String> {
+        let routers = self.fleet.routers.iter();
+        routers.map(|router| (router.name().to_owned(), router.process.log())).collect()
+    }
+
+    /// Returns the time line of a router as JSON.
+    pub async fn timeline(&self, router: usize) -> String {
+        let answer = self.fleet.operate(router, Method::GET, "/operator/timeline", "").await;
+        let body = answer.map(http::Response::into_body).unwrap_or_default();
+        String::from_utf8_lossy(&body).into_owned()
+    }
+
+    /// Returns a text that no other call has.
+    pub(super) fn text(&mut self, what: &str) -> String {
+        self.number += 1;
+        format!("{what} number {} of {}", self.number, self.fleet.platform().address())
+    }
+
+    /// Changes the faults of the platform.
+    pub(super) async fn platform(&self, faults: Faults) -> Result<(), Report<Error>> {
+        self.fleet.platform().control("faults", &faults).await.map(|_| ())
+    }
+
+    async fn restore(&mut self) -> Vec<String> {
+        match heal::restore(self).await {
+            Ok(faults) => faults,
+            Err(error) => vec![format!("the fleet couldn't be brought back to order: {error:#}")],
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/matrix/repeat.rs
@@ -0,0 +1,85 @@
+//! The calls that follow a struck call: the same key again, or a model call anew.
+
+use std::time::Duration;
+
+use base::Verdict;
+use tokio::time::Instant;
+
+use crate::Answer;
+use crate::matrix::Ending;
+use crate::matrix::Fault;
+use crate::matrix::check;
+use crate::matrix::ground::PROBE;
+use crate::matrix::trial::Trial;
+
+/// How long a caller repeats a call before it must have a final outcome.
+const REPEAT_TIMEOUT: Duration = Duration::from_secs(15);
+/// How often the same call is said to have been sent before the caller takes that as final.
+const UNKNOWN_LIMIT: u32 = 3;
+/// Time between two repeats.
+const REPEAT_PAUSE: Duration = Duration::from_millis(400);
+/// Status of a call whose key was sent before.
+const CONFLICT: u16 = 409;
+
+impl Trial<'_> {
+    /// Calls a model once more elsewhere if the connection to the entry broke.
+    pub(super) async fn call_again(&mut self, first: &Answer) -> Vec<Answer> {
+        if first.failure.is_none() {
+            return Vec::new();
+        }
+        let caller = self.ground.fleet.caller_of(PROBE, self.roles.other);
+        let answer = caller.call(&self.call).await;
+        if let Err(fault) = check::judge(&self.call, &answer, false) {
+            self.fault(format!("the call at another router: {fault}"));
+        }
+        vec![answer]
+    }
+
+    /// Sends the same key at another router until there is a final outcome.
+    pub(super) async fn repeat(&mut self, first: &Answer) -> Vec<Answer> {
+        let target = match self.cell.fault {
+            Fault::EmptyRestart => self.roles.entry,
+            _ => self.roles.other,
+        };
+        let caller = self.ground.fleet.caller_of(PROBE, target);
+        let deadline = Instant::now() + REPEAT_TIMEOUT;
+        let (mut answers, mut unknown) = (Vec::new(), 0);
+        loop {
+            let answer = caller.call(&self.call).await;
+            let judged = check::judge(&self.call, &answer, false);
+            let is_unknown = is_conflict(&answer);
+            answers.push(answer);
+            unknown += u32::from(is_unknown);
+            match judged {
+                Err(fault) => {
+                    self.fault(format!("the repeat: {fault}"));
+                    return answers;
+                }
+                Ok(Ending::Whole) => {
+                    self.compare(first, &answers[answers.len() - 1]);
+                    return answers;
+                }
+                Ok(_) if unknown >= UNKNOWN_LIMIT => return answers,
+                Ok(_) if Instant::now() >= deadline => {
+                    let last = answers.last().and_then(|answer| answer.problem.clone());
+                    self.fault(format!("no final outcome of the key: {last:?}"));
+                    return answers;
+                }
+                Ok(_) => tokio::time::sleep(REPEAT_PAUSE).await,
+            }
+        }
+    }
+
+    /// A repeat of an answered call gets the recorded answer, not that of another execution.
+    fn compare(&mut self, first: &Answer, repeat: &Answer) {
+        if first.is_success() && first.body != repeat.body {
+            let (one, two) = (first.text(), repeat.text());
+            self.fault(format!("the repeat got another answer: {one:?}, then {two:?}"));
+        }
+    }
+}
+
+fn is_conflict(answer: &Answer) -> bool {
+    let Some(problem) = &answer.problem else { return false };
+    problem.status == CONFLICT && problem.verdict == Verdict::MayHaveRun
+}
--- /dev/null
+++ b/crates/rig/src/matrix/roles.rs
@@ -0,0 +1,138 @@
+//! Which router plays which role, and waiting until all is at rest.
+
+use std::time::Duration;
+
+use base::Event;
+use error_stack::Report;
+use http::Method;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use tokio::time::Instant;
+
+use crate::Error;
+use crate::matrix::Cell;
+use crate::matrix::Ground;
+
+/// Time between two looks at the fleet.
+pub(super) const POLL: Duration = Duration::from_millis(10);
+/// Time between two looks at a fleet that isn't ready yet.
+const REST_POLL: Duration = Duration::from_millis(100);
+
+/// The routers of a cell by their indices.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Roles {
+    /// The router that the struck call goes to.
+    pub(super) entry: usize,
+    /// The dispatcher of the called service.
+    pub(super) dispatcher: usize,
+    /// The third router.
+    pub(super) other: usize,
+}
+
+/// The status of a router, as far as it is read.
+#[derive(Debug, Deserialize)]
+struct Status {
+    shards: Vec<Shard>,
+    waiting: usize,
+    running: usize,
+}
+
+#[derive(Debug, Deserialize)]
+struct Shard {
+    shard: ShardName,
+    gathering: bool,
+    runners: Vec<Runner>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ShardName {
+    service: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct Runner {
+    running: u32,
+    state: String,
+}
+
+impl Ground {
+    /// Waits until the fleet is at rest and returns the roles in a cell.
+    pub(super) async fn roles(
+        &mut self,
+        cell: Cell,
+        timeout: Duration,
+    ) -> Result<Roles, Report<Error>> {
+        self.fleet.settle(timeout).await?;
+        let deadline = Instant::now() + timeout;
+        loop {
+            let found = self.dispatcher(cell.kind.service()).await?;
+            if let Ok(dispatcher) = found {
+                let turn = if cell.seed.is_multiple_of(2) { 1 } else { 2 };
+                let entry = (dispatcher + turn) % 3;
+                let other = 3 - dispatcher - entry;
+                return Ok(Roles { entry, dispatcher, other });
+            }
+            if Instant::now() >= deadline {
+                let why = found.err().unwrap_or_default();
+                return Err(Report::new(Error::Timeout(format!("a fleet at rest: {why}"))));
+            }
+            tokio::time::sleep(REST_POLL).await;
+        }
+    }
+
+    /// Returns the only dispatcher of a service if nothing runs, or why not.
+    async fn dispatcher(&self, service: &str) -> Result<Result<usize, String>, Report<Error>> {
+        let mut found = Vec::new();
+        for router in 0..self.fleet.router_count() {
+            let status: Status = self.operator(router, "/operator/status").await?;
+            if status.waiting + status.running > 0 {
+                return Ok(Err(format!("calls are under way at router {router}: {status:?}")));
+            }
+            for shard in status.shards {
+                if !shard.is_at_rest() {
+                    return Ok(Err(format!(
+                        "a shard at router {router} is not at rest: {shard:?}"
+                    )));
+                }
+                if shard.shard.service == service {
+                    found.push(router);
+                }
+            }
+        }
+        match found.as_slice() {
+            [one] => Ok(Ok(*one)),
+            many => Ok(Err(format!("dispatchers of {service}: {many:?}"))),
+        }
+    }
+
+    /// Returns how many calls a dispatcher counts at the runners of a service.
+    pub(super) async fn running(&self, router: usize, service: &str) -> Result<u32, Report<Error>> {
+        let status: Status = self.operator(router, "/operator/status").await?;
+        let shards = status.shards.iter().filter(|shard| shard.shard.service == service);
+        Ok(shards.flat_map(|shard| &shard.runners).map(|runner| runner.running).sum())
+    }
+
+    /// Returns the events of a router.
+    pub(super) async fn events(&self, router: usize) -> Result<Vec<Event>, Report<Error>> {
+        self.operator(router, "/operator/timeline").await
+    }
+
+    async fn operator<T: DeserializeOwned>(
+        &self,
+        router: usize,
+        path: &str,
+    ) -> Result<T, Report<Error>> {
+        let answer = self.fleet.operate(router, Method::GET, path, "").await?;
+        let what = format!("{path} at router {router}: {}", answer.status());
+        serde_json::from_slice(answer.body())
+            .map_err(|error| Report::new(Error::Malformed(what)).attach(error.to_string()))
+    }
+}
+
+impl Shard {
+    fn is_at_rest(&self) -> bool {
+        let is_usable = |state: &str| !matches!(state, "unknown" | "suspect");
+        let is_idle = |runner: &Runner| runner.running == 0 && is_usable(&runner.state);
+        !self.gathering && self.runners.iter().all(is_idle)
+    }
+}
--- /dev/null
+++ b/crates/rig/src/matrix/strike.rs
@@ -0,0 +1,256 @@
+//! Bringing a call to a step, and the fault there.
+
+use std::time::Duration;
+
+use base::EventKind;
+use base::RequestId;
+use error_stack::Report;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::time::Instant;
+
+use crate::Call;
+use crate::Change;
+use crate::Error;
+use crate::Faults;
+use crate::matrix::Fault;
+use crate::matrix::Kind;
+use crate::matrix::Step;
+use crate::matrix::ground::FILLER;
+use crate::matrix::ground::PROBE;
+use crate::matrix::roles::POLL;
+use crate::matrix::roles::Roles;
+use crate::matrix::trial::Trial;
+
+/// Longest wait for a step.
+const REACH_TIMEOUT: Duration = Duration::from_secs(8);
+/// Delay of links that holds a grant on its way, in milliseconds.
+const HOLD_LINKS_MS: u64 = 400;
+/// Delay of reads that holds a claim before it is read back, in milliseconds.
+const HOLD_READS_MS: u64 = 700;
+/// Delay of the log that holds the record of an outcome, in milliseconds.
+const HOLD_LOG_MS: u64 = 1_000;
+/// Delay of the links as a fault, in milliseconds.
+const SLOW_LINKS_MS: u64 = 250;
+/// Delay of the log as a fault, in milliseconds.
+const SLOW_LOG_MS: u64 = 800;
+/// Slots of all runners of a service.
+const ALL_SLOTS: u32 = 4;
+/// Calls that hold all slots of a service and wait for them.
+const FILLERS: u64 = 12;
+/// Tokens of a call that holds a slot.
+const FILLER_TOKENS: u32 = 1_000;
+/// Tokens after which an answer is under way.
+const STREAMING_TOKENS: u64 = 8;
+
+#[derive(Deserialize)]
+struct Counters {
+    appends: u64,
+}
+
+impl Trial<'_> {
+    /// Prepares the fleet so that the call is held at the step.
+    pub(super) async fn arm(&mut self) -> Result<(), Report<Error>> {
+        self.known = self.accepted().await?;
+        self.appends = self.count_appends().await?;
+        match self.cell.step {
+            Step::Accepted => self.ground.fleet.pause(self.roles.dispatcher),
+            Step::Queued => self.fill().await,
+            Step::Granted => self.delay_links(HOLD_LINKS_MS).await,
+            Step::Claimed => self.delay_reads(HOLD_READS_MS).await,
+            _ => Ok(()),
+        }
+    }
+
+    /// Waits until the call is at the step.
+    pub(super) async fn reach(&mut self) -> Result<(), Report<Error>> {
+        let deadline = Instant::now() + REACH_TIMEOUT;
+        while !self.is_reached().await? {
+            if Instant::now() >= deadline {
+                let what = format!("step {}", self.cell.step);
+                return Err(Report::new(Error::Timeout(what)));
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        if self.cell.step != Step::Finished {
+            return Ok(());
+        }
+        if self.cell.kind == Kind::Once {
+            self.delay_log(HOLD_LOG_MS).await?;
+        }
+        self.answer = Some(self.take_answer().await?);
+        Ok(())
+    }
+
+    async fn is_reached(&mut self) -> Result<bool, Report<Error>> {
+        let Roles { entry, dispatcher, .. } = self.roles;
+        if self.request.is_none() {
+            let known = &self.known;
+            let new = self.accepted().await?.into_iter().find(|found| !known.contains(found));
+            self.request = new;
+        }
+        if self.request.is_none() {
+            return Ok(false);
+        }
+        match self.cell.step {
+            Step::Accepted => Ok(true),
+            Step::Queued => self.has_event(dispatcher, EventKind::Queued).await,
+            Step::Granted => self.has_event(dispatcher, EventKind::Granted).await,
+            Step::Claimed => Ok(self.count_appends().await? > self.appends),
+            Step::Sent | Step::Finished => Ok(self.holder().await?.is_some()),
+            Step::FirstByte => self.has_event(entry, EventKind::FirstByte).await,
+            Step::Streaming => {
+                let holder = self.holder().await?;
+                Ok(holder.is_some_and(|holder| holder.tokens >= STREAMING_TOKENS))
+            }
+            Step::Recorded => self.has_event(entry, EventKind::Recorded).await,
+        }
+    }
+
+    /// Lets the fault happen.
+    pub(super) async fn strike(&mut self) -> Result<(), Report<Error>> {
+        let Roles { entry, dispatcher, .. } = self.roles;
+        let cut = Change { cut: Some(true), ..Change::default() };
+        let silent = Change { silent: Some(true), ..Change::default() };
+        let service = self.cell.kind.service();
+        match self.cell.fault {
+            Fault::KillEntry => self.ground.fleet.kill(entry),
+            Fault::KillDispatcher => self.ground.fleet.kill(dispatcher),
+            Fault::PauseEntry => self.ground.fleet.pause(entry)?,
+            Fault::PauseDispatcher => self.ground.fleet.pause(dispatcher)?,
+            Fault::Cut => self.change_links(cut).await?,
+            Fault::OneWayCut => self.cut_one_way().await?,
+            Fault::Delay => self.delay_links(SLOW_LINKS_MS).await?,
+            Fault::SilentRouters => self.change_links(silent).await?,
+            Fault::SilentRunner => {
+                let links = format!("run:{service}-");
+                self.ground.fleet.network()?.change(&links, silent).await?;
+            }
+            Fault::RunnerCrash => self.crash().await?,
+            Fault::RunnerCold => self.order_runner("cold").await?,
+            Fault::LogDown => {
+                let down = Faults { log_down: Some(true), ..Faults::default() };
+                self.ground.platform(down).await?;
+            }
+            Fault::LogSlow => self.delay_log(SLOW_LOG_MS).await?,
+            Fault::LostAnswer => {
+                let lose = Faults { lose_answers: Some(1), ..Faults::default() };
+                self.ground.platform(lose).await?;
+            }
+            Fault::EmptyRestart => self.ground.fleet.restart(entry)?,
+        }
+        Ok(())
+    }
+
+    /// Lets go of what held the call, unless the fault goes on by the same means.
+    pub(super) async fn disarm(&mut self) -> Result<(), Report<Error>> {
+        self.fillers.shutdown().await;
+        match (self.cell.step, self.cell.fault) {
+            (Step::Accepted, Fault::PauseDispatcher | Fault::KillDispatcher)
+            | (Step::Granted, Fault::Delay)
+            | (Step::Finished, Fault::LogSlow) => Ok(()),
+            (Step::Accepted, _) => self.ground.fleet.wake(self.roles.dispatcher),
+            (Step::Granted, _) => self.delay_links(0).await,
+            (Step::Claimed, _) => self.delay_reads(0).await,
+            (Step::Finished, _) => self.delay_log(0).await,
+            _ => Ok(()),
+        }
+    }
+
+    async fn crash(&self) -> Result<(), Report<Error>> {
+        match self.cell.kind {
+            Kind::Model => self.order_runner("crash").await,
+            Kind::Once => self.order_runner("fall").await,
+        }
+    }
+
+    async fn order_runner(&self, order: &str) -> Result<(), Report<Error>> {
+        let service = self.cell.kind.service();
+        let any = format!("{service}-{}", 1 + self.cell.seed % 2);
+        let name = self.holder().await?.map_or(any, |holder| holder.name);
+        let runner = self.ground.fleet.runners().get(&name);
+        let runner = runner.ok_or_else(|| Report::new(Error::Unknown(name.clone())))?;
+        runner.control(order, &json!({})).await.map(|_| ())
+    }
+
+    /// Holds all slots of the service by calls at the third router.
+    async fn fill(&mut self) -> Result<(), Report<Error>> {
+        let (kind, roles) = (self.cell.kind, self.roles);
+        let caller = self.ground.fleet.caller_of(FILLER, roles.other);
+        for _ in 0..FILLERS {
+            let text = self.ground.text("filler");
+            let call = match kind {
+                Kind::Model => Call::completion(kind.service(), &text, FILLER_TOKENS),
+                Kind::Once => Call::lookup(kind.service(), "/routes/17"),
+            };
+            let caller = caller.clone();
+            self.fillers.spawn(async move { caller.call(&call).await });
+        }
+        let deadline = Instant::now() + REACH_TIMEOUT;
+        while self.ground.running(roles.dispatcher, kind.service()).await? < ALL_SLOTS {
+            if Instant::now() >= deadline {
+                return Err(Report::new(Error::Timeout("full slots".to_owned())));
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        Ok(())
+    }
+
+    /// Returns the calls of the struck workspace that the entry has accepted.
+    async fn accepted(&self) -> Result<Vec<RequestId>, Report<Error>> {
+        let events = self.ground.events(self.roles.entry).await?;
+        let is_own = |event: &base::Event| {
+            let workspace = event.workspace.as_ref().map(base::Name::as_str);
+            event.kind == EventKind::Accepted && workspace == Some(PROBE)
+        };
+        Ok(events.into_iter().filter(is_own).filter_map(|event| event.request).collect())
+    }
+
+    async fn has_event(&self, router: usize, kind: EventKind) -> Result<bool, Report<Error>> {
+        let events = self.ground.events(router).await?;
+        Ok(events.iter().any(|event| event.kind == kind && event.request == self.request))
+    }
+
+    async fn count_appends(&self) -> Result<u64, Report<Error>> {
+        let counters: Counters = self.ground.fleet.platform().get("/control/counters").await?;
+        Ok(counters.appends)
+    }
+
+    async fn delay_links(&self, delay_ms: u64) -> Result<(), Report<Error>> {
+        self.change_links(Change { delay_ms: Some(delay_ms), ..Change::default() }).await
+    }
+
+    async fn delay_reads(&self, delay_ms: u64) -> Result<(), Report<Error>> {
+        let faults = Faults { read_delay_ms: Some(delay_ms), ..Faults::default() };
+        self.ground.platform(faults).await
+    }
+
+    async fn delay_log(&self, delay_ms: u64) -> Result<(), Report<Error>> {
+        let faults = Faults { log_delay_ms: Some(delay_ms), ..Faults::default() };
+        self.ground.platform(faults).await
+    }
+
+    /// Changes both links between entry and dispatcher.
+    async fn change_links(&self, change: Change) -> Result<(), Report<Error>> {
+        let Roles { entry, dispatcher, .. } = self.roles;
+        for (from, to) in [(entry, dispatcher), (dispatcher, entry)] {
+            self.ground.fleet.network()?.change_link(&self.link(from, to), change).await?;
+        }
+        Ok(())
+    }
+
+    /// Drops what the entry sends to the dispatcher, on whichever connection.
+    async fn cut_one_way(&self) -> Result<(), Report<Error>> {
+        let Roles { entry, dispatcher, .. } = self.roles;
+        let network = self.ground.fleet.network()?;
+        let to = Change { cut_to: Some(true), ..Change::default() };
+        let back = Change { cut_back: Some(true), ..Change::default() };
+        network.change_link(&self.link(entry, dispatcher), to).await?;
+        network.change_link(&self.link(dispatcher, entry), back).await
+    }
+
+    fn link(&self, from: usize, to: usize) -> String {
+        let name = |router: usize| self.ground.fleet.router(router).name();
+        format!("peer:{}:{}", name(from), name(to))
+    }
+}
--- /dev/null
+++ b/crates/rig/src/matrix/trial.rs
@@ -0,0 +1,180 @@
+//! One run of a cell.
+
+use std::time::Duration;
+
+use base::RequestId;
+use error_stack::Report;
+use indexmap::IndexMap;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::Answer;
+use crate::Call;
+use crate::Error;
+use crate::matrix;
+use crate::matrix::Cell;
+use crate::matrix::Ground;
+use crate::matrix::Kind;
+use crate::matrix::check;
+use crate::matrix::ground::PROBE;
+use crate::matrix::roles::POLL;
+use crate::matrix::roles::Roles;
+
+/// How long a caller may wait for the end of its call.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(15);
+/// How long a fault lasts that ends by itself.
+const FAULT_TIME: Duration = Duration::from_millis(2_000);
+/// Longest wait for the journals of runners that have just fallen.
+const JOURNAL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Largest delay between a step and the fault, in milliseconds.
+const JITTER_MS: u64 = 20;
+
+/// The journals of all runners by name.
+pub(super) type Journals = IndexMap<String, fake::journal::Report>;
+
+/// One run of a cell.
+pub(super) struct Trial<'a> {
+    pub(super) ground: &'a mut Ground,
+    pub(super) roles: Roles,
+    pub(super) cell: Cell,
+    pub(super) call: Call,
+    pub(super) request: Option<RequestId>,
+    pub(super) known: Vec<RequestId>,
+    pub(super) appends: u64,
+    pub(super) answer: Option<Answer>,
+    pub(super) fillers: JoinSet<Answer>,
+    calls: JoinSet<Answer>,
+    report: &'a mut matrix::Report,
+}
+
+impl<'a> Trial<'a> {
+    pub(super) fn new(
+        ground: &'a mut Ground,
+        roles: Roles,
+        report: &'a mut matrix::Report,
+    ) -> Self {
+        let cell = report.cell;
+        let text = ground.text(&cell.to_string());
+        let call = cell.kind.call(&text).timeout(ANSWER_TIMEOUT);
+        Self {
+            ground,
+            roles,
+            cell,
+            call,
+            request: None,
+            known: Vec::new(),
+            appends: 0,
+            answer: None,
+            fillers: JoinSet::new(),
+            calls: JoinSet::new(),
+            report,
+        }
+    }
+
+    /// Runs the cell and notes all that is wrong.
+    pub(super) async fn run(mut self) {
+        if let Err(error) = self.stages().await {
+            self.fault(format!("not run to its end: {error:#}"));
+        }
+    }
+
+    /// Notes that something is wrong.
+    pub(super) fn fault(&mut self, text: String) {
+        self.report.faults.push(text);
+    }
+
+    async fn stages(&mut self) -> Result<(), Report<Error>> {
+        self.arm().await?;
+        self.begin();
+        self.reach().await?;
+        tokio::time::sleep(Duration::from_millis(self.cell.seed * 7 % JITTER_MS)).await;
+        self.strike().await?;
+        self.disarm().await?;
+        if self.cell.fault.lasts() {
+            tokio::time::sleep(FAULT_TIME).await;
+        }
+        self.heal().await?;
+        let answer = self.take_answer().await?;
+        let may_break = self.cell.fault.ends_entry();
+        match check::judge(&self.call, &answer, may_break) {
+            Ok(ending) => self.report.ending = Some(ending),
+            Err(fault) => self.fault(format!("the call: {fault}")),
+        }
+        let repeats = match self.cell.kind {
+            Kind::Model => self.call_again(&answer).await,
+            Kind::Once => self.repeat(&answer).await,
+        };
+        let answers: Vec<Answer> = [answer].into_iter().chain(repeats).collect();
+        let journals = self.journals().await?;
+        self.check_journals(&answers, &journals);
+        Ok(())
+    }
+
+    /// Sends the call at the entry.
+    fn begin(&mut self) {
+        let caller = self.ground.fleet.caller_of(PROBE, self.roles.entry);
+        let call = self.call.clone();
+        self.calls.spawn(async move { caller.call(&call).await });
+    }
+
+    /// Waits until the caller has its answer.
+    pub(super) async fn take_answer(&mut self) -> Result<Answer, Report<Error>> {
+        if let Some(answer) = self.answer.take() {
+            return Ok(answer);
+        }
+        let lost = || Report::new(Error::Timeout("the end of the call".to_owned()));
+        let answer = self.calls.join_next().await.ok_or_else(lost)?;
+        answer.map_err(|_| lost())
+    }
+
+    fn check_journals(&mut self, answers: &[Answer], journals: &Journals) {
+        let names_request = |answer: &Answer| {
+            answer.problem.as_ref().is_some_and(|problem| problem.request.is_some())
+        };
+        for (index, answer) in answers.iter().enumerate() {
+            if index > 0 && !names_request(answer) {
+                continue;
+            }
+            if let Err(fault) = check::verdict_is_true(&self.call, answer, journals) {
+                self.fault(fault);
+            }
+        }
+        if self.cell.kind == Kind::Model {
+            return;
+        }
+        let executions = check::executions(&self.call, journals);
+        let is_answered = answers.iter().any(Answer::is_success);
+        if executions > 1 || (is_answered && executions == 0) {
+            self.fault(format!("executed {executions} times, answered: {is_answered}"));
+        }
+    }
+
+    /// Reads the journals of all runners, also of those that don't answer at once.
+    pub(super) async fn journals(&self) -> Result<Journals, Report<Error>> {
+        let deadline = Instant::now() + JOURNAL_TIMEOUT;
+        loop {
+            match self.ground.fleet.journals().await {
+                Err(error) if Instant::now() >= deadline => return Err(error),
+                Err(_) => tokio::time::sleep(POLL).await,
+                Ok(journals) => return Ok(journals),
+            }
+        }
+    }
+
+    /// Returns the runner that has the call, and its tokens so far.
+    pub(super) async fn holder(&self) -> Result<Option<Holder>, Report<Error>> {
+        let digest = check::digest(&self.call);
+        let journals = self.journals().await?;
+        let held = journals.into_iter().find_map(|(name, journal)| {
+            let entry = journal.requests.into_iter().rfind(|entry| entry.digest == digest)?;
+            Some(Holder { name, tokens: entry.tokens })
+        });
+        Ok(held)
+    }
+}
+
+/// The runner that has the call.
+pub(super) struct Holder {
+    pub(super) name: String,
+    pub(super) tokens: u64,
+}
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -13,6 +13,8 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::mpsc;
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::SyncSender;
@@ -83,7 +85,7 @@
     log: PathBuf,
     child: Child,
     _input: Option<ChildStdin>,
-    first_line: Receiver<String>,
+    first_line: Mutex<Receiver<String>>,
     reader: Option<JoinHandle<()>>,
 }
 
@@ -113,7 +115,7 @@
             log: launch.log.clone(),
             child,
             _input: None,
-            first_line,
+            first_line: Mutex::new(first_line),
             reader: Some(reader.change_context_lazy(failed)?),
         };
         process._input = feed(input, launch.input.as_deref()).change_context_lazy(failed)?;
@@ -126,7 +128,8 @@
     /// Returns [`Error::NotReady`] with the end of its log when it ends, says something else or takes too long.
     pub fn ready(&self, timeout: Duration) -> Result<Ready, Report<Error>> {
         let failed = || Report::new(Error::NotReady(self.name.clone())).attach(self.log_tail());
-        let line = self.first_line.recv_timeout(timeout).map_err(|_| failed())?;
+        let first_line = self.first_line.lock().unwrap_or_else(PoisonError::into_inner);
+        let line = first_line.recv_timeout(timeout).map_err(|_| failed())?;
         serde_json::from_str(&line).map_err(|_| failed().attach(line))
     }
 
