feat(mesh): send unconfirmed frames again after a reconnection

A link is replaced whenever its path may be at fault, also by mistake on a busy machine, and frames that were on their way were lost without notice. Frames are numbered now; the accepting end tells what it has received, and the opener sends the rest on the next connection, in order and once. Ruled out: keeping the old connection for them, because the order could not be kept. A peer that is another process gets none of them.

--- a/crates/mesh/src/accept.rs
+++ b/crates/mesh/src/accept.rs
@@ -1,6 +1,7 @@
 //! Incoming links: only a peer with a trusted certificate that carries its name is heard.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
@@ -9,8 +10,10 @@
 use quinn::Endpoint;
 use quinn::Incoming;
 use quinn::RecvStream;
+use quinn::SendStream;
 use quinn::VarInt;
 use rustls::pki_types::CertificateDer;
+use tokio::sync::Mutex;
 use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
@@ -23,11 +26,12 @@
 use crate::hello;
 use crate::hello::Hello;
 use crate::identity::carries_name;
+use crate::lane::Lane;
 
 /// Time for a peer to prove who it is.
 const GREET_TIMEOUT: Duration = Duration::from_secs(2);
-/// Largest first message, in bytes.
-const HELLO_LIMIT: usize = 4_096;
+/// Time from one confirmation of received frames to the next.
+const CONFIRM_PERIOD: Duration = Duration::from_millis(200);
 /// Incoming connections that may be open at the same time.
 const CONNECTION_LIMIT: usize = 2_048;
 /// Time from one count of the traffic to the next.
@@ -37,6 +41,13 @@
 /// The close code for a peer that is not heard.
 const REFUSED: VarInt = VarInt::from_u32(1);
 
+/// A peer that has proved who it is.
+struct Guest {
+    name: Name,
+    lane: u64,
+    stream: RecvStream,
+}
+
 /// Accepts links until the mesh stops.
 pub(crate) async fn run(core: Arc<Core>, endpoint: Endpoint) {
     loop {
@@ -70,17 +81,21 @@
         greeted = timeout(GREET_TIMEOUT, greet(&core, &connection)) => greeted.ok().flatten(),
     };
     match greeted {
-        Some((peer, stream)) => hear(&core, &peer, &connection, stream).await,
-        None => log::warn!("mesh: refused a link from {address}"),
+        Some(guest) => {
+            hear(&core, guest, &connection).await;
+            connection.close(VarInt::from_u32(0), b"");
+        }
+        None => {
+            log::warn!("mesh: refused a link from {address}");
+            connection.close(REFUSED, b"");
+        }
     }
-    connection.close(REFUSED, b"");
 }
 
-/// Reads who the peer is and returns its name and stream when its certificate bears it out.
-async fn greet(core: &Arc<Core>, connection: &Connection) -> Option<(Name, RecvStream)> {
+/// Reads who the peer is and returns it when its certificate bears it out.
+async fn greet(core: &Arc<Core>, connection: &Connection) -> Option<Guest> {
     let mut stream = connection.accept_uni().await.ok()?;
-    let bytes = hello::read(&mut stream, HELLO_LIMIT).await.ok()??;
-    let mut hello: Hello = postcard::from_bytes(&bytes).ok()?;
+    let mut hello: Hello = hello::decode(&mut stream).await?;
     let name = hello.record.name.clone();
     if !proves(connection, &name) {
         log::warn!("mesh: a peer says that it is {name}, but its certificate does not");
@@ -93,7 +108,7 @@
         log::warn!("mesh: router {name} is not on the instance list, or an older process of it");
         return None;
     }
-    Some((name, stream))
+    Some(Guest { name, lane: hello.lane, stream })
 }
 
 fn proves(connection: &Connection, name: &Name) -> bool {
@@ -103,35 +118,80 @@
 }
 
 /// Hears a peer until its link ends or a newer one of the same peer takes its place.
-async fn hear(core: &Arc<Core>, peer: &Name, connection: &Connection, stream: RecvStream) {
-    let replaced = CancellationToken::new();
-    let older = lock(&core.incoming).insert(peer.clone(), replaced.clone());
-    if let Some(older) = older {
-        older.cancel();
-    }
+async fn hear(core: &Arc<Core>, guest: Guest, connection: &Connection) {
+    let peer = guest.name.clone();
+    let (replaced, lane) = replace(core, &peer);
     core.live.incoming.fetch_add(1, Relaxed);
     let mut meter = Meter::default();
     tokio::select! {
         () = core.stop.cancelled() => {}
         () = replaced.cancelled() => {}
-        () = read_frames(core, peer, stream) => {}
-        () = read_datagrams(core, peer, connection) => {}
+        _ = read_frames(core, guest, connection, &lane) => {}
+        () = read_datagrams(core, &peer, connection) => {}
         () = count(core, connection, &mut meter) => {}
     }
     meter.update(connection, &core.live);
     core.live.incoming.fetch_sub(1, Relaxed);
 }
 
-async fn read_frames(core: &Core, peer: &Name, mut stream: RecvStream) {
-    while let Ok(Some(bytes)) = hello::read(&mut stream, wire::FRAME_LIMIT).await {
+/// Ends the older connection of a peer.
+fn replace(core: &Core, peer: &Name) -> (CancellationToken, Arc<Mutex<Lane>>) {
+    let mut incoming = lock(&core.incoming);
+    let entry = incoming.entry(peer.clone()).or_default();
+    entry.replaced.cancel();
+    entry.replaced = CancellationToken::new();
+    (entry.replaced.clone(), Arc::clone(&entry.lane))
+}
+
+/// Reads frames from where the last connection of the peer has ended.
+async fn read_frames(
+    core: &Core,
+    mut guest: Guest,
+    connection: &Connection,
+    lane: &Mutex<Lane>,
+) -> Option<()> {
+    let mut lane = lane.lock().await;
+    let mut answers = connection.open_uni().await.ok()?;
+    let welcome = lane.welcome(guest.lane);
+    answers.write_all(&hello::encode(&welcome)).await.ok()?;
+    lane.received = hello::decode(&mut guest.stream).await?;
+    let received = AtomicU64::new(lane.received);
+    tokio::select! {
+        _ = confirm(&mut answers, &received) => None,
+        done = deliver(core, &mut guest, &mut lane, &received) => done,
+    }
+}
+
+/// Hands frames to the owner of the mesh.
+async fn deliver(
+    core: &Core,
+    guest: &mut Guest,
+    lane: &mut Lane,
+    received: &AtomicU64,
+) -> Option<()> {
+    while let Some(bytes) = hello::read(&mut guest.stream, wire::FRAME_LIMIT).await.ok()? {
         let Ok(frame) = Frame::decode(&bytes) else {
-            log::warn!("mesh: closed the link of {peer}, which sent no frame");
-            return;
+            log::warn!("mesh: closed the link of {}, which sent no frame", guest.name);
+            return None;
         };
+        let event = Event::Frame { from: guest.name.clone(), frame };
+        core.events.send(event).await.ok()?;
+        lane.received += 1;
+        received.store(lane.received, Relaxed);
         core.live.frames_received.fetch_add(1, Relaxed);
-        let event = Event::Frame { from: peer.clone(), frame };
-        if core.events.send(event).await.is_err() {
-            return;
+    }
+    None
+}
+
+/// Tells the peer from time to time how many frames have arrived.
+async fn confirm(answers: &mut SendStream, received: &AtomicU64) -> Option<()> {
+    let mut told = received.load(Relaxed);
+    loop {
+        sleep(CONFIRM_PERIOD).await;
+        let now = received.load(Relaxed);
+        if now != told {
+            answers.write_all(&hello::encode(&now)).await.ok()?;
+            told = now;
         }
     }
 }
--- a/crates/mesh/src/core.rs
+++ b/crates/mesh/src/core.rs
@@ -22,6 +22,7 @@
 use crate::Settings;
 use crate::counters::Live;
 use crate::hello::Hello;
+use crate::lane::Lane;
 use crate::link;
 use crate::link::Handle;
 use crate::swim::Action;
@@ -35,6 +36,15 @@
     registers: IndexMap<Name, Register>,
 }
 
+/// What is kept of a peer between its connections.
+#[derive(Debug, Default)]
+pub(crate) struct Incoming {
+    /// Ends the connection that is heard now.
+    pub(crate) replaced: CancellationToken,
+    /// Held by the connection that is heard now.
+    pub(crate) lane: Arc<tokio::sync::Mutex<Lane>>,
+}
+
 /// The shared state of all tasks.
 #[derive(Debug)]
 pub(crate) struct Core {
@@ -44,7 +54,7 @@
     pub(crate) tasks: TaskTracker,
     pub(crate) stop: CancellationToken,
     pub(crate) events: Sender<Event>,
-    pub(crate) incoming: Mutex<IndexMap<Name, CancellationToken>>,
+    pub(crate) incoming: Mutex<IndexMap<Name, Incoming>>,
     started: Instant,
     swim: Mutex<Swim>,
     links: Mutex<IndexMap<Name, Handle>>,
@@ -168,6 +178,7 @@
         self.wake.notify_one();
         let known = self.with(|swim| swim.known());
         lock(&self.links).retain(|name, _| known.contains(name));
+        lock(&self.incoming).retain(|name, _| known.contains(name));
     }
 
     fn note_register(&self, register: Register) {
--- a/crates/mesh/src/hello.rs
+++ b/crates/mesh/src/hello.rs
@@ -4,12 +4,15 @@
 use quinn::RecvStream;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use crate::Age;
 use crate::Record;
 
 /// Bytes of the length before each message.
 const LENGTH_BYTES: usize = 4;
+/// Largest small message, in bytes.
+const SMALL_LIMIT: usize = 4_096;
 
 /// Who opens the link.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,6 +21,8 @@
     pub(crate) record: Record,
     /// The age of the sender.
     pub(crate) age: Age,
+    /// The lane of the frames that follow.
+    pub(crate) lane: u64,
 }
 
 /// Returns a message with its length before it.
@@ -29,6 +34,17 @@
     bytes
 }
 
+/// Encodes a small message with its length before it.
+pub(crate) fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+    delimited(&postcard::to_stdvec(message).expect("small messages can be encoded"))
+}
+
+/// Reads and decodes a small message, or returns nothing when the stream ends or holds something else.
+pub(crate) async fn decode<T: DeserializeOwned>(stream: &mut RecvStream) -> Option<T> {
+    let bytes = read(stream, SMALL_LIMIT).await.ok()??;
+    postcard::from_bytes(&bytes).ok()
+}
+
 /// Reads the next message, or none when the stream has ended or the message passes the limit.
 pub(crate) async fn read(
     stream: &mut RecvStream,
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -18,6 +18,7 @@
 mod hello;
 mod identity;
 pub mod issue;
+mod lane;
 mod link;
 mod member;
 mod mesh;
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -3,6 +3,7 @@
 mod session;
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
@@ -19,6 +20,8 @@
 
 use self::session::End;
 use crate::core::Core;
+use crate::core::lock;
+use crate::lane::Outbox;
 
 /// Frames that wait for one peer.
 const FRAME_QUEUE: usize = 1_024;
@@ -71,6 +74,7 @@
     probes: Receiver<Probe>,
     frame: Option<Vec<u8>>,
     probe: Option<Probe>,
+    outbox: Mutex<Outbox>,
 }
 
 impl Inbox {
@@ -89,7 +93,7 @@
 
     /// Drops all that waits and returns the number of frames.
     fn clear(&mut self) -> u64 {
-        let mut dropped = u64::from(self.frame.take().is_some());
+        let mut dropped = u64::from(self.frame.take().is_some()) + lock(&self.outbox).clear();
         while self.frames.try_recv().is_ok() {
             dropped += 1;
         }
@@ -109,7 +113,8 @@
 pub(crate) fn open(core: &Arc<Core>, peer: &Name) -> Handle {
     let (frame_sender, frames) = mpsc::channel(FRAME_QUEUE);
     let (probe_sender, probes) = mpsc::channel(PROBE_QUEUE);
-    let inbox = Inbox { frames, probes, frame: None, probe: None };
+    let outbox = Mutex::new(Outbox::new(rand::random()));
+    let inbox = Inbox { frames, probes, frame: None, probe: None, outbox };
     core.tasks.spawn(run(Arc::clone(core), peer.clone(), inbox));
     Handle { frames: frame_sender, probes: probe_sender }
 }
--- a/crates/mesh/src/link/session.rs
+++ b/crates/mesh/src/link/session.rs
@@ -7,8 +7,10 @@
 
 use base::Name;
 use quinn::Connection;
+use quinn::RecvStream;
 use quinn::SendStream;
 use strum::Display;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::Receiver;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -18,8 +20,9 @@
 use crate::core::Core;
 use crate::core::lock;
 use crate::counters::Meter;
+use crate::hello;
 use crate::hello::Hello;
-use crate::hello::delimited;
+use crate::lane::Outbox;
 
 /// Time from one look at a busy connection to the next.
 const WATCH_PERIOD: Duration = Duration::from_millis(100);
@@ -57,6 +60,13 @@
     framed: Option<Instant>,
 }
 
+/// The frames of a link.
+struct Queue<'a> {
+    first: &'a mut Option<Vec<u8>>,
+    frames: &'a mut Receiver<Vec<u8>>,
+    outbox: &'a Mutex<Outbox>,
+}
+
 impl Use {
     fn is_active(&self) -> bool {
         self.framed.is_some_and(|at| at.elapsed() < ACTIVE_TIME)
@@ -72,10 +82,11 @@
 ) -> End {
     let usage = Mutex::new(Use::default());
     let mut meter = Meter::default();
-    let Inbox { frames, probes, frame, probe } = inbox;
+    let Inbox { frames, probes, frame, probe, outbox } = inbox;
+    let queue = Queue { first: frame, frames, outbox };
     let end = tokio::select! {
         () = core.stop.cancelled() => End::Stopped,
-        end = send_frames(core, connection, frame, frames, &usage) => end,
+        _ = send_frames(core, connection, queue, &usage) => End::Closed,
         end = send_probes(connection, probe, probes, &usage) => end,
         end = receive(core, peer, connection) => end,
         end = watch(core, connection, &mut meter, &usage) => end,
@@ -85,39 +96,69 @@
     if end == End::Closed && is_active { End::Silent } else { end }
 }
 
+/// Says who this router is, goes on where the last connection has ended, then sends frames.
 async fn send_frames(
     core: &Core,
     connection: &Connection,
-    first: &mut Option<Vec<u8>>,
-    frames: &mut Receiver<Vec<u8>>,
+    queue: Queue<'_>,
     usage: &Mutex<Use>,
-) -> End {
-    let Some(mut stream) = introduce(core, connection).await else { return End::Closed };
+) -> Option<()> {
+    let lane = lock(queue.outbox).id;
+    let hello = core.with(|swim| Hello { record: swim.record().clone(), age: swim.age(), lane });
+    let mut stream = connection.open_uni().await.ok()?;
+    stream.write_all(&hello::encode(&hello)).await.ok()?;
+    let mut answers = connection.accept_uni().await.ok()?;
+    let welcome = hello::decode(&mut answers).await?;
+    let resume = lock(queue.outbox).resume(welcome);
+    core.live.frames_dropped.fetch_add(resume.dropped, Relaxed);
+    stream.write_all(&hello::encode(&resume.first)).await.ok()?;
+    for frame in resume.frames {
+        write(&mut stream, &frame, usage).await?;
+    }
+    let room = Notify::new();
+    let outbox = queue.outbox;
+    tokio::select! {
+        none = take_confirmations(&mut answers, outbox, &room) => none,
+        none = send_queue(core, &mut stream, queue, &room, usage) => none,
+    }
+}
+
+async fn send_queue(
+    core: &Core,
+    stream: &mut SendStream,
+    queue: Queue<'_>,
+    room: &Notify,
+    usage: &Mutex<Use>,
+) -> Option<()> {
     loop {
-        let next = match first.take() {
-            Some(frame) => Some(frame),
-            None => frames.recv().await,
-        };
-        let Some(frame) = next else { return End::Stopped };
-        {
-            let mut usage = lock(usage);
-            usage.is_due = true;
-            usage.framed = Some(Instant::now());
-        }
-        if stream.write_all(&delimited(&frame)).await.is_err() {
-            return End::Closed;
+        while lock(queue.outbox).is_full() {
+            room.notified().await;
         }
+        let frame = match queue.first.take() {
+            Some(frame) => frame,
+            None => queue.frames.recv().await?,
+        };
+        lock(queue.outbox).push(frame.clone());
         core.live.frames_sent.fetch_add(1, Relaxed);
+        write(stream, &frame, usage).await?;
     }
 }
 
-/// Opens the stream and says who this router is.
-async fn introduce(core: &Core, connection: &Connection) -> Option<SendStream> {
-    let hello = core.with(|swim| Hello { record: swim.record().clone(), age: swim.age() });
-    let bytes = postcard::to_stdvec(&hello).ok()?;
-    let mut stream = connection.open_uni().await.ok()?;
-    stream.write_all(&delimited(&bytes)).await.ok()?;
-    Some(stream)
+async fn take_confirmations(
+    answers: &mut RecvStream,
+    outbox: &Mutex<Outbox>,
+    room: &Notify,
+) -> Option<()> {
+    loop {
+        let received = hello::decode(answers).await?;
+        lock(outbox).confirm(received);
+        room.notify_one();
+    }
+}
+
+async fn write(stream: &mut SendStream, frame: &[u8], usage: &Mutex<Use>) -> Option<()> {
+    *lock(usage) = Use { is_due: true, framed: Some(Instant::now()) };
+    stream.write_all(&hello::delimited(frame)).await.ok()
 }
 
 async fn send_probes(
