fix(node,front): hear of a process that replaced another under its name

Ruled out: membership, which showed the new incarnation. Now a change of incarnation counts as the loss of the member followed by its return, so its old work is given up and the new process is asked.

Also (found by the whole-answers tests): a head over the limit got hyper's bare 431 without a verdict. Heads are now read up to 64 KiB beyond the limit and refused with a problem document, not-run.

--- a/crates/front/src/authority.rs
+++ b/crates/front/src/authority.rs
@@ -25,6 +25,7 @@
 /// # Errors
 /// Returns a problem when no configuration is in force or the token is unknown.
 pub(crate) fn authenticate(gate: &Gate, headers: &HeaderMap) -> Result<Caller, Problem> {
+    limit_head(gate, headers)?;
     let snapshot = gate.snapshot.borrow().clone();
     let Some(configuration) = snapshot.configuration else {
         return Err(Problem::rejected(
@@ -45,6 +46,7 @@
 /// # Errors
 /// Returns a problem when the token is missing or wrong.
 pub(crate) fn authorize_operator(gate: &Gate, headers: &HeaderMap) -> Result<(), Problem> {
+    limit_head(gate, headers)?;
     let token = bearer(headers)?;
     if conf::digest(token).eq_ignore_ascii_case(&gate.settings.operator_token_sha256) {
         Ok(())
@@ -53,6 +55,16 @@
     }
 }
 
+fn limit_head(gate: &Gate, headers: &HeaderMap) -> Result<(), Problem> {
+    let limit = gate.settings.limits.header_bytes;
+    let size: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    if size <= limit {
+        return Ok(());
+    }
+    let detail = format!("the headers are larger than {limit} bytes");
+    Err(Problem::rejected(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, detail))
+}
+
 fn bearer(headers: &HeaderMap) -> Result<&str, Problem> {
     headers
         .get(AUTHORIZATION)
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -30,6 +30,9 @@
 /// Pause after a failed accept, so that a lack of file descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Bytes of a head beyond the limit of the settings that are read to refuse it with a reason.
+const HEAD_MARGIN: usize = 64 << 10;
+
 /// Why the server could not start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Error {
@@ -122,7 +125,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
-        .max_buf_size(limits.header_bytes.max(8_192))
+        .max_buf_size(limits.header_bytes + HEAD_MARGIN)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let served = tokio::select! {
--- a/crates/node/src/control/view.rs
+++ b/crates/node/src/control/view.rs
@@ -66,10 +66,31 @@
                 );
             }
         }
+        self.forget_ended(&members);
         self.members = members;
         self.review();
     }
 
+    /// Tells the dispatchers that the process of a member has ended, also when another took its name at once.
+    fn forget_ended(&mut self, members: &[Member]) {
+        let now = self.now();
+        let replaced = |name: &Name| {
+            let known = self.members.iter().find(|member| member.name == *name);
+            let next = members.iter().find(|member| member.name == *name);
+            known.zip(next).is_some_and(|(known, next)| known.incarnation != next.incarnation)
+        };
+        for (shard, dispatcher) in &mut self.dispatchers {
+            let in_region =
+                |member: &&Member| member.state.is_live() && member.region == shard.region;
+            let alive = members.iter().filter(in_region).map(|member| member.name.clone());
+            let (ended, staying): (Vec<Name>, Vec<Name>) = alive.partition(replaced);
+            if !ended.is_empty() {
+                let listed = staying.len() + ended.len();
+                dispatcher.members(staying, listed, now);
+            }
+        }
+    }
+
     /// Begins to leave: callers are sent elsewhere and shards are handed over.
     pub(super) fn leave(&mut self) {
         self.leaving = true;
@@ -81,6 +102,7 @@
     /// Takes in the load report of a runner.
     pub(super) fn loaded(&mut self, shard: &Shard, runner: &Name, load: Option<sched::Load>) {
         let now = self.now();
+        self.observe_runner(shard, runner, load);
         if let Some(dispatcher) = self.dispatchers.get_mut(shard) {
             dispatcher.load(runner, load, now);
         }
@@ -118,6 +140,7 @@
             }
         }
         self.review_targets(configuration);
+        self.review_orders(configuration, out);
     }
 
     fn review_owner(&mut self, plan: &Plan, out: &IndexSet<Name>) {
