feat(node): order models and adapters under a fencing number

Engines take orders to load models and adapters; some refuse an old fencing number, others obey whoever speaks last. A service may now name `model` and `adapters`, and the dispatcher of its shard brings the runners there.

The fence is the offset of a record in the stream `fences`. Ruled out: a lock with wall-clock expiry (clocks would be compared), and the term of the dispatcher as the fence (two sides of a partition may draw terms whose order is not that of their orders).

--- a/crates/conf/src/configuration.rs
+++ b/crates/conf/src/configuration.rs
@@ -79,6 +79,16 @@
     /// How many runners one shard holds.
     #[serde(default = "default_shard_runners", deserialize_with = "field::whole::<_, 1, 4096, _>")]
     pub shard_runners: u32,
+    /// The model that its runners shall have loaded, as `name@version`; none means that no model is ordered.
+    #[serde(
+        default,
+        deserialize_with = "field::optional_model",
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub model: Option<String>,
+    /// The adapters that its runners shall have loaded.
+    #[serde(default, deserialize_with = "field::names", skip_serializing_if = "Vec::is_empty")]
+    pub adapters: Vec<Name>,
 }
 
 /// What the runners of a service do.
--- a/crates/conf/src/configuration/check.rs
+++ b/crates/conf/src/configuration/check.rs
@@ -64,6 +64,7 @@
             let pointer = format!("/services/{index}");
             self.region(&pointer, service);
             self.classes(&pointer, service);
+            self.loaded(&pointer, service);
             for (index, runner) in service.runners.iter().enumerate() {
                 self.runner(&format!("{pointer}/runners/{index}"), service, runner);
             }
@@ -111,6 +112,20 @@
         }
     }
 
+    fn loaded(&mut self, pointer: &str, service: &Service) {
+        let adapters = service.adapters.iter().enumerate();
+        let placed = adapters.map(|(index, name)| (format!("{pointer}/adapters/{index}"), name));
+        self.unique(placed, "each adapter once");
+        if service.kind == Kind::Plain && service.model.is_some() {
+            self.problems
+                .push(Problem::new(&format!("{pointer}/model"), "none for a plain service"));
+        }
+        if service.kind == Kind::Plain && !service.adapters.is_empty() {
+            let pointer = format!("{pointer}/adapters");
+            self.problems.push(Problem::new(&pointer, "none for a plain service"));
+        }
+    }
+
     fn runner(&mut self, pointer: &str, service: &Service, runner: &Runner) {
         let zone = format!("{pointer}/zone");
         match self.zones.get(&runner.zone) {
--- a/crates/conf/src/field.rs
+++ b/crates/conf/src/field.rs
@@ -23,6 +23,24 @@
     checked(source, allowed, |text| is_name(text).then(|| Name::new(text)))
 }
 
+/// Decodes the name and version of a model, or null for none.
+pub(crate) fn optional_model<'de, D: Deserializer<'de>>(
+    source: D,
+) -> Result<Option<String>, D::Error> {
+    let value = Value::deserialize(source)?;
+    match value.as_str() {
+        Some(text) if is_model(text) => Ok(Some(text.to_owned())),
+        None if value.is_null() => Ok(None),
+        _ => Err(expected("a model and its version as `name@version`, or null")),
+    }
+}
+
+/// Decodes a list of names, which may be empty.
+pub(crate) fn names<'de, D: Deserializer<'de>>(source: D) -> Result<Vec<Name>, D::Error> {
+    let names: Vec<Named> = Vec::deserialize(source)?;
+    Ok(names.into_iter().map(|name| name.0).collect())
+}
+
 /// Decodes an address with port.
 pub(crate) fn address<'de, D: Deserializer<'de>>(source: D) -> Result<SocketAddr, D::Error> {
     checked(source, ADDRESS, |text| text.parse().ok())
@@ -103,6 +121,10 @@
 #[derive(Deserialize)]
 struct Text(#[serde(deserialize_with = "text")] String);
 
+/// A name, as an entry of a list.
+#[derive(Deserialize)]
+struct Named(#[serde(deserialize_with = "name")] Name);
+
 /// A digest, as an entry of a list.
 #[derive(Deserialize)]
 struct Digest(#[serde(deserialize_with = "digest")] String);
@@ -125,6 +147,10 @@
     (1..=NAME_LIMIT).contains(&text.len()) && text.bytes().all(allowed)
 }
 
+fn is_model(text: &str) -> bool {
+    text.split_once('@').is_some_and(|(name, version)| is_name(name) && is_name(version))
+}
+
 fn is_path(text: &str) -> bool {
     text.starts_with('/') && text.bytes().all(|byte| byte.is_ascii_graphic())
 }
--- a/crates/conf/tests/configuration.rs
+++ b/crates/conf/tests/configuration.rs
@@ -112,6 +112,31 @@
     );
 }
 
+#[test]
+fn models_have_a_version_and_only_engines_load_them() {
+    let chat = "\"shard_runners\": 64";
+    let with = |text: &str| format!("{chat}, {text}");
+    let text = EXAMPLE.replacen(chat, &with("\"model\": \"oak@2\", \"adapters\": [\"moss\"]"), 1);
+    let service = Configuration::parse(&text).expect("valid").services.swap_remove(0);
+    assert_eq!((service.model.as_deref(), service.adapters), (Some("oak@2"), vec!["moss".into()]));
+    assert_eq!(
+        faults(chat, &with("\"model\": \"oak\"")),
+        [pair("services[0].model", "a model and its version as `name@version`, or null")]
+    );
+    assert_eq!(
+        faults(chat, &with("\"adapters\": [\"moss\", \"moss\"]")),
+        [pair("services[0].adapters[1]", "each adapter once")]
+    );
+    let plain = "\"classes\": [\"lookup\", \"once\"]";
+    assert_eq!(
+        faults(plain, &format!("{plain}, \"model\": \"oak@2\", \"adapters\": [\"moss\"]")),
+        [
+            pair("services[1].model", "none for a plain service"),
+            pair("services[1].adapters", "none for a plain service"),
+        ]
+    );
+}
+
 #[test]
 fn limits_are_neither_zero_nor_too_large() {
     assert_eq!(
--- /dev/null
+++ b/crates/node/src/control/fence.rs
@@ -0,0 +1,233 @@
+//! Orders of this router's dispatchers to their runners, under a fencing number from the log.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use base::Event;
+use base::EventKind;
+use base::Name;
+use conf::Configuration;
+use conf::configuration::Service;
+use front::Command;
+use front::Outcome;
+use indexmap::IndexSet;
+use plat::Log;
+use tokio::sync::mpsc;
+use uuid::Uuid;
+use wire::Shard;
+use wire::Term;
+
+use super::Control;
+use super::charter::Action;
+use super::charter::Append;
+use super::charter::Charter;
+use super::charter::Kind;
+use super::charter::Order;
+use super::charter::Reading;
+use super::charter::Record;
+use super::charter::Seen;
+use super::charter::Target;
+use super::charter::Task;
+use super::charter::Unread;
+use super::placement;
+use super::plan::shard_of;
+use crate::input::Input;
+
+/// The log stream of fencing numbers.
+const FENCE_STREAM: &str = "fences";
+/// Largest number of records in one read.
+const READ_LIMIT: usize = 256;
+
+/// The charter of a shard that this router dispatches.
+#[derive(Debug)]
+pub(super) struct Post {
+    charter: Charter,
+    /// The dispatcher's term at which the charter's last claim was begun.
+    dispatched: Term,
+}
+
+/// What a task has found out for a charter.
+#[derive(Debug)]
+pub(crate) enum Answer {
+    /// How the append of a claim ended.
+    Claimed(Uuid, Append),
+    /// What the stream holds, and when the last question was begun.
+    Read(Uuid, Duration, Result<Reading, Unread>),
+    /// How an order ended.
+    Ordered(Order, Outcome),
+}
+
+impl Control {
+    /// Gives the charters of all dispatched shards what their runners shall have loaded.
+    pub(super) fn review_orders(&mut self, configuration: &Configuration, out: &IndexSet<Name>) {
+        let dispatchers = &self.dispatchers;
+        self.posts.retain(|shard, _| dispatchers.contains_key(shard));
+        for service in &configuration.services {
+            let shard = shard_of(service);
+            let Some(dispatcher) = self.dispatchers.get(&shard) else { continue };
+            let dispatched = dispatcher.term();
+            let post = self.posts.entry(shard.clone()).or_insert_with(|| Post {
+                charter: Charter::new(shard, self.me.clone(), dispatched, Uuid::new_v4()),
+                dispatched,
+            });
+            post.charter.plan(&wanted(service), targets(service, out));
+        }
+    }
+
+    /// Makes all decisions on orders that are due.
+    pub(super) fn poll_orders(&mut self) {
+        let now = self.now();
+        let mut actions = Vec::new();
+        for (shard, post) in &mut self.posts {
+            let Some(dispatcher) = self.dispatchers.get(shard) else { continue };
+            if dispatcher.term() != post.dispatched {
+                post.dispatched = dispatcher.term();
+                post.charter.begin(post.dispatched, Uuid::new_v4());
+            }
+            for action in post.charter.poll(now) {
+                if action == Action::Renew {
+                    let term = Term(self.shared.clock.now());
+                    post.charter.begin(term, Uuid::new_v4());
+                } else {
+                    actions.push((shard.clone(), action));
+                }
+            }
+        }
+        for (shard, action) in actions {
+            self.order_action(shard, action);
+        }
+    }
+
+    /// Takes in what a task has found out for the charter of a shard.
+    pub(super) fn order_answer(&mut self, shard: &Shard, answer: &Answer) {
+        let now = self.now();
+        let Some(post) = self.posts.get_mut(shard) else { return };
+        match answer {
+            Answer::Claimed(id, append) => post.charter.claimed(*id, *append, now),
+            Answer::Read(id, asked, result) => post.charter.read(*id, *asked, result, now),
+            Answer::Ordered(order, outcome) => post.charter.ordered(order, *outcome, now),
+        }
+    }
+
+    /// Takes in the load report of a runner.
+    pub(super) fn observe_runner(
+        &mut self,
+        shard: &Shard,
+        runner: &Name,
+        load: Option<sched::Load>,
+    ) {
+        if let Some(post) = self.posts.get_mut(shard) {
+            post.charter.observe(runner, load);
+        }
+    }
+
+    fn order_action(&mut self, shard: Shard, action: Action) {
+        let feed = self.ports.feed.clone();
+        let log = self.log.clone();
+        let started = self.shared.started;
+        match action {
+            Action::Claim(record) => {
+                self.tasks.spawn(async move {
+                    let append = claim(&log, &record).await;
+                    answer(&feed, shard, Answer::Claimed(record.id, append)).await;
+                });
+            }
+            Action::Read { id, from } => {
+                self.tasks.spawn(async move {
+                    let (asked, result) = read(&log, from, started).await;
+                    answer(&feed, shard, Answer::Read(id, asked, result)).await;
+                });
+            }
+            Action::Order(order) => {
+                self.tasks.spawn(async move {
+                    let outcome = send(&order, started).await;
+                    answer(&feed, shard, Answer::Ordered(order, outcome)).await;
+                });
+            }
+            Action::Note { runner, detail } => self.note_order(runner, detail),
+            Action::Renew => {}
+        }
+    }
+
+    fn note_order(&self, runner: Option<Name>, detail: String) {
+        log::info!("fence: {detail}");
+        self.shared.ring.push(Event {
+            at: self.shared.clock.now(),
+            process: self.me.clone(),
+            kind: EventKind::Runner,
+            request: None,
+            workspace: None,
+            runner,
+            detail,
+        });
+    }
+}
+
+async fn answer(feed: &mpsc::Sender<Input>, shard: Shard, answer: Answer) {
+    drop(feed.send(Input::Fence { shard, answer: Box::new(answer) }).await);
+}
+
+async fn claim(log: &Log, record: &Record) -> Append {
+    let Ok(span) = log.span(FENCE_STREAM).await else { return Append::NotRun };
+    let body = serde_json::to_string(record).expect("a claim has only plain fields");
+    match log.append(FENCE_STREAM, &body).await {
+        Err(error) if error.verdict() == base::Verdict::NotRun => Append::NotRun,
+        Ok(_) | Err(_) => Append::MayHaveRun { from: span.next },
+    }
+}
+
+/// Reads until nothing follows, and returns when the last question was begun.
+async fn read(log: &Log, mut from: u64, started: Instant) -> (Duration, Result<Reading, Unread>) {
+    let mut records = Vec::new();
+    loop {
+        let asked = started.elapsed();
+        match log.read(FENCE_STREAM, from, READ_LIMIT, Duration::ZERO).await {
+            Ok(page) => {
+                let Some(last) = page.records.last() else {
+                    return (asked, Ok(Reading { records, next: from }));
+                };
+                from = last.offset + 1;
+                records.extend(page.records.iter().filter_map(seen));
+            }
+            Err(plat::Error::Gone { .. }) => return (asked, Err(Unread::Gone)),
+            Err(_) => return (asked, Err(Unread::Down)),
+        }
+    }
+}
+
+fn seen(record: &plat::Record) -> Option<Seen> {
+    let claim = serde_json::from_str(&record.body);
+    if claim.is_err() {
+        log::warn!("fence: a record of the stream is malformed");
+    }
+    Some(Seen { offset: record.offset, record: claim.ok()? })
+}
+
+async fn send(order: &Order, started: Instant) -> Outcome {
+    let command = Command {
+        order: order.task.kind.to_string(),
+        name: order.task.name.clone(),
+        fence: order.fence,
+    };
+    front::order_runner(order.address, &command, started + order.until).await
+}
+
+/// Returns what the runners of a service shall have loaded, in the order in which it is ordered.
+fn wanted(service: &Service) -> Vec<Task> {
+    let model = service.model.iter();
+    let models = model.map(|name| Task { kind: Kind::LoadModel, name: name.clone() });
+    let adapters = service.adapters.iter();
+    let adapters =
+        adapters.map(|name| Task { kind: Kind::LoadAdapter, name: name.as_str().to_owned() });
+    models.chain(adapters).collect()
+}
+
+fn targets(service: &Service, out: &IndexSet<Name>) -> Vec<Target> {
+    let target = |runner: &conf::configuration::Runner| Target {
+        name: runner.name.clone(),
+        address: runner.address,
+        checks_fencing: runner.checks_fencing,
+        out: placement::is_out(out, &runner.zone, &runner.name),
+    };
+    service.runners.iter().map(target).collect()
+}
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -3,7 +3,9 @@
 //! Everything that is decided is decided here: who owns which shard, who runs next, what is in force. Traffic threads
 //! send [`front::Order`]s and read [`front::Snapshot`]s; background tasks send [`Input`]s.
 
+pub mod charter;
 mod config;
+pub(crate) mod fence;
 mod order;
 mod placement;
 mod plan;
@@ -50,6 +52,7 @@
 use wire::Shard;
 
 use self::placement::PendingOrder;
+use self::fence::Post;
 use crate::input::Input;
 use crate::input::Target;
 use crate::usage::Usage;
@@ -116,6 +119,7 @@
     entry: Entry,
     baseline: Option<IndexMap<Shard, Local>>,
     dispatchers: IndexMap<Shard, Dispatcher>,
+    posts: IndexMap<Shard, Post>,
     waiting: IndexMap<RequestId, Waiting>,
     usage: Usage,
     chain: Chain,
@@ -150,6 +154,7 @@
             shared,
             tasks: JoinSet::new(),
             dispatchers: IndexMap::new(),
+            posts: IndexMap::new(),
             waiting: IndexMap::new(),
             usage: Usage::default(),
             chain: Chain::new(),
@@ -213,6 +218,7 @@
             Input::Placement { body } => self.placement_record(&body),
             Input::Log { up } => self.log_state(up),
             Input::Load { shard, runner, load } => self.loaded(&shard, &runner, load),
+            Input::Fence { shard, answer } => self.order_answer(&shard, &answer),
             Input::Appended { ticket, result } => self.appended(ticket, &result),
             Input::Republished { number } => self.republish_ended(number),
             Input::OrderKept(order) => self.order_heard(&order),
--- a/crates/node/src/control/route.rs
+++ b/crates/node/src/control/route.rs
@@ -38,6 +38,7 @@
                 break;
             }
         }
+        self.poll_orders();
     }
 
     /// Takes in a frame of another router.
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -6,6 +6,8 @@
 use plat::Listing;
 use wire::Shard;
 
+use crate::control::fence::Answer;
+
 /// A message from a background task to the control state.
 #[derive(Debug)]
 pub(crate) enum Input {
@@ -39,6 +41,13 @@
         /// The report.
         load: Option<sched::Load>,
     },
+    /// News for the orders to the runners of a shard.
+    Fence {
+        /// The shard.
+        shard: Shard,
+        /// The news.
+        answer: Box<Answer>,
+    },
     /// The append of a configuration has ended.
     Appended {
         /// Which one, as numbered by the control state.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,5 +16,6 @@
 mod tail;
 mod usage;
 
+pub use control::charter;
 pub use error::Error;
 pub use process::run;
