test(sched): cover counters after a restart, late first tokens and hopeless waits

Need: three rules had no test of their own. Overdue requests are now looked for before queues are rebuilt.

--- a/crates/sched/src/grant.rs
+++ b/crates/sched/src/grant.rs
@@ -173,8 +173,10 @@
 
     fn refuse_overdue(&mut self, now: Duration, is_over: impl Fn(Duration) -> bool) {
         let mut overdue = Vec::new();
-        for workspace in self.workspaces.values_mut() {
-            overdue.extend(workspace.queue.extract(|waiting| is_over(waiting.deadline)));
+        for queue in self.workspaces.values_mut().map(|workspace| &mut workspace.queue) {
+            if queue.iter().any(|waiting| is_over(waiting.deadline)) {
+                overdue.extend(queue.extract(|waiting| is_over(waiting.deadline)));
+            }
         }
         for waiting in overdue {
             self.waiting.swap_remove(&waiting.enqueue.request);
--- a/crates/sched/tests/dispatcher.rs
+++ b/crates/sched/tests/dispatcher.rs
@@ -210,7 +210,7 @@
     );
     let mut dispatcher = Dispatcher::new(plan, name("r1"), term(2), vec![name("r1")], 1, ms(0));
     let total = |text, tokens| Total { workspace: name(text), charge: Cost::tokens(tokens) };
-    let totals = vec![total("x", 500), total("y", 200)];
+    let totals = vec![total("x", 500), total("y", 200), total("", 200)];
     let totals = Totals { shard: shard(), term: term(1), sequence: 7, totals };
     let held = Resync {
         shard: shard(),
@@ -223,6 +223,25 @@
     assert_eq!(granted(&dispatcher.poll(ms(0))), [2]);
 }
 
+#[test]
+fn workspace_without_counter_starts_at_the_virtual_time_after_a_restart() {
+    let plan = plan(Kind::Plain, vec![runner("p1", 1, 1)], vec![workspace("x", 1, 9)]);
+    let mut dispatcher = Dispatcher::new(plan, name("r1"), term(2), vec![name("r1")], 1, ms(0));
+    let time = Total { workspace: name(""), charge: Cost::tokens(900) };
+    let totals = Totals { shard: shard(), term: term(1), sequence: 7, totals: vec![time] };
+    let held = Resync {
+        shard: shard(),
+        term: term(2),
+        waiting: vec![request(1, "x", Class::Interactive), request(2, "x", Class::Interactive)],
+        running: Vec::new(),
+        totals: Some(totals),
+    };
+    dispatcher.frame(&name("r1"), &Frame::Resync(held), ms(0));
+    assert_eq!(granted(&dispatcher.poll(ms(0))), [1]);
+    let charge = dispatcher.status(ms(0)).workspaces[0].charge;
+    assert_eq!(charge, Cost::tokens(900) + Cost::tokens(16));
+}
+
 #[test]
 fn unreachable_runner_gets_nothing_until_a_report_succeeds() {
     let mut dispatcher = single(2, 2);
@@ -280,3 +299,37 @@
     }
     assert_eq!(placed, ["e1", "e2", "e1", "e2"].map(name));
 }
+
+#[test]
+fn late_first_token_turns_a_warm_runner_cold() {
+    let mut dispatcher = single(1, 2);
+    dispatcher.load(&name("e1"), Some(load(0, true, 1)), ms(0));
+    for id in 1..=10 {
+        submit(&mut dispatcher, id..=id, 0);
+        end(&mut dispatcher, id, Outcome::Answered, 0);
+    }
+    assert_eq!(submit(&mut dispatcher, 11..=12, 0), [11, 12]);
+    let late = Done { first_token_ms: Some(1_200), ..answered(11, Cost::tokens(1)) };
+    dispatcher.frame(&name("r1"), &Frame::Done(late), ms(5));
+    assert_eq!(submit(&mut dispatcher, 13..=13, 5), []);
+}
+
+#[test]
+fn patience_that_the_drain_rate_cannot_meet_is_refused_at_once() {
+    let mut dispatcher = single(1, 1);
+    submit(&mut dispatcher, 1..=30, 0);
+    for id in 1..=10 {
+        let at = u64::try_from(id).expect("small") * 1_000;
+        for tick in (at - 750..at).step_by(250) {
+            dispatcher.poll(ms(tick));
+        }
+        end(&mut dispatcher, id, Outcome::Answered, at);
+        dispatcher.poll(ms(at));
+    }
+    let hasty = Enqueue { patience_ms: 9_000, ..request(90, "x", Class::Interactive) };
+    enqueue(&mut dispatcher, hasty, ms(10_000));
+    enqueue(&mut dispatcher, request(91, "x", Class::Interactive), ms(10_000));
+    let refused = refusals(&dispatcher.poll(ms(10_000)));
+    let refused: Vec<_> = refused.iter().map(|one| (one.request.0, one.flooded)).collect();
+    assert_eq!(refused, [(90, false)]);
+}
