--- /dev/null
+++ b/crates/rig/tests/at_most_once.rs
@@ -0,0 +1,189 @@
+//! Non-idempotent calls run at most once.
+
+mod proof;
+
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use base::Verdict;
+use http::Method;
+use http::header::RETRY_AFTER;
+use proof::MODEL;
+use proof::PLAIN;
+use proof::builder;
+use proof::executions;
+use proof::model;
+use proof::next;
+use proof::send;
+use proof::start;
+use proof::until;
+use rig::Answer;
+use rig::Call;
+use rig::Faults;
+use rig::RunnerPlan;
+use serde_json::json;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use uuid::NoContext;
+use uuid::Timestamp;
+use uuid::Uuid;
+
+/// Longest time that a refusal at once may take on a loaded machine.
+const AT_ONCE: Duration = Duration::from_secs(5);
+
+fn slow() -> RunnerPlan {
+    RunnerPlan::new().args(&["--service-ms", "300"])
+}
+
+fn outcome(answer: &Answer) -> (Option<u16>, Option<Verdict>) {
+    (answer.status.map(|status| status.as_u16()), answer.verdict())
+}
+
+async fn faults(fleet: &rig::Fleet, faults: Faults) {
+    fleet.platform().control("faults", &faults).await.expect("obeyed");
+}
+
+#[tokio::test]
+async fn a_key_sent_at_once_to_two_routers_is_executed_once() {
+    let turn = start(builder(2, &model(), &slow())).await;
+    let fleet = &turn.fleet;
+    for round in 0..5 {
+        let call = Call::once(PLAIN, "/ascents", &format!("round {round}"));
+        let mut calls = JoinSet::new();
+        send(&mut calls, fleet, 0, &call);
+        send(&mut calls, fleet, 1, &call);
+        let answers = [next(&mut calls).await, next(&mut calls).await];
+        let served = answers.iter().filter(|answer| answer.is_success()).count();
+        let unknown = (Some(409), Some(Verdict::MayHaveRun));
+        let refused = answers.iter().filter(|answer| outcome(answer) == unknown).count();
+        assert!(served >= 1 && served + refused == 2, "{answers:?}");
+        assert_eq!(executions(fleet).await, round + 1);
+        until("the recorded outcome", async || {
+            fleet.caller_of("crag", 1).call(&call).await.is_success()
+        })
+        .await;
+    }
+    assert_eq!(executions(fleet).await, 5);
+}
+
+#[tokio::test]
+async fn without_the_log_only_non_idempotent_calls_are_refused_at_once() {
+    let turn = start(builder(2, &model(), &RunnerPlan::new())).await;
+    let fleet = &turn.fleet;
+    let caller = fleet.caller_of("crag", 0);
+    faults(fleet, Faults { log_down: Some(true), ..Faults::default() }).await;
+    for number in 0..4 {
+        let begun = Instant::now();
+        let answer = caller.call(&Call::once(PLAIN, "/ascents", &format!("{number}"))).await;
+        println!("refused after {:?}", begun.elapsed());
+        assert!(begun.elapsed() < AT_ONCE, "{:?}", begun.elapsed());
+        assert_eq!(outcome(&answer), (Some(503), Some(Verdict::NotRun)));
+        assert!(answer.headers.contains_key(RETRY_AFTER) && answer.retry_after().is_some());
+        assert!(caller.call(&Call::lookup(PLAIN, "/routes/17")).await.is_success());
+        let whole = caller.call(&Call::completion(MODEL, "on", 3)).await.check_whole("on", 3);
+        assert_eq!(whole, Ok(()));
+    }
+    assert_eq!(executions(fleet).await, 0);
+    faults(fleet, Faults { log_down: Some(false), ..Faults::default() }).await;
+    let call = Call::once(PLAIN, "/ascents", "back");
+    until("calls after the log is back", async || caller.call(&call).await.is_success()).await;
+    assert_eq!(executions(fleet).await, 1);
+}
+
+#[tokio::test]
+async fn a_call_whose_append_was_not_answered_is_executed_exactly_once() {
+    let turn = start(builder(2, &model(), &RunnerPlan::new())).await;
+    let fleet = &turn.fleet;
+    let call = Call::once(PLAIN, "/ascents", "route 17");
+    faults(fleet, Faults { lose_answers: Some(1), ..Faults::default() }).await;
+    let answer = fleet.caller_of("crag", 0).call(&call).await;
+    assert!(answer.is_success(), "{answer:?}");
+    until("the recorded outcome", async || {
+        fleet.caller_of("crag", 1).call(&call).await.body == answer.body
+    })
+    .await;
+    assert_eq!(executions(fleet).await, 1);
+}
+
+#[tokio::test]
+async fn a_router_that_starts_empty_returns_the_recorded_outcome() {
+    let mut turn = start(builder(2, &model(), &RunnerPlan::new())).await;
+    let fleet = &mut turn.fleet;
+    let call = Call::once(PLAIN, "/ascents", "route 17");
+    let answer = fleet.caller_of("crag", 0).call(&call).await;
+    assert!(answer.is_success(), "{answer:?}");
+    until("the recorded outcome", async || {
+        fleet.caller_of("crag", 1).call(&call).await.body == answer.body
+    })
+    .await;
+    fleet.restart(0).expect("restarted");
+    until("the recorded outcome at the router that started empty", async || {
+        fleet.caller_of("crag", 0).call(&call).await.body == answer.body
+    })
+    .await;
+    assert_eq!(executions(fleet).await, 1);
+}
+
+#[tokio::test]
+async fn a_key_sent_again_after_its_router_was_killed_is_not_executed_twice() {
+    let mut turn = start(builder(2, &model(), &slow())).await;
+    let fleet = &mut turn.fleet;
+    let call = Call::once(PLAIN, "/ascents", "route 17");
+    let mut calls = JoinSet::new();
+    send(&mut calls, fleet, 0, &call);
+    until("the execution", async || executions(fleet).await == 1).await;
+    fleet.kill(0);
+    let first = next(&mut calls).await;
+    assert!(first.failure.is_some(), "{first:?}");
+    let caller = fleet.caller_of("crag", 1);
+    until("a verdict at the other router", async || {
+        outcome(&caller.call(&call).await) == (Some(409), Some(Verdict::MayHaveRun))
+    })
+    .await;
+    assert_eq!(executions(fleet).await, 1);
+}
+
+#[tokio::test]
+async fn keys_that_prove_nothing_are_refused_as_not_run() {
+    let turn = start(builder(1, &model(), &RunnerPlan::new())).await;
+    let fleet = &turn.fleet;
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_secs();
+    let old = Uuid::new_v7(Timestamp::from_unix(NoContext, now - 7200, 0)).to_string();
+    let early = Uuid::new_v7(Timestamp::from_unix(NoContext, now + 7200, 0)).to_string();
+    let call = Call::once(PLAIN, "/ascents", "route 17");
+    let keyless = Call::new(Method::POST, PLAIN, "/ascents").body("route 17");
+    let calls = [
+        keyless,
+        call.clone().key("7"),
+        call.clone().key("c2b4cd3c-3f8c-4d3e-9a54-3c2f3a1f6d10"),
+        call.clone().key(&old),
+        call.clone().key(&early),
+    ];
+    let caller = fleet.caller_of("crag", 0);
+    for call in &calls {
+        let answer = caller.call(call).await;
+        assert_eq!(outcome(&answer), (Some(400), Some(Verdict::NotRun)), "{answer:?}");
+    }
+    assert_eq!(executions(fleet).await, 0);
+    assert!(caller.call(&call).await.is_success());
+    let other = call.clone().body("route 18");
+    let reused = caller.call(&other).await;
+    assert_eq!(outcome(&reused), (Some(422), Some(Verdict::NotRun)));
+    assert_eq!(executions(fleet).await, 1);
+}
+
+#[tokio::test]
+async fn a_call_whose_runner_crashes_is_not_called_not_run() {
+    let mut turn = start(builder(2, &model(), &RunnerPlan::new())).await;
+    let fleet = &mut turn.fleet;
+    for (crash, executed) in [("before_run", 0), ("after_run", 1)] {
+        proof::order(fleet, "ledger-1", "crash", &json!({ crash: true })).await;
+        let call = Call::once(PLAIN, "/ascents", crash);
+        let answer = fleet.caller_of("crag", 0).call(&call).await;
+        assert_eq!(outcome(&answer), (Some(502), Some(Verdict::MayHaveRun)));
+        let again = fleet.caller_of("crag", 1).call(&call).await;
+        assert_eq!(outcome(&again), (Some(409), Some(Verdict::MayHaveRun)));
+        assert_eq!(executions(fleet).await, executed);
+    }
+}
--- /dev/null
+++ b/crates/rig/tests/proof/mod.rs
@@ -0,0 +1,144 @@
+//! Fleets for the proofs of whole answers and of calls that run at most once.
+
+#![allow(dead_code, reason = "each test uses its own part")]
+
+use std::future::Future;
+use std::time::Duration;
+
+use fake::journal::Entry;
+use rig::Answer;
+use rig::Builder;
+use rig::Call;
+use rig::Fleet;
+use rig::RunnerPlan;
+use rig::ServicePlan;
+use rig::WorkspacePlan;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+pub(crate) const MODEL: &str = "belay";
+pub(crate) const PLAIN: &str = "ledger";
+pub(crate) const REGION: &str = "midlands";
+/// A limit that only a hanging fleet reaches.
+pub(crate) const HANG: Duration = Duration::from_secs(30);
+/// Time between two looks.
+const POLL: Duration = Duration::from_millis(10);
+
+/// Fleets that run at the same time.
+static FLEETS: Semaphore = Semaphore::const_new(2);
+
+/// A fleet and its turn.
+pub(crate) struct Turn {
+    pub(crate) fleet: Fleet,
+    _permit: SemaphorePermit<'static>,
+}
+
+pub(crate) fn builder(routers: usize, model: &RunnerPlan, plain: &RunnerPlan) -> Builder {
+    let timeouts = json!({
+        "first_byte_ms": 2500, "between_bytes_ms": 1500, "queue_ms": 30_000, "long_queue_ms": 30_000,
+    });
+    Fleet::builder()
+        .zone("derby", REGION)
+        .zone("matlock", REGION)
+        .routers(routers)
+        .workspace(WorkspacePlan::new("crag"))
+        .workspace(WorkspacePlan::new("gym"))
+        .setting("limits", json!({ "drain_ms": 300 }))
+        .service(
+            ServicePlan::engine(MODEL, REGION)
+                .runners(2, model)
+                .field("timeouts", timeouts.clone()),
+        )
+        .service(ServicePlan::plain(PLAIN, REGION).runners(1, plain).field("timeouts", timeouts))
+}
+
+pub(crate) fn model() -> RunnerPlan {
+    let args = ["--first-token-ms", "50", "--token-interval-ms", "20", "--fall-ms", "500"];
+    RunnerPlan::new().args(&args).limits(8, 2)
+}
+
+pub(crate) async fn start(builder: Builder) -> Turn {
+    let permit = FLEETS.acquire().await.expect("never closed");
+    let mut fleet = builder.start().await.expect("started");
+    fleet.settle(HANG).await.expect("settled");
+    // Until dispatchers have heard of all members, calls wait; one call of each kind is the sign that they have.
+    for router in 0..fleet.router_count() {
+        let caller = fleet.caller_of("gym", router);
+        for call in [Call::completion(MODEL, "first", 1), Call::lookup(PLAIN, "/first")] {
+            until("the first calls", async || caller.call(&call).await.is_success()).await;
+        }
+    }
+    Turn { fleet, _permit: permit }
+}
+
+/// Waits until something holds.
+pub(crate) async fn until<F: Future<Output = bool>>(what: &str, mut holds: impl FnMut() -> F) {
+    let deadline = Instant::now() + HANG;
+    while !holds().await {
+        assert!(Instant::now() < deadline, "not in time: {what}");
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+/// Sends a call at a router while the test goes on.
+pub(crate) fn send(calls: &mut JoinSet<Answer>, fleet: &Fleet, router: usize, call: &Call) {
+    let (caller, call) = (fleet.caller_of("crag", router), call.clone());
+    calls.spawn(async move { caller.call(&call).await });
+}
+
+/// Returns the answer to the next call that ends.
+pub(crate) async fn next(calls: &mut JoinSet<Answer>) -> Answer {
+    calls.join_next().await.expect("a call").expect("an answer")
+}
+
+/// Returns what all runners journalled of the workspace's calls, each with the name of the runner.
+pub(crate) async fn entries(fleet: &Fleet) -> Vec<Journalled> {
+    let mut entries = Vec::new();
+    for (runner, journal) in fleet.journals().await.expect("journals") {
+        let own = journal.requests.into_iter().filter(|e| e.workspace.as_deref() == Some("crag"));
+        entries.extend(own.map(|entry| Journalled { runner: runner.clone(), entry }));
+    }
+    entries
+}
+
+/// One entry of a runner's journal.
+#[derive(Debug, Clone)]
+pub(crate) struct Journalled {
+    pub(crate) runner: String,
+    pub(crate) entry: Entry,
+}
+
+/// Returns how often calls of the workspace were executed.
+pub(crate) async fn executions(fleet: &Fleet) -> usize {
+    entries(fleet).await.iter().filter(|found| found.entry.execution.is_some()).count()
+}
+
+/// Returns the runner of the only call of the workspace once it has generated some tokens.
+pub(crate) async fn streaming(fleet: &Fleet, tokens: u64) -> String {
+    let deadline = Instant::now() + HANG;
+    loop {
+        let found = entries(fleet).await.into_iter().find(|found| found.entry.tokens >= tokens);
+        if let Some(found) = found {
+            return found.runner;
+        }
+        assert!(Instant::now() < deadline, "no tokens");
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+/// Gives an order to a runner.
+pub(crate) async fn order(fleet: &mut Fleet, runner: &str, name: &str, body: &Value) {
+    fleet.runner(runner).expect("a runner").control(name, body).await.expect("obeyed");
+}
+
+/// Checks that no router has panicked.
+pub(crate) fn expect_no_panic(fleet: &Fleet) {
+    for router in 0..fleet.router_count() {
+        let log = fleet.router(router).process.log();
+        assert!(!log.contains("panicked"), "{log}");
+    }
+}
