--- /dev/null
+++ b/crates/rig/tests/matrix_quick.rs
@@ -0,0 +1,29 @@
+//! A fixed small part of the fault matrix, by the code of the whole one.
+
+use rig::matrix::Cell;
+use rig::matrix::Ground;
+
+/// What decides about roles and small delays.
+const SEED: u64 = 1;
+
+async fn run(cells: &[Cell]) -> Vec<String> {
+    let mut ground = Ground::start().await.expect("a fleet");
+    let mut failed = Vec::new();
+    for cell in cells {
+        let report = ground.run(*cell).await;
+        println!("{cell}: {:?} in {:?}", report.ending, report.took);
+        if !report.is_passed() {
+            failed.push(format!("{cell}, seed {SEED}: {}", report.faults.join("; ")));
+        }
+    }
+    failed
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_struck_by_a_fault_are_whole_or_truly_refused_and_run_at_most_once() {
+    let cells = Cell::quick(SEED);
+    let (first, second) = cells.split_at(cells.len() / 2);
+    let (mut failed, others) = tokio::join!(run(first), run(second));
+    failed.extend(others);
+    assert_eq!(failed, Vec::<String>::new());
+}
--- /dev/null
+++ b/crates/rig/tests/members.rs
@@ -0,0 +1,369 @@
+//! Routers that die, stall, are cut off, come back, leave or were never members.
+
+mod support;
+
+use std::time::Duration;
+
+use rig::Call;
+use rig::Change;
+use rig::Faults;
+use rig::Fleet;
+use rig::Load;
+use rig::Record;
+use rig::Space;
+use serde_json::json;
+use support::COLD;
+use support::ENGINE;
+use support::HANG;
+use support::SLOTS;
+use support::WORKSPACE;
+use support::own;
+use support::own::Own;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// A refusal that takes longer is not at once.
+const AT_ONCE: Duration = Duration::from_secs(3);
+/// How long a router is paused.
+const PAUSE: Duration = Duration::from_secs(5);
+/// How long a router that starts may take to serve its callers.
+const JOIN: Duration = Duration::from_secs(6);
+
+/// Checks that no runner ever had more work than it bears.
+async fn assert_limits_kept(fleet: &Fleet) {
+    for (name, journal) in fleet.journals().await.expect("journals") {
+        let peak = journal.requests.iter().map(|entry| entry.peak).max().unwrap_or_default();
+        assert!(peak <= SLOTS, "{name} had {peak} requests at once");
+        assert!(journal.peak_cold <= COLD, "{name} had {} while cold", journal.peak_cold);
+        assert_eq!(journal.falls, 0, "{name} fell over");
+    }
+}
+
+/// Returns whether a call was one of a router's callers, who know no other; none is known if they can't connect.
+fn is_at(fleet: &Fleet, record: &Record, router: usize) -> bool {
+    record.router.is_none_or(|address| address == fleet.router(router).callers())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_killed_dispatcher_takes_only_its_own_callers_calls_with_it() {
+    let mut fleet = support::start(support::builder(5)).await;
+    let killed = support::dispatcher(&fleet).await.expect("a dispatcher");
+    // More callers than slots, so that calls wait at each entry when the dispatcher dies.
+    let load = support::load(&fleet, &[0, 1, 2, 3, 4], 5, Duration::from_secs(8));
+    let strike = async {
+        support::until_all_work(&fleet).await;
+        support::until(HANG, "waiting calls at the other entries", async || {
+            let mut waiting = 0;
+            for router in (0..5).filter(|router| *router != killed) {
+                let status = support::status(&fleet, router).await.unwrap_or_default();
+                waiting += status["waiting"].as_u64().unwrap_or_default();
+            }
+            waiting > 0
+        })
+        .await;
+        fleet.kill(killed);
+        let others: Vec<usize> = (0..5).filter(|router| *router != killed).collect();
+        until_others_dispatch(&fleet, &others).await;
+        support::wall_millis()
+    };
+    let (records, moved) = tokio::join!(load.run(), strike);
+    let (own, others): (Vec<Record>, Vec<Record>) =
+        records.into_iter().partition(|record| is_at(&fleet, record, killed));
+    support::assert_answered(&others);
+    let is_clear = |record: &Record| record.is_success || record.failure.is_some();
+    assert!(own.iter().all(is_clear), "{own:#?}");
+    let started = support::started_since(&fleet, moved).await;
+    assert!(started.values().all(|count| *count > 0), "the load goes on: {started:?}");
+    assert_limits_kept(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_paused_dispatcher_that_wakes_grants_nothing_on_its_old_term_and_rejoins() {
+    let mut fleet = support::start(support::builder(5)).await;
+    let paused = support::dispatcher(&fleet).await.expect("a dispatcher");
+    let old_term = support::term(&fleet, paused).await.expect("a term");
+    let others: Vec<usize> = (0..5).filter(|router| *router != paused).collect();
+    let load = support::load(&fleet, &others, 5, PAUSE + Duration::from_secs(7));
+    let strike = async {
+        support::until_all_work(&fleet).await;
+        fleet.pause(paused).expect("running");
+        let begin = Instant::now();
+        until_others_dispatch(&fleet, &others).await;
+        tokio::time::sleep_until(begin + PAUSE).await;
+        fleet.wake(paused).expect("paused");
+        support::until(HANG, "all members alive again", async || {
+            support::alive_counts(&fleet).await == [5; 5]
+        })
+        .await;
+        support::until(HANG, "one dispatcher, not in the old term", async || {
+            let mut terms = Vec::new();
+            for router in 0..5 {
+                terms.extend(support::term(&fleet, router).await);
+            }
+            terms.len() == 1 && terms[0] != old_term
+        })
+        .await;
+    };
+    let (records, ()) = tokio::join!(load.run(), strike);
+    support::assert_answered(&records);
+    assert_limits_kept(&fleet).await;
+    let call = Call::completion(ENGINE, "awake again", 3);
+    let answer = fleet.caller_of(WORKSPACE, paused).call(&call).await;
+    assert_eq!(answer.check_whole("awake again", 3), Ok(()), "{answer:?}");
+}
+
+async fn until_others_dispatch(fleet: &Fleet, others: &[usize]) {
+    support::until(HANG, "another dispatcher", async || {
+        for router in others {
+            if support::term(fleet, *router).await.is_some() {
+                return true;
+            }
+        }
+        false
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn both_sides_of_a_partition_keep_the_limits_of_runners_that_both_reach() {
+    let stays_cold = support::engine().args(&["--cold", "--warm-after", "100000"]);
+    let engines = [support::engine(), stays_cold, support::engine()];
+    let fleet = support::start(support::with_engines(5, &engines).proxied()).await;
+    let load = support::load(&fleet, &[0, 1, 2, 3, 4], 4, Duration::from_secs(12));
+    let strike = async {
+        support::until_all_work(&fleet).await;
+        fleet.isolate(&[0, 1]).await.expect("isolated");
+        support::until(HANG, "two sides", async || {
+            support::alive_counts(&fleet).await == [2, 2, 3, 3, 3]
+        })
+        .await;
+    };
+    let (records, ()) = tokio::join!(load.run(), strike);
+    support::assert_answered_or_refused(&records, AT_ONCE);
+    assert_limits_kept(&fleet).await;
+    let is_late = |record: &&Record| record.started > Duration::from_secs(9);
+    for router in 2..5 {
+        let late: Vec<Record> = records.iter().filter(is_late).cloned().collect();
+        let own = late.into_iter().filter(|record| is_at(&fleet, record, router));
+        support::assert_answered(&own.collect::<Vec<Record>>());
+    }
+    fleet.heal().await.expect("healed");
+    support::until(HANG, "one fleet", async || support::alive_counts(&fleet).await == [5; 5]).await;
+    let again = support::load(&fleet, &[0, 1, 2, 3, 4], 1, Duration::from_secs(2)).run().await;
+    support::assert_answered(&again);
+    assert_limits_kept(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn links_cut_in_one_direction_cost_no_call_and_no_limit() {
+    let fleet = support::start(support::builder(4).proxied()).await;
+    let load = support::load(&fleet, &[0, 1, 2, 3], 4, Duration::from_secs(9));
+    let strike = async {
+        support::until_all_work(&fleet).await;
+        let dispatcher = support::dispatcher(&fleet).await.expect("a dispatcher");
+        let name = fleet.router(dispatcher).name().to_owned();
+        let other = fleet.router((dispatcher + 1) % 4).name().to_owned();
+        let network = fleet.network().expect("a network");
+        let cut = Change { cut_to: Some(true), ..Change::default() };
+        network.change_link(&format!("peer:{name}:{other}"), cut).await.expect("cut");
+        let cut = Change { cut_back: Some(true), ..Change::default() };
+        network.change_link(&format!("peer:{other}:{name}"), cut).await.expect("cut");
+    };
+    let (records, ()) = tokio::join!(load.run(), strike);
+    support::assert_answered_or_refused(&records, AT_ONCE);
+    let success = records.iter().filter(|record| record.is_success).count();
+    assert!(success * 10 > records.len() * 9, "{success} of {} answered", records.len());
+    assert_limits_kept(&fleet).await;
+    fleet.heal().await.expect("healed");
+    support::until(HANG, "one fleet", async || support::alive_counts(&fleet).await == [4; 4]).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_router_that_is_killed_and_restarted_at_once_rejoins_and_serves() {
+    let mut fleet = support::start(support::builder(3)).await;
+    for round in 0..3 {
+        let restarted = round % 3;
+        fleet.restart(restarted).expect("started");
+        let begin = Instant::now();
+        let text = format!("back again {round}");
+        let served = support::until(JOIN, "an answer of the restarted router", async || {
+            let call = Call::completion(ENGINE, &text, 2).deadline(Duration::from_millis(500));
+            let answer = fleet.caller_of(WORKSPACE, restarted).call(&call).await;
+            answer.check_whole(&text, 2).is_ok()
+        })
+        .await;
+        support::until(HANG, "all members alive", async || {
+            support::alive_counts(&fleet).await == [3; 3]
+        })
+        .await;
+        support::place_until_taken(&fleet, restarted, "derby", round % 2 == 0).await;
+        println!("serves after {served:?}, takes orders after {:?}", begin.elapsed());
+        assert!(begin.elapsed() < JOIN, "takes orders after {:?}", begin.elapsed());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stranger_with_a_certificate_of_another_authority_gets_no_frames() {
+    let fleet = support::builder(0).start().await.expect("a platform");
+    let space = Space::new().expect("a directory");
+    let (ours, other) = (own::authority("fleet"), own::authority("fleet"));
+    let start = |name: &str, authority| {
+        let keys = own::keys(authority, name, &[authority]);
+        Own::start(&space, own::settings(&fleet, name, 0, &keys))
+    };
+    let routers = [start("s1", &ours), start("s2", &ours)];
+    let keys = own::keys(&other, "s9", &[&other, &ours]);
+    let stranger = Own::start(&space, own::settings(&fleet, "s9", 1, &keys));
+    own::list(&fleet, &[&routers[0], &routers[1], &stranger]).await;
+    let late = start("s3", &ours);
+    own::list(&fleet, &[&routers[0], &routers[1], &stranger, &late]).await;
+    support::until(HANG, "the real members", async || {
+        let mut are_met = true;
+        for router in [&routers[0], &routers[1], &late] {
+            are_met &= router.alive().await == ["s1", "s2", "s3"];
+        }
+        are_met
+    })
+    .await;
+    let text = "only among friends";
+    for router in [&routers[0], &routers[1], &late] {
+        let answer = router.caller().call(&Call::completion(ENGINE, text, 3)).await;
+        assert_eq!(answer.check_whole(text, 3), Ok(()), "{answer:?}");
+        let places = router.caller().addresses(ENGINE).await.expect("addresses").addresses;
+        assert!(places.iter().all(|place| place.address != stranger.callers), "{places:?}");
+        assert_eq!(router.alive().await, ["s1", "s2", "s3"]);
+    }
+    let status = stranger.status().await;
+    assert_eq!(status["control"]["frames_received"], 0, "{status}");
+    assert_eq!(stranger.alive().await, ["s9"]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keys_are_rotated_router_by_router_while_calls_succeed() {
+    let fleet = support::builder(0).start().await.expect("a platform");
+    let space = Space::new().expect("a directory");
+    let (old, new) = (own::authority("fleet-1"), own::authority("fleet-2"));
+    let start = |name: &str, zone: usize| {
+        let keys = own::keys(&old, name, &[&old]);
+        let mut settings = own::settings(&fleet, name, zone, &keys);
+        settings["limits"] = json!({ "drain_ms": 300 });
+        Own::start(&space, settings)
+    };
+    let mut routers = [start("s1", 0), start("s2", 1), start("s3", 2)];
+    own::list(&fleet, &routers.each_ref()).await;
+    until_met(&routers, 3).await;
+    let stages = [(&old, vec![&old, &new]), (&new, vec![&old, &new]), (&new, vec![&new])];
+    for (stage, (issuer, trusted)) in stages.iter().enumerate() {
+        for index in 0..3 {
+            let staying: Vec<&Own> =
+                (0..3).filter(|one| *one != index).map(|one| &routers[one]).collect();
+            let load =
+                staying.iter().fold(Load::new(7, Duration::from_millis(1_000)), |load, router| {
+                    load.stream(support::stream(router.caller(), 2, stage * 10 + index))
+                });
+            let keys = own::keys(issuer, &routers[index].name, trusted);
+            routers[index].settings["peer_keys"] = keys;
+            let mut running = JoinSet::new();
+            running.spawn(load.run());
+            routers[index].process.terminate().expect("running");
+            assert!(routers[index].process.wait(HANG).expect("ended").success());
+            routers[index].restart(&space);
+            support::assert_answered(&running.join_all().await.concat());
+            until_met(&routers, 3).await;
+            let text = format!("turned {stage} {index}");
+            let answer = routers[index].caller().call(&Call::completion(ENGINE, &text, 3)).await;
+            assert_eq!(answer.check_whole(&text, 3), Ok(()), "{answer:?}");
+        }
+    }
+    // The old authority is worth nothing now.
+    let keys = own::keys(&old, "s4", &[&old, &new]);
+    let late = Own::start(&space, own::settings(&fleet, "s4", 0, &keys));
+    own::list(&fleet, &[&routers[0], &routers[1], &routers[2], &late]).await;
+    let keys = own::keys(&new, "s5", &[&new]);
+    let proper = Own::start(&space, own::settings(&fleet, "s5", 0, &keys));
+    own::list(&fleet, &[&routers[0], &routers[1], &routers[2], &late, &proper]).await;
+    until_met(&routers, 4).await;
+    assert_eq!(routers[0].alive().await, ["s1", "s2", "s3", "s5"]);
+}
+
+async fn until_met(routers: &[Own], count: usize) {
+    support::until(HANG, "members that know each other", async || {
+        for router in routers {
+            if router.alive().await.len() != count {
+                return false;
+            }
+        }
+        true
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_router_that_leaves_under_load_cuts_nothing() {
+    let builder = support::builder(4).setting("limits", json!({ "drain_ms": 2000 }));
+    let mut fleet = support::start(builder).await;
+    let leaver = support::dispatcher(&fleet).await.expect("a dispatcher");
+    let staying = support::load(
+        &fleet,
+        &(0..4).filter(|router| *router != leaver).collect::<Vec<_>>(),
+        4,
+        Duration::from_secs(8),
+    );
+    // These callers know all routers, and go to the next one when they can't connect.
+    let first = fleet.caller_of(WORKSPACE, leaver);
+    let routers: Vec<_> =
+        (0..4).map(|router| fleet.router((leaver + router) % 4).callers()).collect();
+    first.set_routers(&routers);
+    let load = staying.stream(support::stream(first, 4, 9));
+    let strike = async {
+        support::until_all_work(&fleet).await;
+        fleet.terminate(leaver).expect("running");
+        let others: Vec<usize> = (0..4).filter(|router| *router != leaver).collect();
+        until_others_dispatch(&fleet, &others).await;
+        support::until(HANG, "the leaver gone from all answers", async || {
+            for router in &others {
+                let caller = fleet.caller_of(WORKSPACE, *router);
+                let places = caller.addresses(ENGINE).await.expect("addresses").addresses;
+                let gone = fleet.router(leaver).callers();
+                if places.iter().any(|place| place.address == gone) {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+    };
+    let (records, ()) = tokio::join!(load.run(), strike);
+    support::assert_answered(&records);
+    let status = fleet.wait(leaver, HANG).expect("ended");
+    assert!(status.success(), "{status}");
+    assert_limits_kept(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn routers_that_start_without_the_instance_list_refuse_at_once_and_serve_when_it_is_back() {
+    let mut fleet = support::start(support::builder(3)).await;
+    support::faults(&fleet, Faults { instances_down: Some(true), ..Faults::default() }).await;
+    for router in 0..3 {
+        fleet.kill(router);
+    }
+    for router in 0..3 {
+        fleet.restart(router).expect("started");
+    }
+    for router in 0..3 {
+        for _ in 0..3 {
+            let call = Call::completion(ENGINE, "too early", 3);
+            let answer = fleet.caller_of(WORKSPACE, router).call(&call).await;
+            assert_eq!(answer.verdict(), Some(base::Verdict::NotRun), "{answer:?}");
+            assert!(answer.total < AT_ONCE, "{answer:?}");
+        }
+    }
+    support::faults(&fleet, Faults { instances_down: Some(false), ..Faults::default() }).await;
+    fleet.settle(JOIN).await.expect("a settled fleet");
+    for router in 0..3 {
+        let call = Call::completion(ENGINE, "in time", 3);
+        let answer = fleet.caller_of(WORKSPACE, router).call(&call).await;
+        assert_eq!(answer.check_whole("in time", 3), Ok(()), "{answer:?}");
+    }
+    assert_limits_kept(&fleet).await;
+}
--- a/crates/rig/tests/proof/mod.rs
+++ b/crates/rig/tests/proof/mod.rs
@@ -2,7 +2,6 @@
 
 #![allow(dead_code, reason = "each test uses its own part")]
 
-use std::future::Future;
 use std::time::Duration;
 
 use fake::journal::Entry;
@@ -76,7 +75,7 @@
 }
 
 /// Waits until something holds.
-pub(crate) async fn until<F: Future<Output = bool>>(what: &str, mut holds: impl FnMut() -> F) {
+pub(crate) async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
     let deadline = Instant::now() + HANG;
     while !holds().await {
         assert!(Instant::now() < deadline, "not in time: {what}");
--- a/crates/rig/tests/support/mod.rs
+++ b/crates/rig/tests/support/mod.rs
@@ -174,14 +174,28 @@
 
 /// Sends an order to take something out or back and returns its counter.
 pub(crate) async fn place(fleet: &Fleet, router: usize, kind: &str, name: &str, out: bool) -> u64 {
-    let order = json!({ "kind": kind, "name": name, "out": out }).to_string();
-    let answer = fleet.operate(router, Method::POST, "/operator/placement", &order).await;
-    let answer = answer.expect("an answer to a placement order");
+    let answer = order(fleet, router, kind, name, out).await;
     let body: Value = serde_json::from_slice(answer.body()).expect("JSON");
     assert_eq!(answer.status(), 200, "{body}");
     body["counter"].as_u64().expect("a counter")
 }
 
+/// Sends an order for a zone again as long as the router says that only it has the order.
+pub(crate) async fn place_until_taken(fleet: &Fleet, router: usize, zone: &str, out: bool) {
+    until(HANG, "an order that another process has too", async || {
+        let answer = order(fleet, router, "zone", zone, out).await;
+        assert!([200, 503].contains(&answer.status().as_u16()), "{answer:?}");
+        answer.status() == 200
+    })
+    .await;
+}
+
+async fn order(fleet: &Fleet, router: usize, kind: &str, name: &str, out: bool) -> Response<Bytes> {
+    let order = json!({ "kind": kind, "name": name, "out": out }).to_string();
+    let answer = fleet.operate(router, Method::POST, "/operator/placement", &order).await;
+    answer.expect("an answer to a placement order")
+}
+
 /// Sends a configuration.
 pub(crate) async fn apply(fleet: &Fleet, router: usize, base: u64, text: &str) -> Response<Bytes> {
     let body = json!({ "base": base, "text": text }).to_string();
