--- a/crates/fake/src/cli.rs
+++ b/crates/fake/src/cli.rs
@@ -48,6 +48,7 @@
         .arg(count("warm-after", "6", "Answered requests after which the engine is warm"))
         .arg(duration("fall-ms", "1500", "How long connections are refused after a fall"))
         .arg(duration("report-lag-ms", "400", "Time between two load reports"))
+        .arg(count("event-bytes", "0", "Bytes that are added to each event"))
         .arg(flag("check-fencing", "Refuse orders with an older fence"))
 }
 
--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -58,6 +58,8 @@
     pub fall: Duration,
     /// Time between two refreshes of the load report.
     pub report_lag: Duration,
+    /// Bytes that are added to each event.
+    pub event_bytes: u32,
     /// Whether orders with an older fence are refused.
     pub checks_fencing: bool,
 }
@@ -174,8 +176,11 @@
     };
     let mut generation = Generation::new(ticket, &completion, from.unwrap_or_default());
     generation.start().await?;
-    let mut answer =
-        if completion.stream { stream(generation) } else { collect(generation).await? };
+    let mut answer = if completion.stream {
+        stream(generation, engine.settings().event_bytes)
+    } else {
+        collect(generation).await?
+    };
     if let Some(attempt) = parts.headers.get("x-attempt-id") {
         answer.headers_mut().insert("x-attempt-id", attempt.clone());
     }
@@ -190,13 +195,17 @@
     Ok(reply::json(StatusCode::OK, &json!({ "text": text })))
 }
 
-fn stream(generation: Generation) -> Answer {
-    let events = stream::unfold(Some(generation), |generation| async move {
-        let mut generation = generation?;
+fn stream(generation: Generation, event_bytes: u32) -> Answer {
+    let padding = "x".repeat(event_bytes as usize);
+    let events = stream::unfold(Some((generation, padding)), |state| async move {
+        let (mut generation, padding) = state?;
         match generation.next().await {
             Ok(Some(token)) => {
-                let event = json!({ "index": token.index, "text": token.text });
-                Some((Ok(frame(format!("data: {event}\n\n"))), Some(generation)))
+                let mut event = json!({ "index": token.index, "text": token.text });
+                if !padding.is_empty() {
+                    event["padding"] = json!(padding);
+                }
+                Some((Ok(frame(format!("data: {event}\n\n"))), Some((generation, padding))))
             }
             Ok(None) => Some((Ok(frame("data: [DONE]\n\n".to_owned())), None)),
             Err(abort) => Some((Err(abort), None)),
--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -96,6 +96,7 @@
         warm_after: cli::value(matches, "warm-after"),
         fall: cli::millis(matches, "fall-ms"),
         report_lag: cli::millis(matches, "report-lag-ms"),
+        event_bytes: cli::value(matches, "event-bytes"),
         checks_fencing: matches.get_flag("check-fencing"),
     }
 }
--- a/crates/rig/src/matrix/ground.rs
+++ b/crates/rig/src/matrix/ground.rs
@@ -67,7 +67,6 @@
             .service(
                 ServicePlan::plain(PLAIN, REGION).runners(2, &service).field("timeouts", timeouts),
             )
-            .setting("log_level", json!("debug"))
             .proxied()
             .start()
             .await?;
