--- /dev/null
+++ b/crates/rig/tests/matrix_checks.rs
@@ -0,0 +1,136 @@
+//! The checks of the matrix fail where no router guards the call.
+
+use base::Verdict;
+use fake::journal;
+use fake::journal::Entry;
+use http::HeaderMap;
+use http::StatusCode;
+use indexmap::IndexMap;
+use rig::Answer;
+use rig::Call;
+use rig::Caller;
+use rig::Failure;
+use rig::Part;
+use rig::Problem;
+use rig::Space;
+use rig::matrix;
+use rig::matrix::Cell;
+use rig::matrix::Ending;
+use serde_json::json;
+
+const PROMPT: &str = "a matte van";
+
+async fn journals(part: &Part) -> IndexMap<String, journal::Report> {
+    let journal = part.journal().await.expect("a journal");
+    [(part.name().to_owned(), journal)].into_iter().collect()
+}
+
+#[tokio::test]
+async fn a_repeat_that_no_router_stops_is_counted_as_a_second_execution() {
+    let space = Space::new().expect("a directory");
+    let service = Part::start(&space, "ledger-1", &["service"]).expect("started");
+    let caller = Caller::direct(service.address());
+    let call = Call::once("ledger", "/ascents", "route 17");
+    for wanted in 1..=2 {
+        assert_eq!(matrix::judge(&call, &caller.call(&call).await, false), Ok(Ending::Whole));
+        assert_eq!(matrix::executions(&call, &journals(&service).await), wanted);
+    }
+    let other = Call::once("ledger", "/ascents", "route 18");
+    assert_eq!(matrix::executions(&other, &journals(&service).await), 0);
+}
+
+#[tokio::test]
+async fn an_answer_that_breaks_is_a_fault_unless_the_router_was_killed() {
+    let space = Space::new().expect("a directory");
+    let args = ["engine", "--token-interval-ms", "5"];
+    let engine = Part::start(&space, "belay-1", &args).expect("started");
+    let caller = Caller::direct(engine.address());
+    let call = Call::completion("belay", PROMPT, 100_000);
+    let crash = async {
+        while engine.load().await.expect("a report").tokens == 0 {
+            tokio::task::yield_now().await;
+        }
+        engine.control("crash", &json!({})).await.expect("obeyed");
+    };
+    let (broken, ()) = tokio::join!(caller.call(&call), crash);
+    assert_eq!(matrix::judge(&call, &broken, false), Err("no answer: broken".to_owned()));
+    assert_eq!(matrix::judge(&call, &broken, true), Ok(Ending::Broken));
+    let late = Answer { failure: Some(Failure::Timeout), ..broken };
+    assert_eq!(matrix::judge(&call, &late, true), Err("no answer: timeout".to_owned()));
+}
+
+#[tokio::test]
+async fn half_an_answer_and_that_to_another_call_are_faults() {
+    let space = Space::new().expect("a directory");
+    let engine = Part::start(&space, "belay-1", &["engine"]).expect("started");
+    let caller = Caller::direct(engine.address());
+    let call = Call::completion("belay", PROMPT, 4);
+    let whole = caller.call(&call).await;
+    assert_eq!(matrix::judge(&call, &whole, false), Ok(Ending::Whole));
+    let half = Answer { is_done: false, tokens: whole.tokens[..2].to_vec(), ..whole.clone() };
+    let fault = matrix::judge(&call, &half, true).expect_err("half an answer");
+    assert!(fault.starts_with("not whole: status Some(200), 2 tokens"), "{fault}");
+    let early = Answer { tokens: whole.tokens[..2].to_vec(), ..whole.clone() };
+    assert!(matrix::judge(&call, &early, true).is_err(), "an early end mark");
+    let other = Call::completion("belay", "another van", 4);
+    let crossed = Err("another answer's token at 0".to_owned());
+    assert_eq!(matrix::judge(&other, &whole, true), crossed);
+    let refused = Answer { problem: Some(problem(Verdict::MayHaveRun, None)), ..whole };
+    assert_eq!(matrix::judge(&other, &refused, true), crossed, "a refusal hides no other's tokens");
+}
+
+#[tokio::test]
+async fn the_echo_of_another_call_is_a_fault() {
+    let space = Space::new().expect("a directory");
+    let service = Part::start(&space, "ledger-1", &["service"]).expect("started");
+    let call = Call::once("ledger", "/ascents", "route 17");
+    let answer = Caller::direct(service.address()).call(&call).await;
+    let other = call.body("route 18");
+    let fault = matrix::judge(&other, &answer, true).expect_err("another's echo");
+    assert!(fault.starts_with("not whole: status Some(200)"), "{fault}");
+}
+
+#[test]
+fn not_run_is_untrue_if_a_runner_has_received_the_request() {
+    let call = Call::once("ledger", "/ascents", "route 17");
+    let mut headers = HeaderMap::new();
+    headers.insert("x-request-id", "request-1".parse().expect("plain"));
+    let report = journal::Report {
+        requests: vec![Entry::new("/ascents", &headers, b"route 17", 1)],
+        orders: Vec::new(),
+        peak_cold: 0,
+        falls: 0,
+        cancels: 0,
+        raw_connections: 0,
+        raw_bytes: 0,
+    };
+    let journals: IndexMap<_, _> = [("ledger-1".to_owned(), report)].into_iter().collect();
+    let is_true = |verdict, request| {
+        let answer = Answer {
+            status: Some(StatusCode::SERVICE_UNAVAILABLE),
+            problem: Some(problem(verdict, request)),
+            ..Answer::default()
+        };
+        matrix::verdict_is_true(&call, &answer, &journals).is_ok()
+    };
+    let found = [
+        is_true(Verdict::NotRun, Some("request-1")),
+        is_true(Verdict::NotRun, None),
+        is_true(Verdict::NotRun, Some("request-2")),
+        is_true(Verdict::MayHaveRun, Some("request-1")),
+    ];
+    assert_eq!(found, [false, false, true, true]);
+}
+
+#[test]
+fn the_matrix_has_every_fault_at_every_step_and_says_why_some_cannot_happen() {
+    let cells = Cell::all(7);
+    let missing = cells.iter().filter(|cell| cell.missing().is_some()).count();
+    assert_eq!((cells.len(), missing), (15 * 9 * 2, 75));
+    assert!(Cell::quick(7).iter().all(|cell| cells.contains(cell) && cell.missing().is_none()));
+}
+
+fn problem(verdict: Verdict, request: Option<&str>) -> Problem {
+    let request = request.map(str::to_owned);
+    Problem { status: 503, detail: String::new(), verdict, retry_after_ms: None, request }
+}
