feat(node,rig): claim fences when it is settled who dispatches

At a start each router takes itself for the dispatcher for a moment. The claims of these moments superseded the right one, whose orders then came after 10 s.

Real processes: the fence rises after a kill, a dispatcher that wakes after 8 s orders nothing with its old fence, and without the log nothing is ordered while calls go on.

--- a/crates/node/src/control/charter.rs
+++ b/crates/node/src/control/charter.rs
@@ -39,6 +39,8 @@
 pub const TRANSIT: Duration = ORDER_UNACKNOWLEDGED.saturating_add(Duration::from_millis(500));
 /// Time from reading back a claim until runners that do not check fencing numbers get orders.
 pub const LEASE_WAIT: Duration = LEASE.saturating_add(TRANSIT);
+/// Time from the begin of a term to its claim, in which routers that start or wake learn who dispatches.
+const CLAIM_PAUSE: Duration = Duration::from_millis(1_000);
 /// Time before the log is asked again after a failure.
 const LOG_PAUSE: Duration = Duration::from_millis(500);
 /// Time before an order that was not sent is tried again.
@@ -142,7 +144,7 @@
 impl Charter {
     /// Creates the charter of a dispatcher that has claimed nothing yet.
     #[must_use]
-    pub fn new(shard: Shard, router: Name, term: Term, id: Uuid) -> Self {
+    pub fn new(shard: Shard, router: Name, term: Term, id: Uuid, now: Duration) -> Self {
         Self {
             claim: Record { shard, router, term, id },
             retired: Vec::new(),
@@ -150,7 +152,7 @@
             wanted: Vec::new(),
             runners: IndexMap::new(),
             asking: false,
-            ask_at: Duration::ZERO,
+            ask_at: now + CLAIM_PAUSE,
             reclaim: FIRST_RECLAIM,
             orders: 0,
             outbox: Vec::new(),
@@ -158,13 +160,14 @@
     }
 
     /// Begins a new term, which needs a new claim and gives all orders again.
-    pub fn begin(&mut self, term: Term, id: Uuid) {
+    pub fn begin(&mut self, term: Term, id: Uuid, now: Duration) {
         self.retired.push(mem::replace(&mut self.claim.id, id));
         let surplus = self.retired.len().saturating_sub(RETIRED);
         self.retired.drain(..surplus);
         self.claim.term = term;
         self.phase = Phase::Unclaimed;
         self.asking = false;
+        self.ask_at = now + CLAIM_PAUSE;
         for runner in self.runners.values_mut() {
             runner.forget();
             runner.busy = None;
--- a/crates/node/src/control/fence.rs
+++ b/crates/node/src/control/fence.rs
@@ -60,6 +60,7 @@
 impl Control {
     /// Gives the charters of all dispatched shards what their runners shall have loaded.
     pub(super) fn review_orders(&mut self, configuration: &Configuration, out: &IndexSet<Name>) {
+        let now = self.now();
         let dispatchers = &self.dispatchers;
         self.posts.retain(|shard, _| dispatchers.contains_key(shard));
         for service in &configuration.services {
@@ -67,7 +68,7 @@
             let Some(dispatcher) = self.dispatchers.get(&shard) else { continue };
             let dispatched = dispatcher.term();
             let post = self.posts.entry(shard.clone()).or_insert_with(|| Post {
-                charter: Charter::new(shard, self.me.clone(), dispatched, Uuid::new_v4()),
+                charter: Charter::new(shard, self.me.clone(), dispatched, Uuid::new_v4(), now),
                 dispatched,
             });
             post.charter.plan(&wanted(service), targets(service, out));
@@ -82,12 +83,12 @@
             let Some(dispatcher) = self.dispatchers.get(shard) else { continue };
             if dispatcher.term() != post.dispatched {
                 post.dispatched = dispatcher.term();
-                post.charter.begin(post.dispatched, Uuid::new_v4());
+                post.charter.begin(post.dispatched, Uuid::new_v4(), now);
             }
             for action in post.charter.poll(now) {
                 if action == Action::Renew {
                     let term = Term(self.shared.clock.now());
-                    post.charter.begin(term, Uuid::new_v4());
+                    post.charter.begin(term, Uuid::new_v4(), now);
                 } else {
                     actions.push((shard.clone(), action));
                 }
--- /dev/null
+++ b/crates/rig/tests/orders.rs
@@ -0,0 +1,170 @@
+//! Orders to runners: rising fencing numbers, paused and killed dispatchers, and a log that is down.
+
+mod support;
+
+use std::time::Duration;
+
+use fake::journal::Order;
+use http::Method;
+use rig::Builder;
+use rig::Fleet;
+use rig::RunnerPlan;
+use rig::ServicePlan;
+use rig::WorkspacePlan;
+use serde_json::Value;
+use serde_json::json;
+use support::ENGINE;
+use support::HANG;
+use support::REGION;
+use support::WORKSPACE;
+use support::ZONES;
+
+/// The runner that checks fencing numbers.
+const CHECKING: &str = "belay-llm-1";
+/// The runner that does not.
+const HEEDLESS: &str = "belay-llm-2";
+/// How long a dispatcher is paused.
+const PAUSE: Duration = Duration::from_secs(8);
+/// Time in which orders that are not held back would come.
+const WATCH: Duration = Duration::from_secs(7);
+
+fn builder() -> Builder {
+    let plain: RunnerPlan = support::engine().without_fencing();
+    let service = ServicePlan::engine(ENGINE, REGION)
+        .runners(1, &support::engine())
+        .runners(1, &plain)
+        .field("model", json!("oak@1"))
+        .field("adapters", json!(["moss"]));
+    let mut builder = Fleet::builder().routers(3);
+    for zone in ZONES {
+        builder = builder.zone(zone, REGION);
+    }
+    builder.workspace(WorkspacePlan::new(WORKSPACE)).service(service)
+}
+
+fn with_model(fleet: &Fleet, model: &str) -> String {
+    let mut config = fleet.config().clone();
+    config["services"][0]["model"] = json!(model);
+    config.to_string()
+}
+
+async fn orders(fleet: &Fleet, runner: &str) -> Vec<Order> {
+    fleet.runners()[runner].journal().await.expect("a journal").orders
+}
+
+fn obeyed(orders: &[Order]) -> Vec<&Order> {
+    orders.iter().filter(|order| order.is_obeyed).collect()
+}
+
+/// Returns the fence of the last obeyed orders of a runner if they gave it a model and the adapter.
+async fn loaded(fleet: &Fleet, runner: &str, model: &str) -> Option<u64> {
+    let orders = orders(fleet, runner).await;
+    let obeyed = obeyed(&orders);
+    let last = |order: &str| obeyed.iter().rfind(|one| one.order == order).copied();
+    let (model_order, adapter) = (last("load-model")?, last("load-adapter")?);
+    let is_wanted = model_order.name == model && adapter.name == "moss";
+    (is_wanted && adapter.fence == model_order.fence).then_some(adapter.fence)
+}
+
+/// Waits until both runners have a model and the adapter with one fence above another, and returns it.
+async fn both_loaded(fleet: &Fleet, model: &str, above: u64) -> u64 {
+    let fence = async || {
+        let first = loaded(fleet, CHECKING, model).await?;
+        let second = loaded(fleet, HEEDLESS, model).await?;
+        (first == second && first > above).then_some(first)
+    };
+    let what = format!("both runners have {model} with one fence above {above}");
+    support::until(HANG, &what, async || fence().await.is_some()).await;
+    fence().await.expect("loaded")
+}
+
+/// Fails if a runner obeyed an older fence after a newer one.
+async fn assert_rising(fleet: &Fleet) {
+    for runner in [CHECKING, HEEDLESS] {
+        let orders = orders(fleet, runner).await;
+        let fences: Vec<u64> = obeyed(&orders).iter().map(|order| order.fence).collect();
+        assert!(fences.is_sorted(), "{runner}: {orders:#?}");
+    }
+}
+
+async fn dispatcher_but(fleet: &Fleet, lost: usize) -> usize {
+    let others = async || {
+        for router in (0..fleet.router_count()).filter(|router| *router != lost) {
+            if support::term(fleet, router).await.is_some() {
+                return Some(router);
+            }
+        }
+        None
+    };
+    support::until(HANG, "another dispatcher", async || others().await.is_some()).await;
+    others().await.expect("a dispatcher")
+}
+
+async fn details(fleet: &Fleet, router: usize) -> Vec<String> {
+    let answer = fleet.operate(router, Method::GET, "/operator/timeline", "").await;
+    let events: Value = serde_json::from_slice(answer.expect("an answer").body()).expect("JSON");
+    let events = events.as_array().cloned().unwrap_or_default();
+    let runner = events.iter().filter(|event| event["kind"] == "runner");
+    runner.filter_map(|event| event["detail"].as_str()).map(str::to_owned).collect()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn orders_come_with_a_rising_fence_after_the_dispatcher_is_killed() {
+    let mut fleet = support::start(builder()).await;
+    let first = both_loaded(&fleet, "oak@1", 0).await;
+    let dispatcher = support::dispatcher(&fleet).await.expect("a dispatcher");
+    let details = details(&fleet, dispatcher).await;
+    for expected in [
+        format!("ordered load-model oak@1 with fence {first}"),
+        format!("order load-adapter moss with fence {first} ended: done"),
+    ] {
+        assert!(details.contains(&expected), "{expected}: {details:#?}");
+    }
+    fleet.kill(dispatcher);
+    both_loaded(&fleet, "oak@1", first).await;
+    assert_rising(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_dispatcher_that_wakes_from_a_pause_orders_nothing_with_its_old_fence() {
+    let mut fleet = support::start(builder()).await;
+    let first = both_loaded(&fleet, "oak@1", 0).await;
+    let dispatcher = support::dispatcher(&fleet).await.expect("a dispatcher");
+    let other = (dispatcher + 1) % 3;
+    let version = support::version(&fleet, other).await.expect("a version");
+    fleet.pause(dispatcher).expect("paused");
+    let paused = tokio::time::Instant::now();
+    let text = with_model(&fleet, "oak@2");
+    assert_eq!(support::apply(&fleet, other, version, &text).await.status(), 200);
+    let second = both_loaded(&fleet, "oak@2", first).await;
+    tokio::time::sleep_until(paused + PAUSE).await;
+    fleet.wake(dispatcher).expect("woken");
+    // What the test is about is what does not come in this time.
+    tokio::time::sleep(WATCH).await;
+    assert_rising(&fleet).await;
+    for runner in [CHECKING, HEEDLESS] {
+        let orders = orders(&fleet, runner).await;
+        let begin = orders.iter().position(|order| order.fence == second).expect("a new order");
+        let late = orders[begin..].iter().filter(|order| order.fence <= first).count();
+        assert_eq!(late, 0, "{runner}: {orders:#?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn while_the_log_is_down_a_new_dispatcher_orders_nothing_and_calls_go_on() {
+    let mut fleet = support::start(builder()).await;
+    let first = both_loaded(&fleet, "oak@1", 0).await;
+    let before = [orders(&fleet, CHECKING).await, orders(&fleet, HEEDLESS).await];
+    support::log_down(&fleet, true).await;
+    let dispatcher = support::dispatcher(&fleet).await.expect("a dispatcher");
+    fleet.kill(dispatcher);
+    let other = dispatcher_but(&fleet, dispatcher).await;
+    let load = support::load(&fleet, &[other], 2, WATCH);
+    let records = load.run().await;
+    support::assert_answered(&records);
+    let after = [orders(&fleet, CHECKING).await, orders(&fleet, HEEDLESS).await];
+    assert_eq!(after, before);
+    support::log_down(&fleet, false).await;
+    both_loaded(&fleet, "oak@1", first).await;
+    assert_rising(&fleet).await;
+}
