feat(rig): repeat a key during the fault and hold the queue by what it shows

The matrix repeated a key only after the fault was over, so it could not see a router that wakes with a claim which another has used meanwhile. Now the third router gets the key while the fault lasts, with even seeds also before it is claimed, and all answers to a key must be alike.

log-down at queued of once failed with seeds 2 and 3 (1 of 195 and 1 of 28 cells): the rig waited for four running calls, but a dispatcher rightly counts foreign calls from load reports that are up to 400 ms old and gives fewer slots for a while. A backlog tells that there is no slot to give; the step also wants that the call isn't granted yet.

--- a/crates/rig/src/matrix/repeat.rs
+++ b/crates/rig/src/matrix/repeat.rs
@@ -36,7 +36,7 @@
     }
 
     /// Sends the same key at another router until there is a final outcome.
-    pub(super) async fn repeat(&mut self, first: &Answer) -> Vec<Answer> {
+    pub(super) async fn repeat(&mut self) -> Vec<Answer> {
         let target = match self.cell.fault {
             Fault::EmptyRestart => self.roles.entry,
             _ => self.roles.other,
@@ -55,10 +55,7 @@
                     self.fault(format!("the repeat: {fault}"));
                     return answers;
                 }
-                Ok(Ending::Whole) => {
-                    self.compare(first, &answers[answers.len() - 1]);
-                    return answers;
-                }
+                Ok(Ending::Whole) => return answers,
                 Ok(_) if unknown >= UNKNOWN_LIMIT => return answers,
                 Ok(_) if Instant::now() >= deadline => {
                     let last = answers.last().and_then(|answer| answer.problem.clone());
@@ -69,14 +66,6 @@
             }
         }
     }
-
-    /// A repeat of an answered call gets the recorded answer, not that of another execution.
-    fn compare(&mut self, first: &Answer, repeat: &Answer) {
-        if first.is_success() && first.body != repeat.body {
-            let (one, two) = (first.text(), repeat.text());
-            self.fault(format!("the repeat got another answer: {one:?}, then {two:?}"));
-        }
-    }
 }
 
 fn is_conflict(answer: &Answer) -> bool {
--- a/crates/rig/src/matrix/roles.rs
+++ b/crates/rig/src/matrix/roles.rs
@@ -41,9 +41,15 @@
 struct Shard {
     shard: ShardName,
     gathering: bool,
+    workspaces: Vec<Workspace>,
     runners: Vec<Runner>,
 }
 
+#[derive(Debug, Deserialize)]
+struct Workspace {
+    backlog: usize,
+}
+
 #[derive(Debug, Deserialize)]
 struct ShardName {
     service: String,
@@ -105,11 +111,15 @@
         }
     }
 
-    /// Returns how many calls a dispatcher counts at the runners of a service.
-    pub(super) async fn running(&self, router: usize, service: &str) -> Result<u32, Report<Error>> {
+    /// Returns how many calls of a service wait at its dispatcher.
+    pub(super) async fn backlog(
+        &self,
+        router: usize,
+        service: &str,
+    ) -> Result<usize, Report<Error>> {
         let status: Status = self.operator(router, "/operator/status").await?;
         let shards = status.shards.iter().filter(|shard| shard.shard.service == service);
-        Ok(shards.flat_map(|shard| &shard.runners).map(|runner| runner.running).sum())
+        Ok(shards.flat_map(|shard| &shard.workspaces).map(|workspace| workspace.backlog).sum())
     }
 
     /// Returns the events of a router.
--- a/crates/rig/src/matrix/strike.rs
+++ b/crates/rig/src/matrix/strike.rs
@@ -34,10 +34,10 @@
 const SLOW_LINKS_MS: u64 = 250;
 /// Delay of the log as a fault, in milliseconds.
 const SLOW_LOG_MS: u64 = 800;
-/// Slots of all runners of a service.
-const ALL_SLOTS: u32 = 4;
+/// Waiting calls by which a dispatcher shows that it has no slot to give.
+const BACKLOG: usize = 4;
 /// Calls that hold all slots of a service and wait for them.
-const FILLERS: u64 = 12;
+const FILLERS: usize = 12;
 /// Tokens of a call that holds a slot.
 const FILLER_TOKENS: u32 = 1_000;
 /// Tokens after which an answer is under way.
@@ -94,7 +94,10 @@
         }
         match self.cell.step {
             Step::Accepted => Ok(true),
-            Step::Queued => self.has_event(dispatcher, EventKind::Queued).await,
+            Step::Queued => {
+                let is_granted = self.has_event(dispatcher, EventKind::Granted).await?;
+                Ok(!is_granted && self.has_event(dispatcher, EventKind::Queued).await?)
+            }
             Step::Granted => self.has_event(dispatcher, EventKind::Granted).await,
             Step::Claimed => Ok(self.count_appends().await? > self.appends),
             Step::Sent | Step::Finished => Ok(self.holder().await?.is_some()),
@@ -176,18 +179,19 @@
     /// Holds all slots of the service by calls at the third router.
     async fn fill(&mut self) -> Result<(), Report<Error>> {
         let (kind, roles) = (self.cell.kind, self.roles);
-        let caller = self.ground.fleet.caller_of(FILLER, roles.other);
-        for _ in 0..FILLERS {
+        // A slot may be kept free for a workspace that is idle, so both have calls.
+        let workspaces = [FILLER, PROBE].into_iter().cycle();
+        for workspace in workspaces.take(FILLERS) {
             let text = self.ground.text("filler");
             let call = match kind {
                 Kind::Model => Call::completion(kind.service(), &text, FILLER_TOKENS),
                 Kind::Once => Call::lookup(kind.service(), "/routes/17"),
             };
-            let caller = caller.clone();
+            let caller = self.ground.fleet.caller_of(workspace, roles.other);
             self.fillers.spawn(async move { caller.call(&call).await });
         }
         let deadline = Instant::now() + REACH_TIMEOUT;
-        while self.ground.running(roles.dispatcher, kind.service()).await? < ALL_SLOTS {
+        while self.ground.backlog(roles.dispatcher, kind.service()).await? < BACKLOG {
             if Instant::now() >= deadline {
                 return Err(Report::new(Error::Timeout("full slots".to_owned())));
             }
--- a/crates/rig/src/matrix/trial.rs
+++ b/crates/rig/src/matrix/trial.rs
@@ -15,6 +15,7 @@
 use crate::matrix::Cell;
 use crate::matrix::Ground;
 use crate::matrix::Kind;
+use crate::matrix::Step;
 use crate::matrix::check;
 use crate::matrix::ground::PROBE;
 use crate::matrix::roles::POLL;
@@ -44,6 +45,7 @@
     pub(super) answer: Option<Answer>,
     pub(super) fillers: JoinSet<Answer>,
     calls: JoinSet<Answer>,
+    early: JoinSet<Answer>,
     report: &'a mut matrix::Report,
 }
 
@@ -67,6 +69,7 @@
             answer: None,
             fillers: JoinSet::new(),
             calls: JoinSet::new(),
+            early: JoinSet::new(),
             report,
         }
     }
@@ -89,6 +92,7 @@
         self.reach().await?;
         tokio::time::sleep(Duration::from_millis(self.cell.seed * 7 % JITTER_MS)).await;
         self.strike().await?;
+        self.repeat_early();
         self.disarm().await?;
         if self.cell.fault.lasts() {
             tokio::time::sleep(FAULT_TIME).await;
@@ -102,9 +106,10 @@
         }
         let repeats = match self.cell.kind {
             Kind::Model => self.call_again(&answer).await,
-            Kind::Once => self.repeat(&answer).await,
+            Kind::Once => self.repeat().await,
         };
-        let answers: Vec<Answer> = [answer].into_iter().chain(repeats).collect();
+        let early = self.take_early().await;
+        let answers: Vec<Answer> = [answer].into_iter().chain(repeats).chain(early).collect();
         let journals = self.journals().await?;
         self.check_journals(&answers, &journals);
         Ok(())
@@ -117,6 +122,28 @@
         self.calls.spawn(async move { caller.call(&call).await });
     }
 
+    /// Sends the same key at the third router while the fault lasts, with some seeds also before the key is claimed.
+    fn repeat_early(&mut self) {
+        let is_claimed = !matches!(self.cell.step, Step::Accepted | Step::Queued | Step::Granted);
+        let is_early = is_claimed || self.cell.seed.is_multiple_of(2);
+        if self.cell.kind == Kind::Once && is_early {
+            let caller = self.ground.fleet.caller_of(PROBE, self.roles.other);
+            let call = self.call.clone();
+            self.early.spawn(async move { caller.call(&call).await });
+        }
+    }
+
+    /// Waits for the answer to the repeat during the fault.
+    async fn take_early(&mut self) -> Vec<Answer> {
+        let answers = std::mem::take(&mut self.early).join_all().await;
+        for answer in &answers {
+            if let Err(fault) = check::judge(&self.call, answer, false) {
+                self.fault(format!("the repeat during the fault: {fault}"));
+            }
+        }
+        answers
+    }
+
     /// Waits until the caller has its answer.
     pub(super) async fn take_answer(&mut self) -> Result<Answer, Report<Error>> {
         if let Some(answer) = self.answer.take() {
@@ -143,9 +170,15 @@
             return;
         }
         let executions = check::executions(&self.call, journals);
-        let is_answered = answers.iter().any(Answer::is_success);
-        if executions > 1 || (is_answered && executions == 0) {
-            self.fault(format!("executed {executions} times, answered: {is_answered}"));
+        let mut served = answers.iter().filter(|answer| answer.is_success());
+        let first = served.next();
+        if executions > 1 || (first.is_some() && executions == 0) {
+            self.fault(format!("executed {executions} times, answered: {}", first.is_some()));
+        }
+        let Some(first) = first else { return };
+        if let Some(other) = served.find(|answer| answer.body != first.body) {
+            let texts = (first.text(), other.text());
+            self.fault(format!("the key got two answers: {texts:?}"));
         }
     }
 
