feat(sched,node): divide a service into shards that share charges and work

Weighed: one dispatcher per service with batching (at 8 requests/s and entry nothing coalesces), compressed frames (headers and acknowledgements remain), shards (chosen). A service with more than shard_runners runners has several shards; requests spread over them by id; each dispatcher tells its siblings every 500 ms what it has served since its term began, each part of a charge counted once, and at once when it has free slots, for which the others give up waiting requests in fair order (Redirect). This counting is the paper's episode messages (Ezhilchelvan and Morgan, section 3.3) on a full mesh of a few shards.

--- a/crates/front/src/flow/attempts.rs
+++ b/crates/front/src/flow/attempts.rs
@@ -80,13 +80,12 @@
         let (reply, decision) = oneshot::channel();
         let used = Arc::new(AtomicU64::new(0));
         let enqueue = self.enqueue();
-        let shard = enqueue.shard.clone();
         let asked = Instant::now();
         self.gate.order(Order::Submit(Submission { enqueue, used: Arc::clone(&used), reply }));
         let decision = tokio::select! {
             decision = decision => decision,
             () = hung_up => {
-                self.gate.order(Order::Cancel { shard, request: self.call.request });
+                self.gate.order(Order::Cancel { request: self.call.request });
                 return Err(Stop::HungUp);
             }
         };
--- a/crates/front/src/order.rs
+++ b/crates/front/src/order.rs
@@ -11,7 +11,6 @@
 use wire::Enqueue;
 use wire::Grant;
 use wire::Refuse;
-use wire::Shard;
 
 /// What the fleet has decided on a waiting request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -86,8 +85,6 @@
     Submit(Submission),
     /// A waiting request is withdrawn.
     Cancel {
-        /// The shard asked.
-        shard: Shard,
         /// The request.
         request: RequestId,
     },
--- a/crates/node/src/control/fence.rs
+++ b/crates/node/src/control/fence.rs
@@ -30,7 +30,8 @@
 use super::charter::Task;
 use super::charter::Unread;
 use super::placement;
-use super::plan::shard_of;
+use super::plan::runners_of;
+use super::plan::shards_of;
 use crate::input::Input;
 
 /// The log stream of fencing numbers.
@@ -63,15 +64,18 @@
         let now = self.now();
         let dispatchers = &self.dispatchers;
         self.posts.retain(|shard, _| dispatchers.contains_key(shard));
-        for service in &configuration.services {
-            let shard = shard_of(service);
+        let all = configuration.services.iter();
+        for (service, shard) in
+            all.flat_map(|service| shards_of(service).map(move |shard| (service, shard)))
+        {
             let Some(dispatcher) = self.dispatchers.get(&shard) else { continue };
+            let index = shard.index;
             let dispatched = dispatcher.term();
             let post = self.posts.entry(shard.clone()).or_insert_with(|| Post {
                 charter: Charter::new(shard, self.me.clone(), dispatched, Uuid::new_v4(), now),
                 dispatched,
             });
-            post.charter.plan(&wanted(service), targets(service, out));
+            post.charter.plan(&wanted(service), targets(service, index, out));
         }
     }
 
@@ -223,12 +227,12 @@
     models.chain(adapters).collect()
 }
 
-fn targets(service: &Service, out: &IndexSet<Name>) -> Vec<Target> {
+fn targets(service: &Service, index: u16, out: &IndexSet<Name>) -> Vec<Target> {
     let target = |runner: &conf::configuration::Runner| Target {
         name: runner.name.clone(),
         address: runner.address,
         checks_fencing: runner.checks_fencing,
         out: placement::is_out(out, &runner.zone, &runner.name),
     };
-    service.runners.iter().map(target).collect()
+    runners_of(service, index).map(target).collect()
 }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -51,8 +51,8 @@
 use tokio::time;
 use wire::Shard;
 
-use self::placement::PendingOrder;
 use self::fence::Post;
+use self::placement::PendingOrder;
 use crate::input::Input;
 use crate::input::Target;
 use crate::usage::Usage;
--- a/crates/node/src/control/order.rs
+++ b/crates/node/src/control/order.rs
@@ -2,10 +2,12 @@
 
 use front::Order;
 use front::Submission;
+use wire::Enqueue;
 use wire::Frame;
 
 use super::Control;
 use super::Waiting;
+use super::plan::shard_for;
 
 impl Control {
     /// Takes in an order; returns whether the thread goes on.
@@ -13,9 +15,9 @@
         let now = self.now();
         match order {
             Order::Submit(submission) => self.submit(submission),
-            Order::Cancel { shard, request } => {
+            Order::Cancel { request } => {
                 self.waiting.swap_remove(&request);
-                self.entry.cancel(&shard, request, now);
+                self.entry.cancel(request, now);
             }
             Order::Done(done) => {
                 self.usage.forget(done.request);
@@ -31,7 +33,10 @@
     }
 
     fn submit(&mut self, submission: Submission) {
-        let Submission { enqueue, used, reply } = submission;
+        let Submission { mut enqueue, used, reply } = submission;
+        if self.baseline.is_none() {
+            self.choose_shard(&mut enqueue);
+        }
         let now = self.now();
         self.waiting.insert(enqueue.request, Waiting { used, reply });
         match &mut self.baseline {
@@ -44,6 +49,15 @@
         }
     }
 
+    /// Spreads requests evenly over the shards of their service.
+    fn choose_shard(&self, enqueue: &mut Enqueue) {
+        let Some(version) = self.chain.version() else { return };
+        let mut services = version.configuration.services.iter();
+        if let Some(service) = services.find(|service| service.name == enqueue.shard.service) {
+            enqueue.shard = shard_for(service, enqueue.request);
+        }
+    }
+
     /// Sends a frame to all other live members.
     pub(super) fn broadcast(&self, frame: &Frame) {
         for member in &self.members {
--- a/crates/node/src/control/plan.rs
+++ b/crates/node/src/control/plan.rs
@@ -1,8 +1,10 @@
 //! What the configuration says of a shard.
 
 use base::Name;
+use base::RequestId;
 use conf::Configuration;
 use conf::configuration::Kind;
+use conf::configuration::Runner;
 use conf::configuration::Service;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
@@ -21,22 +23,61 @@
     }
 }
 
-/// Returns the shard of a service.
-pub(super) fn shard_of(service: &Service) -> Shard {
-    Shard { service: service.name.clone(), region: service.region.clone(), index: 0 }
+/// Returns how many shards a service has.
+pub(super) fn shard_count(service: &Service) -> u16 {
+    let most = usize::try_from(service.shard_runners).unwrap_or(usize::MAX).max(1);
+    u16::try_from(service.runners.len().div_ceil(most)).unwrap_or(u16::MAX).max(1)
 }
 
-/// Returns the plan of the shard of a service.
-pub(super) fn plan(configuration: &Configuration, service: &Service, out: &IndexSet<Name>) -> Plan {
+/// Returns a shard of a service.
+pub(super) fn shard_of(service: &Service, index: u16) -> Shard {
+    Shard { service: service.name.clone(), region: service.region.clone(), index }
+}
+
+/// Returns all shards of a service.
+pub(super) fn shards_of(service: &Service) -> impl Iterator<Item = Shard> {
+    (0..shard_count(service)).map(|index| shard_of(service, index))
+}
+
+/// Returns the runners of a shard: every one in turn, so that each shard has runners in all zones.
+pub(super) fn runners_of(service: &Service, index: u16) -> impl Iterator<Item = &Runner> {
+    let count = usize::from(shard_count(service));
+    service.runners.iter().skip(usize::from(index)).step_by(count)
+}
+
+/// Returns the shard that a new request asks.
+pub(super) fn shard_for(service: &Service, request: RequestId) -> Shard {
+    let index = request.0 % u128::from(shard_count(service));
+    shard_of(service, u16::try_from(index).unwrap_or(0))
+}
+
+/// Returns the service as one shard, for a router that decides alone.
+pub(super) fn unsharded(service: &Service) -> Service {
+    Service { shard_runners: u32::MAX, ..service.clone() }
+}
+
+/// Returns the plans of all shards of a service.
+pub(super) fn plans(
+    configuration: &Configuration,
+    service: &Service,
+    out: &IndexSet<Name>,
+) -> Vec<Plan> {
+    (0..shard_count(service)).map(|index| plan(configuration, service, index, out)).collect()
+}
+
+fn plan(
+    configuration: &Configuration,
+    service: &Service,
+    index: u16,
+    out: &IndexSet<Name>,
+) -> Plan {
     Plan {
-        shard: shard_of(service),
+        shard: shard_of(service, index),
         kind: match service.kind {
             Kind::Engine => sched::Kind::Engine,
             Kind::Plain => sched::Kind::Plain,
         },
-        runners: service
-            .runners
-            .iter()
+        runners: runners_of(service, index)
             .map(|runner| RunnerPlan {
                 name: runner.name.clone(),
                 zone: runner.zone.clone(),
--- a/crates/node/src/control/route.rs
+++ b/crates/node/src/control/route.rs
@@ -59,7 +59,7 @@
     fn deliver(&mut self, from: &Name, frame: &Frame) {
         let now = self.now();
         match frame {
-            Frame::Grant(_) | Frame::Refuse(_) | Frame::TakeOver(_) => {
+            Frame::Grant(_) | Frame::Refuse(_) | Frame::TakeOver(_) | Frame::Redirect(_) => {
                 self.entry.frame(from, frame, now);
             }
             Frame::NotOwner(not_owner) => {
@@ -74,6 +74,11 @@
                     dispatcher.frame(from, frame, now);
                 }
             }
+            Frame::Served(_) => {
+                for dispatcher in self.dispatchers.values_mut() {
+                    dispatcher.frame(from, frame, now);
+                }
+            }
             Frame::Usage(usages) => self.deliver_usage(from, usages),
             Frame::Enqueue(enqueue) => self.deliver_to(from, &enqueue.shard, frame),
             Frame::Cancel(cancel) => self.deliver_to(from, &cancel.shard, frame),
--- a/crates/node/src/control/view.rs
+++ b/crates/node/src/control/view.rs
@@ -14,14 +14,18 @@
 use plat::Listing;
 use sched::Dispatcher;
 use sched::Plan;
+use sched::Sibling;
 use wire::Shard;
 use wire::Term;
 
 use super::Control;
 use super::placement;
-use super::plan::plan;
+use super::plan::plans;
 use super::plan::review_local;
-use super::plan::shard_of;
+use super::plan::runners_of;
+use super::plan::shard_count;
+use super::plan::shards_of;
+use super::plan::unsharded;
 use super::republish::FIRST_PUBLICATION;
 use crate::input::Target;
 
@@ -127,10 +131,14 @@
     }
 
     fn review_shards(&mut self, configuration: &Configuration, out: &IndexSet<Name>) {
+        let whole = self.baseline.is_some();
         let plans: Vec<Plan> = configuration
             .services
             .iter()
-            .map(|service| plan(configuration, service, out))
+            .flat_map(|service| match whole {
+                true => plans(configuration, &unsharded(service), out),
+                false => plans(configuration, service, out),
+            })
             .collect();
         self.dispatchers.retain(|shard, _| plans.iter().any(|plan| plan.shard == *shard));
         for plan in &plans {
@@ -139,6 +147,7 @@
                 None => self.review_owner(plan, out),
             }
         }
+        self.review_siblings(configuration, out);
         self.review_targets(configuration);
         self.review_orders(configuration, out);
     }
@@ -169,18 +178,45 @@
         self.entry.owner(shard, owner, now);
     }
 
+    /// Tells dispatchers and the entry of the other shards of each service.
+    fn review_siblings(&mut self, configuration: &Configuration, out: &IndexSet<Name>) {
+        let now = self.now();
+        for service in &configuration.services {
+            let candidates = self.dispatcher_candidates(&service.region, out);
+            let siblings: Vec<Sibling> = shards_of(service)
+                .filter_map(|shard| {
+                    let owner = sched::owner(&shard, &candidates)?.clone();
+                    Some(Sibling { shard, owner })
+                })
+                .collect();
+            for shard in shards_of(service) {
+                let Some(dispatcher) = self.dispatchers.get_mut(&shard) else { continue };
+                let others = siblings.iter().filter(|sibling| sibling.shard != shard);
+                dispatcher.siblings(others.cloned().collect());
+            }
+        }
+        let resharded = |shard: &Shard| {
+            let service =
+                configuration.services.iter().find(|service| service.name == shard.service);
+            let index = service.map_or(shard.index, |service| shard.index % shard_count(service));
+            Shard { index, ..shard.clone() }
+        };
+        self.entry.reshard(resharded, now);
+    }
+
     fn review_targets(&mut self, configuration: &Configuration) {
         let mut targets = Vec::new();
         for service in &configuration.services {
-            let shard = shard_of(service);
-            if !self.dispatchers.contains_key(&shard) {
-                continue;
+            for shard in shards_of(service) {
+                if !self.dispatchers.contains_key(&shard) {
+                    continue;
+                }
+                targets.extend(runners_of(service, shard.index).map(|runner| Target {
+                    shard: shard.clone(),
+                    runner: runner.name.clone(),
+                    address: runner.address,
+                }));
             }
-            targets.extend(service.runners.iter().map(|runner| Target {
-                shard: shard.clone(),
-                runner: runner.name.clone(),
-                address: runner.address,
-            }));
         }
         self.ports.targets.send_if_modified(|known| {
             let changed = *known != targets;
--- a/crates/sched/src/answer.rs
+++ b/crates/sched/src/answer.rs
@@ -10,6 +10,7 @@
 use wire::Grant;
 use wire::NotOwner;
 use wire::Outcome;
+use wire::Redirect;
 use wire::Refuse;
 use wire::Resync;
 use wire::Shard;
@@ -19,6 +20,7 @@
 use crate::Entry;
 use crate::entry::Action;
 use crate::entry::Running;
+use crate::entry::Waiting;
 use crate::timing::ENQUEUE_RESEND;
 
 impl Entry {
@@ -28,6 +30,7 @@
         match frame {
             Frame::Grant(grant) => self.grant(from, grant),
             Frame::Refuse(refuse) => self.refuse(from, refuse),
+            Frame::Redirect(redirect) => self.redirect(from, redirect, now),
             Frame::TakeOver(take_over) => {
                 self.take_over(from, &take_over.shard, take_over.term, now);
             }
@@ -134,6 +137,18 @@
         }
     }
 
+    /// Asks another shard for a runner.
+    fn redirect(&mut self, from: &Name, redirect: &Redirect, now: Duration) {
+        if !self.obeys(from, &redirect.shard, redirect.term) {
+            return;
+        }
+        let to = Shard { index: redirect.to, ..redirect.shard.clone() };
+        let waits_there = |waiting: &Waiting| waiting.request().shard == redirect.shard;
+        if self.waiting.get(&redirect.request).is_some_and(waits_there) {
+            self.move_waiting(redirect.request, &to, now);
+        }
+    }
+
     /// Returns whether a member is the owner, has asked in its newest term, and speaks in it.
     fn obeys(&self, from: &Name, shard: &Shard, term: Term) -> bool {
         self.owners.get(shard).is_some_and(|owner| {
--- a/crates/sched/src/charge.rs
+++ b/crates/sched/src/charge.rs
@@ -18,8 +18,10 @@
 #[derive(Debug)]
 pub(crate) struct Account {
     pub(crate) weight: u32,
-    /// The charge in cost per unit of weight.
+    /// The charge in cost per unit of weight, with what other shards have served.
     pub(crate) charge: Cost,
+    /// The part that this dispatcher has entered itself.
+    pub(crate) served: Cost,
     means: IndexMap<Class, Mean>,
     /// The most requests that ran at once.
     peak: u32,
@@ -41,6 +43,7 @@
         Self {
             weight: weight.max(1),
             charge: Cost::ZERO,
+            served: Cost::ZERO,
             means: IndexMap::new(),
             peak: 1,
             largest: LEAST_OVERSHOOT,
@@ -57,11 +60,17 @@
     /// Replaces what a request has added by a new cost.
     pub(crate) fn enter(&mut self, before: Entered, cost: Cost) -> Entered {
         let weighted = Cost(cost.0 / u64::from(self.weight));
-        self.charge = (self.charge + weighted).saturating_sub(before.weighted);
+        self.shift(before.weighted, weighted);
+        self.served = (self.served + weighted).saturating_sub(before.weighted);
         self.largest = self.largest.max(cost);
         Entered { cost, weighted }
     }
 
+    /// Replaces a part of the charge by another.
+    pub(crate) fn shift(&mut self, before: Cost, after: Cost) {
+        self.charge = (self.charge + after).saturating_sub(before);
+    }
+
     /// Takes a cost as already part of the charge.
     pub(crate) fn adopt(&self, cost: Cost) -> Entered {
         Entered { cost, weighted: Cost(cost.0 / u64::from(self.weight)) }
--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -23,6 +23,7 @@
 use crate::idle::Allowance;
 use crate::meter::Meter;
 use crate::runner::Runner;
+use crate::sibling::Siblings;
 use crate::timing::TICK;
 use crate::totals::Copies;
 use crate::workspace::Workspace;
@@ -65,6 +66,7 @@
     pub(crate) inherited: Cost,
     pub(crate) meter: Meter,
     pub(crate) copies: Copies,
+    pub(crate) siblings: Siblings,
     pub(crate) outbox: Vec<Action>,
 }
 
@@ -102,6 +104,7 @@
             inherited: Cost::ZERO,
             meter: Meter::new(now),
             copies: Copies::default(),
+            siblings: Siblings::default(),
             outbox: Vec::new(),
         };
         dispatcher.replan(plan, now);
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -177,12 +177,35 @@
     }
 
     /// Withdraws a waiting request.
-    pub fn cancel(&mut self, shard: &Shard, request: RequestId, _now: Duration) {
-        if self.waiting.shift_remove(&request).is_some() {
-            self.send_to_owner(shard, Frame::Cancel(Cancel { shard: shard.clone(), request }));
+    pub fn cancel(&mut self, request: RequestId, _now: Duration) {
+        if let Some(waiting) = self.waiting.shift_remove(&request) {
+            let shard = waiting.enqueue.shard;
+            self.send_to_owner(&shard, Frame::Cancel(Cancel { shard: shard.clone(), request }));
+        }
+    }
+
+    /// Moves waiting requests of shards that no longer exist; `to` names the shard for each.
+    pub fn reshard(&mut self, to: impl Fn(&Shard) -> Shard, now: Duration) {
+        let moved: Vec<(RequestId, Shard)> = self
+            .waiting
+            .iter()
+            .map(|(request, waiting)| (*request, to(&waiting.enqueue.shard)))
+            .filter(|(request, shard)| self.waiting[request].enqueue.shard != *shard)
+            .collect();
+        for (request, shard) in moved {
+            self.move_waiting(request, &shard, now);
         }
     }
 
+    /// Sends a waiting request to the dispatcher of another shard.
+    pub(crate) fn move_waiting(&mut self, request: RequestId, to: &Shard, now: Duration) {
+        let Some(waiting) = self.waiting.get_mut(&request) else { return };
+        waiting.enqueue.shard = to.clone();
+        waiting.resend = now + ENQUEUE_RESEND;
+        let frame = Frame::Enqueue(waiting.enqueue(now));
+        self.send_to_owner(to, frame);
+    }
+
     /// Takes in all work used so far by the running attempt of a request.
     pub fn usage(&mut self, _shard: &Shard, request: RequestId, used: Cost, _now: Duration) {
         if let Some(running) = self.running.get_mut(&request) {
--- a/crates/sched/src/grant.rs
+++ b/crates/sched/src/grant.rs
@@ -46,6 +46,7 @@
         self.refuse_overdue(now, |deadline| deadline < now);
         if self.gather.is_done() {
             self.grant_all(now);
+            self.give_to_siblings(now);
             self.repeat_grants(now);
             self.send_totals(now);
         }
@@ -77,7 +78,7 @@
     }
 
     /// Returns the backlogged workspaces, the least charged first.
-    fn fair_order(&self) -> Vec<Name> {
+    pub(crate) fn fair_order(&self) -> Vec<Name> {
         let backlogged = self.workspaces.iter().filter(|(_, known)| !known.queue.is_empty());
         let mut order: Vec<(Cost, &Name)> =
             backlogged.map(|(name, known)| (known.account.charge, name)).collect();
@@ -231,6 +232,9 @@
 
     fn measure(&mut self, now: Duration) {
         let slots = self.slots(now);
+        if self.gather.is_done() {
+            self.tell_siblings(&slots, now);
+        }
         let backlogged = !self.waiting.is_empty();
         let used = slots.iter().map(|slots| slots.occupied.min(slots.limit)).sum();
         let usable = slots.iter().map(|slots| slots.limit).sum();
@@ -255,7 +259,7 @@
     pub(crate) fn bound(&self) -> Cost {
         let accounts = self.workspaces.values().map(|workspace| &workspace.account);
         let inherited = self.inherited.saturating_sub(self.floor());
-        charge::bound(accounts) + inherited
+        charge::bound(accounts) + inherited + self.unheard()
     }
 
     /// Returns the least charge of a backlogged workspace, or the virtual time if there is none.
--- a/crates/sched/src/inbox.rs
+++ b/crates/sched/src/inbox.rs
@@ -26,6 +26,7 @@
             Frame::Done(done) if done.shard == self.shard => self.done(from, done, now),
             Frame::Resync(resync) if resync.shard == self.shard => self.resync(from, resync, now),
             Frame::Totals(totals) if totals.shard == self.shard => self.merge_totals(totals),
+            Frame::Served(served) => self.served(served, now),
             Frame::NotOwner(not_owner) if not_owner.shard == self.shard => {
                 self.gather.unhear(from, now);
             }
--- a/crates/sched/src/timing.rs
+++ b/crates/sched/src/timing.rs
@@ -28,6 +28,12 @@
 pub const REFUSE_GRACE: Duration = Duration::from_millis(500);
 /// Longest way of a frame or request between two processes that decisions allow for.
 pub const TRANSIT: Duration = Duration::from_millis(500);
+/// Period at which a dispatcher tells the other shards of its service what it has served.
+pub const SERVED_PERIOD: Duration = Duration::from_millis(500);
+/// Smallest time between two frames that tell of free slots.
+pub const SPARE_PERIOD: Duration = Duration::from_millis(50);
+/// Time for which free slots of another shard count.
+pub const SPARE_VALID: Duration = Duration::from_secs(4);
 /// Longest time between two polls of a dispatcher.
 pub const TICK: Duration = Duration::from_millis(250);
 /// Time after the last interactive request during which further ones are likely.
--- a/crates/sched/tests/parts.rs
+++ b/crates/sched/tests/parts.rs
@@ -150,7 +150,7 @@
 #[test]
 fn a_cancelled_request_declines_its_grant() {
     let mut entry = entry_of("r2");
-    entry.cancel(&shard(), RequestId(1), ms(1));
+    entry.cancel(RequestId(1), ms(1));
     entry.poll(ms(1));
     entry.frame(&name("r2"), &grant(1, 5), ms(2));
     assert_eq!(entry.poll(ms(2)), [sent("r2", unused(1))]);
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -35,6 +35,10 @@
     NotOwner(NotOwner),
     /// Dispatcher to its successors: the fairness counters of a shard.
     Totals(Totals),
+    /// Dispatcher to the dispatchers of the other shards of its service: what it has served, and its free slots.
+    Served(Served),
+    /// Dispatcher to entry: a waiting request is to ask another shard, which has free slots.
+    Redirect(Redirect),
     /// Asks for the content of a configuration version.
     ConfigPull {
         /// The wanted version, a log offset.
@@ -233,6 +237,34 @@
     pub totals: Vec<Total>,
 }
 
+/// What a shard has served, and its free slots.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Served {
+    /// The shard.
+    pub shard: Shard,
+    /// The term of its dispatcher.
+    pub term: Term,
+    /// The charges since the begin of the term, of workspaces whose charge has changed.
+    pub totals: Vec<Total>,
+    /// Slots that nobody waits for.
+    pub spare: u32,
+    /// The part of them that is open to long requests.
+    pub spare_long: u32,
+}
+
+/// The order to ask another shard.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Redirect {
+    /// The shard that gives the request up.
+    pub shard: Shard,
+    /// The dispatcher's term.
+    pub term: Term,
+    /// The request.
+    pub request: RequestId,
+    /// The index of the shard to ask.
+    pub to: u16,
+}
+
 /// The content of a configuration version.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigContent {
--- a/xtask/src/measure/mod.rs
+++ b/xtask/src/measure/mod.rs
@@ -23,6 +23,8 @@
 
 /// Seconds of load in one trial unless told otherwise.
 const SECONDS: &str = "35";
+/// Most runners of one shard unless told otherwise.
+const SHARD_RUNNERS: &str = "5";
 /// Seed of the load unless told otherwise.
 const SEED: &str = "1";
 /// Set in the process that was built with optimisation.
@@ -53,6 +55,13 @@
                 .default_value(SEED)
                 .help("Seed of the load"),
         )
+        .arg(
+            Arg::new("shard-runners")
+                .long("shard-runners")
+                .value_parser(value_parser!(u32).range(1..))
+                .default_value(SHARD_RUNNERS)
+                .help("Most runners of one shard"),
+        )
         .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).help("Prints JSON"))
 }
 
@@ -67,6 +76,7 @@
     };
     let seconds = arguments.get_one("seconds").copied().unwrap_or(15);
     let seed = arguments.get_one("seed").copied().unwrap_or(1);
+    let profile = profile.shard_runners(arguments.get_one("shard-runners").copied().unwrap_or(1));
     let trial = Trial { profile, seed, duration: Duration::from_secs(seconds) };
     let runtime = runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build();
     let measured = match runtime {
--- a/xtask/src/measure/profile.rs
+++ b/xtask/src/measure/profile.rs
@@ -42,6 +42,8 @@
     pub(crate) plain: &'static str,
     /// Time between two tokens of an engine, in milliseconds.
     token_ms: u32,
+    /// Most runners of one shard.
+    shard_runners: u32,
 }
 
 /// A workspace that always has waiting work.
@@ -96,6 +98,7 @@
             engine: "belay-llm",
             plain: "ledger-app",
             token_ms: 30,
+            shard_runners: 5,
         }
     }
 
@@ -108,9 +111,16 @@
             engine: "wrap-assist",
             plain: "shop-orders",
             token_ms: 35,
+            shard_runners: 5,
         }
     }
 
+    /// Sets how many runners a shard has at most.
+    pub(crate) const fn shard_runners(mut self, count: u32) -> Self {
+        self.shard_runners = count;
+        self
+    }
+
     /// Returns the fleet with runners and workspaces, not yet started.
     pub(crate) fn fleet(&self) -> Builder {
         let token_ms = self.token_ms.to_string();
@@ -118,6 +128,9 @@
         let engine = RunnerPlan::new()
             .args(&["--slots", &slots, "--token-interval-ms", &token_ms])
             .limits(SLOTS, COLD_LIMIT);
+        let engines = ServicePlan::engine(self.engine, self.region)
+            .runners(ENGINES, &engine)
+            .field("shard_runners", self.shard_runners.into());
         let mut builder = Fleet::builder().routers(ROUTERS);
         for zone in self.zones {
             builder = builder.zone(zone, self.region);
@@ -128,12 +141,9 @@
             let plan = WorkspacePlan::new(&workspace(number)).weight(weight).queue_limit(256);
             builder = builder.workspace(plan);
         }
-        builder
-            .service(ServicePlan::engine(self.engine, self.region).runners(ENGINES, &engine))
-            .service(
-                ServicePlan::plain(self.plain, self.region)
-                    .runners(PLAIN_RUNNERS, &RunnerPlan::new()),
-            )
+        builder.service(engines).service(
+            ServicePlan::plain(self.plain, self.region).runners(PLAIN_RUNNERS, &RunnerPlan::new()),
+        )
     }
 
     /// Adds all calls to a load.
--- a/xtask/src/measure/trial.rs
+++ b/xtask/src/measure/trial.rs
@@ -133,10 +133,11 @@
         let load = self.profile.load(&fleet, Load::new(self.seed, self.duration));
         let (records, watched) = tokio::join!(load.run(), self.watch(&fleet));
         let Watched { before, after, seen } = watched?;
-        let mut shards = after.iter().flat_map(|status| &status.shards);
-        let shard = shards.find(|shard| shard.shard.service == self.profile.engine);
+        let shards = after.iter().flat_map(|status| &status.shards);
+        let shards: Vec<&Shard> =
+            shards.filter(|shard| shard.shard.service == self.profile.engine).collect();
         let costs = cost::between(&before, &after);
-        Ok(self.outcome(&records, seen, shard, costs))
+        Ok(self.outcome(&records, seen, &shards, costs))
     }
 
     async fn start(&self, mode: Mode) -> Result<Fleet, Report<Error>> {
@@ -172,7 +173,7 @@
         &self,
         records: &[Record],
         seen: Seen,
-        shard: Option<&Shard>,
+        shards: &[&Shard],
         costs: Vec<Cost>,
     ) -> Outcome {
         let within: Vec<&Record> = records
@@ -190,10 +191,16 @@
         let between: Vec<Duration> = within.iter().flat_map(|record| record.gaps()).collect();
         Outcome {
             gap_tokens: gap::largest(records, WARM_UP, self.window_end()),
-            bound_tokens: shard.map(|shard| tokens(shard.bound)),
-            charged_gap_tokens: shard.map(|shard| tokens(shard.largest_gap)),
+            bound_tokens: shards
+                .iter()
+                .map(|shard| tokens(shard.bound))
+                .reduce(|sum, bound| sum + bound),
+            charged_gap_tokens: shards
+                .iter()
+                .map(|shard| tokens(shard.largest_gap))
+                .reduce(f64::max),
             utilisation: seen.busy / seen.samples.max(1.0),
-            own_utilisation: shard.and_then(|shard| shard.utilisation),
+            own_utilisation: shards.iter().filter_map(|shard| shard.utilisation).reduce(f64::min),
             queued_in_engines: seen.queued / seen.samples.max(1.0),
             costs,
             first_token_within_share: first(Class::Interactive, false),
