--- a/crates/fake/tests/engine.rs
+++ b/crates/fake/tests/engine.rs
@@ -156,3 +156,14 @@
     assert!(used["raw_bytes"].as_u64() > Some(text.len() as u64), "{}", used["raw_bytes"]);
     assert_eq!(used["raw_connections"], 1);
 }
+
+#[tokio::test]
+async fn events_are_padded_and_an_engine_turns_warm_when_told_to() {
+    let args = ["engine", "--cold", "--report-lag-ms", "10", "--event-bytes", "1000"];
+    let engine = Fake::start(&args);
+    until(&engine, "/load", |load| load["warm"] == false).await;
+    engine.put("/control/warm", &json!({})).await;
+    until(&engine, "/load", |load| load["warm"] == true).await;
+    let answer = ask(engine.address, &body("a van", 2, true), &[]).await.expect("an answer");
+    assert_eq!(answer.text.matches(&"x".repeat(1000)).count(), 2);
+}
--- a/crates/fake/tests/platform.rs
+++ b/crates/fake/tests/platform.rs
@@ -93,3 +93,16 @@
     until(&platform, "/views/r1/instances", |seen| *seen == list("own")).await;
     assert_eq!(platform.get("/views/r2/instances").await.json(), list("shared"));
 }
+
+#[tokio::test]
+async fn reads_with_records_are_held_while_appends_are_answered() {
+    let platform = Fake::start(&["platform"]);
+    platform.put("/control/faults", &json!({ "read_delay_ms": 200 })).await;
+    let appended = platform.post("/streams/s/records", "x").await.expect("an answer");
+    assert_eq!(appended.json(), json!({ "offset": 1 }));
+    let begun = tokio::time::Instant::now();
+    assert_eq!(platform.get("/streams/s/records?from=1").await.json()["records"][0]["body"], "x");
+    assert!(begun.elapsed().as_millis() >= 200, "the read was not held");
+    platform.put("/control/faults", &json!({ "log_down": true })).await;
+    assert_eq!(platform.get("/streams/s/records?from=1").await.status, 503);
+}
--- a/crates/fake/tests/service.rs
+++ b/crates/fake/tests/service.rs
@@ -39,3 +39,18 @@
     }
     assert_eq!(echoes, ["a.1", "a.1", "c.1"]);
 }
+
+#[tokio::test]
+async fn a_fall_breaks_the_calls_that_are_executed() {
+    let service = Fake::start(&["service", "--service-ms", "600000"]);
+    let fall = async {
+        let is_executed = |report: &serde_json::Value| report["requests"][0]["execution"] == 1;
+        common::until(&service, "/control/journal", is_executed).await;
+        service.put("/control/fall", &json!({})).await;
+    };
+    let (answer, ()) = tokio::join!(service.post("/orders", "a"), fall);
+    assert_eq!(answer, None);
+    let has_fallen = |report: &serde_json::Value| report["requests"][0]["outcome"] == "cancelled";
+    let report = common::until(&service, "/control/journal", has_fallen).await;
+    assert_eq!(report["falls"], 1);
+}
