--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -7,6 +7,7 @@
 mod matrix;
 mod measure;
 mod slope;
+mod zone;
 
 use std::process::ExitCode;
 
@@ -25,6 +26,7 @@
         .subcommand(matrix::command())
         .subcommand(measure::command())
         .subcommand(slope::command())
+        .subcommand(zone::command())
         .subcommand(Command::new("imports").about("Checks the layout of imports"));
     let done = match cli.get_matches().subcommand() {
         Some(("ci", _)) => check::run_all(),
@@ -32,6 +34,7 @@
         Some(("matrix", arguments)) => matrix::run(arguments),
         Some(("measure", arguments)) => measure::run(arguments),
         Some(("measure-slopes", arguments)) => slope::run(arguments),
+        Some(("measure-zone", arguments)) => zone::run(arguments),
         _ => imports::check(),
     };
     if done { ExitCode::SUCCESS } else { ExitCode::FAILURE }
--- /dev/null
+++ b/xtask/src/zone/plot.rs
@@ -0,0 +1,84 @@
+//! The plot of a run.
+
+use std::fmt::Write;
+
+use super::report::Report;
+use super::step::Step;
+use crate::measure::cost;
+
+const WIDTH: f64 = 900.0;
+const LEFT: f64 = 190.0;
+const RIGHT: f64 = 20.0;
+const TOP: f64 = 40.0;
+const PANEL: f64 = 90.0;
+const PANEL_GAP: f64 = 26.0;
+/// The smallest top of a panel's scale, so that a line of zeros is one.
+const SMALLEST_TOP: f64 = 1e-9;
+
+/// One line over time.
+struct Panel {
+    title: &'static str,
+    value: fn(&Step) -> f64,
+}
+
+const PANELS: [Panel; 6] = [
+    Panel { title: "answered calls/s", value: |step| cost::count(step.endings.answered) },
+    Panel { title: "refused calls/s, not-run", value: |step| cost::count(step.endings.not_run) },
+    Panel { title: "first token p95, ms", value: |step| step.first_token_ms },
+    Panel { title: "gap of the pair, tokens/weight/s", value: |step| step.gap_tokens.abs() },
+    Panel { title: "used slots, other zones", value: |step| step.utilisation },
+    Panel { title: "started in the zone/s", value: |step| cost::count(step.zone_starts) },
+];
+
+/// Returns the plot as SVG.
+pub(super) fn draw(report: &Report) -> String {
+    let height = TOP + (PANEL + PANEL_GAP) * cost::count(PANELS.len());
+    let mut svg = format!(
+        "<svg xmlns=\"http://www.w3.org/2000/svg\" viewBox=\"0 0 {WIDTH} {height}\" \
+         font-family=\"sans-serif\" font-size=\"12\">\n\
+         <rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n"
+    );
+    let from = x(report, report.orders.out.as_secs_f64());
+    let to = x(report, report.orders.back.as_secs_f64());
+    let width = to - from;
+    let _ = writeln!(
+        svg,
+        "<rect x=\"{from:.1}\" y=\"{TOP}\" width=\"{width:.1}\" height=\"{:.1}\" fill=\"#eeeeee\"/>\n\
+         <text x=\"{from:.1}\" y=\"{:.1}\">the zone is out</text>",
+        height - TOP - PANEL_GAP,
+        TOP - 8.0
+    );
+    for (index, panel) in PANELS.iter().enumerate() {
+        let top = TOP + (PANEL + PANEL_GAP) * cost::count(index);
+        draw_panel(&mut svg, report, panel, top);
+    }
+    svg.push_str("</svg>\n");
+    svg
+}
+
+fn draw_panel(svg: &mut String, report: &Report, panel: &Panel, top: f64) {
+    let largest = report.steps.iter().map(panel.value).fold(SMALLEST_TOP, f64::max);
+    let bottom = top + PANEL;
+    let points = report.steps.iter().map(|step| {
+        let y = bottom - (panel.value)(step) / largest * PANEL;
+        format!("{:.1},{y:.1}", x(report, cost::as_f64(step.second) + 0.5))
+    });
+    let points: Vec<String> = points.collect();
+    let _ = writeln!(
+        svg,
+        "<line x1=\"{LEFT}\" y1=\"{bottom}\" x2=\"{}\" y2=\"{bottom}\" stroke=\"#999999\"/>\n\
+         <text x=\"8\" y=\"{:.1}\">{}</text>\n\
+         <text x=\"{:.1}\" y=\"{:.1}\" text-anchor=\"end\">{largest:.1}</text>\n\
+         <polyline fill=\"none\" stroke=\"#225588\" stroke-width=\"1.5\" points=\"{}\"/>",
+        WIDTH - RIGHT,
+        top + PANEL / 2.0,
+        panel.title,
+        LEFT - 4.0,
+        top + 10.0,
+        points.join(" ")
+    );
+}
+
+fn x(report: &Report, second: f64) -> f64 {
+    LEFT + (WIDTH - LEFT - RIGHT) * second / cost::as_f64(report.seconds.max(1))
+}
--- /dev/null
+++ b/xtask/src/zone/report.rs
@@ -0,0 +1,127 @@
+//! The table and the targets.
+
+use serde::Serialize;
+
+use super::step::Endings;
+use super::step::Orders;
+use super::step::Step;
+use crate::measure::cost;
+
+/// First-token p95 of workspaces within their share, at most.
+const FIRST_TOKEN_MS: f64 = 730.0;
+
+/// What the run has shown.
+#[derive(Debug, Clone, Serialize)]
+pub(super) struct Report {
+    pub(super) seed: u64,
+    pub(super) seconds: u64,
+    pub(super) orders: Orders,
+    /// The bound on the gap that the dispatcher states, in tokens per weight.
+    pub(super) bound_tokens: f64,
+    /// The largest gap between the backlogged pair seen by callers, in tokens per weight.
+    pub(super) gap_tokens: f64,
+    /// First-token p95 of workspaces within their share behind the warm-up.
+    pub(super) first_token_ms: f64,
+    pub(super) endings: Endings,
+    /// Requests started in the zone while the order had to hold.
+    pub(super) late_starts: usize,
+    /// How often an engine fell over.
+    pub(super) falls: u64,
+    pub(super) steps: Vec<Step>,
+}
+
+/// One target and whether it was met.
+#[derive(Debug, Clone, Serialize)]
+struct Target {
+    name: &'static str,
+    limit: f64,
+    seen: f64,
+    met: bool,
+}
+
+#[derive(Debug, Serialize)]
+struct Document<'a> {
+    report: &'a Report,
+    targets: Vec<Target>,
+}
+
+impl Report {
+    /// Prints the report and returns whether all targets were met.
+    pub(super) fn print(&self, json: bool) -> bool {
+        let targets = self.targets();
+        let met = targets.iter().all(|target| target.met);
+        if json {
+            let document = Document { report: self, targets };
+            println!("{}", serde_json::to_string_pretty(&document).unwrap_or_default());
+        } else {
+            self.print_steps();
+            print_targets(&targets);
+        }
+        met
+    }
+
+    fn print_steps(&self) {
+        println!(
+            "seed {}, {} s of load, out at {:.1} s, back at {:.1} s",
+            self.seed,
+            self.seconds,
+            self.orders.out.as_secs_f64(),
+            self.orders.back.as_secs_f64()
+        );
+        println!(
+            "{:>6} {:>9} {:>8} {:>6} {:>6} {:>12} {:>8} {:>8} {:>10} {:>12}",
+            "second",
+            "answered",
+            "not-run",
+            "other",
+            "lost",
+            "first token",
+            "gap",
+            "used",
+            "zone used",
+            "zone starts"
+        );
+        for step in &self.steps {
+            let Endings { answered, not_run, other_verdict, lost } = step.endings;
+            println!(
+                "{:>6} {answered:>9} {not_run:>8} {other_verdict:>6} {lost:>6} {:>12.0} {:>8.1} {:>8.3} {:>10.3} {:>12}",
+                step.second,
+                step.first_token_ms,
+                step.gap_tokens,
+                step.utilisation,
+                step.zone_utilisation,
+                step.zone_starts
+            );
+        }
+        println!("endings: {:?}", self.endings);
+        println!(
+            "largest gap of the pair: {:.1} tokens per weight (the dispatcher states at most {:.1})",
+            self.gap_tokens, self.bound_tokens
+        );
+    }
+
+    fn targets(&self) -> Vec<Target> {
+        let cut = self.endings.lost + self.endings.other_verdict;
+        vec![
+            at_most("calls lost or cut", cost::count(cut), 0.0),
+            at_most("first token ms p95 within share", self.first_token_ms, FIRST_TOKEN_MS),
+            at_most("new work at the zone behind 3 s", cost::count(self.late_starts), 0.0),
+            at_most("engines that fell over", cost::as_f64(self.falls), 0.0),
+        ]
+    }
+}
+
+fn print_targets(targets: &[Target]) {
+    println!();
+    for target in targets {
+        let verdict = if target.met { "met" } else { "MISSED" };
+        println!(
+            "{verdict:<7} {:<40} {:.1} (wanted <= {:.1})",
+            target.name, target.seen, target.limit
+        );
+    }
+}
+
+fn at_most(name: &'static str, seen: f64, limit: f64) -> Target {
+    Target { name, limit, seen, met: seen <= limit }
+}
--- /dev/null
+++ b/xtask/src/zone/step.rs
@@ -0,0 +1,173 @@
+//! Figures of each second and of the whole run.
+
+use std::time::Duration;
+
+use base::Verdict;
+use rig::Record;
+use serde::Serialize;
+
+use super::scene;
+use crate::measure::cost;
+
+/// Load before the first calls whose times count.
+pub(super) const WARM_UP: Duration = Duration::from_secs(6);
+/// Time from the answer to an order until it holds everywhere.
+pub(super) const ZONE_TARGET: Duration = Duration::from_secs(3);
+/// Width of a step.
+const STEP: Duration = Duration::from_secs(1);
+/// Width of a step of the gap.
+const GAP_STEP: Duration = Duration::from_millis(100);
+
+/// When the zone was out, since the load began.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub(super) struct Orders {
+    /// The answer to the first order.
+    #[serde(serialize_with = "seconds")]
+    pub(super) out: Duration,
+    /// The sending of the second order.
+    #[serde(serialize_with = "seconds")]
+    pub(super) back: Duration,
+}
+
+/// What the engines were doing at a moment.
+#[derive(Debug, Clone)]
+pub(super) struct Look {
+    /// The moment, since the load began.
+    pub(super) at: Duration,
+    /// Running requests of each engine.
+    pub(super) running: Vec<u32>,
+}
+
+/// How calls ended.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub(super) struct Endings {
+    /// Whole answers.
+    pub(super) answered: usize,
+    /// Refusals with the verdict not-run.
+    pub(super) not_run: usize,
+    /// Refusals with another verdict.
+    pub(super) other_verdict: usize,
+    /// Neither whole nor refused.
+    pub(super) lost: usize,
+}
+
+/// One second.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub(super) struct Step {
+    /// Its begin, in seconds since the load began.
+    pub(super) second: u64,
+    /// Calls that ended in it.
+    pub(super) endings: Endings,
+    /// First-token p95 of calls that began in it, of workspaces within their share.
+    pub(super) first_token_ms: f64,
+    /// Tokens per weight that one of the pair got more than the other.
+    pub(super) gap_tokens: f64,
+    /// Busy slots of the engines in the other zones, as a fraction.
+    pub(super) utilisation: f64,
+    /// Busy slots of the engines in the zone, as a fraction.
+    pub(super) zone_utilisation: f64,
+    /// Requests started in the zone.
+    pub(super) zone_starts: usize,
+}
+
+impl Endings {
+    /// Counts the endings of calls.
+    pub(super) fn of<'a>(records: impl IntoIterator<Item = &'a Record>) -> Self {
+        let mut endings = Self::default();
+        for record in records {
+            let counter = match record.verdict {
+                _ if record.is_success => &mut endings.answered,
+                Some(Verdict::NotRun) => &mut endings.not_run,
+                Some(_) => &mut endings.other_verdict,
+                None => &mut endings.lost,
+            };
+            *counter += 1;
+        }
+        endings
+    }
+}
+
+/// Returns the figures of all seconds.
+pub(super) fn steps(
+    records: &[Record],
+    looks: &[Look],
+    starts: &[Duration],
+    duration: Duration,
+) -> Vec<Step> {
+    (0..duration.as_secs()).map(|second| step(records, looks, starts, second)).collect()
+}
+
+fn step(records: &[Record], looks: &[Look], starts: &[Duration], second: u64) -> Step {
+    let from = Duration::from_secs(second);
+    let to = from + STEP;
+    let is_within = |at: Duration| at >= from && at < to;
+    let ended = records.iter().filter(|record| is_within(record.started + record.total));
+    let seen: Vec<&Look> = looks.iter().filter(|look| is_within(look.at)).collect();
+    let served = |(name, weight): (&str, u32)| tokens(records, name, from, to) / f64::from(weight);
+    Step {
+        second,
+        endings: Endings::of(ended),
+        first_token_ms: first_token_p95(records, from, to),
+        gap_tokens: served(scene::PAIR[0]) - served(scene::PAIR[1]),
+        utilisation: utilisation(&seen, false),
+        zone_utilisation: utilisation(&seen, true),
+        zone_starts: starts.iter().filter(|at| is_within(**at)).count(),
+    }
+}
+
+/// Returns the first-token p95 of calls within a time, of workspaces within their share.
+pub(super) fn first_token_p95(records: &[Record], from: Duration, to: Duration) -> f64 {
+    let chosen = records.iter().filter(|record| {
+        scene::WITHIN.contains(&record.workspace.as_str())
+            && record.started >= from
+            && record.started < to
+    });
+    let times: Vec<Duration> = chosen.filter_map(Record::first_token).collect();
+    rig::percentile(&times, 95.0).map_or(0.0, |time| time.as_secs_f64() * 1_000.0)
+}
+
+/// Returns the largest change, over any interval, of what one of the pair is ahead, in tokens per weight.
+pub(super) fn largest_gap(records: &[Record], duration: Duration) -> f64 {
+    let steps = (duration.saturating_sub(WARM_UP)).as_millis() / GAP_STEP.as_millis();
+    let mut ahead = 0.0;
+    let (mut low, mut high) = (0.0_f64, 0.0_f64);
+    for step in 0..u32::try_from(steps).unwrap_or(u32::MAX) {
+        let from = WARM_UP + GAP_STEP * step;
+        let served = |(name, weight): (&str, u32)| {
+            tokens(records, name, from, from + GAP_STEP) / f64::from(weight)
+        };
+        ahead += served(scene::PAIR[0]) - served(scene::PAIR[1]);
+        (low, high) = (low.min(ahead), high.max(ahead));
+    }
+    high - low
+}
+
+/// Returns the number of requests started in the zone while the order to leave it had to hold.
+pub(super) fn late_starts(starts: &[Duration], orders: Orders) -> usize {
+    starts.iter().filter(|at| **at > orders.out + ZONE_TARGET && **at < orders.back).count()
+}
+
+fn tokens(records: &[Record], workspace: &str, from: Duration, to: Duration) -> f64 {
+    let own = records.iter().filter(|record| record.workspace == workspace);
+    let near = own.filter(|record| record.started < to && record.started + record.total >= from);
+    let times = near.flat_map(|record| record.tokens.iter().map(|at| record.started + *at));
+    cost::count(times.filter(|at| *at >= from && *at < to).count())
+}
+
+fn utilisation(looks: &[&Look], in_zone: bool) -> f64 {
+    let mut busy = 0;
+    let mut slots = 0;
+    for look in looks {
+        for (engine, running) in look.running.iter().enumerate() {
+            if scene::is_in_zone(engine) == in_zone {
+                busy += running;
+                slots += scene::SLOTS;
+            }
+        }
+    }
+    f64::from(busy) / f64::from(slots.max(1))
+}
+
+fn seconds<S: serde::Serializer>(time: &Duration, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_f64(time.as_secs_f64())
+}
