test(front): see that an order is not written after its lease

The look at the clock before each write to the socket was only proved in the simulated world. On a real connection it now is: the test fails when the look is removed, and so do outcomes that don't follow the answer.

--- /dev/null
+++ b/crates/front/tests/order_runner.rs
@@ -0,0 +1,72 @@
+//! Orders on real connections: what the runner receives and how the answer is told.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use front::Command;
+use front::Outcome;
+use front::order_runner;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+fn command() -> Command {
+    Command { order: "load-model".to_owned(), name: "oak@1".to_owned(), fence: 7 }
+}
+
+/// Orders a runner that gives one answer, and returns the outcome and what the runner received.
+async fn order(answer: &'static str, until: Instant) -> (Outcome, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let command = command();
+    let runner = async {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut received = Vec::new();
+        while !received.ends_with(b"}") {
+            let mut part = [0; 1_024];
+            match stream.read(&mut part).await {
+                Ok(count) if count > 0 => received.extend_from_slice(&part[..count]),
+                _ => break,
+            }
+        }
+        let _hung_up = stream.write_all(answer.as_bytes()).await;
+        String::from_utf8(received).expect("text")
+    };
+    tokio::join!(order_runner(address, &command, until), runner)
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(60)
+}
+
+#[tokio::test]
+async fn an_order_carries_name_and_fence_and_the_status_tells_its_outcome() {
+    let (outcome, received) = order("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", soon()).await;
+    assert_eq!(outcome, Outcome::Done);
+    assert!(received.starts_with("POST /orders HTTP/1.1\r\n"), "{received}");
+    let body = "{\"order\":\"load-model\",\"name\":\"oak@1\",\"fence\":7}";
+    assert!(received.ends_with(body), "{received}");
+    let newer = order("HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n", soon()).await;
+    assert_eq!(newer.0, Outcome::Newer);
+    let refused = order("HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n", soon()).await;
+    assert_eq!(refused.0, Outcome::Refused);
+}
+
+#[tokio::test]
+async fn an_order_without_an_answer_is_lost() {
+    assert_eq!(order("", soon()).await.0, Outcome::Lost);
+}
+
+#[tokio::test]
+async fn nothing_is_written_after_the_lease_even_on_an_open_connection() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    assert_eq!(order(answer, Instant::now()).await, (Outcome::NotSent, String::new()));
+}
+
+#[tokio::test]
+async fn an_unreachable_runner_gets_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    assert_eq!(order_runner(address, &command(), soon()).await, Outcome::NotSent);
+}
