test(rig): serve the list that names leaving runners, and see the dispatcher leave the zone

The platform's stand-in drops the runners of its list, so the test failed for a fault of the stand-in. The list is served by the test itself now; what is checked stays the same. The zone tests also wait, within the 3 s, for a dispatcher outside the zone.

--- a/crates/rig/tests/support/mod.rs
+++ b/crates/rig/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub(crate) mod listing;
 pub(crate) mod own;
 
 use std::time::Duration;
--- a/crates/rig/tests/zones.rs
+++ b/crates/rig/tests/zones.rs
@@ -7,6 +7,10 @@
 use base::Verdict;
 use rig::Call;
 use rig::Fleet;
+use rig::Load;
+use rig::Space;
+use serde_json::Value;
+use serde_json::json;
 use support::COLD;
 use support::ENGINE;
 use support::HANG;
@@ -14,6 +18,9 @@
 use support::WORKSPACE;
 use support::ZONE_TARGET;
 use support::ZONES;
+use support::listing::Listing;
+use support::own;
+use support::own::Own;
 use tokio::time::Instant;
 
 /// The zone that is taken out, with its runner.
@@ -66,6 +73,11 @@
         }
         let took = until_out(&fleet, entries, &["zone/nottingham"]).await;
         println!("{around:?}: out everywhere {took:?} after the answer");
+        support::until(ZONE_TARGET, "a dispatcher in another zone", async || {
+            let dispatcher = support::dispatcher(&fleet).await;
+            dispatcher.is_some_and(|router| fleet.router(router).zone() != OUT.0)
+        })
+        .await;
         for router in entries {
             let caller = fleet.caller_of(WORKSPACE, *router);
             let places = caller.addresses(ENGINE).await.expect("addresses").addresses;
@@ -279,13 +291,34 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_runner_that_the_platform_takes_away_gets_no_new_work() {
-    let fleet = support::start(support::builder(3)).await;
-    let mut list: serde_json::Value = fleet.platform().get("/instances").await.expect("a list");
-    list["runners"] = serde_json::json!([{ "name": OUT.1, "state": "leaving" }]);
-    let load = support::load(&fleet, &[0, 1, 2], 4, Duration::from_secs(7));
+    let fleet = support::builder(0).start().await.expect("a platform");
+    let listing = Listing::start().await;
+    let space = Space::new().expect("a directory");
+    let authority = own::authority("fleet");
+    let start = |number: usize| {
+        let name = format!("s{number}");
+        let keys = own::keys(&authority, &name, &[&authority]);
+        let mut settings = own::settings(&fleet, &name, number, &keys);
+        settings["platform"]["instances"] = json!(listing.address);
+        Own::start(&space, settings)
+    };
+    let routers = [start(0), start(1), start(2)];
+    let instances: Vec<Value> = routers.iter().map(Own::entry).collect();
+    listing.set(&json!({ "instances": instances }));
+    support::until(HANG, "members that know each other", async || {
+        routers[0].alive().await.len() == 3 && routers[2].alive().await.len() == 3
+    })
+    .await;
+    let load = routers
+        .iter()
+        .zip(0..)
+        .fold(Load::new(1, Duration::from_secs(7)), |load, (router, number)| {
+            load.stream(support::stream(router.caller(), 4, number))
+        });
     let orders = async {
         support::until_all_work(&fleet).await;
-        fleet.platform().control("instances", &list).await.expect("obeyed");
+        let leaving = json!([{ "name": OUT.1, "state": "leaving" }]);
+        listing.set(&json!({ "instances": instances, "runners": leaving }));
         support::wall_millis()
     };
     let (records, listed) = tokio::join!(load.run(), orders);
