--- a/crates/node/src/control/charter.rs
+++ b/crates/node/src/control/charter.rs
@@ -326,7 +326,9 @@
         if now >= hold.confirmed + CONFIRM_PERIOD && self.may_ask(now) {
             actions.push(self.ask(hold.cursor));
         }
-
+        if now >= hold.confirmed + LEASE {
+            return;
+        }
         for name in open {
             actions.extend(self.order(&name, hold));
         }
@@ -341,7 +343,7 @@
         let (address, fence) = (runner.target.address, hold.fence);
         let detail = format!("ordered {} {} with fence {fence}", task.kind, task.name);
         self.note(Some(name.clone()), detail);
-        let until = hold.confirmed + LEASE * 100;
+        let until = hold.confirmed + LEASE;
         Some(Action::Order(Order { ticket, runner: name.clone(), address, task, fence, until }))
     }
 
