fix(node,sched): raise an order over a newer one; report usage in doubled periods

Cause (zones test, no_order_is_lost_with_the_router_that_took_it): a router that had restarted empty gave its order counter 1, the members knew a higher one, ignored it and acknowledged it all the same. Now a member answers with its newer order, and the taker gives its own again above it.

Usage went out every 250 ms for each running request. Kept: first after 0.5 s, doubling to 8 s.

--- a/crates/node/src/control/placement.rs
+++ b/crates/node/src/control/placement.rs
@@ -61,12 +61,8 @@
         let known = self.mesh.registers().into_iter().find(|register| register.key == key);
         let counter = known.map_or(0, |register| register.counter) + 1;
         let kept = Placed { key, counter, out: placement.out, by: self.me.clone() };
-        self.mesh.publish(register_of(&kept));
-        self.broadcast(&Frame::Placed(kept.clone()));
-        self.keep(&kept);
-        self.placed(&kept);
         let deadline = self.now() + HEARD_TIMEOUT;
-        self.pending_orders.push(PendingOrder { order: kept, deadline, reply });
+        self.issue(kept, deadline, reply);
     }
 
     /// Takes in that a member or the log has an order of this router, which answers the operator.
@@ -93,7 +89,32 @@
     /// Takes in an order that another router has taken, and tells it so.
     pub(super) fn order_received(&mut self, from: &Name, order: &Placed) {
         self.merge_order(order);
-        self.mesh.send(from, Frame::PlacedHeard(order.clone()));
+        let known = self.mesh.registers().into_iter().find(|register| register.key == order.key);
+        let answer = match known.map(|register| order_of(&register)) {
+            Some(newer) if newer != *order => Frame::Placed(newer),
+            _ => Frame::PlacedHeard(order.clone()),
+        };
+        self.mesh.send(from, answer);
+    }
+
+    /// Gives an order again above a newer one of the same subject that this router did not know of.
+    fn raise_orders(&mut self, newer: &Placed) {
+        let overtaken = |pending: &PendingOrder| {
+            pending.order.key == newer.key && pending.order.counter < newer.counter
+        };
+        while let Some(index) = self.pending_orders.iter().position(overtaken) {
+            let pending = self.pending_orders.swap_remove(index);
+            let counter = newer.counter + 1;
+            self.issue(Placed { counter, ..pending.order }, pending.deadline, pending.reply);
+        }
+    }
+
+    fn issue(&mut self, order: Placed, deadline: Duration, reply: oneshot::Sender<Option<u64>>) {
+        self.mesh.publish(register_of(&order));
+        self.broadcast(&Frame::Placed(order.clone()));
+        self.keep(&order);
+        self.placed(&order);
+        self.pending_orders.push(PendingOrder { order, deadline, reply });
     }
 
     /// Takes in an order that the log has kept.
@@ -106,6 +127,7 @@
     }
 
     fn merge_order(&mut self, order: &Placed) {
+        self.raise_orders(order);
         let register = register_of(order);
         let known = self.mesh.registers().into_iter().find(|register| register.key == order.key);
         if is_order(&order.key) && known.is_none_or(|known| register.beats(&known)) {
@@ -132,13 +154,7 @@
     pub(super) fn kept_orders(&self) -> Vec<String> {
         let registers = self.mesh.registers().into_iter();
         let orders = registers.filter(|register| is_order(&register.key));
-        let kept = orders.map(|register| Placed {
-            out: register.value == OUT,
-            key: register.key,
-            counter: register.counter,
-            by: register.by,
-        });
-        kept.map(|kept| encode(&kept)).collect()
+        orders.map(|register| encode(&order_of(&register))).collect()
     }
 
     /// Returns the keys of all that is out.
@@ -195,6 +211,15 @@
     }
 }
 
+fn order_of(register: &Register) -> Placed {
+    Placed {
+        key: register.key.clone(),
+        counter: register.counter,
+        out: register.value == OUT,
+        by: register.by.clone(),
+    }
+}
+
 /// Returns whether a register is an order about a zone or instance.
 fn is_order(key: &Name) -> bool {
     key.as_str().starts_with("zone/") || key.as_str().starts_with("instance/")
--- a/crates/sched/src/answer.rs
+++ b/crates/sched/src/answer.rs
@@ -22,13 +22,14 @@
 use crate::entry::Running;
 use crate::entry::Waiting;
 use crate::timing::ENQUEUE_RESEND;
+use crate::timing::FIRST_REPORT;
 
 impl Entry {
     /// Takes in a frame of a member.
     pub fn frame(&mut self, from: &Name, frame: &Frame, now: Duration) {
         self.keep_lease(now);
         match frame {
-            Frame::Grant(grant) => self.grant(from, grant),
+            Frame::Grant(grant) => self.grant(from, grant, now),
             Frame::Refuse(refuse) => self.refuse(from, refuse),
             Frame::Redirect(redirect) => self.redirect(from, redirect, now),
             Frame::TakeOver(take_over) => {
@@ -74,13 +75,13 @@
             class: running.class,
             runner: running.runner.clone(),
             // What no dispatcher has heard yet follows with the next usage report.
-            used: running.reported.map_or(Cost::ZERO, |(used, _)| used),
+            used: running.reported,
         });
         let totals = self.owners.get(shard).and_then(|owner| owner.totals.clone());
         Resync { shard: shard.clone(), term, waiting, running: running.collect(), totals }
     }
 
-    fn grant(&mut self, from: &Name, grant: &Grant) {
+    fn grant(&mut self, from: &Name, grant: &Grant, now: Duration) {
         let attempt = Attempt { request: grant.request, number: grant.attempt };
         if !self.obeys(from, &grant.shard, grant.term) {
             self.decline(from, grant);
@@ -110,7 +111,9 @@
             class: enqueue.class,
             runner: grant.runner.clone(),
             used: Cost::ZERO,
-            reported: None,
+            reported: Cost::ZERO,
+            report_due: now + FIRST_REPORT,
+            report_period: FIRST_REPORT * 2,
         };
         self.running.insert(grant.request, running);
         self.outbox.push(Action::Granted(grant.clone()));
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -24,7 +24,7 @@
 
 use crate::timing::ENQUEUE_RESEND;
 use crate::timing::ENTRY_LEASE;
-use crate::timing::KEEPALIVE_PERIOD;
+use crate::timing::LONGEST_REPORT_PERIOD;
 use crate::timing::REFUSE_GRACE;
 use crate::timing::TAKEOVER_GRACE;
 use crate::timing::TICK;
@@ -86,7 +86,12 @@
     pub(crate) class: Class,
     pub(crate) runner: Name,
     pub(crate) used: Cost,
-    pub(crate) reported: Option<(Cost, Duration)>,
+    /// The work that the dispatcher was told of.
+    pub(crate) reported: Cost,
+    /// When the dispatcher is told next.
+    pub(crate) report_due: Duration,
+    /// The time from that report to the one after it.
+    pub(crate) report_period: Duration,
 }
 
 /// The requests of a router's own callers.
@@ -327,11 +332,10 @@
         }
         let mut batches: IndexMap<Shard, Vec<Usage>> = IndexMap::new();
         for (request, running) in &mut self.running {
-            let due = running
-                .reported
-                .is_none_or(|(used, at)| used != running.used || now >= at + KEEPALIVE_PERIOD);
-            if due {
-                running.reported = Some((running.used, now));
+            if now >= running.report_due {
+                running.report_due = now + running.report_period;
+                running.report_period = (running.report_period * 2).min(LONGEST_REPORT_PERIOD);
+                running.reported = running.used;
                 let shard = running.shard.clone();
                 let usage = Usage { shard: shard.clone(), request: *request, used: running.used };
                 batches.entry(shard).or_default().push(usage);
--- a/crates/sched/src/timing.rs
+++ b/crates/sched/src/timing.rs
@@ -14,10 +14,12 @@
 pub const TOTALS_PERIOD: Duration = Duration::from_millis(500);
 /// Smallest time between two usage reports of an entry.
 pub const USAGE_PERIOD: Duration = Duration::from_millis(250);
-/// Period at which an entry reports a running request whose usage has not changed.
-pub const KEEPALIVE_PERIOD: Duration = Duration::from_secs(2);
+/// Time from the grant of a request to the first report of its usage; each later one takes twice as long.
+pub const FIRST_REPORT: Duration = Duration::from_millis(500);
+/// Longest time between two reports of the usage of a running request.
+pub const LONGEST_REPORT_PERIOD: Duration = Duration::from_secs(8);
 /// Time without a report after which a dispatcher asks the entry about a running request.
-pub const AUDIT_AFTER: Duration = Duration::from_secs(6);
+pub const AUDIT_AFTER: Duration = Duration::from_secs(10);
 /// Time between two sendings of a grant that the entry has not confirmed.
 pub const GRANT_RESEND: Duration = Duration::from_secs(1);
 /// Time between two sendings of a waiting request that has no answer.
