--- a/crates/sched/tests/dispatcher.rs
+++ b/crates/sched/tests/dispatcher.rs
@@ -168,7 +168,7 @@
     let refused = refusals(&dispatcher.poll(ms(250)));
     let verdicts: Vec<_> =
         refused.iter().map(|refuse| (refuse.request.0, refuse.verdict)).collect();
-    assert_eq!(verdicts, [(1, base::Verdict::NotRun), (2, base::Verdict::NotRun)]);
+    assert_eq!(verdicts, [(1, Verdict::NotRun), (2, Verdict::NotRun)]);
 }
 
 #[test]
