--- a/crates/sched/src/timing.rs
+++ b/crates/sched/src/timing.rs
@@ -9,7 +9,7 @@
 /// Wait after a loss of members before a side that is not surely the continuing one grants.
 pub const SETTLE: Duration = Duration::from_secs(3);
 /// Time after a loss of members before the smaller side refuses what it cannot serve.
-pub const CUT_OFF_AFTER: Duration = Duration::from_millis(250);
+pub const CUT_OFF_AFTER: Duration = Duration::from_secs(3);
 /// Period at which members that have not answered are asked again.
 pub const ASK_PERIOD: Duration = Duration::from_millis(500);
 /// Period at which fairness counters go to the successors.
