--- a/crates/conf/src/configuration.rs
+++ b/crates/conf/src/configuration.rs
@@ -176,7 +176,7 @@
 }
 
 const fn default_shard_runners() -> u32 {
-    64
+    5
 }
 
 impl Configuration {
--- a/crates/conf/tests/configuration.rs
+++ b/crates/conf/tests/configuration.rs
@@ -114,7 +114,7 @@
 
 #[test]
 fn models_have_a_version_and_only_engines_load_them() {
-    let chat = "\"shard_runners\": 64";
+    let chat = "\"shard_runners\": 5";
     let with = |text: &str| format!("{chat}, {text}");
     let text = EXAMPLE.replacen(chat, &with("\"model\": \"oak@2\", \"adapters\": [\"moss\"]"), 1);
     let service = Configuration::parse(&text).expect("valid").services.swap_remove(0);
