refactor(xtask): share targets and endings between the measurements

Found by duplicates in the read-through: both measurements printed targets and counted endings in the same words. No check or limit changed.

--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -8,6 +8,7 @@
 mod matrix;
 mod measure;
 mod slope;
+mod target;
 mod zone;
 
 use std::process::ExitCode;
--- a/xtask/src/measure/mod.rs
+++ b/xtask/src/measure/mod.rs
@@ -1,6 +1,7 @@
 //! `cargo xtask measure`: the same load on the fleet and on the baseline, side by side.
 
 pub(crate) mod cost;
+pub(crate) mod ending;
 mod gap;
 mod profile;
 mod report;
--- a/xtask/src/measure/report.rs
+++ b/xtask/src/measure/report.rs
@@ -6,6 +6,8 @@
 use super::cost::count;
 use super::trial::Outcome;
 use super::trial::Times;
+use crate::target;
+use crate::target::Target;
 
 /// Largest control traffic of a router, in bytes a second.
 const CONTROL_BYTES: f64 = 11_000.0;
@@ -33,35 +35,10 @@
     pub(crate) baseline: Outcome,
 }
 
-/// A target and whether it was met.
-#[derive(Debug, Serialize)]
-struct Target {
-    name: &'static str,
-    wanted: String,
-    seen: String,
-    met: bool,
-}
-
-/// What is printed for machines.
-#[derive(Debug, Serialize)]
-struct Document<'a> {
-    report: &'a Report,
-    targets: Vec<Target>,
-}
-
 impl Report {
     /// Prints the report and returns whether all targets were met.
     pub(crate) fn print(&self, json: bool) -> bool {
-        let targets = self.targets();
-        let met = targets.iter().all(|target| target.met);
-        if json {
-            let document = Document { report: self, targets };
-            println!("{}", serde_json::to_string_pretty(&document).unwrap_or_default());
-        } else {
-            self.print_figures();
-            print_targets(&targets);
-        }
-        met
+        target::print(self, &self.targets(), json, Self::print_figures)
     }
 
     fn print_figures(&self) {
@@ -117,47 +94,25 @@
         let bound = fleet.bound_tokens.unwrap_or(0.0);
         let factor = self.baseline.gap_tokens / fleet.gap_tokens.max(f64::EPSILON);
         vec![
-            at_most("gap within its bound", fleet.gap_tokens, bound),
-            at_least("gap smaller than the baseline's by a factor", factor, GAP_FACTOR),
-            at_least("utilisation while work waits", fleet.utilisation, UTILISATION),
-            at_most("control bytes/s of each router", largest(fleet, bytes), CONTROL_BYTES),
-            at_most("control % of a core of each router", largest(fleet, control), CONTROL_PERCENT),
-            at_most(
+            Target::at_most("gap within its bound", fleet.gap_tokens, bound),
+            Target::at_least("gap smaller than the baseline's by a factor", factor, GAP_FACTOR),
+            Target::at_least("utilisation while work waits", fleet.utilisation, UTILISATION),
+            Target::at_most("control bytes/s of each router", largest(fleet, bytes), CONTROL_BYTES),
+            Target::at_most(
+                "control % of a core of each router",
+                largest(fleet, control),
+                CONTROL_PERCENT,
+            ),
+            Target::at_most(
                 "first token ms p95 within share",
                 fleet.first_token_within_share.p95,
                 FIRST_TOKEN_MS,
             ),
-            at_most("calls neither whole nor refused", count(fleet.endings.failed), 0.0),
+            Target::at_most("calls neither whole nor refused", count(fleet.endings.failed), 0.0),
         ]
     }
 }
 
-fn print_targets(targets: &[Target]) {
-    println!();
-    for target in targets {
-        let verdict = if target.met { "met" } else { "MISSED" };
-        println!("{verdict:<7} {:<46} {} (wanted {})", target.name, target.seen, target.wanted);
-    }
-}
-
-fn at_most(name: &'static str, seen: f64, limit: f64) -> Target {
-    Target {
-        name,
-        wanted: format!("<= {limit:.2}"),
-        seen: format!("{seen:.3}"),
-        met: seen <= limit,
-    }
-}
-
-fn at_least(name: &'static str, seen: f64, limit: f64) -> Target {
-    Target {
-        name,
-        wanted: format!(">= {limit:.2}"),
-        seen: format!("{seen:.3}"),
-        met: seen >= limit,
-    }
-}
-
 fn row(name: &str, fleet: f64, baseline: f64) {
     println!("{name:<44} {fleet:>14.3} {baseline:>14.3}");
 }
--- a/xtask/src/measure/trial.rs
+++ b/xtask/src/measure/trial.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use base::Class;
-use base::Verdict;
 use error_stack::Report;
 use error_stack::ResultExt;
 use rig::Fleet;
@@ -17,6 +16,7 @@
 use super::cost::Cost;
 use super::cost::Shard;
 use super::cost::Status;
+use super::ending::Endings;
 use super::gap;
 use super::profile::LARGE;
 use super::profile::Profile;
@@ -68,19 +68,6 @@
     pub(crate) count: usize,
 }
 
-/// How calls ended.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
-pub(crate) struct Endings {
-    /// Whole answers.
-    pub(crate) answered: usize,
-    /// Refusals with the verdict not-run.
-    pub(crate) not_run: usize,
-    /// Refusals with another verdict.
-    pub(crate) other_verdict: usize,
-    /// Neither whole nor refused.
-    pub(crate) failed: usize,
-}
-
 /// What one trial has shown.
 #[derive(Debug, Clone, Serialize)]
 pub(crate) struct Outcome {
@@ -243,22 +230,6 @@
     }
 }
 
-impl Endings {
-    fn of(records: &[Record]) -> Self {
-        let mut endings = Self::default();
-        for record in records {
-            let counter = match record.verdict {
-                _ if record.is_success => &mut endings.answered,
-                Some(Verdict::NotRun) => &mut endings.not_run,
-                Some(_) => &mut endings.other_verdict,
-                None => &mut endings.failed,
-            };
-            *counter += 1;
-        }
-        endings
-    }
-}
-
 /// Returns the tokens of a cost in milli-tokens.
 fn tokens(cost: u64) -> f64 {
     cost::as_f64(cost) / cost::as_f64(base::Cost::PER_TOKEN)
--- /dev/null
+++ b/xtask/src/target.rs
@@ -0,0 +1,62 @@
+//! Targets of measurements: what was wanted, what was seen, and how both are printed.
+
+use serde::Serialize;
+
+/// A target and whether it was met.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct Target {
+    name: &'static str,
+    wanted: String,
+    seen: String,
+    met: bool,
+}
+
+/// What is printed for machines.
+#[derive(Debug, Serialize)]
+struct Document<'a, T> {
+    report: &'a T,
+    targets: &'a [Target],
+}
+
+impl Target {
+    /// Creates a target of a value that may not be larger than a limit.
+    pub(crate) fn at_most(name: &'static str, seen: f64, limit: f64) -> Self {
+        Self {
+            name,
+            wanted: format!("<= {limit:.2}"),
+            seen: format!("{seen:.3}"),
+            met: seen <= limit,
+        }
+    }
+
+    /// Creates a target of a value that may not be smaller than a limit.
+    pub(crate) fn at_least(name: &'static str, seen: f64, limit: f64) -> Self {
+        Self {
+            name,
+            wanted: format!(">= {limit:.2}"),
+            seen: format!("{seen:.3}"),
+            met: seen >= limit,
+        }
+    }
+}
+
+/// Prints a report as JSON or by `print_figures`, then the targets, and returns whether all were met.
+pub(crate) fn print<T: Serialize>(
+    report: &T,
+    targets: &[Target],
+    json: bool,
+    print_figures: impl FnOnce(&T),
+) -> bool {
+    if json {
+        let document = Document { report, targets };
+        println!("{}", serde_json::to_string_pretty(&document).unwrap_or_default());
+    } else {
+        print_figures(report);
+        println!();
+        for Target { name, wanted, seen, met } in targets {
+            let verdict = if *met { "met" } else { "MISSED" };
+            println!("{verdict:<7} {name:<46} {seen} (wanted {wanted})");
+        }
+    }
+    targets.iter().all(|target| target.met)
+}
--- a/xtask/src/zone/report.rs
+++ b/xtask/src/zone/report.rs
@@ -2,10 +2,12 @@
 
 use serde::Serialize;
 
-use super::step::Endings;
 use super::step::Orders;
 use super::step::Step;
 use crate::measure::cost;
+use crate::measure::ending::Endings;
+use crate::target;
+use crate::target::Target;
 
 /// First-token p95 of workspaces within their share, at most.
 const FIRST_TOKEN_MS: f64 = 730.0;
@@ -30,34 +32,10 @@
     pub(super) steps: Vec<Step>,
 }
 
-/// One target and whether it was met.
-#[derive(Debug, Clone, Serialize)]
-struct Target {
-    name: &'static str,
-    limit: f64,
-    seen: f64,
-    met: bool,
-}
-
-#[derive(Debug, Serialize)]
-struct Document<'a> {
-    report: &'a Report,
-    targets: Vec<Target>,
-}
-
 impl Report {
     /// Prints the report and returns whether all targets were met.
     pub(super) fn print(&self, json: bool) -> bool {
-        let targets = self.targets();
-        let met = targets.iter().all(|target| target.met);
-        if json {
-            let document = Document { report: self, targets };
-            println!("{}", serde_json::to_string_pretty(&document).unwrap_or_default());
-        } else {
-            self.print_steps();
-            print_targets(&targets);
-        }
-        met
+        target::print(self, &self.targets(), json, Self::print_steps)
     }
 
     fn print_steps(&self) {
@@ -74,7 +52,7 @@
             "answered",
             "not-run",
             "other",
-            "lost",
+            "failed",
             "first token",
             "gap",
             "used",
@@ -82,9 +60,9 @@
             "zone starts"
         );
         for step in &self.steps {
-            let Endings { answered, not_run, other_verdict, lost } = step.endings;
+            let Endings { answered, not_run, other_verdict, failed } = step.endings;
             println!(
-                "{:>6} {answered:>9} {not_run:>8} {other_verdict:>6} {lost:>6} {:>12.0} {:>8.1} {:>8.3} {:>10.3} {:>12}",
+                "{:>6} {answered:>9} {not_run:>8} {other_verdict:>6} {failed:>6} {:>12.0} {:>8.1} {:>8.3} {:>10.3} {:>12}",
                 step.second,
                 step.first_token_ms,
                 step.gap_tokens,
@@ -101,27 +79,12 @@
     }
 
     fn targets(&self) -> Vec<Target> {
-        let cut = self.endings.lost + self.endings.other_verdict;
+        let cut = self.endings.failed + self.endings.other_verdict;
         vec![
-            at_most("calls lost or cut", cost::count(cut), 0.0),
-            at_most("first token ms p95 within share", self.first_token_ms, FIRST_TOKEN_MS),
-            at_most("new work at the zone behind 3 s", cost::count(self.late_starts), 0.0),
-            at_most("engines that fell over", cost::as_f64(self.falls), 0.0),
+            Target::at_most("calls lost or cut", cost::count(cut), 0.0),
+            Target::at_most("first token ms p95 within share", self.first_token_ms, FIRST_TOKEN_MS),
+            Target::at_most("new work at the zone behind 3 s", cost::count(self.late_starts), 0.0),
+            Target::at_most("engines that fell over", cost::as_f64(self.falls), 0.0),
         ]
     }
 }
-
-fn print_targets(targets: &[Target]) {
-    println!();
-    for target in targets {
-        let verdict = if target.met { "met" } else { "MISSED" };
-        println!(
-            "{verdict:<7} {:<40} {:.1} (wanted <= {:.1})",
-            target.name, target.seen, target.limit
-        );
-    }
-}
-
-fn at_most(name: &'static str, seen: f64, limit: f64) -> Target {
-    Target { name, limit, seen, met: seen <= limit }
-}
--- a/xtask/src/zone/step.rs
+++ b/xtask/src/zone/step.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use base::Verdict;
 use rig::Record;
 use serde::Serialize;
 
 use super::scene;
 use crate::measure::cost;
+use crate::measure::ending::Endings;
 
 /// Load before the first calls whose times count.
 pub(super) const WARM_UP: Duration = Duration::from_secs(6);
@@ -38,19 +38,6 @@
     pub(super) running: Vec<u32>,
 }
 
-/// How calls ended.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
-pub(super) struct Endings {
-    /// Whole answers.
-    pub(super) answered: usize,
-    /// Refusals with the verdict not-run.
-    pub(super) not_run: usize,
-    /// Refusals with another verdict.
-    pub(super) other_verdict: usize,
-    /// Neither whole nor refused.
-    pub(super) lost: usize,
-}
-
 /// One second.
 #[derive(Debug, Clone, Copy, Serialize)]
 pub(super) struct Step {
@@ -70,23 +57,6 @@
     pub(super) zone_starts: usize,
 }
 
-impl Endings {
-    /// Counts the endings of calls.
-    pub(super) fn of<'a>(records: impl IntoIterator<Item = &'a Record>) -> Self {
-        let mut endings = Self::default();
-        for record in records {
-            let counter = match record.verdict {
-                _ if record.is_success => &mut endings.answered,
-                Some(Verdict::NotRun) => &mut endings.not_run,
-                Some(_) => &mut endings.other_verdict,
-                None => &mut endings.lost,
-            };
-            *counter += 1;
-        }
-        endings
-    }
-}
-
 /// Returns the figures of all seconds.
 pub(super) fn steps(
     records: &[Record],
--- a/xtask/src/zone/trial.rs
+++ b/xtask/src/zone/trial.rs
@@ -20,6 +20,7 @@
 use super::step::Orders;
 use crate::Error;
 use crate::measure::cost;
+use crate::measure::ending::Endings;
 
 /// Longest wait for the fleet to be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -68,7 +69,7 @@
             bound_tokens: cost::as_f64(bound) / cost::as_f64(base::Cost::PER_TOKEN),
             gap_tokens: step::largest_gap(&records, self.duration),
             first_token_ms: step::first_token_p95(&records, step::WARM_UP, self.duration),
-            endings: step::Endings::of(&records),
+            endings: Endings::of(&records),
             late_starts: step::late_starts(&starts, orders),
             falls: journals.values().map(|journal| journal.falls).sum(),
             steps: step::steps(&records, &looks, &starts, self.duration),
