--- a/crates/aspenline/src/cli.rs
+++ b/crates/aspenline/src/cli.rs
@@ -9,6 +9,7 @@
 use crate::command::config;
 use crate::command::keys;
 use crate::command::placement;
+use crate::command::platform;
 use crate::command::serve;
 use crate::command::status;
 use crate::command::timeline;
@@ -40,6 +41,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(serve::command())
+        .subcommand(platform::command())
         .subcommand(check::command())
         .subcommand(apply::command())
         .subcommand(placement::command("zone", "Takes an availability zone out or back"))
@@ -56,6 +58,7 @@
     let (name, matches) = matches.subcommand().expect("clap demands a subcommand");
     match name {
         "serve" => serve::run(matches),
+        "platform" => platform::run(),
         "check" => check::run(matches),
         "apply" => apply::run(matches),
         "status" => status::run(matches),
--- a/crates/aspenline/src/command.rs
+++ b/crates/aspenline/src/command.rs
@@ -6,6 +6,7 @@
 pub(crate) mod config;
 pub(crate) mod keys;
 pub(crate) mod placement;
+pub(crate) mod platform;
 pub(crate) mod serve;
 pub(crate) mod status;
 pub(crate) mod timeline;
--- /dev/null
+++ b/crates/aspenline/src/lines.rs
@@ -0,0 +1,140 @@
+//! Log lines on standard output, written by a thread of their own so that a slow reader delays no request.
+
+use std::fmt;
+use std::io;
+use std::io::Write;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::mpsc::SyncSender;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use log::LevelFilter;
+use log::Record;
+use log4rs::append::Append;
+use log4rs::config::Appender;
+use log4rs::config::Config;
+use log4rs::config::Root;
+
+use crate::failure::Failure;
+
+/// Lines that may wait to be written; further ones are dropped and counted.
+const LINES: usize = 2_048;
+/// The longest time for which written lines are held together.
+const FLUSH: Duration = Duration::from_millis(100);
+/// The target of lines that are structured already.
+const STRUCTURED: &str = "event";
+/// The name of the appender.
+const APPENDER: &str = "lines";
+
+/// A message to the writing thread.
+enum Message {
+    /// A line.
+    Line(String),
+    /// The process ends.
+    End,
+}
+
+/// Hands lines to the writing thread and never waits for it.
+struct Lines {
+    sender: SyncSender<Message>,
+    dropped: AtomicU64,
+}
+
+/// The writing thread.
+#[derive(Debug)]
+pub(crate) struct Writer {
+    sender: SyncSender<Message>,
+    thread: JoinHandle<()>,
+}
+
+impl fmt::Debug for Lines {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Lines").field("dropped", &self.dropped).finish_non_exhaustive()
+    }
+}
+
+impl Append for Lines {
+    fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
+        let line = line(record);
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            let notice = format!("{{\"event\":\"lines_dropped\",\"left_out\":{dropped}}}");
+            if self.sender.try_send(Message::Line(notice)).is_err() {
+                self.dropped.fetch_add(dropped, Ordering::Relaxed);
+            }
+        }
+        if self.sender.try_send(Message::Line(line)).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) {}
+}
+
+impl Writer {
+    /// Writes what is left and ends the thread.
+    pub(crate) fn finish(self) {
+        if self.sender.send(Message::End).is_ok() {
+            drop(self.thread.join());
+        }
+    }
+}
+
+/// Starts the log.
+pub(crate) fn start() -> Result<Writer, Failure> {
+    let failed = |error: String| Failure::Failed(format!("can't set up the log: {error}"));
+    let (sender, receiver) = mpsc::sync_channel(LINES);
+    let thread = thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || write(&receiver))
+        .map_err(|error| failed(error.to_string()))?;
+    let lines = Lines { sender: sender.clone(), dropped: AtomicU64::new(0) };
+    let config = Config::builder()
+        .appender(Appender::builder().build(APPENDER, Box::new(lines)))
+        .build(Root::builder().appender(APPENDER).build(LevelFilter::Info))
+        .map_err(|error| failed(error.to_string()))?;
+    log4rs::init_config(config).map_err(|error| failed(error.to_string()))?;
+    Ok(Writer { sender, thread })
+}
+
+fn line(record: &Record<'_>) -> String {
+    if record.target() == STRUCTURED {
+        return record.args().to_string();
+    }
+    let text = serde_json::Value::String(record.args().to_string());
+    format!("{{\"event\":\"message\",\"level\":\"{}\",\"text\":{text}}}", record.level())
+}
+
+/// Writes lines, several at once, until the process ends or nobody reads them.
+fn write(receiver: &Receiver<Message>) {
+    let mut output = io::BufWriter::new(io::stdout());
+    let mut is_flushed = true;
+    loop {
+        let message = if is_flushed {
+            receiver.recv().map_err(|_| RecvTimeoutError::Disconnected)
+        } else {
+            receiver.recv_timeout(FLUSH)
+        };
+        let written = match message {
+            Ok(Message::Line(line)) => {
+                is_flushed = false;
+                writeln!(output, "{line}")
+            }
+            Err(RecvTimeoutError::Timeout) => {
+                is_flushed = true;
+                output.flush()
+            }
+            Ok(Message::End) | Err(RecvTimeoutError::Disconnected) => break,
+        };
+        if written.is_err() {
+            break;
+        }
+    }
+    drop(output.flush());
+}
--- a/crates/aspenline/src/main.rs
+++ b/crates/aspenline/src/main.rs
@@ -5,6 +5,7 @@
 mod failure;
 mod fleet;
 mod keys;
+mod lines;
 mod operator;
 mod output;
 mod source;
--- /dev/null
+++ b/crates/balance/src/ask.rs
@@ -0,0 +1,79 @@
+//! What the decisions need to know of a request.
+
+use std::time::Duration;
+
+use base::Name;
+
+use crate::Kind;
+
+/// One part of a prompt, shared by all requests that name it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Part {
+    /// The id of the part.
+    pub id: u64,
+    /// Its length in tokens.
+    pub tokens: u64,
+}
+
+/// The prompt of a request to a model engine.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Tokens of the whole prompt.
+    pub input: u64,
+    /// The most tokens that may be generated.
+    pub output: u64,
+    /// The parts of the prompt, in order.
+    pub parts: Vec<Part>,
+}
+
+impl Prompt {
+    /// Returns the id of the last part that requests of other sessions share, zero for none.
+    #[must_use]
+    pub fn affinity(&self) -> u64 {
+        let shared = self.parts.len().saturating_sub(2);
+        self.parts.get(shared).map_or(0, |part| part.id)
+    }
+
+    /// Returns the work in tokens: each token read counts once and each generated token twice.
+    #[must_use]
+    pub const fn work(&self) -> u64 {
+        self.input + 2 * self.output
+    }
+}
+
+/// A request that asks for a runner.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// The service.
+    pub service: Name,
+    /// The workspace that is charged, if the route needs a key.
+    pub workspace: Option<Name>,
+    /// What may be repeated.
+    pub kind: Kind,
+    /// The priority, 0 for the most urgent.
+    pub priority: u32,
+    /// The prompt, for a model engine.
+    pub prompt: Option<Prompt>,
+    /// When the request arrived.
+    pub arrived: Duration,
+    /// When an answer is still worth its full benefit.
+    pub target: Duration,
+    /// When the caller stops waiting.
+    pub deadline: Duration,
+    /// Runners not to be chosen, since an attempt there failed.
+    pub avoid: Vec<crate::Key>,
+}
+
+impl Ask {
+    /// Returns the work that is charged to the workspace.
+    #[must_use]
+    pub fn work(&self) -> u64 {
+        self.prompt.as_ref().map_or(1, Prompt::work)
+    }
+
+    /// Returns the memory that the request occupies at an engine, in tokens.
+    #[must_use]
+    pub fn memory(&self) -> u64 {
+        self.prompt.as_ref().map_or(0, |prompt| prompt.input + prompt.output)
+    }
+}
--- /dev/null
+++ b/crates/balance/src/core.rs
@@ -0,0 +1,311 @@
+//! The state of a router that balances by itself, and its decisions on each request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::Name;
+use indexmap::IndexMap;
+
+use crate::Ask;
+use crate::Budget;
+use crate::Key;
+use crate::Load;
+use crate::Pace;
+use crate::Registry;
+use crate::Service;
+use crate::Table;
+use crate::Ticket;
+use crate::Usage;
+use crate::choice;
+use crate::choice::View;
+use crate::queue::Queue;
+use crate::queue::Waiting;
+
+/// The part of the target for which a request waits for a runner.
+const WAIT_PART: f64 = 0.5;
+/// Waiting requests of a service that are looked at for one free place.
+const LOOKED_AT: usize = 24;
+/// The shortest time after which a refused caller is told to come back.
+const LEAST_RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// What is the same for all requests of this router.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// The name of this router.
+    pub router: Name,
+    /// The names of the other routers, in touch or not.
+    pub peers: Vec<Name>,
+    /// The factor on the rate that a cold runner bears.
+    pub cold_factor: f64,
+    /// Requests a second that a cold runner may get beyond that.
+    pub cold_constant: f64,
+    /// The window of the retry budget.
+    pub retry_window: Duration,
+    /// Retries a request.
+    pub retry_ratio: f64,
+    /// Retries in a window beyond that, over all routers.
+    pub retry_constant: f64,
+}
+
+/// The right to send one request to one runner, which must be given back by [`Core::end`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Grant {
+    /// The runner.
+    pub runner: Key,
+    /// The id of the runner.
+    pub id: Name,
+    /// Where it accepts connections.
+    pub address: SocketAddr,
+    /// Whether the runner bears only few requests.
+    pub is_cold: bool,
+    load: Load,
+    work: u64,
+}
+
+/// What was decided on a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Settled {
+    /// It may be sent.
+    Granted(Grant),
+    /// No runner will be free in time.
+    Refused {
+        /// When the caller may come back.
+        retry_after: Duration,
+    },
+}
+
+/// The answer to a request for a runner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// It is decided.
+    Settled(Settled),
+    /// It waits; [`Core::pump`] settles it.
+    Queued(Ticket),
+}
+
+/// The state of one service.
+#[derive(Debug, Clone)]
+struct Desk {
+    queue: Queue,
+    pace: Pace,
+    budget: Budget,
+}
+
+/// The state of a router.
+#[derive(Debug, Clone)]
+pub struct Core {
+    /// The configuration in force, once one is known.
+    pub table: Option<Table>,
+    /// The runners.
+    pub registry: Registry,
+    /// The use of engines by workspaces.
+    pub usage: Usage,
+    limits: Limits,
+    desks: IndexMap<Name, Desk>,
+    tickets: u64,
+}
+
+impl Core {
+    /// Creates a state that knows no configuration and no runner.
+    #[must_use]
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            table: None,
+            registry: Registry::default(),
+            usage: Usage::default(),
+            limits,
+            desks: IndexMap::new(),
+            tickets: 0,
+        }
+    }
+
+    /// Replaces the names of the other routers.
+    pub fn set_peers(&mut self, peers: Vec<Name>) {
+        self.limits.peers = peers;
+    }
+
+    /// Puts a newer configuration in force; returns false for one that is not newer.
+    pub fn adopt(&mut self, table: Table) -> bool {
+        if self.table.as_ref().is_some_and(|current| current.version >= table.version) {
+            return false;
+        }
+        self.table = Some(table);
+        true
+    }
+
+    /// Counts a caller's request for the retry budget.
+    pub fn count_request(&mut self, now: Duration, service: &Name) {
+        self.desk(service).budget.request(now);
+    }
+
+    /// Takes a retry from the budget of a service; returns whether there was one left.
+    pub fn take_retry(&mut self, now: Duration, service: &Name) -> bool {
+        let routers = self.limits.peers.len() + 1;
+        self.desk(service).budget.retry(now, routers)
+    }
+
+    /// Asks for a runner.
+    pub fn submit(&mut self, now: Duration, ask: Ask) -> Outcome {
+        let has_waiting = !self.desk(&ask.service).queue.is_empty();
+        if !has_waiting && let Some(grant) = self.grant(now, &ask) {
+            return Outcome::Settled(Settled::Granted(grant));
+        }
+        let give_up = give_up(&ask);
+        if now >= give_up {
+            return Outcome::Settled(self.refusal(&ask));
+        }
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        self.desk(&ask.service.clone()).queue.push(ticket, Waiting { ask, give_up });
+        Outcome::Queued(ticket)
+    }
+
+    /// Withdraws a waiting request.
+    pub fn cancel(&mut self, ticket: Ticket) {
+        for desk in self.desks.values_mut() {
+            if desk.queue.take(ticket).is_some() {
+                return;
+            }
+        }
+    }
+
+    /// Settles all waiting requests that can be settled now.
+    pub fn pump(&mut self, now: Duration) -> Vec<(Ticket, Settled)> {
+        let waiting = self.desks.iter().filter(|(_, desk)| !desk.queue.is_empty());
+        let services: Vec<Name> = waiting.map(|(name, _)| name.clone()).collect();
+        let mut settled = Vec::new();
+        for service in services {
+            self.pump_service(now, &service, &mut settled);
+        }
+        settled
+    }
+
+    /// Returns when [`Core::pump`] has something to do at the latest.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<Duration> {
+        self.desks.values().filter_map(|desk| desk.queue.next_expiry()).min()
+    }
+
+    /// Returns how many requests wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.desks.values().map(|desk| desk.queue.len()).sum()
+    }
+
+    /// Returns the most prompt tokens that may wait at one engine of a service.
+    pub fn backlog_limit(&mut self, service: &Name) -> u64 {
+        self.desk(service).pace.limit()
+    }
+
+    /// Takes in that the first token of a request has arrived.
+    pub fn first_token(
+        &mut self,
+        now: Duration,
+        grant: &mut Grant,
+        service: &Name,
+        took: Duration,
+        target: Duration,
+    ) {
+        let read = Load { backlog: std::mem::take(&mut grant.load.backlog), ..Load::default() };
+        if let Some(runner) = self.registry.get_mut(grant.runner) {
+            runner.own.remove(read);
+        }
+        let desk = self.desk(service);
+        let has_waiting = !desk.queue.is_empty();
+        desk.pace.first_token(now, took, target, has_waiting);
+    }
+
+    /// Gives a grant back; work that the runner did not begin is not charged.
+    pub fn end(&mut self, now: Duration, grant: &Grant, workspace: Option<&Name>, has_run: bool) {
+        if let Some(runner) = self.registry.get_mut(grant.runner) {
+            runner.own.remove(grant.load);
+        }
+        if let Some(workspace) = workspace.filter(|_| !has_run) {
+            self.usage.refund(now, workspace, grant.work);
+        }
+    }
+
+    fn pump_service(
+        &mut self,
+        now: Duration,
+        service: &Name,
+        settled: &mut Vec<(Ticket, Settled)>,
+    ) {
+        let order = self.desks[service].queue.in_order(&self.usage, now, LOOKED_AT);
+        for ticket in order {
+            let Some(waiting) = self.desks[service].queue.get(ticket) else { continue };
+            let ask = waiting.ask.clone();
+            if let Some(grant) = self.grant(now, &ask) {
+                self.desks[service].queue.take(ticket);
+                settled.push((ticket, Settled::Granted(grant)));
+            }
+        }
+        for ticket in self.desks[service].queue.expired(now) {
+            if let Some(waiting) = self.desks[service].queue.take(ticket) {
+                settled.push((ticket, self.refusal(&waiting.ask)));
+            }
+        }
+    }
+
+    fn grant(&mut self, now: Duration, ask: &Ask) -> Option<Grant> {
+        let backlog = self.desk(&ask.service).pace.limit();
+        self.tickets += 1;
+        let service = self.service(&ask.service)?;
+        let view = View {
+            registry: &self.registry,
+            service,
+            backlog,
+            limits: &self.limits,
+            now,
+            salt: self.tickets,
+        };
+        let key = view.choose(ask)?;
+        Some(self.place(now, ask, key))
+    }
+
+    fn place(&mut self, now: Duration, ask: &Ask, key: Key) -> Grant {
+        let runner = self.registry.get_mut(key).expect("a chosen runner is known");
+        let load =
+            Load { running: 1, backlog: choice::missing(runner, ask, now), memory: ask.memory() };
+        let is_cold = runner.is_cold(now);
+        if is_cold {
+            runner.cold_sent.add(now, 1);
+        }
+        runner.own.add(load);
+        if let Some(prompt) = &ask.prompt {
+            runner.kept.remember(prompt, now);
+        }
+        let (id, address) = (runner.id.clone(), runner.address);
+        let work = ask.work();
+        if let Some(workspace) = &ask.workspace {
+            self.usage.charge(now, workspace, work);
+        }
+        Grant { runner: key, id, address, is_cold, load, work }
+    }
+
+    fn service(&self, name: &Name) -> Option<&Service> {
+        self.table.as_ref()?.service(name.as_str())
+    }
+
+    fn refusal(&self, ask: &Ask) -> Settled {
+        let span = ask.target.saturating_sub(ask.arrived);
+        Settled::Refused { retry_after: span.max(LEAST_RETRY_AFTER) }
+    }
+
+    fn desk(&mut self, service: &Name) -> &mut Desk {
+        if !self.desks.contains_key(service) {
+            let limits = &self.limits;
+            let budget =
+                Budget::new(limits.retry_window, limits.retry_ratio, limits.retry_constant);
+            let desk = Desk { queue: Queue::default(), pace: Pace::default(), budget };
+            self.desks.insert(service.clone(), desk);
+        }
+        &mut self.desks[service]
+    }
+}
+
+/// Returns when a request stops waiting for a runner.
+fn give_up(ask: &Ask) -> Duration {
+    let span = ask.target.saturating_sub(ask.arrived);
+    (ask.arrived + span.mul_f64(WAIT_PART)).min(ask.deadline)
+}
--- /dev/null
+++ b/crates/balance/src/lib.rs
@@ -0,0 +1,70 @@
+//! Decisions of a router that balances by itself, without input or output.
+//!
+//! Each router decides on its own callers' requests. Limits that hold over all routers are divided between them, and
+//! routers tell each other the load that they have placed on runners. All methods take the time as an argument.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! let mut window = balance::Window::new(Duration::from_secs(1));
+//! window.add(Duration::ZERO, 2);
+//! assert_eq!(window.sum(Duration::from_millis(500)), 2);
+//! assert_eq!(window.sum(Duration::from_millis(1_500)), 0);
+//! ```
+
+mod ask;
+mod budget;
+mod choice;
+mod cold;
+mod core;
+mod health;
+mod kept;
+mod keyed;
+mod load;
+mod member;
+mod pace;
+mod queue;
+mod registry;
+mod rendezvous;
+mod route;
+mod runner;
+mod table;
+mod usage;
+mod window;
+
+pub use ask::Ask;
+pub use ask::Part;
+pub use ask::Prompt;
+pub use budget::Budget;
+pub use cold::Allowance;
+pub use core::Core;
+pub use core::Grant;
+pub use core::Limits;
+pub use core::Outcome;
+pub use core::Settled;
+pub use health::Health;
+pub use kept::Kept;
+pub use keyed::Change;
+pub use keyed::Keyed;
+pub use keyed::Record;
+pub use load::Load;
+pub use load::Shares;
+pub use member::Identity;
+pub use member::Member;
+pub use member::Members;
+pub use pace::Pace;
+pub use queue::Ticket;
+pub use registry::Entry;
+pub use registry::Registry;
+pub use route::Engine;
+pub use route::Kind;
+pub use route::Route;
+pub use route::Service;
+pub use route::Split;
+pub use runner::Key;
+pub use runner::Runner;
+pub use table::Access;
+pub use table::Denied;
+pub use table::Table;
+pub use usage::Usage;
+pub use window::Window;
--- /dev/null
+++ b/crates/balance/src/member.rs
@@ -0,0 +1,98 @@
+//! The other routers, and which of them are alive.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::Name;
+use indexmap::IndexMap;
+
+/// How long a router counts as alive after its last heartbeat.
+const ALIVE: Duration = Duration::from_millis(1_500);
+
+/// What a router publishes of itself at its start.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Identity {
+    /// The name of the instance.
+    pub name: Name,
+    /// A number that differs at each start of the process.
+    pub incarnation: u64,
+    /// Where it receives heartbeats.
+    pub peers: SocketAddr,
+    /// Where it accepts callers.
+    pub callers: SocketAddr,
+    /// The key by which its heartbeats are authenticated, in hexadecimal.
+    pub key: String,
+}
+
+/// Another router.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// What it has published of itself.
+    pub identity: Identity,
+    /// When its last heartbeat came.
+    pub heard: Option<Duration>,
+    /// The sequence number of that heartbeat.
+    pub sequence: u64,
+    /// Whether it takes callers.
+    pub is_ready: bool,
+}
+
+/// All other routers that have published an identity.
+#[derive(Debug, Clone, Default)]
+pub struct Members {
+    members: IndexMap<Name, Member>,
+}
+
+impl Member {
+    /// Returns whether a heartbeat came lately.
+    #[must_use]
+    pub fn is_alive(&self, now: Duration) -> bool {
+        self.heard.is_some_and(|heard| now < heard + ALIVE)
+    }
+}
+
+impl Members {
+    /// Takes in an identity; that of a new start replaces the old one.
+    pub fn put(&mut self, identity: Identity) {
+        let known = self.members.get(&identity.name);
+        if known.is_some_and(|member| member.identity == identity) {
+            return;
+        }
+        let name = identity.name.clone();
+        let member = Member { identity, heard: None, sequence: 0, is_ready: false };
+        self.members.insert(name, member);
+    }
+
+    /// Forgets a router that has withdrawn its identity.
+    pub fn remove(&mut self, name: &str) {
+        self.members.shift_remove(name);
+    }
+
+    /// Returns a router.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&Member> {
+        self.members.get(name)
+    }
+
+    /// Takes in a heartbeat; returns false for one that is not newer than the last.
+    pub fn heartbeat(&mut self, now: Duration, name: &str, sequence: u64, is_ready: bool) -> bool {
+        let Some(member) = self.members.get_mut(name) else { return false };
+        if member.heard.is_some() && sequence <= member.sequence {
+            return false;
+        }
+        member.heard = Some(now);
+        member.sequence = sequence;
+        member.is_ready = is_ready;
+        true
+    }
+
+    /// Returns all routers.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Returns the routers that callers may be sent to.
+    pub fn ready(&self, now: Duration) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(move |member| member.is_ready && member.is_alive(now))
+    }
+}
--- /dev/null
+++ b/crates/balance/src/queue.rs
@@ -0,0 +1,91 @@
+//! Requests that wait for a runner, and in which order they get one.
+//!
+//! Load pattern: more work than all engines can do, most of it from a few workspaces. The workspace that has used least
+//! goes first; within a workspace the more urgent priority, then the request whose target comes first.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use base::Name;
+use indexmap::IndexMap;
+
+use crate::Ask;
+use crate::Usage;
+
+/// A waiting request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Ticket(pub(crate) u64);
+
+/// A request with the end of its wait.
+#[derive(Debug, Clone)]
+pub(crate) struct Waiting {
+    /// The request.
+    pub(crate) ask: Ask,
+    /// When it is refused if no runner was free.
+    pub(crate) give_up: Duration,
+}
+
+/// The waiting requests of one service.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Queue {
+    waiting: IndexMap<Ticket, Waiting>,
+}
+
+impl Queue {
+    /// Adds a request.
+    pub(crate) fn push(&mut self, ticket: Ticket, waiting: Waiting) {
+        self.waiting.insert(ticket, waiting);
+    }
+
+    /// Takes a request out.
+    pub(crate) fn take(&mut self, ticket: Ticket) -> Option<Waiting> {
+        self.waiting.swap_remove(&ticket)
+    }
+
+    /// Returns whether no request waits.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Returns how many requests wait.
+    pub(crate) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the requests whose wait has ended.
+    pub(crate) fn expired(&self, now: Duration) -> Vec<Ticket> {
+        let expired = self.waiting.iter().filter(|(_, waiting)| now >= waiting.give_up);
+        expired.map(|(ticket, _)| *ticket).collect()
+    }
+
+    /// Returns when the next wait ends.
+    pub(crate) fn next_expiry(&self) -> Option<Duration> {
+        self.waiting.values().map(|waiting| waiting.give_up).min()
+    }
+
+    /// Returns up to `most` requests in the order in which they get a runner.
+    pub(crate) fn in_order(&self, usage: &Usage, now: Duration, most: usize) -> Vec<Ticket> {
+        let mut used: IndexMap<Option<&Name>, u64> = IndexMap::new();
+        for waiting in self.waiting.values() {
+            let workspace = waiting.ask.workspace.as_ref();
+            used.entry(workspace)
+                .or_insert_with(|| workspace.map_or(0, |name| usage.of(now, name)));
+        }
+        let mut order: Vec<(u64, u32, Reverse<bool>, Duration, Ticket)> = self
+            .waiting
+            .iter()
+            .map(|(ticket, waiting)| {
+                let ask = &waiting.ask;
+                let used = used[&ask.workspace.as_ref()];
+                (used, ask.priority, Reverse(now < ask.target), ask.target, *ticket)
+            })
+            .collect();
+        order.sort_unstable();
+        order.into_iter().take(most).map(|(.., ticket)| ticket).collect()
+    }
+
+    /// Returns a waiting request.
+    pub(crate) fn get(&self, ticket: Ticket) -> Option<&Waiting> {
+        self.waiting.get(&ticket)
+    }
+}
--- /dev/null
+++ b/crates/balance/src/registry.rs
@@ -0,0 +1,189 @@
+//! The runners that are known, by what they say of themselves in the platform's store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::Name;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use slotmap::SlotMap;
+
+use crate::Key;
+use crate::Runner;
+
+/// What a runner says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// The id of the instance.
+    pub id: Name,
+    /// The start of this lifetime, in milliseconds of the Unix time.
+    pub born: u64,
+    /// A number that rises with each entry of this lifetime.
+    pub sequence: u64,
+    /// The service that it serves.
+    pub service: Name,
+    /// Where it accepts connections.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub is_draining: bool,
+    /// How much longer it bears only few requests.
+    pub cold_left: Duration,
+}
+
+/// How long an entry that lapsed while the store was away may take to come back.
+const RETURN: Duration = Duration::from_millis(2_500);
+
+/// The runners, and the zones that are taken out.
+#[derive(Debug, Clone, Default)]
+pub struct Registry {
+    runners: SlotMap<Key, Runner>,
+    ids: IndexMap<Name, Key>,
+    out: IndexSet<Name>,
+    is_store_away: bool,
+    settled_at: Duration,
+    lapsed: IndexMap<Name, Duration>,
+}
+
+impl Registry {
+    /// Takes in an entry; a new lifetime of a known id replaces the old one.
+    pub fn put(&mut self, now: Duration, entry: &Entry) -> Key {
+        self.lapsed.swap_remove(&entry.id);
+        if let Some(key) = self.ids.get(&entry.id).copied() {
+            let known = &self.runners[key];
+            if known.born == entry.born && known.address == entry.address {
+                if entry.sequence >= known.sequence {
+                    self.update(now, key, entry);
+                }
+                return key;
+            }
+            if known.born > entry.born {
+                return key;
+            }
+            self.remove(&entry.id);
+        }
+        let runner = Runner::new(
+            entry.id.clone(),
+            entry.born,
+            entry.service.clone(),
+            entry.address,
+            entry.zone.clone(),
+        );
+        let key = self.runners.insert(runner);
+        self.ids.insert(entry.id.clone(), key);
+        self.update(now, key, entry);
+        key
+    }
+
+    /// Forgets a runner that has left.
+    pub fn remove(&mut self, id: &Name) {
+        if let Some(key) = self.ids.swap_remove(id) {
+            self.runners.remove(key);
+        }
+    }
+
+    /// Takes in that the store has no entry of a runner any more.
+    ///
+    /// Entries lapse while the store is away and come back after it, so such a runner is kept for a while.
+    pub fn lapse(&mut self, now: Duration, id: &Name) {
+        if self.is_store_away || now < self.settled_at {
+            self.lapsed.insert(id.clone(), self.settled_at.max(now));
+        } else {
+            self.remove(id);
+        }
+    }
+
+    /// Takes in that the store does not answer.
+    pub const fn store_lost(&mut self) {
+        self.is_store_away = true;
+    }
+
+    /// Takes in that the store answers again.
+    pub fn store_regained(&mut self, now: Duration) {
+        if self.is_store_away {
+            self.is_store_away = false;
+            self.settled_at = now + RETURN;
+            for due in self.lapsed.values_mut() {
+                *due = now + RETURN;
+            }
+        }
+    }
+
+    /// Forgets the runners whose entries have not come back in time.
+    pub fn sweep(&mut self, now: Duration) {
+        if self.is_store_away {
+            return;
+        }
+        let due = self.lapsed.iter().filter(|(_, due)| now >= **due);
+        let gone: Vec<Name> = due.map(|(id, _)| id.clone()).collect();
+        for id in gone {
+            self.lapsed.swap_remove(&id);
+            self.remove(&id);
+        }
+    }
+
+    /// Replaces the zones that are taken out; runners of a zone that is taken back are cold for `cold`.
+    pub fn set_out(&mut self, now: Duration, out: IndexSet<Name>, cold: Duration) {
+        for zone in self.out.difference(&out) {
+            for runner in self.runners.values_mut().filter(|runner| runner.zone == *zone) {
+                runner.cold_until = runner.cold_until.max(now + cold);
+                runner.kept.clear();
+            }
+        }
+        self.out = out;
+    }
+
+    /// Returns whether a zone is taken out.
+    #[must_use]
+    pub fn is_out(&self, zone: &Name) -> bool {
+        self.out.contains(zone)
+    }
+
+    /// Returns the ids of all known runners.
+    pub fn ids(&self) -> impl Iterator<Item = &Name> {
+        self.ids.keys()
+    }
+
+    /// Returns the key of a runner by its id.
+    #[must_use]
+    pub fn find(&self, id: &str) -> Option<Key> {
+        self.ids.get(id).copied()
+    }
+
+    /// Returns a runner, if it is still known.
+    #[must_use]
+    pub fn get(&self, key: Key) -> Option<&Runner> {
+        self.runners.get(key)
+    }
+
+    /// Returns a runner to change it, if it is still known.
+    pub fn get_mut(&mut self, key: Key) -> Option<&mut Runner> {
+        self.runners.get_mut(key)
+    }
+
+    /// Returns all runners.
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &Runner)> {
+        self.runners.iter()
+    }
+
+    /// Returns the runners of a service that may be sent requests.
+    pub fn serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (Key, &'a Runner)> {
+        self.runners.iter().filter(move |(_, runner)| {
+            runner.service.as_str() == service && !runner.is_draining && !self.is_out(&runner.zone)
+        })
+    }
+
+    fn update(&mut self, now: Duration, key: Key, entry: &Entry) {
+        let runner = &mut self.runners[key];
+        runner.service = entry.service.clone();
+        runner.slots = entry.slots;
+        runner.sequence = entry.sequence;
+        runner.is_draining = runner.is_draining || entry.is_draining;
+        if entry.cold_left > Duration::ZERO {
+            runner.cold_until = runner.cold_until.max(now + entry.cold_left);
+        }
+    }
+}
--- /dev/null
+++ b/crates/balance/src/rendezvous.rs
@@ -0,0 +1,14 @@
+//! Rendezvous hashing: the same ranking of candidates at every router without any exchange.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Returns the weight of a candidate for a key; the highest weight ranks first.
+pub(crate) fn weight(key: u64, candidate: &str) -> u64 {
+    xxh3_64_with_seed(candidate.as_bytes(), key)
+}
+
+/// Returns the rank of a candidate among others that do not include it.
+pub(crate) fn rank<'a>(key: u64, candidate: &str, others: impl Iterator<Item = &'a str>) -> usize {
+    let own = weight(key, candidate);
+    others.filter(|other| weight(key, other) > own).count()
+}
--- /dev/null
+++ b/crates/balance/src/runner.rs
@@ -0,0 +1,90 @@
+//! One runner as this router knows it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::Name;
+
+use crate::Health;
+use crate::Kept;
+use crate::Load;
+use crate::Shares;
+use crate::Window;
+
+slotmap::new_key_type! {
+    /// A runner in the registry.
+    pub struct Key;
+}
+
+/// The time over which requests to a cold runner are limited.
+const COLD_WINDOW: Duration = Duration::from_secs(1);
+
+/// A runner with its state and load.
+#[derive(Debug, Clone)]
+pub struct Runner {
+    /// The id of the instance, which appears once.
+    pub id: Name,
+    /// The start of this lifetime, in milliseconds of the Unix time.
+    pub born: u64,
+    /// The number of the newest entry of this lifetime.
+    pub sequence: u64,
+    /// The service that it serves.
+    pub service: Name,
+    /// Where it accepts connections.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub is_draining: bool,
+    /// Until when it bears only few requests.
+    pub cold_until: Duration,
+    /// The results of requests.
+    pub health: Health,
+    /// Prompt parts in its memory.
+    pub kept: Kept,
+    /// Load that this router has placed.
+    pub own: Load,
+    /// Load that other routers have placed.
+    pub peers: Shares,
+    /// Requests sent while it was cold.
+    pub cold_sent: Window,
+}
+
+impl Runner {
+    /// Creates a runner without load.
+    #[must_use]
+    pub fn new(id: Name, born: u64, service: Name, address: SocketAddr, zone: Name) -> Self {
+        Self {
+            id,
+            born,
+            sequence: 0,
+            service,
+            address,
+            zone,
+            slots: 1,
+            is_draining: false,
+            cold_until: Duration::ZERO,
+            health: Health::default(),
+            kept: Kept::default(),
+            own: Load::default(),
+            peers: Shares::default(),
+            cold_sent: Window::new(COLD_WINDOW),
+        }
+    }
+
+    /// Returns whether it bears only few requests.
+    #[must_use]
+    pub fn is_cold(&self, now: Duration) -> bool {
+        now < self.cold_until
+    }
+
+    /// Returns the load that all routers have placed.
+    #[must_use]
+    pub fn load(&self, now: Duration) -> Load {
+        let mut load = self.own;
+        load.add(self.peers.sum(now));
+        load
+    }
+}
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -8,12 +8,14 @@
 //! assert_eq!(log.address().port(), 9);
 //! ```
 
-mod channel;
 mod client;
 mod error;
 mod instances;
 mod log;
 
+pub use client::Answer;
+pub use client::Call;
+pub use client::Client;
 pub use error::Error;
 pub use instances::Instance;
 pub use instances::Instances;
--- /dev/null
+++ b/crates/relay/src/acquire.rs
@@ -0,0 +1,117 @@
+//! Waiting for a runner, and the right to use it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use balance::Ask;
+use balance::Grant;
+use balance::Key;
+use balance::Outcome;
+use balance::Settled;
+use balance::Ticket;
+
+use crate::Call;
+use crate::Router;
+
+/// A granted runner, given back when dropped.
+#[derive(Debug)]
+pub(crate) struct Seat {
+    router: Rc<Router>,
+    call: Rc<Call>,
+    pub(crate) grant: Grant,
+    has_run: bool,
+}
+
+/// A place in the queue, given up when dropped.
+struct Place<'a> {
+    router: &'a Router,
+    ticket: Option<Ticket>,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket {
+            self.router.cancel(ticket);
+        }
+    }
+}
+
+impl Seat {
+    /// Takes in that the runner may have begun to work.
+    pub(crate) const fn sent(&mut self) {
+        self.has_run = true;
+    }
+
+    /// Takes in that the runner has not run the request.
+    pub(crate) const fn not_run(&mut self) {
+        self.has_run = false;
+    }
+
+    /// Takes in that the first token has arrived.
+    pub(crate) fn first_token(&mut self, took: Duration) {
+        let now = self.router.now();
+        let target = self.call.route.target;
+        let service = &self.call.service;
+        self.router.core.borrow_mut().first_token(now, &mut self.grant, service, took, target);
+        self.router.pump();
+    }
+
+    /// Takes in a result of the runner.
+    pub(crate) fn judge(&self, judge: impl FnOnce(&mut balance::Health, Duration)) {
+        let now = self.router.now();
+        if let Some(runner) = self.router.core.borrow_mut().registry.get_mut(self.grant.runner) {
+            judge(&mut runner.health, now);
+        }
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.router.end(&self.grant, self.call.workspace.as_ref(), self.has_run);
+    }
+}
+
+/// Waits until a runner is granted.
+///
+/// # Errors
+/// Returns when the caller may come back if none is free in time.
+pub(crate) async fn acquire(
+    router: &Rc<Router>,
+    call: &Rc<Call>,
+    avoid: &[Key],
+) -> Result<Seat, Duration> {
+    let now = router.now();
+    let outcome = router.core.borrow_mut().submit(now, ask(call, avoid));
+    let settled = match outcome {
+        Outcome::Settled(settled) => settled,
+        Outcome::Queued(ticket) => wait(router, ticket).await,
+    };
+    match settled {
+        Settled::Granted(grant) => {
+            Ok(Seat { router: Rc::clone(router), call: Rc::clone(call), grant, has_run: false })
+        }
+        Settled::Refused { retry_after } => Err(retry_after),
+    }
+}
+
+async fn wait(router: &Router, ticket: Ticket) -> Settled {
+    let decision = router.wait_for(ticket);
+    let mut place = Place { router, ticket: Some(ticket) };
+    let settled = decision.await;
+    place.ticket = None;
+    settled.unwrap_or(Settled::Refused { retry_after: Duration::from_secs(1) })
+}
+
+fn ask(call: &Call, avoid: &[Key]) -> Ask {
+    Ask {
+        service: call.service.clone(),
+        workspace: call.workspace.clone(),
+        kind: call.route.kind,
+        priority: call.priority,
+        prompt: call.prompt.clone(),
+        arrived: call.arrived,
+        target: call.arrived + call.route.target,
+        deadline: call.deadline,
+        avoid: avoid.to_vec(),
+    }
+}
--- /dev/null
+++ b/crates/relay/src/clock.rs
@@ -0,0 +1,33 @@
+//! Time since the start of the process, which goes on while the machine is suspended.
+
+use std::time::Duration;
+
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+
+/// A clock that counts suspended time and does not jump with the time of day.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    started: Duration,
+}
+
+impl Clock {
+    /// Starts a clock a little after zero, so that zero is always in the past.
+    #[must_use]
+    pub fn start() -> Self {
+        Self { started: since_boot().saturating_sub(Duration::from_secs(60)) }
+    }
+
+    /// Returns the time of this clock.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        since_boot().saturating_sub(self.started)
+    }
+}
+
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
--- /dev/null
+++ b/crates/relay/src/event.rs
@@ -0,0 +1,150 @@
+//! Structured log lines, bounded in number.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::Serialize;
+
+use crate::Clock;
+
+/// Lines of one event that are written in a second.
+const LINES_PER_SECOND: u32 = 150;
+/// The time over which lines are counted.
+const SECOND: Duration = Duration::from_secs(1);
+/// The target of structured lines.
+const TARGET: &str = "event";
+
+/// One line of the log.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Line {
+    /// What happened.
+    pub event: &'static str,
+    /// Milliseconds since the start of the process.
+    pub at_ms: u64,
+    /// The id of the request.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub request: Option<String>,
+    /// The route of the request.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub route: Option<String>,
+    /// The workspace of the request.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<String>,
+    /// The runner, router or dependency that the line is about.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub subject: Option<String>,
+    /// The version of the configuration that decided.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub version: Option<u64>,
+    /// The age of what decided, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub age_ms: Option<u64>,
+    /// How long the request waited for a runner, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub waited_ms: Option<u64>,
+    /// How long it took, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub took_ms: Option<u64>,
+    /// The number of sends.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub sends: Option<u32>,
+    /// How it ended.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub outcome: Option<String>,
+    /// Lines of this event that were left out in the second before.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub left_out: Option<u32>,
+}
+
+impl Line {
+    /// Creates a line of an event.
+    #[must_use]
+    pub fn new(event: &'static str) -> Self {
+        Self { event, ..Self::default() }
+    }
+
+    /// Names the runner, router or dependency.
+    #[must_use]
+    pub fn subject(mut self, subject: &str) -> Self {
+        self.subject = Some(subject.to_owned());
+        self
+    }
+
+    /// Tells how it ended.
+    #[must_use]
+    pub fn outcome(mut self, outcome: impl Into<String>) -> Self {
+        self.outcome = Some(outcome.into());
+        self
+    }
+
+    /// Tells the version of the configuration.
+    #[must_use]
+    pub const fn version(mut self, version: u64) -> Self {
+        self.version = Some(version);
+        self
+    }
+
+    /// Tells the age of what decided.
+    #[must_use]
+    pub fn age(mut self, age: Duration) -> Self {
+        self.age_ms = Some(millis(age));
+        self
+    }
+}
+
+/// Lines of one event in the current second.
+#[derive(Debug, Clone, Copy, Default)]
+struct Count {
+    second: u64,
+    written: u32,
+    left_out: u32,
+}
+
+/// Writes lines, up to a number of each event in a second.
+#[derive(Debug)]
+pub struct Journal {
+    clock: Clock,
+    counts: RefCell<IndexMap<&'static str, Count>>,
+}
+
+impl Journal {
+    /// Creates a journal that has written nothing.
+    #[must_use]
+    pub fn new(clock: Clock) -> Self {
+        Self { clock, counts: RefCell::new(IndexMap::new()) }
+    }
+
+    /// Writes a line unless too many of its event were written in this second.
+    pub fn write(&self, mut line: Line) {
+        let now = self.clock.now();
+        let mut counts = self.counts.borrow_mut();
+        let count = counts.entry(line.event).or_default();
+        if now.as_secs() != count.second {
+            line.left_out = Some(count.left_out).filter(|left_out| *left_out > 0);
+            *count = Count { second: now.as_secs(), ..Count::default() };
+        }
+        if count.written >= LINES_PER_SECOND {
+            count.left_out += 1;
+            return;
+        }
+        count.written += 1;
+        drop(counts);
+        line.at_ms = millis(now);
+        match serde_json::to_string(&line) {
+            Ok(text) => log::info!(target: TARGET, "{text}"),
+            Err(error) => log::error!("a line of event {} was not written: {error}", line.event),
+        }
+    }
+
+    /// Returns the time over which lines are counted.
+    #[must_use]
+    pub const fn period() -> Duration {
+        SECOND
+    }
+}
+
+/// Returns a time in whole milliseconds.
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/relay/src/forward.rs
@@ -0,0 +1,332 @@
+//! The life of a call: granted a runner, sent, answered, and sent again where that is allowed.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use balance::Health;
+use balance::Key;
+use balance::Kind;
+use bytes::Bytes;
+use conn::Connection;
+use conn::Failure;
+use http::Response;
+use http::response;
+use hyper::body::Incoming;
+use tokio::time;
+
+use crate::Answer;
+use crate::Call;
+use crate::Judgement;
+use crate::Leg;
+use crate::Line;
+use crate::Problem;
+use crate::Router;
+use crate::Stream;
+use crate::acquire;
+use crate::acquire::Seat;
+use crate::event;
+
+/// How long a connection to a runner may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Largest answer that is handed over in one piece, in bytes.
+const ANSWER_BYTES: usize = 8 << 20;
+/// Runners that may turn a request away before it is refused.
+const REJECTIONS: u32 = 3;
+/// When a caller may come back after runners have turned its request away.
+const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// The part of the time left that the first of several attempts at a safe request may take.
+const ATTEMPT_PART: f64 = 0.5;
+
+/// What the attempts at a call have come to.
+#[derive(Debug, Default)]
+pub(crate) struct Trail {
+    /// Sends, whatever came of them.
+    pub(crate) sends: u32,
+    /// Sends after which the runner may have worked.
+    pub(crate) runs: u32,
+    /// Sends that runners have turned away.
+    pub(crate) rejections: u32,
+    /// Runners not to be used again.
+    pub(crate) avoid: Vec<Key>,
+}
+
+/// A runner's answer whose head has arrived.
+#[derive(Debug)]
+pub(crate) struct Opened {
+    pub(crate) seat: Seat,
+    pub(crate) connection: Connection,
+    pub(crate) head: response::Parts,
+    pub(crate) body: Incoming,
+    pub(crate) sent_at: Duration,
+}
+
+/// Why an attempt gave no answer.
+enum Fault {
+    /// The request was not sent or not run.
+    NotRun,
+    /// The request may have run.
+    MayHaveRun,
+    /// The runner has failed and said so.
+    Answered(Response<Bytes>),
+}
+
+/// Forwards a call and returns its final answer, at its deadline at the latest.
+pub async fn forward(router: &Rc<Router>, call: Rc<Call>) -> Answer {
+    let has_run = Cell::new(false);
+    let sends = Cell::new(0);
+    let left = call.deadline.saturating_sub(router.now());
+    let answer = match time::timeout(left, attempts(router, &call, &has_run, &sends)).await {
+        Ok(answer) => answer,
+        Err(_) if has_run.get() => Answer::Problem(Problem::Timeout),
+        Err(_) => Answer::Problem(Problem::Refused { retry_after: REJECTED_RETRY_AFTER }),
+    };
+    log_answer(router, &call, &answer, sends.get());
+    answer
+}
+
+async fn attempts(
+    router: &Rc<Router>,
+    call: &Rc<Call>,
+    has_run: &Cell<bool>,
+    sends: &Cell<u32>,
+) -> Answer {
+    let mut trail = Trail::default();
+    let mut last = None;
+    loop {
+        let seat = match acquire::acquire(router, call, &trail.avoid).await {
+            Ok(seat) => seat,
+            Err(retry_after) => return give_up(&trail, last, retry_after),
+        };
+        trail.avoid.push(seat.grant.runner);
+        sends.set(sends.get() + 1);
+        match attempt(router, call, seat, &mut trail, has_run).await {
+            Ok(answer) => return answer,
+            Err(Fault::Answered(answer)) => last = Some(answer),
+            Err(Fault::NotRun | Fault::MayHaveRun) => (),
+        }
+        if !may_go_on(router, call, &trail) {
+            return give_up(&trail, last, REJECTED_RETRY_AFTER);
+        }
+    }
+}
+
+async fn attempt(
+    router: &Rc<Router>,
+    call: &Rc<Call>,
+    seat: Seat,
+    trail: &mut Trail,
+    has_run: &Cell<bool>,
+) -> Result<Answer, Fault> {
+    let limit = attempt_limit(router, call, trail);
+    let before = has_run.get();
+    has_run.set(true);
+    let opening = open(router, call, seat, None, trail);
+    let opened = match time::timeout(limit, opening).await {
+        Ok(Ok(opened)) => opened,
+        Ok(Err(Fault::NotRun)) => {
+            has_run.set(before);
+            return Err(Fault::NotRun);
+        }
+        Ok(Err(fault)) => return Err(fault),
+        Err(_) => return Err(Fault::MayHaveRun),
+    };
+    let judgement = (router.dialect.judge)(call, &opened.head);
+    match judgement {
+        Judgement::Final if call.route.kind.is_stream() && opened.head.status.is_success() => {
+            let (head, stream) = Stream::begin(router, call, opened, trail.runs);
+            Ok(Answer::Stream(Response::from_parts(head, stream)))
+        }
+        Judgement::Final => {
+            let answer = whole(router, opened).await?;
+            Ok(Answer::Whole(answer))
+        }
+        Judgement::Failed => {
+            opened.seat.judge(Health::failed);
+            let answer = whole_failed(router, opened).await?;
+            Err(Fault::Answered(answer))
+        }
+        Judgement::NotRun | Judgement::Misdirected => {
+            has_run.set(before);
+            trail.runs -= 1;
+            trail.rejections += 1;
+            rejected(router, call, opened, judgement).await;
+            Err(Fault::NotRun)
+        }
+        Judgement::Invalid => {
+            router.log(line(call, "invalid_answer").subject(opened.seat.grant.id.as_str()));
+            opened.seat.judge(Health::failed);
+            Err(Fault::MayHaveRun)
+        }
+    }
+}
+
+/// Sends a call and waits for the head of the answer.
+async fn open(
+    router: &Rc<Router>,
+    call: &Rc<Call>,
+    mut seat: Seat,
+    last_event: Option<&str>,
+    trail: &mut Trail,
+) -> Result<Opened, Fault> {
+    let runner = seat.grant.runner;
+    let kept = router.pool.borrow_mut().take(runner, call.route.kind.is_idempotent());
+    let mut connection = match kept {
+        Some(connection) => connection,
+        None => connect(router, call, &seat).await?,
+    };
+    let now = router.now();
+    let left = call.deadline.saturating_sub(now);
+    let leg = Leg { runner: &seat.grant.id, left, last_event };
+    let request = (router.dialect.request)(call, &leg);
+    trail.sends += 1;
+    trail.runs += 1;
+    seat.sent();
+    match connection.send(request).await {
+        Ok(response) => {
+            let (head, body) = response.into_parts();
+            Ok(Opened { seat, connection, head, body, sent_at: now })
+        }
+        Err(failure) => {
+            router.pool.borrow_mut().forget(runner);
+            let outcome = format!("{failure:?}");
+            router.log(line(call, "send_failed").subject(seat.grant.id.as_str()).outcome(outcome));
+            if failure == Failure::NotSent {
+                trail.runs -= 1;
+                seat.not_run();
+                return Err(Fault::NotRun);
+            }
+            seat.judge(Health::unreachable);
+            Err(Fault::MayHaveRun)
+        }
+    }
+}
+
+async fn connect(router: &Router, call: &Call, seat: &Seat) -> Result<Connection, Fault> {
+    let opened = Connection::open(seat.grant.address, CONNECT_TIMEOUT).await;
+    opened.map_err(|_| {
+        seat.judge(Health::unreachable);
+        router.log(line(call, "connect_failed").subject(seat.grant.id.as_str()));
+        Fault::NotRun
+    })
+}
+
+async fn whole(router: &Router, opened: Opened) -> Result<Response<Bytes>, Fault> {
+    let Opened { seat, mut connection, head, body, .. } = opened;
+    match connection.collect(body, ANSWER_BYTES).await {
+        Ok(body) => {
+            seat.judge(|health, _| health.succeeded());
+            let stated = (router.dialect.keep_alive)(&head);
+            router.pool.borrow_mut().put(seat.grant.runner, connection, stated);
+            Ok(Response::from_parts(head, body))
+        }
+        Err(_) => {
+            seat.judge(Health::failed);
+            Err(Fault::MayHaveRun)
+        }
+    }
+}
+
+async fn whole_failed(router: &Router, opened: Opened) -> Result<Response<Bytes>, Fault> {
+    let Opened { seat, mut connection, head, body, .. } = opened;
+    let body = connection.collect(body, ANSWER_BYTES).await.map_err(|_| Fault::MayHaveRun)?;
+    let stated = (router.dialect.keep_alive)(&head);
+    router.pool.borrow_mut().put(seat.grant.runner, connection, stated);
+    Ok(Response::from_parts(head, body))
+}
+
+async fn rejected(router: &Router, call: &Call, mut opened: Opened, judgement: Judgement) {
+    opened.seat.not_run();
+    let runner = opened.seat.grant.runner;
+    let outcome = judgement.to_string();
+    router.log(line(call, "rejected").subject(opened.seat.grant.id.as_str()).outcome(outcome));
+    if judgement == Judgement::Misdirected {
+        opened.seat.judge(Health::unreachable);
+        return;
+    }
+    opened.seat.judge(Health::failed);
+    if opened.connection.collect(opened.body, ANSWER_BYTES).await.is_ok() {
+        let stated = (router.dialect.keep_alive)(&opened.head);
+        router.pool.borrow_mut().put(runner, opened.connection, stated);
+    }
+}
+
+/// Returns whether the call may be sent once more.
+fn may_go_on(router: &Router, call: &Call, trail: &Trail) -> bool {
+    if trail.rejections >= REJECTIONS || trail.avoid.len() > 2 * REJECTIONS as usize {
+        return false;
+    }
+    if trail.runs > 0 && (!call.route.kind.is_idempotent() || trail.runs >= call.route.attempts) {
+        return false;
+    }
+    let is_first_send = trail.sends == 0;
+    is_first_send || router.core.borrow_mut().take_retry(router.now(), &call.service)
+}
+
+fn give_up(trail: &Trail, last: Option<Response<Bytes>>, retry_after: Duration) -> Answer {
+    match last {
+        Some(answer) => Answer::Whole(answer),
+        None if trail.runs > 0 => Answer::Problem(Problem::Lost),
+        None => Answer::Problem(Problem::Refused { retry_after }),
+    }
+}
+
+/// Returns how long this attempt may wait for the head of its answer.
+fn attempt_limit(router: &Router, call: &Call, trail: &Trail) -> Duration {
+    let left = call.deadline.saturating_sub(router.now());
+    let has_more = trail.runs + 1 < call.route.attempts;
+    match call.route.kind {
+        Kind::Safe if has_more => left.mul_f64(ATTEMPT_PART),
+        _ => left,
+    }
+}
+
+/// Opens the continuation of a stream at another runner, within all limits.
+pub(crate) async fn resume(
+    router: Rc<Router>,
+    call: Rc<Call>,
+    mut trail: Trail,
+    last_event: Option<String>,
+) -> Option<(Opened, Trail)> {
+    loop {
+        if !may_go_on(&router, &call, &trail) {
+            return None;
+        }
+        let seat = acquire::acquire(&router, &call, &trail.avoid).await.ok()?;
+        trail.avoid.push(seat.grant.runner);
+        let Ok(opened) = open(&router, &call, seat, last_event.as_deref(), &mut trail).await else {
+            continue;
+        };
+        match (router.dialect.judge)(&call, &opened.head) {
+            Judgement::Final if opened.head.status.is_success() => return Some((opened, trail)),
+            judgement @ (Judgement::NotRun | Judgement::Misdirected) => {
+                trail.runs -= 1;
+                trail.rejections += 1;
+                rejected(&router, &call, opened, judgement).await;
+            }
+            _ => opened.seat.judge(Health::failed),
+        }
+    }
+}
+
+/// Returns a line about a call.
+pub(crate) fn line(call: &Call, event: &'static str) -> Line {
+    let mut line = Line::new(event).version(call.version);
+    line.request = Some(call.id.clone());
+    line
+}
+
+fn log_answer(router: &Router, call: &Call, answer: &Answer, sends: u32) {
+    let (event, outcome) = match answer {
+        Answer::Whole(response) => ("answered", response.status().as_u16().to_string()),
+        Answer::Stream(_) => ("streaming", String::new()),
+        Answer::Problem(Problem::Refused { .. }) => ("refused", "no runner in time".to_owned()),
+        Answer::Problem(problem) => ("failed", problem.to_string()),
+    };
+    let mut line = line(call, event).outcome(outcome);
+    line.route = Some(call.route.name.to_string());
+    line.workspace = call.workspace.as_ref().map(ToString::to_string);
+    line.took_ms = Some(event::millis(router.now().saturating_sub(call.arrived)));
+    line.sends = Some(sends);
+    router.log(line);
+}
--- /dev/null
+++ b/crates/relay/src/gossip.rs
@@ -0,0 +1,91 @@
+//! The heartbeat that routers send each other, with the load that they have placed.
+//!
+//! Heartbeats are authenticated by a key that each process makes at its start and publishes, with its identity, in a
+//! topic of the platform's store that only the fleet can write.
+
+use hmac::Hmac;
+use hmac::Mac;
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Sha256;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Bytes of the code that authenticates a heartbeat.
+const CODE_BYTES: usize = 16;
+
+/// A runner's or workspace's name in a heartbeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub(crate) struct Digest(u32);
+
+impl Digest {
+    /// Returns the digest of a name.
+    #[expect(clippy::cast_possible_truncation, reason = "the low half of the hash is the digest")]
+    pub(crate) fn of(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()) as u32)
+    }
+}
+
+/// The load that the sender has placed on a runner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RunnerLoad {
+    /// The runner's id.
+    pub(crate) runner: Digest,
+    /// Requests sent and not ended.
+    pub(crate) running: u32,
+    /// Prompt tokens still to be read.
+    pub(crate) backlog: u64,
+    /// Tokens in memory at the end of these requests.
+    pub(crate) memory: u64,
+}
+
+/// The recent use of engines by a workspace at the sender.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct WorkspaceUse {
+    /// The workspace's name.
+    pub(crate) workspace: Digest,
+    /// The decaying sum of its work, in tokens.
+    pub(crate) work: u64,
+}
+
+/// A heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Heartbeat {
+    /// The name of the sender.
+    pub(crate) sender: String,
+    /// The start of the sender's process.
+    pub(crate) incarnation: u64,
+    /// A number that rises with each heartbeat.
+    pub(crate) sequence: u64,
+    /// Whether callers may be sent to the sender.
+    pub(crate) is_ready: bool,
+    /// Load on runners.
+    pub(crate) loads: Vec<RunnerLoad>,
+    /// Use by workspaces.
+    pub(crate) used: Vec<WorkspaceUse>,
+}
+
+/// Encodes a heartbeat and its code.
+pub(crate) fn seal(heartbeat: &Heartbeat, key: &str) -> Option<Vec<u8>> {
+    let mut bytes = postcard::to_stdvec(heartbeat).ok()?;
+    let code = mac(key, &bytes).finalize().into_bytes();
+    bytes.extend_from_slice(&code[..CODE_BYTES]);
+    Some(bytes)
+}
+
+/// Decodes a heartbeat; `key_of` returns the key of a sender and incarnation.
+pub(crate) fn open(
+    bytes: &[u8],
+    key_of: impl FnOnce(&str, u64) -> Option<String>,
+) -> Option<Heartbeat> {
+    let (content, code) = bytes.split_at_checked(bytes.len().checked_sub(CODE_BYTES)?)?;
+    let heartbeat: Heartbeat = postcard::from_bytes(content).ok()?;
+    let key = key_of(&heartbeat.sender, heartbeat.incarnation)?;
+    mac(&key, content).verify_truncated_left(code).ok()?;
+    Some(heartbeat)
+}
+
+fn mac(key: &str, bytes: &[u8]) -> Hmac<Sha256> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(key.as_bytes()).expect("any length is a key");
+    mac.update(bytes);
+    mac
+}
--- /dev/null
+++ b/crates/relay/src/heartbeat.rs
@@ -0,0 +1,151 @@
+//! Sending and receiving heartbeats.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use balance::Identity;
+use balance::Load;
+use base::Name;
+use indexmap::IndexMap;
+use tokio::net::UdpSocket;
+use tokio::time;
+
+use crate::Line;
+use crate::Router;
+use crate::gossip;
+use crate::gossip::Digest;
+use crate::gossip::Heartbeat;
+use crate::gossip::RunnerLoad;
+use crate::gossip::WorkspaceUse;
+
+/// Time between two heartbeats in a small fleet.
+const PERIOD: Duration = Duration::from_millis(100);
+/// Peers up to which that time holds; it grows with the fleet beyond them.
+const SMALL_FLEET: usize = 12;
+/// The longest time between two heartbeats, well inside the time after which a router counts as gone.
+const LONGEST_PERIOD: Duration = Duration::from_millis(450);
+/// Largest datagram.
+const DATAGRAM_BYTES: usize = 60 << 10;
+
+/// Exchanges heartbeats with all peers for as long as the process runs.
+///
+/// # Errors
+/// Returns why the address can't be used.
+pub async fn exchange_heartbeats(router: Rc<Router>, me: Rc<Identity>) -> io::Result<()> {
+    let socket = UdpSocket::bind(me.peers).await?;
+    let sending = send_all(&router, &me, &socket);
+    let receiving = receive_all(&router, &socket);
+    tokio::join!(sending, receiving);
+    Ok(())
+}
+
+async fn send_all(router: &Router, me: &Identity, socket: &UdpSocket) {
+    let mut sequence = 0;
+    loop {
+        sequence += 1;
+        let peers: Vec<SocketAddr> =
+            router.members.borrow().iter().map(|member| member.identity.peers).collect();
+        if let Some(datagram) = gossip::seal(&heartbeat(router, me, sequence), &me.key) {
+            for peer in &peers {
+                if let Err(error) = socket.try_send_to(&datagram, *peer) {
+                    log::debug!("a heartbeat to {peer} was not sent: {error}");
+                }
+            }
+        }
+        time::sleep(period(peers.len())).await;
+    }
+}
+
+fn period(peers: usize) -> Duration {
+    let factor = peers.max(SMALL_FLEET) as f64 / SMALL_FLEET as f64;
+    PERIOD.mul_f64(factor).min(LONGEST_PERIOD)
+}
+
+fn heartbeat(router: &Router, me: &Identity, sequence: u64) -> Heartbeat {
+    let core = router.core.borrow();
+    let loads = core.registry.iter().filter(|(_, runner)| runner.own != Load::default());
+    let loads = loads.map(|(_, runner)| RunnerLoad {
+        runner: Digest::of(runner.id.as_str()),
+        running: runner.own.running,
+        backlog: runner.own.backlog,
+        memory: runner.own.memory,
+    });
+    let used = core.usage.own(router.now());
+    let used = used
+        .map(|(workspace, work)| WorkspaceUse { workspace: Digest::of(workspace.as_str()), work });
+    Heartbeat {
+        sender: me.name.to_string(),
+        incarnation: me.incarnation,
+        sequence,
+        is_ready: router.is_ready(),
+        loads: loads.collect(),
+        used: used.collect(),
+    }
+}
+
+async fn receive_all(router: &Router, socket: &UdpSocket) {
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, _)) => receive(router, &buffer[..length]),
+            Err(error) => {
+                log::debug!("no heartbeat was received: {error}");
+                time::sleep(PERIOD).await;
+            }
+        }
+    }
+}
+
+fn receive(router: &Router, bytes: &[u8]) {
+    let opened = gossip::open(bytes, |sender, incarnation| {
+        let members = router.members.borrow();
+        let member = members.get(sender)?;
+        (member.identity.incarnation == incarnation).then(|| member.identity.key.clone())
+    });
+    let Some(heartbeat) = opened else { return };
+    let now = router.now();
+    let is_back = {
+        let members = router.members.borrow();
+        members.get(&heartbeat.sender).is_some_and(|member| !member.is_alive(now))
+    };
+    let Heartbeat { sender, sequence, is_ready, .. } = &heartbeat;
+    if !router.members.borrow_mut().heartbeat(now, sender, *sequence, *is_ready) {
+        return;
+    }
+    if is_back {
+        router.log(Line::new("router_alive").subject(sender));
+    }
+    adopt(router, now, &heartbeat);
+    router.pump();
+}
+
+/// Takes in the load that another router has placed.
+fn adopt(router: &Router, now: Duration, heartbeat: &Heartbeat) {
+    let sender = Name::new(&heartbeat.sender);
+    let loads: IndexMap<Digest, &RunnerLoad> =
+        heartbeat.loads.iter().map(|load| (load.runner, load)).collect();
+    let mut core = router.core.borrow_mut();
+    let keys: Vec<_> = core.registry.iter().map(|(key, _)| key).collect();
+    for key in keys {
+        let Some(runner) = core.registry.get_mut(key) else { continue };
+        let load = loads.get(&Digest::of(runner.id.as_str()));
+        let load = load.map_or_else(Load::default, |load| Load {
+            running: load.running,
+            backlog: load.backlog,
+            memory: load.memory,
+        });
+        runner.peers.put(&sender, now, load);
+    }
+    let names: Vec<Name> =
+        core.table.iter().flat_map(balance::Table::workspaces).cloned().collect();
+    let used: IndexMap<Digest, u64> =
+        heartbeat.used.iter().map(|used| (used.workspace, used.work)).collect();
+    let sums = names.into_iter().filter_map(|name| {
+        let work = used.get(&Digest::of(name.as_str())).copied()?;
+        Some((name, work))
+    });
+    let sums = sums.collect();
+    core.usage.put(&sender, now, sums);
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,44 @@
+//! Forwarding of callers' requests to runners, by a router that balances by itself.
+//!
+//! All tasks of a router run on one thread and share a [`Router`]. What callers and runners speak is told by a
+//! [`Dialect`]; decisions are made by `balance`.
+//!
+//! ```
+//! let clock = relay::Clock::start();
+//! assert!(clock.now() <= clock.now());
+//! ```
+
+mod acquire;
+mod answer;
+mod call;
+mod clock;
+mod directory;
+mod event;
+mod forward;
+mod gossip;
+mod heartbeat;
+mod pool;
+mod router;
+mod server;
+mod settings;
+mod sse;
+mod stream;
+
+pub use answer::Answer;
+pub use answer::Problem;
+pub use call::Call;
+pub use call::Dialect;
+pub use call::Judgement;
+pub use call::Leg;
+pub use clock::Clock;
+pub use directory::addresses;
+pub use event::Journal;
+pub use event::Line;
+pub use forward::forward;
+pub use heartbeat::exchange_heartbeats;
+pub use router::Router;
+pub use server::Handler;
+pub use server::Listener;
+pub use settings::Error;
+pub use settings::Settings;
+pub use stream::Stream;
--- /dev/null
+++ b/crates/relay/src/pool.rs
@@ -0,0 +1,65 @@
+//! Idle connections to runners.
+
+use std::time::Duration;
+
+use balance::Key;
+use conn::Connection;
+use indexmap::IndexMap;
+
+/// Most idle connections kept for one runner.
+const IDLE_LIMIT: usize = 24;
+/// For how long an idle connection is kept if the runner does not say.
+const IDLE_TIME: Duration = Duration::from_secs(4);
+/// The part of the time stated by the runner for which an idle connection is kept.
+const STATED_PART: f64 = 0.6;
+/// For how long an idle connection is used for a request that may not run twice.
+const SURE_TIME: Duration = Duration::from_millis(1_500);
+
+/// An idle connection.
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    limit: Duration,
+}
+
+/// Idle connections by runner.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    idle: IndexMap<Key, Vec<Idle>>,
+}
+
+impl Pool {
+    /// Takes the connection that was used last.
+    pub(crate) fn take(&mut self, runner: Key, is_idempotent: bool) -> Option<Connection> {
+        let idle = self.idle.get_mut(&runner)?;
+        idle.retain(|entry| entry.connection.idle() < entry.limit);
+        let newest = idle.last()?;
+        if !is_idempotent && newest.connection.idle() > SURE_TIME {
+            return None;
+        }
+        idle.pop().map(|entry| entry.connection)
+    }
+
+    /// Keeps a connection for `stated`, or the usual time.
+    pub(crate) fn put(&mut self, runner: Key, connection: Connection, stated: Option<Duration>) {
+        let idle = self.idle.entry(runner).or_default();
+        if connection.is_closed() || idle.len() >= IDLE_LIMIT {
+            return;
+        }
+        let limit = stated.map_or(IDLE_TIME, |time| time.mul_f64(STATED_PART).min(IDLE_TIME * 2));
+        idle.push(Idle { connection, limit });
+    }
+
+    /// Drops the connections of a runner, since others may have gone silent with the one that did.
+    pub(crate) fn forget(&mut self, runner: Key) {
+        self.idle.swap_remove(&runner);
+    }
+
+    /// Drops all connections that were idle for too long.
+    pub(crate) fn sweep(&mut self) {
+        for idle in self.idle.values_mut() {
+            idle.retain(|entry| entry.connection.idle() < entry.limit);
+        }
+        self.idle.retain(|_, idle| !idle.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/relay/src/server.rs
@@ -0,0 +1,130 @@
+//! Accepting connections, and ending them without cutting a request.
+
+use std::convert::Infallible;
+use std::error::Error as StdError;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body::Body;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time;
+use tokio_util::sync::CancellationToken;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// Pause after a failed accept, so that a lack of file descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Bytes of a head that are read at most.
+const HEAD_BYTES: usize = 64 << 10;
+
+/// The future of a response.
+pub(crate) type Answering<B> = Pin<Box<dyn Future<Output = Response<B>>>>;
+
+/// Answers requests.
+pub type Handler<B> = Rc<dyn Fn(Request<Incoming>) -> Answering<B>>;
+
+/// A bound address.
+#[derive(Debug)]
+pub struct Listener {
+    listener: TcpListener,
+    idle: Duration,
+}
+
+impl Listener {
+    /// Binds an address; connections that are idle for longer than `idle` are closed.
+    ///
+    /// # Errors
+    /// Returns why the address can't be used.
+    pub fn bind(address: SocketAddr, idle: Duration) -> io::Result<Self> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        Ok(Self { listener: socket.listen(BACKLOG)?, idle })
+    }
+
+    /// Returns the bound address.
+    ///
+    /// # Errors
+    /// Returns an error of the system.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves until `stop`, then lets each connection finish its request.
+    pub async fn serve<B>(self, handler: Handler<B>, stop: CancellationToken)
+    where
+        B: Body<Data = Bytes> + 'static,
+        B::Error: Into<Box<dyn StdError + Send + Sync>>,
+    {
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = self.listener.accept() => match accepted {
+                    Ok((stream, _)) => {
+                        let connection =
+                            connection(stream, Rc::clone(&handler), self.idle, stop.clone());
+                        connections.spawn_local(connection);
+                    }
+                    Err(error) => {
+                        log::warn!("a connection was not accepted: {error}");
+                        time::sleep(ACCEPT_PAUSE).await;
+                    }
+                },
+                Some(_) = connections.join_next() => (),
+                () = stop.cancelled() => break,
+            }
+        }
+        drop(self.listener);
+        while connections.join_next().await.is_some() {}
+    }
+}
+
+async fn connection<B>(
+    stream: TcpStream,
+    handler: Handler<B>,
+    idle: Duration,
+    stop: CancellationToken,
+) where
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn StdError + Send + Sync>>,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("a connection stays without TCP_NODELAY: {error}");
+    }
+    let service = service_fn(move |request| {
+        let answer = handler(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let serving = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut serving = pin!(serving);
+    let ended = tokio::select! {
+        ended = &mut serving => ended,
+        () = stop.cancelled() => {
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("a connection has ended early: {error}");
+    }
+}
--- /dev/null
+++ b/crates/relay/src/settings.rs
@@ -0,0 +1,109 @@
+//! Settings of a router that balances by itself: JSON with comments.
+
+use std::fmt;
+use std::io::Read;
+use std::net::SocketAddr;
+
+use base::Name;
+use error_stack::Report;
+use json_comments::StripComments;
+use serde::Deserialize;
+
+/// What is wrong with a settings file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Error(String);
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Settings of one process.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The name of the instance, unique in the fleet.
+    pub name: Name,
+    /// The availability zone of the instance.
+    pub zone: Name,
+    /// Where requests are accepted.
+    pub listen: Listen,
+    /// Where heartbeats of other routers are received.
+    pub peers: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// How long a process that is told to end may go on, in seconds.
+    pub grace_s: f64,
+    /// Limits that hold over all routers.
+    pub bounds: Bounds,
+}
+
+/// Where requests are accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// Requests of callers.
+    pub callers: SocketAddr,
+    /// Questions whether the process is ready.
+    pub ready: SocketAddr,
+    /// Questions for the addresses to use.
+    pub directory: SocketAddr,
+}
+
+/// Limits that hold over all routers.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// The factor on the rate of a cold runner up to which requests are tolerated.
+    pub cold_factor: f64,
+    /// Requests a second to a cold runner that are tolerated beyond that.
+    pub cold_constant: f64,
+    /// Retries a request of callers.
+    pub retry_ratio: f64,
+    /// Retries in a window beyond that.
+    pub retry_constant: f64,
+    /// The window of the retry budget, in seconds.
+    pub retry_window_s: f64,
+    /// How long after a key was taken away it may still be served, in milliseconds; none for no limit.
+    pub revocation_ms: Option<u64>,
+}
+
+impl Settings {
+    /// Reads settings.
+    ///
+    /// # Errors
+    /// Returns the field that is wrong and why.
+    pub fn parse(text: &str) -> Result<Self, Report<Error>> {
+        let mut bare = String::new();
+        StripComments::new(text.as_bytes())
+            .read_to_string(&mut bare)
+            .map_err(|error| Report::new(Error(format!("comments: {error}"))))?;
+        let mut source = serde_json::Deserializer::from_str(&bare);
+        let settings: Self = serde_path_to_error::deserialize(&mut source)
+            .map_err(|error| Report::new(Error(error.to_string())))?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), Report<Error>> {
+        let bounds = &self.bounds;
+        let numbers = [
+            ("grace_s", self.grace_s, 0.1),
+            ("bounds.cold_factor", bounds.cold_factor, 0.0),
+            ("bounds.cold_constant", bounds.cold_constant, 0.0),
+            ("bounds.retry_ratio", bounds.retry_ratio, 0.0),
+            ("bounds.retry_constant", bounds.retry_constant, 0.0),
+            ("bounds.retry_window_s", bounds.retry_window_s, 0.1),
+        ];
+        for (field, value, least) in numbers {
+            if !(value >= least && value.is_finite()) {
+                let text = format!("{field}: {value} is not a number of at least {least}");
+                return Err(Report::new(Error(text)));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/relay/src/sse.rs
@@ -0,0 +1,25 @@
+//! The parts of the event stream format that a relay needs: where events end, and their ids.
+
+/// Returns the length of all whole events at the start of `bytes`.
+pub(crate) fn whole_length(bytes: &[u8]) -> usize {
+    let mut end = bytes.len();
+    while let Some(line) = bytes[..end].iter().rposition(|byte| *byte == b'\n') {
+        if ends_event(&bytes[..line]) {
+            return line + 1;
+        }
+        end = line;
+    }
+    0
+}
+
+/// Returns the id of the last event that has one.
+pub(crate) fn last_id(bytes: &[u8]) -> Option<&str> {
+    let lines = bytes.rsplit(|byte| *byte == b'\n');
+    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    std::str::from_utf8(id).ok().map(str::trim)
+}
+
+/// Returns whether a line break after `bytes` ends an event.
+fn ends_event(bytes: &[u8]) -> bool {
+    bytes.ends_with(b"\n") || bytes.ends_with(b"\n\r")
+}
