perf(balance): keep prompts where their shared parts are, and reserve load for workspaces that used less

Change: a shared token read again costs as much as four that wait; the workspace that has used most meets lower limits; running requests follow the time per token.

--- a/crates/balance/src/ask.rs
+++ b/crates/balance/src/ask.rs
@@ -22,6 +22,8 @@
     pub input: u64,
     /// The most tokens that may be generated.
     pub output: u64,
+    /// The tokens that the caller expects to be generated, which is often far off.
+    pub expected: Option<u64>,
     /// The parts of the prompt, in order.
     pub parts: Vec<Part>,
 }
@@ -34,10 +36,23 @@
         self.parts.get(shared).map_or(0, |part| part.id)
     }
 
+    /// Returns the tokens that are likely to be generated.
+    #[must_use]
+    pub fn likely_output(&self) -> u64 {
+        self.expected.map_or(self.output / 3, |expected| expected.min(self.output))
+    }
+
     /// Returns the work in tokens: each token read counts once and each generated token twice.
     #[must_use]
-    pub const fn work(&self) -> u64 {
-        self.input + 2 * self.output
+    pub fn work(&self) -> u64 {
+        self.input + 2 * self.likely_output()
+    }
+
+    /// Returns the tokens of the parts that requests of other sessions share.
+    #[must_use]
+    pub fn shared(&self) -> u64 {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts.iter().take(shared).map(|part| part.tokens).sum()
     }
 }
 
@@ -74,6 +89,6 @@
     /// Returns the memory that the request occupies at an engine, in tokens.
     #[must_use]
     pub fn memory(&self) -> u64 {
-        self.prompt.as_ref().map_or(0, |prompt| prompt.input + prompt.output)
+        self.prompt.as_ref().map_or(0, |prompt| prompt.input + prompt.likely_output())
     }
 }
--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -4,6 +4,7 @@
 //! a prompt saves reading them. The prompt tokens that a runner still has to read are the load that is balanced; the
 //! runner that ranks first for a shared part is preferred as long as its backlog does not outweigh what it keeps.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use crate::Allowance;
@@ -11,6 +12,7 @@
 use crate::Key;
 use crate::Kind;
 use crate::Limits;
+use crate::Pace;
 use crate::Prompt;
 use crate::Registry;
 use crate::Runner;
@@ -25,6 +27,12 @@
 const SPREAD: f64 = 0.1;
 /// The cost of an expected failure, in prompt tokens.
 const FAILURE_TOKENS: f64 = 20_000.0;
+/// The cost of a shared token that is read again, in prompt tokens that wait.
+const READ_AGAIN: f64 = 4.0;
+/// The part of the shared tokens that the runners ranking first for them are believed to keep.
+const KEPT_PARTS: [f64; 3] = [1.0, 0.5, 0.2];
+/// The part of its target for which a request waits for the runner that suits it best.
+const PATIENCE_PART: f64 = 0.25;
 /// Requests beyond its slots that a plain runner is sent, as a part of its slots.
 const PLAIN_SURPLUS: u32 = 3;
 
@@ -34,8 +42,10 @@
     pub(crate) registry: &'a Registry,
     /// The service of the request.
     pub(crate) service: &'a Service,
-    /// The most prompt tokens that may wait at one engine.
-    pub(crate) backlog: u64,
+    /// The most load that one engine of the service is given.
+    pub(crate) pace: &'a Pace,
+    /// The part of that load that the workspace may fill.
+    pub(crate) part: f64,
     /// This router and its peers.
     pub(crate) limits: &'a Limits,
     /// The time.
@@ -44,29 +54,49 @@
     pub(crate) salt: u64,
 }
 
+/// A runner that may be used, with the cost of using it.
+struct Candidate {
+    key: Key,
+    cost: u64,
+    has_room: bool,
+}
+
 impl View<'_> {
-    /// Chooses the runner with the lowest cost among those with room.
+    /// Chooses the runner with the lowest cost; none if it has no room and the request may still wait for it.
     pub(crate) fn choose(&self, ask: &Ask) -> Option<Key> {
-        let home = self.home(ask);
-        let candidates = self.registry.serving(ask.service.as_str());
-        let with_room = candidates.filter(|(key, runner)| self.has_room(*key, runner, ask));
-        let costs = with_room.map(|(key, runner)| (self.cost(runner, ask, home == Some(key)), key));
-        costs.min_by_key(|(cost, _)| *cost).map(|(_, key)| key)
+        let ranks = self.ranks(ask);
+        let serving = self.registry.serving(ask.service.as_str());
+        let usable = serving.filter(|(key, runner)| self.is_usable(*key, runner, ask));
+        let candidates = usable.map(|(key, runner)| Candidate {
+            key,
+            cost: self.cost(runner, ask, ranks.iter().position(|ranked| *ranked == key)),
+            has_room: self.fits(runner, ask),
+        });
+        let may_wait = self.now < ask.arrived + patience(ask);
+        let candidates = candidates.filter(|candidate| candidate.has_room || may_wait);
+        let best = candidates.min_by_key(|candidate| candidate.cost)?;
+        best.has_room.then_some(best.key)
     }
 
-    /// Returns the runner that ranks first for the shared part of the prompt.
-    fn home(&self, ask: &Ask) -> Option<Key> {
-        let affinity = ask.prompt.as_ref().map(Prompt::affinity).filter(|part| *part != 0)?;
-        let candidates = self.registry.serving(ask.service.as_str());
-        candidates
-            .max_by_key(|(_, runner)| rendezvous::weight(affinity, runner.id.as_str()))
-            .map(|(key, _)| key)
+    /// Returns the runners that rank first for the shared part of the prompt.
+    fn ranks(&self, ask: &Ask) -> Vec<Key> {
+        let affinity = ask.prompt.as_ref().map(Prompt::affinity).filter(|part| *part != 0);
+        let Some(affinity) = affinity else { return Vec::new() };
+        let serving = self.registry.serving(ask.service.as_str());
+        let mut ranks: Vec<(Reverse<u64>, Key)> = serving
+            .map(|(key, runner)| (rendezvous::weight(affinity, runner.id.as_str()), key))
+            .map(|(weight, key)| (Reverse(weight), key))
+            .collect();
+        ranks.sort_unstable();
+        ranks.truncate(KEPT_PARTS.len());
+        ranks.into_iter().map(|(_, key)| key).collect()
     }
 
-    fn has_room(&self, key: Key, runner: &Runner, ask: &Ask) -> bool {
+    /// Returns whether a runner may be sent a request at all.
+    fn is_usable(&self, key: Key, runner: &Runner, ask: &Ask) -> bool {
         let is_usable = runner.health.is_usable(self.now) && !ask.avoid.contains(&key);
         let is_free = !runner.health.is_on_trial() || (runner.own.running == 0 && may_try(ask));
-        is_usable && is_free && self.bears(runner) && self.fits(runner, ask)
+        is_usable && is_free && self.bears(runner)
     }
 
     /// Returns whether a cold runner bears one more request of this router now.
@@ -88,23 +118,30 @@
             return load.running < runner.slots + runner.slots.div_ceil(PLAIN_SURPLUS);
         };
         let memory = (engine.memory as f64 * MEMORY_PART) as u64;
-        let missing = missing(runner, ask, self.now).min(self.backlog / 2);
-        load.running < runner.slots.min(engine.slots)
+        let backlog = (self.pace.backlog() as f64 * self.part) as u64;
+        let running = (f64::from(self.pace.running()) * self.part).ceil() as u32;
+        let missing = missing(runner, ask, self.now).min(backlog / 2);
+        load.running < running.min(runner.slots).min(engine.slots)
             && (load.memory + ask.memory() <= memory || load.running == 0)
-            && load.backlog + missing <= self.backlog
+            && load.backlog + missing <= backlog
     }
 
-    fn cost(&self, runner: &Runner, ask: &Ask, is_home: bool) -> u64 {
+    fn cost(&self, runner: &Runner, ask: &Ask, rank: Option<usize>) -> u64 {
         let load = runner.load(self.now);
-        let failures = (runner.health.failure_ratio() * FAILURE_TOKENS) as u64;
         let spread = self.spread(runner);
+        let failure_ratio = runner.health.failure_ratio();
         let Some(prompt) = &ask.prompt else {
             let busy = f64::from(load.running + 1) / f64::from(runner.slots.max(1));
-            return ((busy * 1_000.0 + runner.health.failure_ratio() * 4_000.0) * spread) as u64;
+            return ((busy * 1_000.0 + failure_ratio * 4_000.0) * spread) as u64;
         };
-        let read = if is_home { unshared(prompt) } else { runner.kept.missing(prompt, self.now) };
-        let tokens = load.backlog + read + u64::from(load.running) * RUNNING_TOKENS + failures;
-        (tokens as f64 * spread) as u64
+        let waiting = load.backlog + u64::from(load.running) * RUNNING_TOKENS;
+        let shared = prompt.shared();
+        let unshared = prompt.input.saturating_sub(shared);
+        let missing = runner.kept.missing(prompt, self.now).saturating_sub(unshared);
+        let kept = rank.map_or(0.0, |rank| KEPT_PARTS[rank]);
+        let read_again = (missing as f64).min(shared as f64 * (1.0 - kept));
+        let failures = failure_ratio * FAILURE_TOKENS;
+        (waiting as f64 * spread + READ_AGAIN * read_again + failures) as u64
     }
 
     fn spread(&self, runner: &Runner) -> f64 {
@@ -113,18 +150,16 @@
     }
 }
 
+/// Returns for how long a request may wait for the runner that suits it best.
+fn patience(ask: &Ask) -> Duration {
+    ask.target.saturating_sub(ask.arrived).mul_f64(PATIENCE_PART)
+}
+
 /// Returns the prompt tokens that a runner still has to read.
 pub(crate) fn missing(runner: &Runner, ask: &Ask, now: Duration) -> u64 {
     ask.prompt.as_ref().map_or(0, |prompt| runner.kept.missing(prompt, now))
 }
 
-/// Returns the tokens of a prompt that no other session shares.
-fn unshared(prompt: &Prompt) -> u64 {
-    let shared = prompt.parts.len().saturating_sub(1);
-    let tokens: u64 = prompt.parts.iter().take(shared).map(|part| part.tokens).sum();
-    prompt.input.saturating_sub(tokens)
-}
-
 /// Returns whether a request may be used to find out if a runner works again.
 const fn may_try(ask: &Ask) -> bool {
     !matches!(ask.kind, Kind::Unsafe)
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -23,6 +23,10 @@
 
 /// The part of the target for which a request waits for a runner.
 const WAIT_PART: f64 = 0.5;
+/// The part of the load of an engine that is kept free of the workspace that has used most.
+const RESERVED_PART: f64 = 0.4;
+/// How long the work of the workspace that has used most is taken as known.
+const MOST_KEPT: Duration = Duration::from_millis(50);
 /// Waiting requests of a service that are looked at for one free place.
 const LOOKED_AT: usize = 24;
 /// The shortest time after which a refused caller is told to come back.
@@ -103,6 +107,7 @@
     limits: Limits,
     desks: IndexMap<Name, Desk>,
     tickets: u64,
+    most_used: (Duration, u64),
 }
 
 impl Core {
@@ -116,6 +121,7 @@
             limits,
             desks: IndexMap::new(),
             tickets: 0,
+            most_used: (Duration::ZERO, 0),
         }
     }
 
@@ -147,6 +153,10 @@
     /// Asks for a runner.
     pub fn submit(&mut self, now: Duration, ask: Ask) -> Outcome {
         let has_waiting = !self.desk(&ask.service).queue.is_empty();
+        if let Some(prompt) = &ask.prompt {
+            let time = ask.deadline.saturating_sub(ask.arrived);
+            self.desk(&ask.service).pace.asked(now, time, prompt.output);
+        }
         if !has_waiting && let Some(grant) = self.grant(now, &ask) {
             return Outcome::Settled(Settled::Granted(grant));
         }
@@ -192,9 +202,16 @@
         self.desks.values().map(|desk| desk.queue.len()).sum()
     }
 
-    /// Returns the most prompt tokens that may wait at one engine of a service.
-    pub fn backlog_limit(&mut self, service: &Name) -> u64 {
-        self.desk(service).pace.limit()
+    /// Returns the limits on the load of one engine of each service, and how many requests wait.
+    pub fn load(&self) -> impl Iterator<Item = (&Name, &Pace, usize)> {
+        self.desks.iter().map(|(name, desk)| (name, &desk.pace, desk.queue.len()))
+    }
+
+    /// Takes in how long each token of an answer took.
+    pub fn tokens(&mut self, now: Duration, service: &Name, each: Duration) {
+        let desk = self.desk(service);
+        let has_waiting = !desk.queue.is_empty();
+        desk.pace.tokens(now, each, has_waiting);
     }
 
     /// Takes in that the first token of a request has arrived.
@@ -248,13 +265,15 @@
     }
 
     fn grant(&mut self, now: Duration, ask: &Ask) -> Option<Grant> {
-        let backlog = self.desk(&ask.service).pace.limit();
+        let part = self.part(now, ask.workspace.as_ref());
+        self.desk(&ask.service);
         self.tickets += 1;
         let service = self.service(&ask.service)?;
         let view = View {
             registry: &self.registry,
             service,
-            backlog,
+            pace: &self.desks[&ask.service].pace,
+            part,
             limits: &self.limits,
             now,
             salt: self.tickets,
@@ -263,6 +282,19 @@
         Some(self.place(now, ask, key))
     }
 
+    /// Returns the part of an engine's load that a workspace may fill.
+    ///
+    /// Routers have no common queue, so the workspace that has used most meets a lower limit everywhere, and work of the
+    /// others finds room at once.
+    fn part(&mut self, now: Duration, workspace: Option<&Name>) -> f64 {
+        let Some(workspace) = workspace else { return 1.0 };
+        if now >= self.most_used.0 + MOST_KEPT {
+            self.most_used = (now, self.usage.most(now));
+        }
+        let used = self.usage.of(now, workspace) as f64;
+        1.0 - RESERVED_PART * (used / self.most_used.1.max(1) as f64).min(1.0)
+    }
+
     fn place(&mut self, now: Duration, ask: &Ask, key: Key) -> Grant {
         let runner = self.registry.get_mut(key).expect("a chosen runner is known");
         let load =
--- a/crates/balance/src/route.rs
+++ b/crates/balance/src/route.rs
@@ -90,6 +90,8 @@
     pub slots: u32,
     /// Tokens that fit into memory.
     pub memory: u64,
+    /// Tokens that one event of an answer holds.
+    pub event_tokens: u32,
 }
 
 /// A group of runners that serve the same requests.
--- a/crates/balance/src/usage.rs
+++ b/crates/balance/src/usage.rs
@@ -63,6 +63,16 @@
         own as u64 + sums.sum::<u64>()
     }
 
+    /// Returns the recent work of the workspace that has used most, over all routers.
+    #[must_use]
+    pub fn most(&self, now: Duration) -> u64 {
+        let others = self.peers.values().flat_map(|(_, sums)| sums.keys());
+        let mut names: Vec<&Name> = self.own.keys().chain(others).collect();
+        names.sort_unstable();
+        names.dedup();
+        names.into_iter().map(|name| self.of(now, name)).max().unwrap_or_default()
+    }
+
     /// Returns what this router has charged recently, by workspace.
     pub fn own(&self, now: Duration) -> impl Iterator<Item = (&Name, u64)> {
         let sums = self.own.iter().map(move |(name, decay)| (name, decay.value(now) as u64));
--- a/crates/relay/src/acquire.rs
+++ b/crates/relay/src/acquire.rs
@@ -56,6 +56,12 @@
         self.router.pump();
     }
 
+    /// Takes in how long each token of the answer took.
+    pub(crate) fn tokens(&self, each: Duration) {
+        let now = self.router.now();
+        self.router.core.borrow_mut().tokens(now, &self.call.service, each);
+    }
+
     /// Takes in a result of the runner.
     pub(crate) fn judge(&self, judge: impl FnOnce(&mut balance::Health, Duration)) {
         let now = self.router.now();
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -29,6 +29,8 @@
     pub priority: u32,
     /// The prompt, for a model engine.
     pub prompt: Option<Prompt>,
+    /// Tokens that one event of the answer holds.
+    pub event_tokens: u32,
     /// The version of the configuration that admitted it.
     pub version: u64,
     /// When it arrived.
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -186,6 +186,20 @@
             self.pool.borrow_mut().sweep();
             let now = self.now();
             self.core.borrow_mut().registry.sweep(now);
+            self.log_load();
+        }
+    }
+
+    /// Writes how much waits, and how much load engines are given.
+    fn log_load(&self) {
+        let core = self.core.borrow();
+        for (service, pace, waiting) in core.load() {
+            let text = format!(
+                "waiting {waiting}, backlog limit {} tokens, running limit {}",
+                pace.backlog(),
+                pace.running()
+            );
+            self.log(Line::new("load").subject(service.as_str()).outcome(text));
         }
     }
 
--- a/crates/relay/src/sse.rs
+++ b/crates/relay/src/sse.rs
@@ -19,6 +19,12 @@
     std::str::from_utf8(id).ok().map(str::trim)
 }
 
+/// Returns how many lines with an id there are.
+pub(crate) fn events(bytes: &[u8]) -> u32 {
+    let lines = bytes.split(|byte| *byte == b'\n');
+    lines.fold(0, |events, line| events + u32::from(line.starts_with(b"id:")))
+}
+
 /// Returns whether a line break after `bytes` ends an event.
 fn ends_event(bytes: &[u8]) -> bool {
     bytes.ends_with(b"\n") || bytes.ends_with(b"\n\r")
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -38,6 +38,8 @@
 const SILENCE: Duration = Duration::from_millis(1_200);
 /// For how long a runner may be silent before its first event, in targets of the route.
 const FIRST_SILENCE: u32 = 3;
+/// Events of an answer from which the time of a token can be told.
+const PACED_EVENTS: u32 = 6;
 /// Bytes of an unfinished event that are held back.
 const EVENT_BYTES: usize = 1 << 20;
 
@@ -75,6 +77,8 @@
     last_event: Option<String>,
     heard: Duration,
     has_begun: bool,
+    first_at: Duration,
+    events: u32,
     look: Pin<Box<Sleep>>,
 }
 
@@ -99,6 +103,8 @@
             partial: BytesMut::new(),
             last_event: None,
             has_begun: false,
+            first_at: Duration::ZERO,
+            events: 0,
             look: Box::pin(time::sleep(LOOK)),
         };
         (head, stream)
@@ -110,11 +116,14 @@
         self.heard = now;
         if !self.has_begun {
             self.has_begun = true;
+            self.first_at = now;
+            self.events = 0;
             if let Some(source) = &mut self.source {
                 let took = now.saturating_sub(source.sent_at);
                 source.seat.first_token(took);
             }
         }
+        self.events += sse::events(&bytes);
         if self.call.route.kind != Kind::Resumable {
             return Some(bytes);
         }
@@ -144,6 +153,10 @@
             return false;
         }
         source.connection.finish();
+        if self.events >= PACED_EVENTS {
+            let took = self.heard.saturating_sub(self.first_at);
+            source.seat.tokens(took / ((self.events - 1) * self.call.event_tokens.max(1)));
+        }
         source.seat.judge(|health, _| health.succeeded());
         let runner = source.seat.grant.runner;
         self.router.pool.borrow_mut().put(runner, source.connection, source.keep_alive);
