fix(balance): move engines' limits of all routers together, and leave lapsed runners out

Cause, from the load lines of all routers: the starved workspace's callers were all at one router, whose running limit had fallen to 32 while the others' stood at 45 to 51, so the others filled every engine before it. Ruled out: the order of its own queue, which held almost only that workspace. Routers now tell each other their limits and move towards them.

Cause: a store that turned one machine away looked like a store that was away, so an entry removed after it was kept for 2.5 s. An entry that is missing alone is now left out at once; only when most of a service's entries are missing are they kept until due.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -118,8 +118,9 @@
             return load.running < runner.slots + runner.slots.div_ceil(PLAIN_SURPLUS);
         };
         let memory = (engine.memory as f64 * MEMORY_PART) as u64;
-        let backlog = (self.pace.backlog() as f64 * self.part) as u64;
-        let running = (f64::from(self.pace.running()) * self.part).ceil() as u32;
+        let ceiling = self.pace.limits();
+        let backlog = (ceiling.backlog as f64 * self.part) as u64;
+        let running = (f64::from(ceiling.running) * self.part).ceil() as u32;
         let missing = missing(runner, ask, self.now).min(backlog / 2);
         load.running < running.min(runner.slots).min(engine.slots)
             && (load.memory + ask.memory() <= memory || load.running == 0)
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -8,6 +8,7 @@
 
 use crate::Ask;
 use crate::Budget;
+use crate::Ceiling;
 use crate::Key;
 use crate::Load;
 use crate::Pace;
@@ -207,6 +208,12 @@
         self.desks.iter().map(|(name, desk)| (name, &desk.pace, desk.queue.len()))
     }
 
+    /// Takes in the limits on the load of one engine that another router has found.
+    pub fn approach(&mut self, service: &Name, other: Ceiling) {
+        let routers = self.limits.peers.len();
+        self.desk(service).pace.approach(other, routers);
+    }
+
     /// Takes in how long each token of an answer took.
     pub fn tokens(&mut self, now: Duration, service: &Name, each: Duration) {
         let desk = self.desk(service);
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -52,6 +52,7 @@
 pub use member::Identity;
 pub use member::Member;
 pub use member::Members;
+pub use pace::Ceiling;
 pub use pace::Pace;
 pub use queue::Ticket;
 pub use registry::Entry;
--- a/crates/balance/src/pace.rs
+++ b/crates/balance/src/pace.rs
@@ -36,7 +36,22 @@
 /// The time after which the need of the longest answer is forgotten.
 const NEED_KEPT: Duration = Duration::from_secs(10);
 
-/// The limits on the load of one engine of a service.
+/// The weight of another router's limits when they arrive, divided by the number of other routers.
+const APPROACH: f64 = 0.2;
+
+/// Limits on the load of one engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ceiling {
+    /// The most prompt tokens that may wait.
+    pub backlog: u64,
+    /// The most requests that may run.
+    pub running: u32,
+}
+
+/// The limits on the load of one engine of a service, as this router has observed it.
+///
+/// Load pattern: a router whose limits are lower than those of the others finds no room, since the others fill all
+/// engines to their own limits. Each router therefore moves its limits towards those of the others.
 #[derive(Debug, Clone)]
 pub struct Pace {
     backlog: f64,
@@ -63,16 +78,17 @@
 }
 
 impl Pace {
-    /// Returns the most prompt tokens that may wait.
+    /// Returns the limits.
     #[must_use]
-    pub const fn backlog(&self) -> u64 {
-        self.backlog as u64
+    pub const fn limits(&self) -> Ceiling {
+        Ceiling { backlog: self.backlog as u64, running: self.running as u32 }
     }
 
-    /// Returns the most requests that may run.
-    #[must_use]
-    pub const fn running(&self) -> u32 {
-        self.running as u32
+    /// Moves towards the limits of one of `routers` other routers.
+    pub fn approach(&mut self, other: Ceiling, routers: usize) {
+        let weight = APPROACH / routers.max(1) as f64;
+        self.backlog += weight * (other.backlog as f64 - self.backlog);
+        self.running += weight * (f64::from(other.running) - self.running);
     }
 
     /// Takes in the time that a request has, and the most tokens of its answer.
--- a/crates/balance/src/registry.rs
+++ b/crates/balance/src/registry.rs
@@ -170,12 +170,30 @@
     }
 
     /// Returns the runners of a service that may be sent requests.
+    ///
+    /// A runner whose entry has lapsed is left out, unless most entries of its service have: then the store was away.
     pub fn serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (Key, &'a Runner)> {
-        self.runners.iter().filter(move |(_, runner)| {
-            runner.service.as_str() == service && !runner.is_draining && !self.is_out(&runner.zone)
+        let uses_lapsed = self.has_lapsed_mostly(service);
+        let all = self.runners.iter();
+        let own = all.filter(move |(_, runner)| runner.service.as_str() == service);
+        own.filter(move |(_, runner)| {
+            let is_listed = uses_lapsed || !self.lapsed.contains_key(&runner.id);
+            is_listed && !runner.is_draining && !self.is_out(&runner.zone)
         })
     }
 
+    /// Returns whether most entries of a service have lapsed.
+    fn has_lapsed_mostly(&self, service: &str) -> bool {
+        if self.lapsed.is_empty() {
+            return false;
+        }
+        let own = self.runners.values().filter(|runner| runner.service.as_str() == service);
+        let (all, lapsed) = own.fold((0, 0), |(all, lapsed), runner| {
+            (all + 1, lapsed + usize::from(self.lapsed.contains_key(&runner.id)))
+        });
+        lapsed * 2 > all
+    }
+
     fn update(&mut self, now: Duration, key: Key, entry: &Entry) {
         let runner = &mut self.runners[key];
         runner.service = entry.service.clone();
--- /dev/null
+++ b/crates/balance/tests/common/mod.rs
@@ -0,0 +1,128 @@
+//! Requests, runners and a router's state for tests of decisions.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::time::Duration;
+
+use balance::Ask;
+use balance::Core;
+use balance::Engine;
+use balance::Entry;
+use balance::Grant;
+use balance::Kind;
+use balance::Limits;
+use balance::Outcome;
+use balance::Part;
+use balance::Prompt;
+use balance::Service;
+use balance::Settled;
+use balance::Table;
+use base::Name;
+
+pub(crate) const SERVICE: &str = "engines";
+pub(crate) const PLAIN: &str = "ledger";
+pub(crate) const TARGET: Duration = Duration::from_millis(500);
+
+pub(crate) const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub(crate) fn entry(id: &str) -> Entry {
+    Entry {
+        id: Name::new(id),
+        born: 1,
+        sequence: 1,
+        service: Name::new(SERVICE),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: Name::new("north"),
+        slots: 128,
+        is_draining: false,
+        cold_left: Duration::ZERO,
+    }
+}
+
+pub(crate) fn limits(router: &str) -> Limits {
+    Limits {
+        router: Name::new(router),
+        peers: Vec::new(),
+        cold_factor: 1.5,
+        cold_constant: 5.0,
+        retry_window: Duration::from_secs(10),
+        retry_ratio: 0.2,
+        retry_constant: 58.0,
+    }
+}
+
+pub(crate) fn table() -> Table {
+    let mut table = Table::default();
+    table.version = 1;
+    table.add_service(Service {
+        name: Name::new(SERVICE),
+        connections: 600,
+        cold: Duration::from_secs(3),
+        cold_rate: 16.0,
+        engine: Some(Engine { slots: 128, memory: 650_000, event_tokens: 6 }),
+    });
+    table.add_service(Service {
+        name: Name::new(PLAIN),
+        connections: 100,
+        cold: Duration::ZERO,
+        cold_rate: 0.0,
+        engine: None,
+    });
+    table
+}
+
+/// A router with this many engines.
+pub(crate) fn core(router: &str, engines: usize) -> Core {
+    let mut core = Core::new(limits(router));
+    core.adopt(table());
+    for number in 0..engines {
+        core.registry.put(Duration::ZERO, &entry(&format!("engine-{number}")));
+    }
+    core
+}
+
+/// A request with a prompt of a shared part and a part of its own.
+pub(crate) fn ask(now: Duration, workspace: &str, shared: u64, own: u64) -> Ask {
+    Ask {
+        service: Name::new(SERVICE),
+        workspace: Some(Name::new(workspace)),
+        kind: Kind::Streaming,
+        priority: 1,
+        prompt: Some(Prompt {
+            input: 4_000 + own,
+            output: 300,
+            expected: Some(100),
+            parts: vec![
+                Part { id: shared, tokens: 4_000 },
+                Part { id: now.as_nanos() as u64 ^ 0xabcd, tokens: own },
+            ],
+        }),
+        arrived: now,
+        target: now + TARGET,
+        deadline: now + Duration::from_secs(12),
+        avoid: Vec::new(),
+    }
+}
+
+/// A request to the plain service.
+pub(crate) fn plain(now: Duration, kind: Kind) -> Ask {
+    Ask {
+        service: Name::new(PLAIN),
+        workspace: None,
+        kind,
+        priority: 1,
+        prompt: None,
+        arrived: now,
+        target: now + ms(300),
+        deadline: now + ms(800),
+        avoid: Vec::new(),
+    }
+}
+
+pub(crate) fn granted(outcome: Outcome) -> Grant {
+    match outcome {
+        Outcome::Settled(Settled::Granted(grant)) => grant,
+        other => panic!("not granted: {other:?}"),
+    }
+}
--- /dev/null
+++ b/crates/balance/tests/registry.rs
@@ -0,0 +1,91 @@
+//! Runners by what the store says of them.
+
+mod common;
+
+use std::time::Duration;
+
+use balance::Registry;
+use base::Name;
+use indexmap::IndexSet;
+
+use common::SERVICE;
+use common::entry;
+use common::ms;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn registry(runners: usize) -> Registry {
+    let mut registry = Registry::default();
+    for number in 0..runners {
+        registry.put(NOW, &entry(&format!("engine-{number}")));
+    }
+    registry
+}
+
+fn serving(registry: &Registry) -> usize {
+    registry.serving(SERVICE).count()
+}
+
+#[test]
+fn a_single_entry_that_is_missing_after_an_outage_is_not_used_at_once() {
+    let mut registry = registry(6);
+    registry.store_lost();
+    registry.store_regained(NOW);
+    registry.lapse(NOW + ms(100), &Name::new("engine-0"));
+    assert_eq!(serving(&registry), 5);
+}
+
+#[test]
+fn entries_that_lapse_together_in_an_outage_are_used_until_they_are_due_back() {
+    let mut registry = registry(6);
+    registry.store_lost();
+    for number in 0..6 {
+        registry.lapse(NOW, &Name::new(&format!("engine-{number}")));
+    }
+    registry.store_regained(NOW + ms(1_000));
+    assert_eq!(serving(&registry), 6);
+    registry.put(NOW + ms(2_000), &entry("engine-3"));
+    registry.sweep(NOW + ms(4_000));
+    assert_eq!(serving(&registry), 1);
+}
+
+#[test]
+fn an_entry_that_is_removed_while_the_store_answers_is_gone_at_once() {
+    let mut registry = registry(2);
+    registry.lapse(NOW, &Name::new("engine-0"));
+    assert!(registry.find("engine-0").is_none());
+}
+
+#[test]
+fn an_older_entry_does_not_bring_a_draining_runner_back() {
+    let mut registry = registry(1);
+    let mut draining = entry("engine-0");
+    draining.is_draining = true;
+    draining.sequence = 5;
+    registry.put(NOW, &draining);
+    registry.put(NOW, &entry("engine-0"));
+    assert_eq!(serving(&registry), 0);
+}
+
+#[test]
+fn a_new_lifetime_under_a_known_id_starts_without_state() {
+    let mut registry = registry(1);
+    let before = registry.find("engine-0").expect("known");
+    let mut reborn = entry("engine-0");
+    reborn.born = 2;
+    reborn.cold_left = Duration::from_secs(3);
+    let after = registry.put(NOW, &reborn);
+    assert_ne!(before, after);
+    assert!(registry.get(after).expect("known").is_cold(NOW));
+    assert_eq!(registry.put(NOW, &entry("engine-0")), after, "the old lifetime is over");
+}
+
+#[test]
+fn runners_of_a_zone_that_is_taken_back_are_cold() {
+    let mut registry = registry(2);
+    registry.set_out(NOW, IndexSet::from([Name::new("north")]), Duration::from_secs(3));
+    assert_eq!(serving(&registry), 0);
+    registry.set_out(NOW + ms(500), IndexSet::new(), Duration::from_secs(3));
+    assert_eq!(serving(&registry), 2);
+    assert!(registry.iter().all(|(_, runner)| runner.is_cold(NOW + ms(3_000))));
+}
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -47,6 +47,17 @@
     pub(crate) work: u64,
 }
 
+/// The limits on the load of one engine that the sender has found.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ServiceLimits {
+    /// The service's name.
+    pub(crate) service: Digest,
+    /// The most prompt tokens that may wait.
+    pub(crate) backlog: u64,
+    /// The most requests that may run.
+    pub(crate) running: u32,
+}
+
 /// A heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Heartbeat {
@@ -62,6 +73,8 @@
     pub(crate) loads: Vec<RunnerLoad>,
     /// Use by workspaces.
     pub(crate) used: Vec<WorkspaceUse>,
+    /// Limits on the load of engines.
+    pub(crate) limits: Vec<ServiceLimits>,
 }
 
 /// Encodes a heartbeat and its code.
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use balance::Ceiling;
 use balance::Identity;
 use balance::Load;
 use base::Name;
@@ -18,6 +19,7 @@
 use crate::gossip::Digest;
 use crate::gossip::Heartbeat;
 use crate::gossip::RunnerLoad;
+use crate::gossip::ServiceLimits;
 use crate::gossip::WorkspaceUse;
 
 /// Time between two heartbeats in a small fleet.
@@ -75,6 +77,11 @@
     let used = core.usage.own(router.now());
     let used = used
         .map(|(workspace, work)| WorkspaceUse { workspace: Digest::of(workspace.as_str()), work });
+    let limits = core.load().map(|(service, pace, _)| {
+        let ceiling = pace.limits();
+        let (backlog, running) = (ceiling.backlog, ceiling.running);
+        ServiceLimits { service: Digest::of(service.as_str()), backlog, running }
+    });
     Heartbeat {
         sender: me.name.to_string(),
         incarnation: me.incarnation,
@@ -82,6 +89,7 @@
         is_ready: router.is_ready(),
         loads: loads.collect(),
         used: used.collect(),
+        limits: limits.collect(),
     }
 }
 
@@ -148,4 +156,12 @@
     });
     let sums = sums.collect();
     core.usage.put(&sender, now, sums);
+    let services: Vec<Name> = core.load().map(|(service, ..)| service.clone()).collect();
+    for service in services {
+        let digest = Digest::of(service.as_str());
+        if let Some(limits) = heartbeat.limits.iter().find(|limits| limits.service == digest) {
+            let ceiling = Ceiling { backlog: limits.backlog, running: limits.running };
+            core.approach(&service, ceiling);
+        }
+    }
 }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -196,8 +196,8 @@
         for (service, pace, waiting) in core.load() {
             let text = format!(
                 "waiting {waiting}, backlog limit {} tokens, running limit {}",
-                pace.backlog(),
-                pace.running()
+                pace.limits().backlog,
+                pace.limits().running
             );
             self.log(Line::new("load").subject(service.as_str()).outcome(text));
         }
