--- /dev/null
+++ b/crates/balance/tests/keyed.rs
@@ -0,0 +1,86 @@
+//! Copies of keyed topics, whatever order pages and records come in.
+
+use balance::Change;
+use balance::Keyed;
+use balance::Record;
+use indexmap::IndexMap;
+use proptest::prelude::*;
+
+fn record(offset: u64, key: &str, value: Option<&str>) -> Record {
+    let value = value.map(|value| value.as_bytes().to_vec());
+    Record { offset, key: key.to_owned(), value }
+}
+
+#[test]
+fn a_page_that_is_older_than_what_was_read_changes_nothing() {
+    let mut copy = Keyed::default();
+    copy.apply(record(7, "config", Some("new")));
+    assert!(copy.replace(vec![record(3, "config", Some("old"))], 5).is_empty());
+    assert!(copy.replace(Vec::new(), 7).is_empty(), "the page ends before the record");
+}
+
+#[test]
+fn a_key_that_a_newer_page_lacks_is_removed_once() {
+    let mut copy = Keyed::default();
+    copy.apply(record(7, "evacuate/north", Some("{}")));
+    let removed = vec![Change::Removed("evacuate/north".to_owned())];
+    assert_eq!(copy.replace(Vec::new(), 9), removed);
+    assert!(copy.replace(Vec::new(), 9).is_empty());
+}
+
+#[test]
+fn a_removal_of_an_unknown_key_is_no_change() {
+    let mut copy = Keyed::default();
+    assert_eq!(copy.apply(record(1, "router-1", None)), None);
+}
+
+proptest! {
+    #[test]
+    fn all_ways_to_read_a_topic_end_with_its_newest_values(
+        log in prop::collection::vec((0..4u8, prop::option::of(0..9u8)), 1..60),
+        reads in prop::collection::vec((any::<bool>(), 0..60usize), 1..30),
+    ) {
+        let records: Vec<Record> = log
+            .iter()
+            .enumerate()
+            .map(|(offset, (key, value))| {
+                let value = value.map(|value| value.to_string());
+                record(offset as u64, &key.to_string(), value.as_deref())
+            })
+            .collect();
+        let mut copy = Keyed::default();
+        let mut state: IndexMap<String, Vec<u8>> = IndexMap::new();
+        let mut follow = |changes: Vec<Change>| {
+            for change in changes {
+                match change {
+                    Change::Put(key, value) => drop(state.insert(key, value)),
+                    Change::Removed(key) => drop(state.shift_remove(&key)),
+                }
+            }
+        };
+        let reads = reads.into_iter().chain([(true, records.len())]);
+        for (is_page, place) in reads {
+            let place = place.min(records.len());
+            if is_page {
+                let mut newest: IndexMap<&str, &Record> = IndexMap::new();
+                for record in &records[..place] {
+                    newest.insert(&record.key, record);
+                }
+                let page = newest.into_values().filter(|record| record.value.is_some());
+                follow(copy.replace(page.cloned().collect(), place as u64));
+            } else {
+                follow(records[place..].iter().cloned().filter_map(|r| copy.apply(r)).collect());
+            }
+        }
+        let mut expected: IndexMap<String, Vec<u8>> = IndexMap::new();
+        for record in &records {
+            match &record.value {
+                Some(value) => drop(expected.insert(record.key.clone(), value.clone())),
+                None => drop(expected.shift_remove(&record.key)),
+            }
+        }
+        state.sort_unstable_keys();
+        expected.sort_unstable_keys();
+        prop_assert_eq!(state, expected);
+    }
+}
--- /dev/null
+++ b/crates/balance/tests/placing.rs
@@ -0,0 +1,112 @@
+//! Placing at the worst load: long prompts, hot parts, full and cold runners.
+
+mod common;
+
+use std::time::Duration;
+
+use balance::Kind;
+use balance::Outcome;
+use balance::Settled;
+use base::Name;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use common::SERVICE;
+use common::ask;
+use common::core;
+use common::granted;
+use common::ms;
+use common::plain;
+
+const NOW: Duration = Duration::from_secs(100);
+
+#[test]
+fn requests_with_the_same_shared_part_go_to_the_same_runner_from_all_routers() {
+    let mut homes = IndexSet::new();
+    for router in ["router-1", "router-2", "router-3"] {
+        let mut core = core(router, 18);
+        let mut request = ask(NOW, "wall", 7, 100);
+        for step in 0..4 {
+            request.arrived = NOW + ms(step);
+            homes.insert(granted(core.submit(NOW + ms(step), request.clone())).id);
+        }
+    }
+    assert_eq!(homes.len(), 1);
+}
+
+#[test]
+fn a_hot_part_spreads_to_more_runners_before_first_tokens_are_late() {
+    let mut core = core("router-1", 18);
+    let mut runners: IndexMap<Name, u64> = IndexMap::new();
+    for step in 0..12 {
+        let now = NOW + ms(step);
+        let request = ask(now, "wall", 7, 6_000);
+        if let Outcome::Settled(Settled::Granted(grant)) = core.submit(now + ms(200), request) {
+            *runners.entry(grant.id).or_default() += 6_000;
+        }
+    }
+    assert!(runners.len() >= 3, "{runners:?}");
+    assert!(runners.values().all(|backlog| *backlog <= 30_000), "{runners:?}");
+}
+
+#[test]
+fn a_very_long_prompt_fits_where_half_of_the_backlog_is_free() {
+    let mut core = core("router-1", 1);
+    let mut huge = ask(NOW, "wall", 7, 60_000);
+    huge.target = NOW + ms(800);
+    granted(core.submit(NOW, huge));
+}
+
+#[test]
+fn a_cold_runner_gets_no_more_than_its_part_in_any_second() {
+    let mut core = core("router-1", 1);
+    let key = core.registry.find("engine-0").expect("known");
+    core.registry.get_mut(key).expect("known").cold_until = NOW + Duration::from_secs(60);
+    let mut sent: Vec<Duration> = Vec::new();
+    for step in 0..400 {
+        let now = NOW + ms(10 * step);
+        if let Outcome::Settled(Settled::Granted(grant)) = core.submit(now, ask(now, "wall", 7, 50))
+        {
+            core.end(now, &grant, None, true);
+            sent.push(now);
+        }
+        for (_, settled) in core.pump(now) {
+            if let Settled::Granted(grant) = settled {
+                core.end(now, &grant, None, true);
+                sent.push(now);
+            }
+        }
+    }
+    let most = sent
+        .iter()
+        .map(|from| sent.iter().filter(|at| **at >= *from && **at < *from + ms(1_000)).count());
+    let most = most.max().unwrap_or_default();
+    assert!((10..=29).contains(&most), "{most}");
+}
+
+#[test]
+fn a_runner_on_trial_gets_one_repeatable_request_and_no_other() {
+    let mut core = core("router-1", 1);
+    let mut entry = common::entry("ledger-0");
+    entry.service = Name::new(common::PLAIN);
+    entry.slots = 6;
+    let key = core.registry.put(NOW, &entry);
+    core.registry.get_mut(key).expect("known").health.unreachable(NOW);
+    let later = NOW + ms(1_000);
+    assert!(matches!(core.submit(later, plain(later, Kind::Unsafe)), Outcome::Queued(_)));
+    assert!(
+        core.pump(later + ms(200))
+            .iter()
+            .all(|(_, settled)| { matches!(settled, Settled::Refused { .. }) })
+    );
+    granted(core.submit(later, plain(later, Kind::Safe)));
+    assert!(matches!(core.submit(later, plain(later, Kind::Safe)), Outcome::Queued(_)));
+}
+
+#[test]
+fn runners_of_a_zone_that_is_out_get_nothing() {
+    let mut core = core("router-1", 3);
+    core.registry.set_out(NOW, IndexSet::from([Name::new("north")]), ms(0));
+    assert!(matches!(core.submit(NOW, ask(NOW, "wall", 7, 50)), Outcome::Queued(_)));
+    assert_eq!(core.registry.serving(SERVICE).count(), 0);
+}
--- /dev/null
+++ b/crates/balance/tests/waiting.rs
@@ -0,0 +1,171 @@
+//! Waiting when there is more work than all engines can do.
+
+mod common;
+
+use std::time::Duration;
+
+use balance::Core;
+use balance::Grant;
+use balance::Outcome;
+use balance::Settled;
+use base::Name;
+use indexmap::IndexMap;
+
+use common::ask;
+use common::core;
+use common::ms;
+
+const NOW: Duration = Duration::from_secs(100);
+
+/// Routers that tell each other their load every 100 ms, and engines that read a fixed number of tokens a second.
+struct Fleet {
+    cores: Vec<Core>,
+    running: Vec<(usize, Grant, Duration, Name)>,
+    begun: IndexMap<Name, u64>,
+    waiting: IndexMap<(usize, balance::Ticket), Name>,
+}
+
+/// Time from a grant to its end, while an engine is this busy.
+const RUN: Duration = Duration::from_millis(120);
+
+impl Fleet {
+    fn new(routers: usize, engines: usize) -> Self {
+        let names: Vec<Name> = (0..routers).map(|n| Name::new(&format!("router-{n}"))).collect();
+        let cores = names.iter().map(|name| {
+            let mut core = core(name.as_str(), engines);
+            core.set_peers(names.iter().filter(|other| *other != name).cloned().collect());
+            core
+        });
+        Self {
+            cores: cores.collect(),
+            running: Vec::new(),
+            begun: IndexMap::new(),
+            waiting: IndexMap::new(),
+        }
+    }
+
+    fn submit(&mut self, now: Duration, router: usize, workspace: &str, shared: u64) {
+        let request = ask(now, workspace, shared, 6_000);
+        match self.cores[router].submit(now, request) {
+            Outcome::Queued(ticket) => {
+                self.waiting.insert((router, ticket), Name::new(workspace));
+            }
+            Outcome::Settled(settled) => self.settle(now, router, settled, &Name::new(workspace)),
+        }
+    }
+
+    fn settle(&mut self, now: Duration, router: usize, settled: Settled, workspace: &Name) {
+        if let Settled::Granted(grant) = settled {
+            *self.begun.entry(workspace.clone()).or_default() += 1;
+            self.running.push((router, grant, now + RUN, workspace.clone()));
+        }
+    }
+
+    fn step(&mut self, now: Duration) {
+        let (ended, running) = std::mem::take(&mut self.running)
+            .into_iter()
+            .partition(|(_, _, until, _)| *until <= now);
+        self.running = running;
+        for (router, grant, _, workspace) in ended {
+            self.cores[router].end(now, &grant, Some(&workspace), true);
+        }
+        for router in 0..self.cores.len() {
+            for (ticket, settled) in self.cores[router].pump(now) {
+                let workspace = self.waiting.swap_remove(&(router, ticket)).expect("waiting");
+                self.settle(now, router, settled, &workspace);
+            }
+        }
+        if now.as_millis() % 100 == 0 {
+            self.exchange(now);
+        }
+    }
+
+    fn exchange(&mut self, now: Duration) {
+        for from in 0..self.cores.len() {
+            let sender = Name::new(&format!("router-{from}"));
+            let loads: Vec<_> = self.cores[from]
+                .registry
+                .iter()
+                .map(|(_, runner)| (runner.id.clone(), runner.own))
+                .collect();
+            let used: IndexMap<Name, u64> =
+                self.cores[from].usage.own(now).map(|(name, work)| (name.clone(), work)).collect();
+            for (to, core) in self.cores.iter_mut().enumerate() {
+                if to == from {
+                    continue;
+                }
+                for (id, load) in &loads {
+                    let key = core.registry.find(id.as_str()).expect("known");
+                    let runner = core.registry.get_mut(key).expect("known");
+                    runner.peers.put(&sender, now, *load);
+                }
+                core.usage.put(&sender, now, used.clone());
+            }
+        }
+    }
+}
+
+#[test]
+fn a_workspace_at_one_router_gets_its_part_beside_one_that_floods_all_others() {
+    let mut fleet = Fleet::new(9, 4);
+    for step in 0..600 {
+        let now = NOW + ms(10 * step);
+        fleet.step(now);
+        for router in 1..9 {
+            fleet.submit(now, router, "flood", step * 9 + router as u64);
+        }
+        if step % 2 == 0 {
+            fleet.submit(now, 0, "small", 100_000 + step);
+        }
+    }
+    let flood = fleet.begun["flood"];
+    let small = fleet.begun.get("small").copied().unwrap_or_default();
+    assert!(small * 2 >= flood.min(300), "small {small} of 300, flood {flood}");
+}
+
+#[test]
+fn a_request_that_no_runner_takes_is_refused_within_its_target() {
+    let mut core = core("router-1", 0);
+    let Outcome::Queued(ticket) = core.submit(NOW, ask(NOW, "wall", 7, 50)) else {
+        panic!("there is no runner");
+    };
+    assert!(core.pump(NOW + ms(100)).is_empty());
+    let due = core.next_wake().expect("a request waits");
+    assert!(due <= NOW + common::TARGET);
+    let settled = core.pump(due);
+    assert!(matches!(settled[..], [(refused, Settled::Refused { .. })] if refused == ticket));
+}
+
+#[test]
+fn a_request_that_is_withdrawn_takes_no_runner() {
+    let mut core = core("router-1", 0);
+    let Outcome::Queued(ticket) = core.submit(NOW, ask(NOW, "wall", 7, 50)) else {
+        panic!("there is no runner");
+    };
+    core.cancel(ticket);
+    core.registry.put(NOW, &common::entry("engine-0"));
+    assert!(core.pump(NOW).is_empty());
+    assert_eq!(core.waiting(), 0);
+}
+
+#[test]
+fn work_that_was_not_run_is_not_charged() {
+    let mut core = core("router-1", 1);
+    let wall = Name::new("wall");
+    let grant = common::granted(core.submit(NOW, ask(NOW, "wall", 7, 50)));
+    assert!(core.usage.of(NOW, &wall) > 0);
+    core.end(NOW, &grant, Some(&wall), false);
+    assert_eq!(core.usage.of(NOW, &wall), 0);
+}
+
+#[test]
+fn an_older_configuration_never_replaces_a_newer_one() {
+    let mut core = core("router-1", 1);
+    let mut older = common::table();
+    older.version = 0;
+    assert!(!core.adopt(older));
+    let mut newer = common::table();
+    newer.version = 9;
+    assert!(core.adopt(newer));
+    assert!(!core.adopt(common::table()));
+}
