--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -1,10 +1,12 @@
 //! Which runner a request is sent to.
 //!
 //! Load pattern: long prompts delay the tokens of everyone at their runner, and a runner that keeps the shared parts of
-//! a prompt saves reading them. The prompt tokens that a runner still has to read are the load that is balanced; the
-//! runner that ranks first for a shared part is preferred as long as its backlog does not outweigh what it keeps.
+//! a prompt saves reading them. The prompt tokens that a runner still has to read are the load that is balanced. The
+//! runner that ranks first for a shared part is preferred as long as its backlog does not outweigh what it keeps; any
+//! other one fetches the shared parts from it.
 
 use std::cmp::Reverse;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::Allowance;
@@ -27,8 +29,10 @@
 const SPREAD: f64 = 0.1;
 /// The cost of an expected failure, in prompt tokens.
 const FAILURE_TOKENS: f64 = 20_000.0;
-/// The cost of a shared token that is read again, in prompt tokens that wait.
-const READ_AGAIN: f64 = 4.0;
+/// The cost of a shared token that is fetched from another runner, in prompt tokens that wait.
+const FETCHED: f64 = 0.5;
+/// Shared tokens from which on fetching them is worth its set-up.
+const FETCH_LEAST: u64 = 32;
 /// The part of the shared tokens that the runners ranking first for them are believed to keep.
 const KEPT_PARTS: [f64; 3] = [1.0, 0.5, 0.2];
 /// The part of its target for which a request waits for the runner that suits it best.
@@ -54,6 +58,14 @@
     pub(crate) salt: u64,
 }
 
+/// The chosen runner.
+pub(crate) struct Choice {
+    /// The runner.
+    pub(crate) runner: Key,
+    /// The runner from which it fetches the shared parts that it does not keep.
+    pub(crate) source: Option<SocketAddr>,
+}
+
 /// A runner that may be used, with the cost of using it.
 struct Candidate {
     key: Key,
@@ -63,7 +75,7 @@
 
 impl View<'_> {
     /// Chooses the runner with the lowest cost; none if it has no room and the request may still wait for it.
-    pub(crate) fn choose(&self, ask: &Ask) -> Option<Key> {
+    pub(crate) fn choose(&self, ask: &Ask) -> Option<Choice> {
         let ranks = self.ranks(ask);
         let serving = self.registry.serving(ask.service.as_str());
         let usable = serving.filter(|(key, runner)| self.is_usable(*key, runner, ask));
@@ -75,7 +87,21 @@
         let may_wait = self.now < ask.arrived + patience(ask);
         let candidates = candidates.filter(|candidate| candidate.has_room || may_wait);
         let best = candidates.min_by_key(|candidate| candidate.cost)?;
-        best.has_room.then_some(best.key)
+        let source = self.source(ask, &ranks, best.key);
+        best.has_room.then_some(Choice { runner: best.key, source })
+    }
+
+    /// Returns the first-ranking runner that works and is believed to keep shared parts that the chosen one does not.
+    fn source(&self, ask: &Ask, ranks: &[Key], chosen: Key) -> Option<SocketAddr> {
+        let prompt = ask.prompt.as_ref()?;
+        let missing = missing_shared(self.registry.get(chosen)?, prompt, self.now);
+        if missing < FETCH_LEAST || ranks.first() == Some(&chosen) {
+            return None;
+        }
+        let others = ranks.iter().filter(|rank| **rank != chosen);
+        let runners = others.filter_map(|rank| self.registry.get(*rank));
+        let mut working = runners.filter(|runner| runner.health.is_usable(self.now));
+        working.next().map(|runner| runner.address)
     }
 
     /// Returns the runners that rank first for the shared part of the prompt.
@@ -136,13 +162,11 @@
             return ((busy * 1_000.0 + failure_ratio * 4_000.0) * spread) as u64;
         };
         let waiting = load.backlog + u64::from(load.running) * RUNNING_TOKENS;
-        let shared = prompt.shared();
-        let unshared = prompt.input.saturating_sub(shared);
-        let missing = runner.kept.missing(prompt, self.now).saturating_sub(unshared);
         let kept = rank.map_or(0.0, |rank| KEPT_PARTS[rank]);
-        let read_again = (missing as f64).min(shared as f64 * (1.0 - kept));
+        let missing = missing_shared(runner, prompt, self.now) as f64;
+        let fetched = missing.min(prompt.shared() as f64 * (1.0 - kept));
         let failures = failure_ratio * FAILURE_TOKENS;
-        (waiting as f64 * spread + READ_AGAIN * read_again + failures) as u64
+        (waiting as f64 * spread + FETCHED * fetched + failures) as u64
     }
 
     fn spread(&self, runner: &Runner) -> f64 {
@@ -161,6 +185,12 @@
     ask.prompt.as_ref().map_or(0, |prompt| runner.kept.missing(prompt, now))
 }
 
+/// Returns the tokens of shared parts that a runner does not keep.
+fn missing_shared(runner: &Runner, prompt: &Prompt, now: Duration) -> u64 {
+    let unshared = prompt.input.saturating_sub(prompt.shared());
+    runner.kept.missing(prompt, now).saturating_sub(unshared)
+}
+
 /// Returns whether a request may be used to find out if a runner works again.
 const fn may_try(ask: &Ask) -> bool {
     !matches!(ask.kind, Kind::Unsafe)
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -18,6 +18,7 @@
 use crate::Ticket;
 use crate::Usage;
 use crate::choice;
+use crate::choice::Choice;
 use crate::choice::View;
 use crate::queue::Queue;
 use crate::queue::Waiting;
@@ -61,6 +62,8 @@
     pub id: Name,
     /// Where it accepts connections.
     pub address: SocketAddr,
+    /// The runner from which it fetches the shared parts that it does not keep.
+    pub source: Option<SocketAddr>,
     /// Whether the runner bears only few requests.
     pub is_cold: bool,
     load: Load,
@@ -285,8 +288,8 @@
             now,
             salt: self.tickets,
         };
-        let key = view.choose(ask)?;
-        Some(self.place(now, ask, key))
+        let choice = view.choose(ask)?;
+        Some(self.place(now, ask, &choice))
     }
 
     /// Returns the part of an engine's load that a workspace may fill.
@@ -302,7 +305,8 @@
         1.0 - RESERVED_PART * (used / self.most_used.1.max(1) as f64).min(1.0)
     }
 
-    fn place(&mut self, now: Duration, ask: &Ask, key: Key) -> Grant {
+    fn place(&mut self, now: Duration, ask: &Ask, choice: &Choice) -> Grant {
+        let key = choice.runner;
         let runner = self.registry.get_mut(key).expect("a chosen runner is known");
         let load =
             Load { running: 1, backlog: choice::missing(runner, ask, now), memory: ask.memory() };
@@ -319,7 +323,7 @@
         if let Some(workspace) = &ask.workspace {
             self.usage.charge(now, workspace, work);
         }
-        Grant { runner: key, id, address, is_cold, load, work }
+        Grant { runner: key, id, address, source: choice.source, is_cold, load, work }
     }
 
     fn service(&self, name: &Name) -> Option<&Service> {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -1,5 +1,6 @@
 //! A request that is forwarded, and what callers and runners speak.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -52,6 +53,8 @@
 pub struct Leg<'a> {
     /// The id of the runner.
     pub runner: &'a Name,
+    /// The runner from which it fetches the shared parts of the prompt.
+    pub source: Option<SocketAddr>,
     /// The time that is left.
     pub left: Duration,
     /// The id of the last event that the caller has, if the stream goes on.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -177,7 +177,7 @@
     };
     let now = router.now();
     let left = call.deadline.saturating_sub(now);
-    let leg = Leg { runner: &seat.grant.id, left, last_event };
+    let leg = Leg { runner: &seat.grant.id, source: seat.grant.source, left, last_event };
     let request = (router.dialect.request)(call, &leg);
     trail.sends += 1;
     trail.runs += 1;
