--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -91,17 +91,22 @@
         best.has_room.then_some(Choice { runner: best.key, source })
     }
 
-    /// Returns the first-ranking runner that works and is believed to keep shared parts that the chosen one does not.
+    /// Returns the runner that most likely keeps the shared parts, other than the chosen one.
+    ///
+    /// The chosen runner fetches only what it lacks, so a source is named even if it is believed to keep all.
     fn source(&self, ask: &Ask, ranks: &[Key], chosen: Key) -> Option<SocketAddr> {
-        let prompt = ask.prompt.as_ref()?;
-        let missing = missing_shared(self.registry.get(chosen)?, prompt, self.now);
-        if missing < FETCH_LEAST || ranks.first() == Some(&chosen) {
-            return None;
-        }
-        let others = ranks.iter().filter(|rank| **rank != chosen);
-        let runners = others.filter_map(|rank| self.registry.get(*rank));
-        let mut working = runners.filter(|runner| runner.health.is_usable(self.now));
-        working.next().map(|runner| runner.address)
+        let prompt = ask.prompt.as_ref().filter(|prompt| prompt.shared() >= FETCH_LEAST)?;
+        let home = ranks.first().copied();
+        let is_home = home == Some(chosen);
+        let serving = self.registry.serving(ask.service.as_str());
+        let others = serving.filter(|(key, _)| *key != chosen);
+        let working = others.filter(|(_, runner)| runner.health.is_usable(self.now));
+        let keepers = working.filter_map(|(key, runner)| {
+            let used = runner.kept.used(prompt.affinity(), self.now);
+            let is_likely = used.is_some() || (Some(key) == home && !is_home);
+            is_likely.then_some((Some(key) == home, used, runner.address))
+        });
+        keepers.max().map(|(.., address)| address)
     }
 
     /// Returns the runners that rank first for the shared part of the prompt.
--- a/crates/balance/src/kept.rs
+++ b/crates/balance/src/kept.rs
@@ -7,7 +7,7 @@
 use crate::Prompt;
 
 /// How long a part that was not used is believed to be kept.
-const KEEP: Duration = Duration::from_secs(20);
+const KEEP: Duration = Duration::from_secs(8);
 /// Parts remembered for one runner.
 const PARTS: usize = 4_096;
 
@@ -30,6 +30,12 @@
         prompt.input.saturating_sub(kept)
     }
 
+    /// Returns when a part that is believed to be kept was used last.
+    #[must_use]
+    pub fn used(&self, part: u64, now: Duration) -> Option<Duration> {
+        self.parts.get(&part).copied().filter(|used| now < *used + KEEP)
+    }
+
     /// Remembers that the runner reads a prompt.
     pub fn remember(&mut self, prompt: &Prompt, now: Duration) {
         if self.parts.len() + prompt.parts.len() > PARTS {
