--- a/crates/aspenline/src/command/platform.rs
+++ b/crates/aspenline/src/command/platform.rs
@@ -1,9 +1,10 @@
 //! `platform`: runs a router on the users' platform.
 
 use std::env;
-use std::fs;
+use std::path::Path;
 
 use clap::Command;
+use error_stack::Report;
 
 use crate::failure::Failure;
 use crate::lines;
@@ -22,10 +23,16 @@
 pub(crate) fn run() -> Result<(), Failure> {
     let path = platform::settings_path(|name| env::var(name).ok())
         .ok_or_else(|| Failure::Invalid("ASPENLINE_SETTINGS is not set".to_owned()))?;
-    let text = fs::read_to_string(&path)
-        .map_err(|error| Failure::Invalid(format!("{path} can't be read: {error}")))?;
     let writer = lines::start()?;
-    let result = platform::run(&text).map_err(|report| Failure::Failed(format!("{report:#}")));
+    let result = platform::run(Path::new(&path)).map_err(|report| failure(&report));
     writer.finish();
     result
 }
+
+fn failure(report: &Report<platform::Error>) -> Failure {
+    let text = format!("{report:#}");
+    match report.current_context() {
+        platform::Error::Settings => Failure::Invalid(text),
+        _ => Failure::Failed(text),
+    }
+}
--- a/crates/balance/src/budget.rs
+++ b/crates/balance/src/budget.rs
@@ -26,6 +26,12 @@
         Self { ratio, extra, requests: Window::new(window), retries: Window::new(window) }
     }
 
+    /// Replaces the retries a request, and the retries over all routers beyond that.
+    pub const fn set(&mut self, ratio: f64, extra: f64) {
+        self.ratio = ratio;
+        self.extra = extra;
+    }
+
     /// Counts a request of a caller.
     pub fn request(&mut self, now: Duration) {
         self.requests.add(now, 1);
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -14,6 +14,7 @@
 use crate::Pace;
 use crate::Registry;
 use crate::Service;
+use crate::Suspects;
 use crate::Table;
 use crate::Ticket;
 use crate::Usage;
@@ -108,6 +109,8 @@
     pub registry: Registry,
     /// The use of engines by workspaces.
     pub usage: Usage,
+    /// Requests that crash runners.
+    pub suspects: Suspects,
     limits: Limits,
     desks: IndexMap<Name, Desk>,
     tickets: u64,
@@ -122,6 +125,7 @@
             table: None,
             registry: Registry::default(),
             usage: Usage::default(),
+            suspects: Suspects::default(),
             limits,
             desks: IndexMap::new(),
             tickets: 0,
@@ -129,6 +133,15 @@
         }
     }
 
+    /// Replaces the limits, but for the names of the other routers.
+    pub fn set_limits(&mut self, limits: Limits) {
+        let peers = std::mem::take(&mut self.limits.peers);
+        self.limits = Limits { peers, ..limits };
+        for desk in self.desks.values_mut() {
+            desk.budget.set(self.limits.retry_ratio, self.limits.retry_constant);
+        }
+    }
+
     /// Replaces the names of the other routers.
     pub fn set_peers(&mut self, peers: Vec<Name>) {
         self.limits.peers = peers;
--- a/crates/balance/src/member.rs
+++ b/crates/balance/src/member.rs
@@ -35,6 +35,19 @@
     pub sequence: u64,
     /// Whether it takes callers.
     pub is_ready: bool,
+    /// Whether it knows which keys hold.
+    pub is_current: bool,
+}
+
+/// What a heartbeat says of its sender.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pulse {
+    /// A number that rises with each heartbeat.
+    pub sequence: u64,
+    /// Whether the sender takes callers.
+    pub is_ready: bool,
+    /// Whether the sender knows which keys hold.
+    pub is_current: bool,
 }
 
 /// All other routers that have published an identity.
@@ -59,7 +72,8 @@
             return;
         }
         let name = identity.name.clone();
-        let member = Member { identity, heard: None, sequence: 0, is_ready: false };
+        let member =
+            Member { identity, heard: None, sequence: 0, is_ready: false, is_current: false };
         self.members.insert(name, member);
     }
 
@@ -75,14 +89,15 @@
     }
 
     /// Takes in a heartbeat; returns false for one that is not newer than the last.
-    pub fn heartbeat(&mut self, now: Duration, name: &str, sequence: u64, is_ready: bool) -> bool {
+    pub fn heartbeat(&mut self, now: Duration, name: &str, pulse: Pulse) -> bool {
         let Some(member) = self.members.get_mut(name) else { return false };
-        if member.heard.is_some() && sequence <= member.sequence {
+        if member.heard.is_some() && pulse.sequence <= member.sequence {
             return false;
         }
         member.heard = Some(now);
-        member.sequence = sequence;
-        member.is_ready = is_ready;
+        member.sequence = pulse.sequence;
+        member.is_ready = pulse.is_ready;
+        member.is_current = pulse.is_current;
         true
     }
 
--- a/crates/balance/tests/pace.rs
+++ b/crates/balance/tests/pace.rs
@@ -6,8 +6,8 @@
 
 use balance::Pace;
 
-use common::TARGET;
-use common::ms;
+use crate::common::TARGET;
+use crate::common::ms;
 
 #[test]
 fn limits_of_routers_that_observe_different_things_come_together() {
--- a/crates/balance/tests/placing.rs
+++ b/crates/balance/tests/placing.rs
@@ -11,12 +11,12 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
-use common::SERVICE;
-use common::ask;
-use common::core;
-use common::granted;
-use common::ms;
-use common::plain;
+use crate::common::SERVICE;
+use crate::common::ask;
+use crate::common::core;
+use crate::common::granted;
+use crate::common::ms;
+use crate::common::plain;
 
 const NOW: Duration = Duration::from_secs(100);
 
--- a/crates/balance/tests/registry.rs
+++ b/crates/balance/tests/registry.rs
@@ -8,9 +8,9 @@
 use base::Name;
 use indexmap::IndexSet;
 
-use common::SERVICE;
-use common::entry;
-use common::ms;
+use crate::common::SERVICE;
+use crate::common::entry;
+use crate::common::ms;
 
 const NOW: Duration = Duration::from_secs(100);
 
--- a/crates/balance/tests/waiting.rs
+++ b/crates/balance/tests/waiting.rs
@@ -11,9 +11,9 @@
 use base::Name;
 use indexmap::IndexMap;
 
-use common::ask;
-use common::core;
-use common::ms;
+use crate::common::ask;
+use crate::common::core;
+use crate::common::ms;
 
 const NOW: Duration = Duration::from_secs(100);
 
@@ -75,7 +75,7 @@
                 self.settle(now, router, settled, &workspace);
             }
         }
-        if now.as_millis() % 100 == 0 {
+        if now.as_millis().is_multiple_of(100) {
             self.exchange(now);
         }
     }
--- a/crates/relay/src/acquire.rs
+++ b/crates/relay/src/acquire.rs
@@ -62,6 +62,19 @@
         self.router.core.borrow_mut().tokens(now, &self.call.service, each);
     }
 
+    /// Takes in that the runner has broken the connection while it worked.
+    pub(crate) fn crashed(&self) {
+        let now = self.router.now();
+        self.router.core.borrow_mut().suspects.crashed(now, self.call.digest);
+    }
+
+    /// Takes in that the request was answered whole.
+    pub(crate) fn answered(&self) {
+        let now = self.router.now();
+        self.router.core.borrow_mut().suspects.answered(now, self.call.digest);
+        self.judge(|health, _| health.succeeded());
+    }
+
     /// Takes in a result of the runner.
     pub(crate) fn judge(&self, judge: impl FnOnce(&mut balance::Health, Duration)) {
         let now = self.router.now();
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -13,7 +13,7 @@
     /// The whole answer of a runner.
     Whole(Response<Bytes>),
     /// A runner's stream of events, as they come.
-    Stream(Response<Stream>),
+    Stream(Box<Response<Stream>>),
     /// No answer of a runner.
     Problem(Problem),
 }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -46,6 +46,8 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// The digest of workspace and content, by which a request that crashes runners is known.
+    pub digest: u64,
 }
 
 /// One send of a call to one runner.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -35,6 +35,8 @@
 const REJECTIONS: u32 = 3;
 /// When a caller may come back after runners have turned its request away.
 const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// When a caller may come back whose request has crashed several runners.
+const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(30);
 /// The part of the time left that the first of several attempts at a safe request may take.
 const ATTEMPT_PART: f64 = 0.5;
 
@@ -73,6 +75,10 @@
 
 /// Forwards a call and returns its final answer, at its deadline at the latest.
 pub async fn forward(router: &Rc<Router>, call: Rc<Call>) -> Answer {
+    if router.core.borrow().suspects.is_refused(router.now(), call.digest) {
+        router.log(line(&call, "refused").outcome("its runners have crashed"));
+        return Answer::Problem(Problem::Refused { retry_after: SUSPECT_RETRY_AFTER });
+    }
     let has_run = Cell::new(false);
     let sends = Cell::new(0);
     let left = call.deadline.saturating_sub(router.now());
@@ -135,7 +141,7 @@
     match judgement {
         Judgement::Final if call.route.kind.is_stream() && opened.head.status.is_success() => {
             let (head, stream) = Stream::begin(router, call, opened, trail.runs);
-            Ok(Answer::Stream(Response::from_parts(head, stream)))
+            Ok(Answer::Stream(Box::new(Response::from_parts(head, stream))))
         }
         Judgement::Final => {
             let answer = whole(router, opened).await?;
@@ -196,6 +202,7 @@
                 seat.not_run();
                 return Err(Fault::NotRun);
             }
+            seat.crashed();
             seat.judge(Health::unreachable);
             Err(Fault::MayHaveRun)
         }
@@ -215,7 +222,7 @@
     let Opened { seat, mut connection, head, body, .. } = opened;
     match connection.collect(body, ANSWER_BYTES).await {
         Ok(body) => {
-            seat.judge(|health, _| health.succeeded());
+            seat.answered();
             let stated = (router.dialect.keep_alive)(&head);
             router.pool.borrow_mut().put(seat.grant.runner, connection, stated);
             Ok(Response::from_parts(head, body))
@@ -323,10 +330,14 @@
         Answer::Problem(Problem::Refused { .. }) => ("refused", "no runner in time".to_owned()),
         Answer::Problem(problem) => ("failed", problem.to_string()),
     };
+    let took = router.now().saturating_sub(call.arrived);
+    if !matches!(answer, Answer::Problem(_)) {
+        router.meter.answered(call.route.kind, took);
+    }
     let mut line = line(call, event).outcome(outcome);
     line.route = Some(call.route.name.to_string());
     line.workspace = call.workspace.as_ref().map(ToString::to_string);
-    line.took_ms = Some(event::millis(router.now().saturating_sub(call.arrived)));
+    line.took_ms = Some(event::millis(took));
     line.sends = Some(sends);
     router.log(line);
 }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -58,6 +58,33 @@
     pub(crate) running: u32,
 }
 
+/// How often the runners of a request have crashed at the sender.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Crashes {
+    /// The digest of the request's workspace and content.
+    pub(crate) digest: u64,
+    /// The number of crashes.
+    pub(crate) count: u32,
+}
+
+/// The newest heartbeat that the sender had from a router.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Heard {
+    /// The router's name.
+    pub(crate) router: Digest,
+    /// The number of its heartbeat.
+    pub(crate) sequence: u64,
+}
+
+/// The configuration that the sender has in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Configuration {
+    /// Its version.
+    pub(crate) version: u64,
+    /// How long ago the store had no newer one, in milliseconds.
+    pub(crate) age_ms: u64,
+}
+
 /// A heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Heartbeat {
@@ -75,6 +102,14 @@
     pub(crate) used: Vec<WorkspaceUse>,
     /// Limits on the load of engines.
     pub(crate) limits: Vec<ServiceLimits>,
+    /// Requests that crash runners.
+    pub(crate) crashes: Vec<Crashes>,
+    /// Heartbeats of others.
+    pub(crate) heard: Vec<Heard>,
+    /// The configuration in force, once the sender knows one.
+    pub(crate) configuration: Option<Configuration>,
+    /// Whether the sender knows which keys hold.
+    pub(crate) is_current: bool,
 }
 
 /// Encodes a heartbeat and its code.
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use balance::Ceiling;
+use balance::Core;
 use balance::Identity;
 use balance::Load;
+use balance::Pulse;
 use base::Name;
 use indexmap::IndexMap;
 use tokio::net::UdpSocket;
@@ -15,8 +17,12 @@
 
 use crate::Line;
 use crate::Router;
+use crate::event;
 use crate::gossip;
+use crate::gossip::Configuration;
+use crate::gossip::Crashes;
 use crate::gossip::Digest;
+use crate::gossip::Heard;
 use crate::gossip::Heartbeat;
 use crate::gossip::RunnerLoad;
 use crate::gossip::ServiceLimits;
@@ -28,6 +34,8 @@
 const SMALL_FLEET: usize = 12;
 /// The longest time between two heartbeats, well inside the time after which a router counts as gone.
 const LONGEST_PERIOD: Duration = Duration::from_millis(450);
+/// Bits of an incarnation that are left out of the first sequence number.
+const SEQUENCE_SHIFT: u32 = 20;
 /// Largest datagram.
 const DATAGRAM_BYTES: usize = 60 << 10;
 
@@ -44,9 +52,10 @@
 }
 
 async fn send_all(router: &Router, me: &Identity, socket: &UdpSocket) {
-    let mut sequence = 0;
+    let mut sequence = first_sequence(me.incarnation);
     loop {
         sequence += 1;
+        router.echo.borrow_mut().sent(router.now(), sequence);
         let peers: Vec<SocketAddr> =
             router.members.borrow().iter().map(|member| member.identity.peers).collect();
         if let Some(datagram) = gossip::seal(&heartbeat(router, me, sequence), &me.key) {
@@ -60,6 +69,11 @@
     }
 }
 
+/// Returns the first sequence number of a process, so that those of an earlier one on the same machine don't recur.
+const fn first_sequence(incarnation: u64) -> u64 {
+    incarnation >> SEQUENCE_SHIFT
+}
+
 fn period(peers: usize) -> Duration {
     let factor = peers.max(SMALL_FLEET) as f64 / SMALL_FLEET as f64;
     PERIOD.mul_f64(factor).min(LONGEST_PERIOD)
@@ -82,6 +96,15 @@
         let (backlog, running) = (ceiling.backlog, ceiling.running);
         ServiceLimits { service: Digest::of(service.as_str()), backlog, running }
     });
+    let crashes = core.suspects.own(router.now()).into_iter();
+    let crashes = crashes.map(|(digest, count)| Crashes { digest, count });
+    let members = router.members.borrow();
+    let heard = members.iter().filter(|member| member.heard.is_some());
+    let heard = heard.map(|member| Heard {
+        router: Digest::of(member.identity.name.as_str()),
+        sequence: member.sequence,
+    });
+    let heard = heard.collect();
     Heartbeat {
         sender: me.name.to_string(),
         incarnation: me.incarnation,
@@ -90,9 +113,19 @@
         loads: loads.collect(),
         used: used.collect(),
         limits: limits.collect(),
+        crashes: crashes.collect(),
+        heard,
+        configuration: configuration(router, &core),
+        is_current: !router.is_revocation_unknown(),
     }
 }
 
+fn configuration(router: &Router, core: &Core) -> Option<Configuration> {
+    let version = core.table.as_ref()?.version;
+    let age_ms = event::millis(router.config_age()?);
+    Some(Configuration { version, age_ms })
+}
+
 async fn receive_all(router: &Router, socket: &UdpSocket) {
     let mut buffer = vec![0; DATAGRAM_BYTES];
     loop {
@@ -118,17 +151,39 @@
         let members = router.members.borrow();
         members.get(&heartbeat.sender).is_some_and(|member| !member.is_alive(now))
     };
-    let Heartbeat { sender, sequence, is_ready, .. } = &heartbeat;
-    if !router.members.borrow_mut().heartbeat(now, sender, *sequence, *is_ready) {
+    let sender = heartbeat.sender.as_str();
+    let pulse = Pulse {
+        sequence: heartbeat.sequence,
+        is_ready: heartbeat.is_ready,
+        is_current: heartbeat.is_current,
+    };
+    if !router.members.borrow_mut().heartbeat(now, sender, pulse) {
         return;
     }
     if is_back {
         router.log(Line::new("router_alive").subject(sender));
     }
     adopt(router, now, &heartbeat);
+    hear_config(router, &heartbeat);
     router.pump();
 }
 
+/// Takes in that the configuration in force is as new as another router knows it to be.
+fn hear_config(router: &Router, heartbeat: &Heartbeat) {
+    let Some(theirs) = heartbeat.configuration else { return };
+    let own = router.core.borrow().table.as_ref().map(|table| table.version);
+    let me = Digest::of(router.settings.name.as_str());
+    let heard = heartbeat.heard.iter().find(|heard| heard.router == me);
+    if own != Some(theirs.version) {
+        return;
+    }
+    let age = Duration::from_millis(theirs.age_ms);
+    let holds = heard.and_then(|heard| router.echo.borrow().holds_as_of(heard.sequence, age));
+    if let Some(at) = holds {
+        router.hear_config(at);
+    }
+}
+
 /// Takes in the load that another router has placed.
 fn adopt(router: &Router, now: Duration, heartbeat: &Heartbeat) {
     let sender = Name::new(&heartbeat.sender);
@@ -156,6 +211,9 @@
     });
     let sums = sums.collect();
     core.usage.put(&sender, now, sums);
+    for crashes in &heartbeat.crashes {
+        core.suspects.put(&sender, now, crashes.digest, crashes.count);
+    }
     let services: Vec<Name> = core.load().map(|(service, ..)| service.clone()).collect();
     for service in services {
         let digest = Digest::of(service.as_str());
--- /dev/null
+++ b/crates/relay/src/meter.rs
@@ -0,0 +1,108 @@
+//! Counters, gauges and latency histograms as text.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+
+/// The upper end of the first bucket of a histogram, in seconds.
+const FIRST_BUCKET: f64 = 0.005;
+/// The factor between two buckets.
+const BUCKET_FACTOR: f64 = 2.0;
+/// The number of buckets.
+const BUCKETS: u16 = 12;
+
+/// What is counted by its event.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Event {
+    event: &'static str,
+}
+
+/// What is measured by the kind of route.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Kind {
+    kind: String,
+}
+
+/// The metrics of a router.
+#[derive(Debug)]
+pub struct Meter {
+    registry: Registry,
+    events: Family<Event, Counter>,
+    answers: Family<Kind, Histogram>,
+    waiting: Gauge,
+    configuration_age: Gauge,
+    runners: Gauge,
+    routers: Gauge,
+}
+
+/// What is true at a moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Reading {
+    /// Requests that wait for a runner.
+    pub waiting: usize,
+    /// How old the configuration in force may be.
+    pub configuration_age: Option<Duration>,
+    /// Runners that are known.
+    pub runners: usize,
+    /// Other routers that are alive.
+    pub routers: usize,
+}
+
+impl Default for Meter {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("aspenline");
+        let events = Family::<Event, Counter>::default();
+        let answers = Family::<Kind, Histogram>::new_with_constructor(|| {
+            Histogram::new(exponential_buckets(FIRST_BUCKET, BUCKET_FACTOR, BUCKETS))
+        });
+        let (waiting, configuration_age) = (Gauge::default(), Gauge::default());
+        let (runners, routers) = (Gauge::default(), Gauge::default());
+        registry.register("events", "Events by name, as in the log", events.clone());
+        registry.register("answer_seconds", "Time to the head of an answer", answers.clone());
+        registry.register("waiting_requests", "Requests that wait for a runner", waiting.clone());
+        let age = "Age of the configuration in milliseconds, -1 if unknown";
+        registry.register("configuration_age_ms", age, configuration_age.clone());
+        registry.register("known_runners", "Runners that are known", runners.clone());
+        registry.register("live_routers", "Other routers that are alive", routers.clone());
+        Self { registry, events, answers, waiting, configuration_age, runners, routers }
+    }
+}
+
+impl Meter {
+    /// Counts an event.
+    pub fn count(&self, event: &'static str) {
+        self.events.get_or_create(&Event { event }).inc();
+    }
+
+    /// Measures the time to the head of an answer.
+    pub fn answered(&self, kind: balance::Kind, took: Duration) {
+        let kind = Kind { kind: kind.to_string() };
+        self.answers.get_or_create(&kind).observe(took.as_secs_f64());
+    }
+
+    /// Returns all metrics as text.
+    #[must_use]
+    pub fn text(&self, reading: Reading) -> String {
+        let age = reading.configuration_age.map_or(-1, |age| whole(age.as_millis()));
+        self.configuration_age.set(age);
+        self.waiting.set(whole(reading.waiting));
+        self.runners.set(whole(reading.runners));
+        self.routers.set(whole(reading.routers));
+        let mut output = String::new();
+        if let Err(error) = text::encode(&mut output, &self.registry) {
+            log::error!("metrics could not be written: {error}");
+        }
+        output
+    }
+}
+
+fn whole<T: TryInto<i64>>(value: T) -> i64 {
+    value.try_into().unwrap_or(i64::MAX)
+}
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -20,11 +20,16 @@
 use crate::Dialect;
 use crate::Journal;
 use crate::Line;
+use crate::Meter;
+use crate::Reading;
 use crate::Settings;
+use crate::echo::Echo;
 use crate::pool::Pool;
 
 /// Longest time between two looks at waiting requests, since load of other routers may have ended.
 const LOOK: Duration = Duration::from_millis(25);
+/// The part of the time allowed for a key that was taken away after which it is served no longer.
+const REVOCATION_PART: f64 = 0.8;
 /// Time between two clean-ups.
 const SWEEP: Duration = Duration::from_millis(500);
 
@@ -41,12 +46,17 @@
     pub members: RefCell<Members>,
     /// The log.
     pub journal: Journal,
+    /// The metrics.
+    pub meter: Meter,
     /// The clock of the process.
     pub clock: Clock,
     pub(crate) pool: RefCell<Pool>,
+    pub(crate) echo: RefCell<Echo>,
     waiters: RefCell<IndexMap<Ticket, oneshot::Sender<Settled>>>,
     changed: Notify,
     is_leaving: Cell<bool>,
+    grace: Cell<Duration>,
+    revocation: Cell<Option<Duration>>,
     config_heard: Cell<Option<Duration>>,
 }
 
@@ -54,24 +64,19 @@
     /// Creates the state of a router that knows nothing yet.
     #[must_use]
     pub fn new(settings: Settings, dialect: Dialect, clock: Clock) -> Self {
-        let bounds = &settings.bounds;
-        let limits = Limits {
-            router: settings.name.clone(),
-            peers: Vec::new(),
-            cold_factor: bounds.cold_factor,
-            cold_constant: bounds.cold_constant,
-            retry_window: Duration::from_secs_f64(bounds.retry_window_s),
-            retry_ratio: bounds.retry_ratio,
-            retry_constant: bounds.retry_constant,
-        };
+        let limits = limits(&settings);
         Self {
+            grace: Cell::new(settings.grace()),
+            revocation: Cell::new(settings.revocation()),
             settings,
             dialect,
             core: RefCell::new(Core::new(limits)),
             members: RefCell::default(),
             journal: Journal::new(clock),
+            meter: Meter::default(),
             clock,
             pool: RefCell::default(),
+            echo: RefCell::default(),
             waiters: RefCell::default(),
             changed: Notify::new(),
             is_leaving: Cell::new(false),
@@ -79,6 +84,19 @@
         }
     }
 
+    /// Puts the limits of changed settings in force; addresses and names stay as they are.
+    pub fn reload(&self, settings: &Settings) {
+        self.core.borrow_mut().set_limits(limits(settings));
+        self.grace.set(settings.grace());
+        self.revocation.set(settings.revocation());
+    }
+
+    /// Returns how long a process that is told to end may go on.
+    #[must_use]
+    pub fn grace(&self) -> Duration {
+        self.grace.get()
+    }
+
     /// Returns the time of the process's clock.
     #[must_use]
     pub fn now(&self) -> Duration {
@@ -117,10 +135,8 @@
     /// Returns whether keys that the store has taken away may be unknown here for too long.
     #[must_use]
     pub fn is_revocation_unknown(&self) -> bool {
-        let Some(longest) = self.settings.bounds.revocation_ms else { return false };
-        let margin = Duration::from_millis(longest / 5);
-        let limit = Duration::from_millis(longest).saturating_sub(margin);
-        self.config_age().is_none_or(|age| age > limit)
+        let Some(longest) = self.revocation.get() else { return false };
+        self.config_age().is_none_or(|age| age > longest.mul_f64(REVOCATION_PART))
     }
 
     /// Updates the names over which fixed parts of limits are divided.
@@ -144,10 +160,14 @@
         }
         let settled = self.core.borrow_mut().pump(self.now());
         for (ticket, decision) in settled {
-            let waiter = self.waiters.borrow_mut().swap_remove(&ticket);
-            if let Some(Err(Settled::Granted(grant))) = waiter.map(|waiter| waiter.send(decision)) {
-                self.core.borrow_mut().end(self.now(), &grant, None, false);
+            let Some(waiter) = self.waiters.borrow_mut().swap_remove(&ticket) else { continue };
+            if let Settled::Granted(grant) = &decision
+                && waiter.is_closed()
+            {
+                self.core.borrow_mut().end(self.now(), grant, None, false);
+                continue;
             }
+            drop(waiter.send(decision));
         }
     }
 
@@ -203,8 +223,36 @@
         }
     }
 
+    /// Returns all metrics as text.
+    #[must_use]
+    pub fn metrics(&self) -> String {
+        let now = self.now();
+        let core = self.core.borrow();
+        self.meter.text(Reading {
+            waiting: core.waiting(),
+            configuration_age: self.config_age(),
+            runners: core.registry.ids().count(),
+            routers: self.members.borrow().iter().filter(|member| member.is_alive(now)).count(),
+        })
+    }
+
     /// Writes a line to the log.
     pub fn log(&self, line: Line) {
+        self.meter.count(line.event);
         self.journal.write(line);
     }
 }
+
+/// Returns the limits that settings state.
+fn limits(settings: &Settings) -> Limits {
+    let bounds = &settings.bounds;
+    Limits {
+        router: settings.name.clone(),
+        peers: Vec::new(),
+        cold_factor: bounds.cold_factor,
+        cold_constant: bounds.cold_constant,
+        retry_window: Duration::from_secs_f64(bounds.retry_window_s),
+        retry_ratio: bounds.retry_ratio,
+        retry_constant: bounds.retry_constant,
+    }
+}
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::io::Read;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use base::Name;
 use error_stack::Report;
@@ -51,6 +52,8 @@
     pub ready: SocketAddr,
     /// Questions for the addresses to use.
     pub directory: SocketAddr,
+    /// Questions for metrics.
+    pub metrics: SocketAddr,
 }
 
 /// Limits that hold over all routers.
@@ -88,6 +91,18 @@
         Ok(settings)
     }
 
+    /// Returns how long a process that is told to end may go on.
+    #[must_use]
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_s)
+    }
+
+    /// Returns how long after a key was taken away it may still be served, if that is limited.
+    #[must_use]
+    pub fn revocation(&self) -> Option<Duration> {
+        self.bounds.revocation_ms.map(Duration::from_millis)
+    }
+
     fn check(&self) -> Result<(), Report<Error>> {
         let bounds = &self.bounds;
         let numbers = [
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -40,6 +40,8 @@
 const FIRST_SILENCE: u32 = 3;
 /// Events of an answer from which the time of a token can be told.
 const PACED_EVENTS: u32 = 6;
+/// The reason of a stream whose connection has ended before it.
+const BROKEN: &str = "broken";
 /// Bytes of an unfinished event that are held back.
 const EVENT_BYTES: usize = 1 << 20;
 
@@ -157,7 +159,7 @@
             let took = self.heard.saturating_sub(self.first_at);
             source.seat.tokens(took / ((self.events - 1) * self.call.event_tokens.max(1)));
         }
-        source.seat.judge(|health, _| health.succeeded());
+        source.seat.answered();
         let runner = source.seat.grant.runner;
         self.router.pool.borrow_mut().put(runner, source.connection, source.keep_alive);
         self.log("stream_finished", String::new());
@@ -167,6 +169,9 @@
     /// Takes in that the runner has broken off or is silent; begins to go on elsewhere if that is allowed.
     fn broken(&mut self, reason: &str) -> Result<(), Break> {
         if let Some(source) = self.source.take() {
+            if reason == BROKEN {
+                source.seat.crashed();
+            }
             source.seat.judge(Health::unreachable);
             self.router.pool.borrow_mut().forget(source.seat.grant.runner);
         }
@@ -246,7 +251,7 @@
                     _ if self.partial.len() > EVENT_BYTES => self.broken("event too large"),
                     _ => continue,
                 },
-                Some(Err(_)) => self.broken("broken"),
+                Some(Err(_)) => self.broken(BROKEN),
                 None if self.finished() => return Poll::Ready(None),
                 None => self.broken("unfinished event"),
             };
