perf(relay): let few routers read the store, and move callers from flooded instances

Change: three routers read each topic and tell in heartbeats how far and as of when; the queue is settled at most each 3 ms; a router that gets far more than its part closes connections after answers; the directory names instances by their processor share.

--- a/crates/balance/src/keyed.rs
+++ b/crates/balance/src/keyed.rs
@@ -32,22 +32,23 @@
 }
 
 impl Keyed {
-    /// Takes in a record; returns the change it makes, if it is newer than what is known.
-    pub fn apply(&mut self, record: Record) -> Option<Change> {
+    /// Takes in a record; returns its place and the change it makes, if it is newer than what is known.
+    pub fn apply(&mut self, record: Record) -> Option<(u64, Change)> {
         let known = self.offsets.get(&record.key).copied();
         if known.is_some_and(|(offset, _)| offset >= record.offset) {
             return None;
         }
         self.offsets.insert(record.key.clone(), (record.offset, record.value.is_some()));
-        match record.value {
-            Some(value) => Some(Change::Put(record.key, value)),
-            None if known.is_some_and(|(_, present)| present) => Some(Change::Removed(record.key)),
-            None => None,
-        }
+        let change = match record.value {
+            Some(value) => Change::Put(record.key, value),
+            None if known.is_some_and(|(_, present)| present) => Change::Removed(record.key),
+            None => return None,
+        };
+        Some((record.offset, change))
     }
 
     /// Takes in all newest records as of `end`, the offset behind the newest record of the topic.
-    pub fn replace(&mut self, records: Vec<Record>, end: u64) -> Vec<Change> {
+    pub fn replace(&mut self, records: Vec<Record>, end: u64) -> Vec<(u64, Change)> {
         let is_missing = |key: &str| !records.iter().any(|record| record.key == key);
         let gone: Vec<String> = self
             .offsets
@@ -58,8 +59,8 @@
         for key in &gone {
             self.offsets.insert(key.clone(), (end.saturating_sub(1), false));
         }
-        let removed = gone.into_iter().map(Change::Removed);
-        let put: Vec<Change> =
+        let removed = gone.into_iter().map(|key| (end.saturating_sub(1), Change::Removed(key)));
+        let put: Vec<(u64, Change)> =
             records.into_iter().filter_map(|record| self.apply(record)).collect();
         removed.chain(put).collect()
     }
--- a/crates/balance/src/member.rs
+++ b/crates/balance/src/member.rs
@@ -20,6 +20,8 @@
     pub peers: SocketAddr,
     /// Where it accepts callers.
     pub callers: SocketAddr,
+    /// Its part of a processor, in thousandths.
+    pub share_milli: u32,
     /// The key by which its heartbeats are authenticated, in hexadecimal.
     pub key: String,
 }
@@ -37,6 +39,8 @@
     pub is_ready: bool,
     /// Whether it knows which keys hold.
     pub is_current: bool,
+    /// Its requests in the last second.
+    pub requests: u32,
 }
 
 /// What a heartbeat says of its sender.
@@ -48,6 +52,8 @@
     pub is_ready: bool,
     /// Whether the sender knows which keys hold.
     pub is_current: bool,
+    /// The sender's requests in the last second.
+    pub requests: u32,
 }
 
 /// All other routers that have published an identity.
@@ -72,8 +78,14 @@
             return;
         }
         let name = identity.name.clone();
-        let member =
-            Member { identity, heard: None, sequence: 0, is_ready: false, is_current: false };
+        let member = Member {
+            identity,
+            heard: None,
+            sequence: 0,
+            is_ready: false,
+            is_current: false,
+            requests: 0,
+        };
         self.members.insert(name, member);
     }
 
@@ -98,6 +110,7 @@
         member.sequence = pulse.sequence;
         member.is_ready = pulse.is_ready;
         member.is_current = pulse.is_current;
+        member.requests = pulse.requests;
         true
     }
 
--- a/crates/balance/src/registry.rs
+++ b/crates/balance/src/registry.rs
@@ -37,6 +37,9 @@
 /// How long an entry that lapsed while the store was away may take to come back.
 const RETURN: Duration = Duration::from_millis(2_500);
 
+/// The time by which a runner must stay cold for longer than known to be news.
+const COLD_NEWS: Duration = Duration::from_millis(300);
+
 /// The runners, and the zones that are taken out.
 #[derive(Debug, Clone, Default)]
 pub struct Registry {
@@ -85,6 +88,20 @@
         }
     }
 
+    /// Returns whether an entry says more than that the runner lives.
+    #[must_use]
+    pub fn is_news(&self, now: Duration, entry: &Entry) -> bool {
+        let known = self.find(entry.id.as_str()).and_then(|key| self.get(key));
+        known.is_none_or(|known| {
+            let is_colder = now + entry.cold_left > known.cold_until + COLD_NEWS;
+            known.born != entry.born
+                || known.is_draining != entry.is_draining
+                || known.address != entry.address
+                || (is_colder && entry.cold_left > Duration::ZERO)
+                || self.lapsed.contains_key(&entry.id)
+        })
+    }
+
     /// Takes in that the store has no entry of a runner any more.
     ///
     /// Entries lapse while the store is away and come back after it, so such a runner is kept for a while.
--- /dev/null
+++ b/crates/balance/src/watch.rs
@@ -0,0 +1,91 @@
+//! When a router reads a topic of the store, so that all know of a change soon and few read.
+//!
+//! Load pattern: hundreds of routers that each poll the store would use up its rate. A few routers, the same in
+//! everyone's view, read all the time; the others read when one of those tells of a change that they have not read, or
+//! when nobody tells that there is none.
+
+use std::time::Duration;
+
+use base::Name;
+
+use crate::rendezvous;
+
+/// Routers that read a topic all the time.
+const READERS: usize = 3;
+/// The age of what is known from which on a router reads by itself.
+const STALE: Duration = Duration::from_millis(1_200);
+/// The longest time between two reads.
+const LONGEST: Duration = Duration::from_secs(8);
+
+/// What a router knows of a topic.
+#[derive(Debug, Clone, Default)]
+pub struct Watch {
+    position: u64,
+    changed: u64,
+    wanted: u64,
+    as_of: Option<Duration>,
+    tried: Duration,
+}
+
+impl Watch {
+    /// Takes in a read that was asked for at a time: the position behind the records that were read, and behind the last
+    /// one that changed something; `is_current` tells whether nothing newer was in the topic.
+    pub fn read(&mut self, asked: Duration, position: u64, changed: Option<u64>, is_current: bool) {
+        self.position = position;
+        self.changed = self.changed.max(changed.unwrap_or_default());
+        if is_current {
+            self.hear(asked);
+        }
+    }
+
+    /// Takes in what another router knows: the position behind the last change, and as of when that holds.
+    pub fn told(&mut self, changed: u64, as_of: Option<Duration>) {
+        if changed > self.position {
+            self.wanted = self.wanted.max(changed);
+        } else if let Some(as_of) = as_of {
+            self.hear(as_of);
+        }
+    }
+
+    /// Takes in that a read is tried.
+    pub const fn tried(&mut self, now: Duration) {
+        self.tried = now;
+    }
+
+    /// Returns the position behind the last change.
+    #[must_use]
+    pub const fn changed(&self) -> u64 {
+        self.changed
+    }
+
+    /// Returns whether there is a change that was not read yet.
+    #[must_use]
+    pub const fn is_behind(&self) -> bool {
+        self.wanted > self.position
+    }
+
+    /// Returns how old the knowledge that there is no other change is.
+    #[must_use]
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        self.as_of.map(|as_of| now.saturating_sub(as_of))
+    }
+
+    /// Returns when the topic is read next; a reader reads again after `pause`.
+    #[must_use]
+    pub fn next_read(&self, is_reader: bool, pause: Duration) -> Duration {
+        if is_reader || self.is_behind() {
+            return self.tried + pause;
+        }
+        let Some(as_of) = self.as_of else { return self.tried + pause };
+        (as_of + STALE).max(self.tried + pause).min(self.tried + LONGEST)
+    }
+
+    fn hear(&mut self, as_of: Duration) {
+        self.as_of = Some(self.as_of.map_or(as_of, |heard| heard.max(as_of)));
+    }
+}
+
+/// Returns whether a router is one of those that read a topic all the time.
+pub fn is_reader<'a>(topic: u64, router: &Name, others: impl Iterator<Item = &'a str>) -> bool {
+    rendezvous::rank(topic, router.as_str(), others) < READERS
+}
--- /dev/null
+++ b/crates/balance/tests/spread.rs
@@ -0,0 +1,27 @@
+//! Moving callers away from an instance that gets more than its part.
+
+use balance::closed_part;
+
+#[test]
+fn an_instance_near_the_mean_keeps_its_callers() {
+    assert!(closed_part(50.0, 0.25, 200.0) <= 0.0);
+    assert!(closed_part(75.0, 0.25, 200.0) <= 0.0);
+}
+
+#[test]
+fn a_flooded_instance_sends_callers_away_and_never_all_at_once() {
+    let part = closed_part(500.0, 0.25, 200.0);
+    assert!(part > 0.3);
+    assert!(closed_part(1e9, 0.1, 1.0) < 1.0);
+}
+
+#[test]
+fn a_large_instance_may_have_more_callers_than_a_small_one() {
+    assert!(closed_part(100.0, 0.5, 200.0) <= 0.0);
+    assert!(closed_part(100.0, 0.12, 200.0) > 0.0);
+}
+
+#[test]
+fn an_instance_with_few_requests_keeps_them() {
+    assert!(closed_part(8.0, 0.1, 1.0) <= 0.0);
+}
--- /dev/null
+++ b/crates/balance/tests/watch.rs
@@ -0,0 +1,65 @@
+//! Reading topics by few routers.
+
+use std::time::Duration;
+
+use balance::Watch;
+use balance::is_reader;
+use base::Name;
+
+const NOW: Duration = Duration::from_secs(50);
+const PAUSE: Duration = Duration::from_millis(600);
+
+fn read_at(now: Duration, position: u64) -> Watch {
+    let mut watch = Watch::default();
+    watch.tried(now);
+    watch.read(now, position, None, true);
+    watch
+}
+
+#[test]
+fn three_routers_of_a_fleet_read_all_the_time() {
+    let names: Vec<Name> = (0..90).map(|n| Name::new(&format!("router-{n}"))).collect();
+    let readers = names.iter().filter(|name| {
+        let others = names.iter().filter(|other| other != name).map(Name::as_str);
+        is_reader(7, name, others)
+    });
+    assert_eq!(readers.count(), 3);
+    assert!(is_reader(7, &names[0], std::iter::empty()));
+}
+
+#[test]
+fn a_router_reads_at_once_when_it_is_told_of_a_change() {
+    let mut watch = read_at(NOW, 10);
+    watch.told(10, None);
+    assert!(!watch.is_behind());
+    watch.told(11, Some(NOW));
+    assert!(watch.is_behind());
+    assert_eq!(watch.next_read(false, PAUSE), NOW + PAUSE);
+    watch.read(NOW, 12, Some(11), true);
+    assert!(!watch.is_behind());
+    assert_eq!(watch.changed(), 11);
+}
+
+#[test]
+fn a_router_that_is_told_that_there_is_no_change_does_not_read() {
+    let mut watch = read_at(NOW, 10);
+    for step in 1..20 {
+        let now = NOW + Duration::from_millis(300 * step);
+        watch.told(9, Some(now));
+        assert!(watch.next_read(false, PAUSE) > now);
+    }
+}
+
+#[test]
+fn a_router_that_is_told_nothing_reads_by_itself() {
+    let watch = read_at(NOW, 10);
+    assert!(watch.next_read(false, PAUSE) <= NOW + Duration::from_millis(1_200));
+}
+
+#[test]
+fn knowledge_of_a_change_that_was_not_read_makes_nothing_fresh() {
+    let mut watch = read_at(NOW, 10);
+    let later = NOW + Duration::from_secs(9);
+    watch.told(11, Some(later));
+    assert_eq!(watch.age(later), Some(Duration::from_secs(9)));
+}
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -8,6 +8,16 @@
 
 /// Most addresses in one answer.
 const ADDRESSES: usize = 64;
+/// Addresses that an answer has at least, if there are so many.
+const LEAST: usize = 3;
+
+/// A router that takes callers.
+struct Candidate {
+    address: SocketAddr,
+    /// Its part of a processor.
+    share: f64,
+    is_current: bool,
+}
 
 /// Returns the addresses of routers that take callers, in random order.
 ///
@@ -16,15 +26,35 @@
 pub fn addresses(router: &Router) -> Vec<SocketAddr> {
     let now = router.now();
     let members = router.members.borrow();
-    let mut ready: Vec<(SocketAddr, bool)> =
-        members.ready(now).map(|member| (member.identity.callers, member.is_current)).collect();
+    let mut ready: Vec<Candidate> = members
+        .ready(now)
+        .map(|member| Candidate {
+            address: member.identity.callers,
+            share: f64::from(member.identity.share_milli) / 1_000.0,
+            is_current: member.is_current,
+        })
+        .collect();
     if router.is_ready() {
-        ready.push((router.settings.listen.callers, !router.is_revocation_unknown()));
+        ready.push(Candidate {
+            address: router.settings.listen.callers,
+            share: router.settings.share,
+            is_current: !router.is_revocation_unknown(),
+        });
+    }
+    choose(ready)
+}
+
+/// Chooses addresses, each with a probability by the share of its instance.
+fn choose(mut ready: Vec<Candidate>) -> Vec<SocketAddr> {
+    if ready.iter().any(|candidate| candidate.is_current) {
+        ready.retain(|candidate| candidate.is_current);
     }
-    let has_current = ready.iter().any(|(_, is_current)| *is_current);
-    let usable = ready.into_iter().filter(|(_, is_current)| *is_current || !has_current);
-    let mut addresses: Vec<SocketAddr> = usable.map(|(address, _)| address).collect();
-    addresses.shuffle(&mut rand::rng());
-    addresses.truncate(ADDRESSES);
-    addresses
+    let largest = ready.iter().map(|candidate| candidate.share).fold(0.0, f64::max);
+    ready.shuffle(&mut rand::rng());
+    let likely = |candidate: &Candidate| rand::random::<f64>() * largest <= candidate.share;
+    let (mut chosen, others): (Vec<Candidate>, Vec<Candidate>) =
+        ready.into_iter().partition(likely);
+    chosen.extend(others.into_iter().take(LEAST.saturating_sub(chosen.len())));
+    chosen.truncate(ADDRESSES);
+    chosen.into_iter().map(|candidate| candidate.address).collect()
 }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -13,6 +13,9 @@
 /// Bytes of the code that authenticates a heartbeat.
 const CODE_BYTES: usize = 16;
 
+/// Bytes of the number of the receiver's newest heartbeat.
+const ECHO_BYTES: usize = 8;
+
 /// A runner's or workspace's name in a heartbeat.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) struct Digest(u32);
@@ -67,22 +70,13 @@
     pub(crate) count: u32,
 }
 
-/// The newest heartbeat that the sender had from a router.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Heard {
-    /// The router's name.
-    pub(crate) router: Digest,
-    /// The number of its heartbeat.
-    pub(crate) sequence: u64,
-}
-
-/// The configuration that the sender has in force.
+/// What the sender knows of a topic of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Configuration {
-    /// Its version.
-    pub(crate) version: u64,
-    /// How long ago the store had no newer one, in milliseconds.
-    pub(crate) age_ms: u64,
+pub(crate) struct Watched {
+    /// The position behind the last change that it has read.
+    pub(crate) changed: u64,
+    /// How long ago there was no other change, in milliseconds; none if it does not know.
+    pub(crate) age_ms: Option<u64>,
 }
 
 /// A heartbeat.
@@ -104,32 +98,48 @@
     pub(crate) limits: Vec<ServiceLimits>,
     /// Requests that crash runners.
     pub(crate) crashes: Vec<Crashes>,
-    /// Heartbeats of others.
-    pub(crate) heard: Vec<Heard>,
-    /// The configuration in force, once the sender knows one.
-    pub(crate) configuration: Option<Configuration>,
+    /// Topics of the store, in the order of [`crate::Topic`].
+    pub(crate) watched: Vec<Watched>,
+    /// Requests in the last second.
+    pub(crate) requests: u32,
     /// Whether the sender knows which keys hold.
     pub(crate) is_current: bool,
 }
 
-/// Encodes a heartbeat and its code.
-pub(crate) fn seal(heartbeat: &Heartbeat, key: &str) -> Option<Vec<u8>> {
-    let mut bytes = postcard::to_stdvec(heartbeat).ok()?;
+/// A heartbeat, and the number of the newest heartbeat of the receiver that its sender had.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Received {
+    pub(crate) heartbeat: Heartbeat,
+    /// The number of that heartbeat, 0 for none.
+    pub(crate) echo: u64,
+}
+
+/// Encodes a heartbeat, which is the same for all receivers.
+pub(crate) fn encode(heartbeat: &Heartbeat) -> Option<Vec<u8>> {
+    postcard::to_stdvec(heartbeat).ok()
+}
+
+/// Adds the echo for one receiver, and the code that authenticates all of it.
+pub(crate) fn seal(encoded: &[u8], echo: u64, key: &str) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(encoded.len() + ECHO_BYTES + CODE_BYTES);
+    bytes.extend_from_slice(encoded);
+    bytes.extend_from_slice(&echo.to_be_bytes());
     let code = mac(key, &bytes).finalize().into_bytes();
     bytes.extend_from_slice(&code[..CODE_BYTES]);
-    Some(bytes)
+    bytes
 }
 
-/// Decodes a heartbeat; `key_of` returns the key of a sender and incarnation.
+/// Decodes a datagram; `key_of` returns the key of a sender and incarnation.
 pub(crate) fn open(
     bytes: &[u8],
     key_of: impl FnOnce(&str, u64) -> Option<String>,
-) -> Option<Heartbeat> {
+) -> Option<Received> {
     let (content, code) = bytes.split_at_checked(bytes.len().checked_sub(CODE_BYTES)?)?;
-    let heartbeat: Heartbeat = postcard::from_bytes(content).ok()?;
+    let (encoded, echo) = content.split_last_chunk::<ECHO_BYTES>()?;
+    let heartbeat: Heartbeat = postcard::from_bytes(encoded).ok()?;
     let key = key_of(&heartbeat.sender, heartbeat.incarnation)?;
     mac(&key, content).verify_truncated_left(code).ok()?;
-    Some(heartbeat)
+    Some(Received { heartbeat, echo: u64::from_be_bytes(*echo) })
 }
 
 fn mac(key: &str, bytes: &[u8]) -> Hmac<Sha256> {
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -6,26 +6,27 @@
 use std::time::Duration;
 
 use balance::Ceiling;
-use balance::Core;
 use balance::Identity;
 use balance::Load;
 use balance::Pulse;
 use base::Name;
 use indexmap::IndexMap;
+use strum::IntoEnumIterator;
 use tokio::net::UdpSocket;
 use tokio::time;
 
 use crate::Line;
 use crate::Router;
+use crate::Topic;
 use crate::event;
 use crate::gossip;
-use crate::gossip::Configuration;
 use crate::gossip::Crashes;
 use crate::gossip::Digest;
-use crate::gossip::Heard;
 use crate::gossip::Heartbeat;
+use crate::gossip::Received;
 use crate::gossip::RunnerLoad;
 use crate::gossip::ServiceLimits;
+use crate::gossip::Watched;
 use crate::gossip::WorkspaceUse;
 
 /// Time between two heartbeats in a small fleet.
@@ -56,10 +57,15 @@
     loop {
         sequence += 1;
         router.echo.borrow_mut().sent(router.now(), sequence);
-        let peers: Vec<SocketAddr> =
-            router.members.borrow().iter().map(|member| member.identity.peers).collect();
-        if let Some(datagram) = gossip::seal(&heartbeat(router, me, sequence), &me.key) {
-            for peer in &peers {
+        let peers: Vec<(SocketAddr, u64)> = router
+            .members
+            .borrow()
+            .iter()
+            .map(|member| (member.identity.peers, member.sequence))
+            .collect();
+        if let Some(encoded) = gossip::encode(&heartbeat(router, me, sequence)) {
+            for (peer, echo) in &peers {
+                let datagram = gossip::seal(&encoded, *echo, &me.key);
                 if let Err(error) = socket.try_send_to(&datagram, *peer) {
                     log::debug!("a heartbeat to {peer} was not sent: {error}");
                 }
@@ -98,13 +104,6 @@
     });
     let crashes = core.suspects.own(router.now()).into_iter();
     let crashes = crashes.map(|(digest, count)| Crashes { digest, count });
-    let members = router.members.borrow();
-    let heard = members.iter().filter(|member| member.heard.is_some());
-    let heard = heard.map(|member| Heard {
-        router: Digest::of(member.identity.name.as_str()),
-        sequence: member.sequence,
-    });
-    let heard = heard.collect();
     Heartbeat {
         sender: me.name.to_string(),
         incarnation: me.incarnation,
@@ -114,16 +113,20 @@
         used: used.collect(),
         limits: limits.collect(),
         crashes: crashes.collect(),
-        heard,
-        configuration: configuration(router, &core),
+        watched: watched(router),
+        requests: router.recent_requests(),
         is_current: !router.is_revocation_unknown(),
     }
 }
 
-fn configuration(router: &Router, core: &Core) -> Option<Configuration> {
-    let version = core.table.as_ref()?.version;
-    let age_ms = event::millis(router.config_age()?);
-    Some(Configuration { version, age_ms })
+fn watched(router: &Router) -> Vec<Watched> {
+    let now = router.now();
+    let watches = router.watches.borrow();
+    let watched = watches.iter().map(|watch| Watched {
+        changed: watch.changed(),
+        age_ms: watch.age(now).map(event::millis),
+    });
+    watched.collect()
 }
 
 async fn receive_all(router: &Router, socket: &UdpSocket) {
@@ -145,7 +148,7 @@
         let member = members.get(sender)?;
         (member.identity.incarnation == incarnation).then(|| member.identity.key.clone())
     });
-    let Some(heartbeat) = opened else { return };
+    let Some(Received { heartbeat, echo }) = opened else { return };
     let now = router.now();
     let is_back = {
         let members = router.members.borrow();
@@ -156,6 +159,7 @@
         sequence: heartbeat.sequence,
         is_ready: heartbeat.is_ready,
         is_current: heartbeat.is_current,
+        requests: heartbeat.requests,
     };
     if !router.members.borrow_mut().heartbeat(now, sender, pulse) {
         return;
@@ -164,23 +168,16 @@
         router.log(Line::new("router_alive").subject(sender));
     }
     adopt(router, now, &heartbeat);
-    hear_config(router, &heartbeat);
+    hear_topics(router, &heartbeat, echo);
     router.pump();
 }
 
-/// Takes in that the configuration in force is as new as another router knows it to be.
-fn hear_config(router: &Router, heartbeat: &Heartbeat) {
-    let Some(theirs) = heartbeat.configuration else { return };
-    let own = router.core.borrow().table.as_ref().map(|table| table.version);
-    let me = Digest::of(router.settings.name.as_str());
-    let heard = heartbeat.heard.iter().find(|heard| heard.router == me);
-    if own != Some(theirs.version) {
-        return;
-    }
-    let age = Duration::from_millis(theirs.age_ms);
-    let holds = heard.and_then(|heard| router.echo.borrow().holds_as_of(heard.sequence, age));
-    if let Some(at) = holds {
-        router.hear_config(at);
+/// Takes in what another router knows of the store's topics.
+fn hear_topics(router: &Router, heartbeat: &Heartbeat, echo: u64) {
+    for (topic, watched) in Topic::iter().zip(&heartbeat.watched) {
+        let age = watched.age_ms.map(Duration::from_millis);
+        let as_of = age.and_then(|age| router.echo.borrow().holds_as_of(echo, age));
+        router.told(topic, watched.changed, as_of);
     }
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -41,6 +41,7 @@
 pub use meter::Meter;
 pub use meter::Reading;
 pub use router::Router;
+pub use router::Topic;
 pub use server::Handler;
 pub use server::Listener;
 pub use settings::Error;
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -11,7 +11,10 @@
 use balance::Members;
 use balance::Settled;
 use balance::Ticket;
+use balance::Watch;
+use balance::Window;
 use indexmap::IndexMap;
+use strum::EnumCount;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::time;
@@ -30,9 +33,22 @@
 const LOOK: Duration = Duration::from_millis(25);
 /// The part of the time allowed for a key that was taken away after which it is served no longer.
 const REVOCATION_PART: f64 = 0.8;
+/// Shortest time between two looks at waiting requests.
+const SETTLE: Duration = Duration::from_millis(3);
+/// The time over which requests are counted.
+const SECOND: Duration = Duration::from_secs(1);
 /// Time between two clean-ups.
 const SWEEP: Duration = Duration::from_millis(500);
 
+/// A topic of the store that few routers read all the time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::EnumCount, strum::EnumIter)]
+pub enum Topic {
+    /// What the operator writes.
+    Operator,
+    /// What runners say of themselves.
+    Runners,
+}
+
 /// The state of a router, used by all its tasks on one thread.
 #[derive(Debug)]
 pub struct Router {
@@ -57,7 +73,9 @@
     is_leaving: Cell<bool>,
     grace: Cell<Duration>,
     revocation: Cell<Option<Duration>>,
-    config_heard: Cell<Option<Duration>>,
+    pub(crate) watches: RefCell<[Watch; Topic::COUNT]>,
+    told: [Notify; Topic::COUNT],
+    requests: RefCell<Window>,
 }
 
 impl Router {
@@ -80,7 +98,9 @@
             waiters: RefCell::default(),
             changed: Notify::new(),
             is_leaving: Cell::new(false),
-            config_heard: Cell::new(None),
+            watches: RefCell::default(),
+            told: Default::default(),
+            requests: RefCell::new(Window::new(SECOND)),
         }
     }
 
@@ -120,16 +140,85 @@
         !self.is_leaving() && self.core.borrow().table.is_some()
     }
 
-    /// Takes in that the configuration is as new as the store had it at a time.
-    pub fn hear_config(&self, at: Duration) {
-        let newest = self.config_heard.get().map_or(at, |heard| heard.max(at));
-        self.config_heard.set(Some(newest));
+    /// Takes in what another router knows of a topic.
+    pub(crate) fn told(&self, topic: Topic, changed: u64, as_of: Option<Duration>) {
+        let mut watches = self.watches.borrow_mut();
+        let watch = &mut watches[topic as usize];
+        let was_behind = watch.is_behind();
+        watch.told(changed, as_of);
+        if watch.is_behind() && !was_behind {
+            self.told[topic as usize].notify_one();
+        }
+    }
+
+    /// Works on what is known of a topic.
+    pub fn with_watch<T>(&self, topic: Topic, work: impl FnOnce(&mut Watch) -> T) -> T {
+        work(&mut self.watches.borrow_mut()[topic as usize])
+    }
+
+    /// Returns whether this router is one of those that read a topic all the time.
+    #[must_use]
+    pub fn is_reader(&self, topic: Topic) -> bool {
+        let now = self.now();
+        let members = self.members.borrow();
+        let alive = members.iter().filter(|member| member.is_alive(now));
+        let others = alive.map(|member| member.identity.name.as_str());
+        balance::is_reader(topic as u64, &self.settings.name, others)
+    }
+
+    /// Waits until a topic is to be read, with `pause` between two reads of a router that reads all the time.
+    pub async fn wait_to_read(&self, topic: Topic, pause: Duration) {
+        loop {
+            let is_reader = self.is_reader(topic);
+            let due = self.with_watch(topic, |watch| watch.next_read(is_reader, pause));
+            let left = due.saturating_sub(self.now());
+            if left.is_zero() {
+                return;
+            }
+            tokio::select! {
+                () = time::sleep(left) => (),
+                () = self.told[topic as usize].notified() => (),
+            }
+        }
+    }
+
+    /// Counts a request of a caller.
+    pub fn count_request(&self, service: &base::Name) {
+        let now = self.now();
+        self.requests.borrow_mut().add(now, 1);
+        self.core.borrow_mut().count_request(now, service);
+    }
+
+    /// Returns the requests of callers in the last second.
+    pub(crate) fn recent_requests(&self) -> u32 {
+        let sum = self.requests.borrow_mut().sum(self.now());
+        u32::try_from(sum).unwrap_or(u32::MAX)
+    }
+
+    /// Returns whether a caller's connection is to be closed after its answer, so that it connects elsewhere.
+    #[must_use]
+    pub fn closes_connection(&self) -> bool {
+        if self.is_leaving() {
+            return true;
+        }
+        let own = f64::from(self.recent_requests());
+        let share = self.settings.share;
+        let now = self.now();
+        let members = self.members.borrow();
+        let ready = members.ready(now).map(|member| {
+            (f64::from(member.requests), f64::from(member.identity.share_milli) / 1_000.0)
+        });
+        let (requests, shares) = ready
+            .fold((own, share), |(requests, shares), other| (requests + other.0, shares + other.1));
+        let part = balance::closed_part(own, share, requests / shares);
+        part > 0.0 && rand::random::<f64>() < part
     }
 
     /// Returns how old the configuration in force may be.
     #[must_use]
     pub fn config_age(&self) -> Option<Duration> {
-        self.config_heard.get().map(|heard| self.now().saturating_sub(heard))
+        let now = self.now();
+        self.with_watch(Topic::Operator, |watch| watch.age(now))
     }
 
     /// Returns whether keys that the store has taken away may be unknown here for too long.
@@ -153,11 +242,15 @@
         self.pump();
     }
 
-    /// Settles all waiting requests that can be settled now.
+    /// Has waiting requests settled soon; several changes are taken together.
     pub fn pump(&self) {
-        if self.waiters.borrow().is_empty() {
-            return;
+        if !self.waiters.borrow().is_empty() {
+            self.changed.notify_one();
         }
+    }
+
+    /// Settles all waiting requests that can be settled now.
+    fn settle(&self) {
         let settled = self.core.borrow_mut().pump(self.now());
         for (ticket, decision) in settled {
             let Some(waiter) = self.waiters.borrow_mut().swap_remove(&ticket) else { continue };
@@ -185,17 +278,19 @@
         self.core.borrow_mut().cancel(ticket);
     }
 
-    /// Settles waiting requests when their time comes, for as long as the process runs.
+    /// Settles waiting requests when something has changed or their time comes, for as long as the process runs.
     pub async fn run_queue(self: Rc<Self>) {
         loop {
-            if self.waiters.borrow().is_empty() {
-                self.changed.notified().await;
-            }
-            let now = self.now();
             let next = self.core.borrow().next_wake();
-            let pause = next.map_or(LOOK, |next| next.saturating_sub(now).min(LOOK));
-            time::sleep(pause).await;
-            self.pump();
+            let due = match next {
+                Some(next) => next.saturating_sub(self.now()).min(LOOK),
+                None => Duration::MAX,
+            };
+            tokio::select! {
+                () = time::sleep(due) => (),
+                () = self.changed.notified() => time::sleep(SETTLE).await,
+            }
+            self.settle();
         }
     }
 
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -36,6 +36,8 @@
     pub peers: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
+    /// The part of a processor that the instance has.
+    pub share: f64,
     /// How long a process that is told to end may go on, in seconds.
     pub grace_s: f64,
     /// Limits that hold over all routers.
@@ -106,6 +108,7 @@
     fn check(&self) -> Result<(), Report<Error>> {
         let bounds = &self.bounds;
         let numbers = [
+            ("share", self.share, 0.001),
             ("grace_s", self.grace_s, 0.1),
             ("bounds.cold_factor", bounds.cold_factor, 0.0),
             ("bounds.cold_constant", bounds.cold_constant, 0.0),
