--- /dev/null
+++ b/crates/aspenline/tests/common/router.rs
@@ -0,0 +1,300 @@
+//! A router process on the platform, its store and its runners.
+
+use std::fs;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use fake::endpoint::Endpoint;
+use fake::store::Store;
+use http::HeaderMap;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time;
+
+/// The longest time for which a test waits for something to come true.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(10);
+/// The host of all routes.
+pub(crate) const HOST: &str = "walls.example";
+/// A key that is known.
+pub(crate) const KEY: &str = "key-1";
+
+/// A platform: its store, with a configuration.
+pub(crate) struct Platform {
+    pub(crate) store: Store,
+    directory: PathBuf,
+}
+
+/// A router process, killed when dropped.
+pub(crate) struct Router {
+    child: Child,
+    reader: Option<JoinHandle<()>>,
+    lines: Arc<Mutex<Vec<String>>>,
+    pub(crate) callers: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    pub(crate) directory: SocketAddr,
+    pub(crate) metrics: SocketAddr,
+    pub(crate) peers: SocketAddr,
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    /// The body, as far as it came.
+    pub(crate) body: Bytes,
+    /// Whether the body came whole.
+    pub(crate) is_whole: bool,
+}
+
+/// Returns a configuration: a ledger with public safe and unsafe routes, engines with streams that need a key.
+pub(crate) fn configuration(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str| {
+        json!({
+            "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": 3_000, "target_latency_ms": 1_000, "priority": 1, "service": service,
+            "max_attempts": 2, "public": service == "ledger", "sticky": false,
+            "stream_resume": name == "stream", "gap_aim_ms": 500,
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("safe", "safe", "ledger"),
+            route("unsafe", "unsafe", "ledger"),
+            route("keyed", "safe", "engines"),
+            route("stream", "streaming", "engines"),
+            route("once/stream", "streaming", "engines"),
+        ],
+        "services": [
+            { "name": "ledger", "health_path": "/healthz", "max_conns": 100, "protocol": "h1",
+              "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0 },
+            { "name": "engines", "health_path": "/healthz", "max_conns": 100, "protocol": "h1",
+              "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0 },
+        ],
+        "limits": { "max_header_bytes": 16_384, "max_body_bytes": 10_000,
+                    "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
+        "tenants": [{ "name": "wall", "api_keys": [KEY, "key-2"], "priority": 1 }],
+    })
+}
+
+impl Platform {
+    /// Starts a store without a configuration; `test` names a directory for settings.
+    pub(crate) async fn start(test: &str) -> Self {
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
+        fs::create_dir_all(&directory).expect("a directory for settings");
+        Self { store: Store::start().await.expect("a store"), directory }
+    }
+
+    pub(crate) fn configure(&self, configuration: &Value) {
+        self.store.put("keyed.op", "config", configuration.to_string().as_bytes());
+    }
+
+    pub(crate) fn list(&self, endpoint: &Endpoint, service: &str, state: &str, sequence: u64) {
+        let record = endpoint.record(service, state, sequence);
+        self.store.put("keyed.servers", endpoint.id(), &record);
+    }
+
+    /// Starts runners of a service and lists them.
+    pub(crate) async fn runners(&self, service: &str, count: usize) -> Vec<Endpoint> {
+        let mut runners = Vec::new();
+        for number in 0..count {
+            let runner = Endpoint::start(&format!("{service}-{number}")).await.expect("a runner");
+            self.list(&runner, service, "ready", 1);
+            runners.push(runner);
+        }
+        runners
+    }
+
+    pub(crate) fn settings(&self, name: &str) -> Value {
+        json!({
+            "name": name, "zone": "north",
+            "listen": { "callers": "127.0.0.1:0", "ready": "127.0.0.1:0",
+                        "directory": "127.0.0.1:0", "metrics": "127.0.0.1:0" },
+            "peers": "127.0.0.1:0", "store": self.store.address().to_string(),
+            "share": 1.0, "grace_s": 4.0,
+            "bounds": { "cold_factor": 1.5, "cold_constant": 5, "retry_ratio": 0.2,
+                        "retry_constant": 50, "retry_window_s": 10, "revocation_ms": 1_500 },
+        })
+    }
+
+    /// Returns the command that runs a router with these settings.
+    pub(crate) fn command(&self, name: &str, settings: &str) -> Command {
+        let path = self.directory.join(format!("{name}.json"));
+        fs::write(&path, settings).expect("a settings file");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_aspenline"));
+        command.arg("platform").env("ASPENLINE_SETTINGS", path);
+        command
+    }
+
+    /// Starts a router and waits until it listens.
+    pub(crate) async fn router(&self, name: &str) -> Router {
+        let mut command = self.command(name, &self.settings(name).to_string());
+        let mut child = command.stdout(Stdio::piped()).spawn().expect("the router starts");
+        let output = child.stdout.take().expect("standard output is piped");
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let sink = Arc::clone(&lines);
+        let reader = thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                sink.lock().expect("no reader panics").push(line);
+            }
+        });
+        let started = until(|| find(&lines, "started")).await;
+        let text = started["outcome"].as_str().expect("addresses").to_owned();
+        Router {
+            child,
+            reader: Some(reader),
+            lines,
+            callers: address(&text, "callers"),
+            ready: address(&text, "ready"),
+            directory: address(&text, "directory"),
+            metrics: address(&text, "metrics"),
+            peers: address(&text, "peers"),
+        }
+    }
+}
+
+impl Router {
+    /// Returns the first log line of an event.
+    pub(crate) fn line(&self, event: &str) -> Option<Value> {
+        find(&self.lines, event)
+    }
+
+    /// Returns how many log lines of an event there are.
+    pub(crate) fn count(&self, event: &str) -> usize {
+        let wanted = format!("\"event\":\"{event}\"");
+        let lines = self.lines.lock().expect("no reader panics");
+        lines.iter().filter(|line| line.contains(&wanted)).count()
+    }
+
+    /// Waits until callers may be sent to the router and it knows this many runners.
+    pub(crate) async fn settled(&self, runners: usize) {
+        until(|| {
+            (self.count("runner") >= runners && self.count("configuration_adopted") > 0)
+                .then_some(())
+        })
+        .await;
+    }
+
+    /// Sends a signal.
+    pub(crate) fn signal(&self, signal: rustix::process::Signal) {
+        let id = i32::try_from(self.child.id()).expect("a process id");
+        let id = rustix::process::Pid::from_raw(id).expect("a process id");
+        rustix::process::kill_process(id, signal).expect("the process runs");
+    }
+
+    /// Waits until the process has ended by itself.
+    pub(crate) async fn ended(&mut self) -> Option<i32> {
+        let begun = Instant::now();
+        while begun.elapsed() < PATIENCE {
+            if let Some(status) = self.child.try_wait().expect("the process can be asked") {
+                return status.code();
+            }
+            time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("the process has not ended");
+    }
+
+    /// Makes a request on a new connection.
+    pub(crate) async fn call(&self, request: Request<Full<Bytes>>) -> Answer {
+        call(self.callers, request).await
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+        if let Some(reader) = self.reader.take() {
+            drop(reader.join());
+        }
+    }
+}
+
+/// Returns a request of a caller.
+pub(crate) fn request(method: &str, path: &str, id: &str) -> http::request::Builder {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", HOST)
+        .header("request-id", id)
+        .header("deadline-ms", "3000")
+}
+
+/// Returns a request without a body.
+pub(crate) fn get(path: &str, id: &str) -> Request<Full<Bytes>> {
+    request("GET", path, id).body(Full::default()).expect("a request")
+}
+
+/// Returns a request with the known key.
+pub(crate) fn keyed(method: &str, path: &str, id: &str) -> Request<Full<Bytes>> {
+    request(method, path, id).header("api-key", KEY).body(Full::default()).expect("a request")
+}
+
+/// Makes a request on a new connection.
+pub(crate) async fn call(address: SocketAddr, request: Request<Full<Bytes>>) -> Answer {
+    let stream = TcpStream::connect(address).await.expect("the router accepts");
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.expect("HTTP");
+    let mut tasks = JoinSet::new();
+    tasks.spawn(connection);
+    let response = time::timeout(PATIENCE, sender.send_request(request)).await;
+    let response = response.expect("an answer in time").expect("an answer");
+    let (head, mut body) = response.into_parts();
+    let mut whole = Vec::new();
+    let mut is_whole = true;
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => whole.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
+            Err(_) => {
+                is_whole = false;
+                break;
+            }
+        }
+    }
+    Answer { status: head.status, headers: head.headers, body: Bytes::from(whole), is_whole }
+}
+
+/// Waits until something is there.
+pub(crate) async fn until<T>(mut found: impl FnMut() -> Option<T>) -> T {
+    let begun = Instant::now();
+    loop {
+        if let Some(found) = found() {
+            return found;
+        }
+        assert!(begun.elapsed() < PATIENCE, "it did not come true");
+        time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+fn find(lines: &Mutex<Vec<String>>, event: &str) -> Option<Value> {
+    let wanted = format!("\"event\":\"{event}\"");
+    let lines = lines.lock().expect("no reader panics");
+    let line = lines.iter().find(|line| line.contains(&wanted))?;
+    serde_json::from_str(line).ok()
+}
+
+fn address(text: &str, name: &str) -> SocketAddr {
+    let (_, rest) = text.split_once(&format!("{name}: ")).expect("an address");
+    let end = rest.find([',', ' ', '}']).unwrap_or(rest.len());
+    rest[..end].parse().expect("an address")
+}
--- /dev/null
+++ b/crates/aspenline/tests/platform.rs
@@ -0,0 +1,412 @@
+//! Routers on the platform, as real processes against stand-ins of its store and runners.
+
+#[path = "common/router.rs"]
+mod router;
+
+use std::net::UdpSocket;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use fake::endpoint::EVENTS;
+use fake::endpoint::Mood;
+use fake::endpoint::event;
+use http::StatusCode;
+use http_body_util::Full;
+use rustix::process::Signal;
+use tokio::time;
+
+use crate::router::HOST;
+use crate::router::Platform;
+use crate::router::call;
+use crate::router::configuration;
+use crate::router::get;
+use crate::router::keyed;
+use crate::router::request;
+use crate::router::until;
+
+/// Returns the text of a whole stream.
+fn whole_stream() -> String {
+    (1..=EVENTS).map(event).collect()
+}
+
+#[tokio::test]
+async fn a_request_and_its_answer_pass_unchanged() {
+    let platform = Platform::start("unchanged").await;
+    platform.configure(&configuration(1));
+    let runners = platform.runners("engines", 1).await;
+    let router = platform.router("router-1").await;
+    router.settled(1).await;
+    let body = Bytes::from_static(b"a body \x00\xff");
+    let sent = request("POST", "/keyed/a%20b?x=1&y", "r-1")
+        .header("api-key", "key-2")
+        .header("tenant", "forged")
+        .header("hold", "forged")
+        .header("kv-from", "forged")
+        .header("expect-instance", "forged")
+        .header("x-own", "kept")
+        .body(Full::new(body.clone()))
+        .expect("a request");
+    let answer = router.call(sent).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.headers["request-id"], "r-1");
+    assert_eq!(answer.headers["response-seal"], "seal-engines-0");
+    assert_eq!(answer.body, "answer of engines-0");
+    let arrival = runners[0].arrivals().remove(0);
+    assert_eq!(arrival.line, "POST /keyed/a%20b?x=1&y");
+    assert_eq!(arrival.body, body);
+    assert_eq!(arrival.headers["tenant"], "wall");
+    assert_eq!(arrival.headers["expect-instance"], "engines-0");
+    assert_eq!(arrival.headers["x-own"], "kept");
+    assert_eq!(arrival.headers["host"], HOST);
+    for name in ["api-key", "hold", "kv-from"] {
+        assert!(!arrival.headers.contains_key(name), "{name}");
+    }
+    let left: u64 = arrival.headers["deadline-ms"].to_str().expect("text").parse().expect("ms");
+    assert!((2_000..=3_000).contains(&left), "{left}");
+}
+
+#[tokio::test]
+async fn what_no_configuration_allows_is_denied_and_nothing_is_before_there_is_one() {
+    let platform = Platform::start("denied").await;
+    let runners = platform.runners("engines", 1).await;
+    let router = platform.router("router-1").await;
+    let early = router.call(get("/safe/", "r-0")).await;
+    assert_eq!(early.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(early.headers.contains_key("retry-after"));
+    assert_eq!(call(router.ready, get("/ready", "r-0")).await.status.as_u16(), 503);
+    platform.configure(&configuration(1));
+    router.settled(1).await;
+    assert_eq!(call(router.ready, get("/ready", "r-0")).await.status, StatusCode::OK);
+    assert_eq!(router.call(get("/nowhere/", "r-1")).await.status, StatusCode::NOT_FOUND);
+    assert_eq!(router.call(get("/keyed/", "r-2")).await.status, StatusCode::UNAUTHORIZED);
+    let large = request("POST", "/keyed/", "r-3")
+        .header("api-key", "key-1")
+        .body(Full::new(Bytes::from(vec![0; 20_000])))
+        .expect("a request");
+    assert_eq!(router.call(large).await.status, StatusCode::PAYLOAD_TOO_LARGE);
+    assert_eq!(runners[0].runs(), 0);
+}
+
+#[tokio::test]
+async fn an_unsafe_request_that_a_runner_turns_away_runs_once_at_another() {
+    let platform = Platform::start("turned-away").await;
+    platform.configure(&configuration(1));
+    let runners = platform.runners("ledger", 2).await;
+    runners[0].set_mood(Mood::Full);
+    let router = platform.router("router-1").await;
+    router.settled(2).await;
+    for number in 0..6 {
+        let answer = router.call(get("/unsafe/", &format!("r-{number}"))).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    assert_eq!(runners[0].runs(), 0);
+    assert_eq!(runners[1].runs(), 6);
+}
+
+#[tokio::test]
+async fn an_unsafe_request_whose_answer_is_lost_is_not_sent_again_and_not_called_not_run() {
+    let platform = Platform::start("lost").await;
+    platform.configure(&configuration(1));
+    let runners = platform.runners("ledger", 2).await;
+    for runner in &runners {
+        runner.set_mood(Mood::Breaking);
+    }
+    let router = platform.router("router-1").await;
+    router.settled(2).await;
+    let answer = router.call(get("/unsafe/", "r-1")).await;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(runners[0].runs() + runners[1].runs(), 1);
+}
+
+#[tokio::test]
+async fn a_safe_request_is_sent_again_where_its_answer_was_lost_or_is_no_answer() {
+    for (name, mood) in [
+        ("again-breaking", Mood::Breaking),
+        ("again-crossed", Mood::Crossed),
+        ("again-unsealed", Mood::Unsealed),
+        ("again-failing", Mood::Failing),
+    ] {
+        let platform = Platform::start(name).await;
+        platform.configure(&configuration(1));
+        let runners = platform.runners("ledger", 2).await;
+        runners[0].set_mood(mood);
+        let router = platform.router("router-1").await;
+        router.settled(2).await;
+        for number in 0..4 {
+            let answer = router.call(get("/safe/", &format!("r-{number}"))).await;
+            assert_eq!(answer.status, StatusCode::OK, "{mood:?}");
+            assert_eq!(answer.body, "answer of ledger-1", "{mood:?}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_answer_that_belongs_to_another_request_never_reaches_a_caller() {
+    let platform = Platform::start("crossed").await;
+    platform.configure(&configuration(1));
+    let runners = platform.runners("ledger", 1).await;
+    runners[0].set_mood(Mood::Crossed);
+    let router = platform.router("router-1").await;
+    router.settled(1).await;
+    let answer = router.call(get("/unsafe/", "r-1")).await;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert!(!answer.headers.contains_key("response-seal"));
+}
+
+#[tokio::test]
+async fn a_stream_that_may_be_resumed_goes_on_behind_its_last_whole_event() {
+    let platform = Platform::start("resumed").await;
+    platform.configure(&configuration(1));
+    let runners = platform.runners("engines", 2).await;
+    runners[0].set_mood(Mood::BreakingAt(4));
+    let router = platform.router("router-1").await;
+    router.settled(2).await;
+    let mut resumed = 0;
+    for number in 0..6 {
+        let answer = router.call(keyed("POST", "/stream/", &format!("r-{number}"))).await;
+        assert!(answer.is_whole);
+        assert_eq!(answer.body, whole_stream());
+        let first = answer.headers["response-seal"].to_str().expect("text").to_owned();
+        resumed += usize::from(first == "seal-engines-0");
+    }
+    assert!(resumed > 0, "no request began at the runner that breaks off");
+    let goes_on = runners[1].arrivals().into_iter().filter_map(|arrival| {
+        arrival.headers.get("last-event-id").map(|id| id.to_str().expect("text").to_owned())
+    });
+    assert!(goes_on.into_iter().all(|id| id == "3"));
+}
+
+#[tokio::test]
+async fn a_stream_that_may_not_be_repeated_does_not_look_whole_when_it_breaks() {
+    let platform = Platform::start("broken-stream").await;
+    platform.configure(&configuration(1));
+    let runners = platform.runners("engines", 2).await;
+    for runner in &runners {
+        runner.set_mood(Mood::BreakingAt(4));
+    }
+    let router = platform.router("router-1").await;
+    router.settled(2).await;
+    let answer = router.call(keyed("POST", "/once/stream/", "r-1")).await;
+    assert!(!answer.is_whole);
+    assert_eq!(runners[0].runs() + runners[1].runs(), 1);
+}
+
+#[tokio::test]
+async fn a_silent_runner_costs_a_safe_request_no_more_than_half_of_its_time() {
+    let platform = Platform::start("silent-runner").await;
+    platform.configure(&configuration(1));
+    let runners = platform.runners("ledger", 2).await;
+    runners[0].set_mood(Mood::Silent);
+    let router = platform.router("router-1").await;
+    router.settled(2).await;
+    for number in 0..2 {
+        let begun = Instant::now();
+        let answer = router.call(get("/safe/", &format!("r-{number}"))).await;
+        assert_eq!(answer.status, StatusCode::OK);
+        assert!(begun.elapsed() < Duration::from_millis(2_500));
+    }
+}
+
+#[tokio::test]
+async fn a_request_whose_route_has_timed_out_is_answered_at_once() {
+    let platform = Platform::start("timeout").await;
+    platform.configure(&configuration(1));
+    let runners = platform.runners("ledger", 1).await;
+    runners[0].set_mood(Mood::Silent);
+    let router = platform.router("router-1").await;
+    router.settled(1).await;
+    let begun = Instant::now();
+    let answer = router.call(get("/unsafe/", "r-1")).await;
+    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
+    assert!(begun.elapsed() < Duration::from_millis(3_500));
+}
+
+#[tokio::test]
+async fn a_draining_runner_gets_no_more_requests() {
+    let platform = Platform::start("draining").await;
+    platform.configure(&configuration(1));
+    let runners = platform.runners("ledger", 2).await;
+    let router = platform.router("router-1").await;
+    router.settled(2).await;
+    platform.list(&runners[0], "ledger", "draining", 2);
+    until(|| (router.count("runner") >= 3).then_some(())).await;
+    let before = runners[0].runs();
+    for number in 0..10 {
+        router.call(get("/unsafe/", &format!("r-{number}"))).await;
+    }
+    assert_eq!(runners[0].runs(), before);
+    assert_eq!(runners[1].runs(), 10);
+}
+
+#[tokio::test]
+async fn records_that_cannot_be_read_disturb_nothing() {
+    let platform = Platform::start("unreadable").await;
+    platform.configure(&configuration(1));
+    platform.store.put("keyed.servers", "bad-1", b"{\"service\":3}");
+    platform.store.put("keyed.servers", "bad-2", b"\xff\xfe");
+    let runners = platform.runners("ledger", 1).await;
+    platform.store.put("keyed.servers", runners[0].id(), b"{}");
+    let router = platform.router("router-1").await;
+    until(|| (router.count("runner_unreadable") >= 3).then_some(())).await;
+    platform.list(&runners[0], "ledger", "ready", 3);
+    until(|| router.line("runner")).await;
+    platform.store.put("keyed.op", "config", b"not a configuration");
+    until(|| router.line("configuration_unreadable")).await;
+    assert_eq!(router.call(get("/safe/", "r-1")).await.status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn a_key_that_was_taken_away_is_refused_and_an_older_configuration_never_comes_back() {
+    let platform = Platform::start("revoked").await;
+    platform.configure(&configuration(5));
+    let runners = platform.runners("engines", 1).await;
+    let router = platform.router("router-1").await;
+    router.settled(1).await;
+    assert_eq!(router.call(keyed("GET", "/keyed/", "r-1")).await.status, StatusCode::OK);
+    let mut revoked = configuration(6);
+    revoked["tenants"][0]["api_keys"] = serde_json::json!(["key-2"]);
+    platform.configure(&revoked);
+    until(|| (router.count("configuration_adopted") == 2).then_some(())).await;
+    platform.configure(&configuration(5));
+    platform.store.forget_history("keyed.op");
+    time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(router.call(keyed("GET", "/keyed/", "r-2")).await.status, StatusCode::UNAUTHORIZED);
+    assert_eq!(runners[0].runs(), 1);
+}
+
+#[tokio::test]
+async fn a_router_that_does_not_hear_of_the_store_serves_no_keys_but_public_routes() {
+    let platform = Platform::start("store-away").await;
+    platform.configure(&configuration(1));
+    let ledger = platform.runners("ledger", 1).await;
+    let engines = platform.runners("engines", 1).await;
+    let router = platform.router("router-1").await;
+    router.settled(2).await;
+    platform.store.set_mood(fake::store::Mood::Silent);
+    time::sleep(Duration::from_millis(1_600)).await;
+    let refused = router.call(keyed("GET", "/keyed/", "r-1")).await;
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(router.call(get("/safe/", "r-2")).await.status, StatusCode::OK);
+    platform.store.set_mood(fake::store::Mood::Well);
+    let begun = Instant::now();
+    while router.call(keyed("GET", "/keyed/", "r-3")).await.status != StatusCode::OK {
+        assert!(begun.elapsed() < Duration::from_secs(2), "keys are not served again");
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!((ledger[0].runs(), engines[0].runs()), (1, 1));
+}
+
+#[tokio::test]
+async fn routers_name_each_other_until_one_leaves() {
+    let platform = Platform::start("directory").await;
+    platform.configure(&configuration(1));
+    let first = platform.router("router-1").await;
+    let mut second = platform.router("router-2").await;
+    let named = async |router: &router::Router| {
+        let path = format!("/resolve?name={HOST}&region=north&zone=north");
+        let answer = call(router.directory, get(&path, "r-1")).await;
+        let answer: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        let addresses = answer["addresses"].as_array().cloned().unwrap_or_default();
+        let mut addresses: Vec<String> =
+            addresses.iter().filter_map(|address| address.as_str().map(str::to_owned)).collect();
+        addresses.sort();
+        addresses
+    };
+    let mut both = vec![first.callers.to_string(), second.callers.to_string()];
+    both.sort();
+    let begun = Instant::now();
+    while named(&first).await != both || named(&second).await != both {
+        assert!(begun.elapsed() < router::PATIENCE, "the routers don't know each other");
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    second.signal(Signal::TERM);
+    let begun = Instant::now();
+    while named(&first).await.len() != 1 {
+        assert!(begun.elapsed() < Duration::from_secs(1), "a leaving router is still named");
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(second.ended().await, Some(0));
+}
+
+#[tokio::test]
+async fn a_router_that_is_told_to_end_finishes_its_streams() {
+    let platform = Platform::start("ending").await;
+    platform.configure(&configuration(1));
+    let _engines = platform.runners("engines", 1).await;
+    let mut router = platform.router("router-1").await;
+    router.settled(1).await;
+    let callers = router.callers;
+    let stream = call(callers, keyed("POST", "/once/stream/", "r-1"));
+    let signal = async {
+        time::sleep(Duration::from_millis(60)).await;
+        router.signal(Signal::TERM);
+    };
+    let (answer, ()) = tokio::join!(stream, signal);
+    assert!(answer.is_whole);
+    assert_eq!(answer.body, whole_stream());
+    assert_eq!(call(router.ready, get("/ready", "r-2")).await.status.as_u16(), 503);
+    assert_eq!(router.ended().await, Some(0));
+    assert!(router.line("stopped").is_some());
+}
+
+#[tokio::test]
+async fn datagrams_of_strangers_are_ignored() {
+    let platform = Platform::start("strangers").await;
+    platform.configure(&configuration(1));
+    let _ledger = platform.runners("ledger", 1).await;
+    let router = platform.router("router-1").await;
+    router.settled(1).await;
+    let stranger = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    for length in [0, 1, 16, 24, 200, 1_400] {
+        stranger.send_to(&vec![7; length], router.peers).expect("sent");
+    }
+    assert_eq!(router.call(get("/safe/", "r-1")).await.status, StatusCode::OK);
+    assert_eq!(router.count("router_alive"), 0);
+}
+
+#[tokio::test]
+async fn metrics_count_what_the_log_says() {
+    let platform = Platform::start("metrics").await;
+    platform.configure(&configuration(1));
+    let _ledger = platform.runners("ledger", 1).await;
+    let router = platform.router("router-1").await;
+    router.settled(1).await;
+    router.call(get("/safe/", "r-1")).await;
+    let metrics = call(router.metrics, get("/metrics", "r-2")).await;
+    let text = String::from_utf8(metrics.body.to_vec()).expect("text");
+    assert!(text.contains("aspenline_events_total{event=\"answered\"} 1"), "{text}");
+    assert!(text.contains("aspenline_known_runners 1"), "{text}");
+    let line = until(|| router.line("answered")).await;
+    assert_eq!(line["request"], "r-1");
+    assert_eq!(line["version"], 1);
+    assert_eq!(line["sends"], 1);
+}
+
+#[tokio::test]
+async fn settings_that_are_wrong_end_the_start_with_one_line() {
+    let platform = Platform::start("wrong-settings").await;
+    let mut settings = platform.settings("router-1");
+    settings["bounds"]["retry_ratio"] = serde_json::json!(-1);
+    for text in [settings.to_string(), "{".to_owned(), "{\"nam\": 1}".to_owned()] {
+        let output = platform.command("router-1", &text).output().expect("the program runs");
+        assert_eq!(output.status.code(), Some(2));
+        let error = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(error.trim().lines().count(), 1, "{error}");
+    }
+}
+
+#[tokio::test]
+async fn settings_are_read_again_on_a_signal_and_kept_if_they_are_wrong() {
+    let platform = Platform::start("reload").await;
+    platform.configure(&configuration(1));
+    let _ledger = platform.runners("ledger", 1).await;
+    let router = platform.router("router-1").await;
+    router.settled(1).await;
+    router.signal(Signal::HUP);
+    until(|| router.line("settings_reloaded")).await;
+    drop(platform.command("router-1", "{"));
+    router.signal(Signal::HUP);
+    until(|| router.line("settings_refused")).await;
+    assert_eq!(router.call(get("/safe/", "r-1")).await.status, StatusCode::OK);
+}
--- /dev/null
+++ b/crates/fake/src/endpoint.rs
@@ -0,0 +1,260 @@
+//! A runner on the users' platform, by its published behaviour, that can be told to misbehave.
+
+use std::future::pending;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::Stream;
+use futures_util::StreamExt;
+use futures_util::stream;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body::Frame;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::StreamBody;
+use http_body_util::combinators::BoxBody;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio::time;
+
+/// Events of a whole stream.
+pub const EVENTS: u32 = 8;
+/// Time between two events.
+const EVENT_TIME: Duration = Duration::from_millis(20);
+
+/// How a runner treats requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Mood {
+    /// It answers each request whole.
+    #[default]
+    Well,
+    /// It turns each request away without running it.
+    Full,
+    /// It runs each request and closes the connection without an answer.
+    Breaking,
+    /// It breaks off each stream in the middle of this event.
+    BreakingAt(u32),
+    /// It answers with the id of another request.
+    Crossed,
+    /// It answers without the header that proves its answers.
+    Unsealed,
+    /// It runs each request and answers nothing.
+    Silent,
+    /// It answers each request with a failure of its own.
+    Failing,
+}
+
+/// A request that has arrived.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// Method, path and query.
+    pub line: String,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// Whether it was run.
+    pub has_run: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    mood: Mood,
+    arrivals: Vec<Arrival>,
+}
+
+/// A running runner; it ends when dropped.
+#[derive(Debug)]
+pub struct Endpoint {
+    id: String,
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    _tasks: JoinSet<()>,
+}
+
+type Body = BoxBody<Bytes, io::Error>;
+
+impl Endpoint {
+    /// Starts a runner with an id on a free port.
+    ///
+    /// # Errors
+    /// Returns the error of the operating system.
+    pub async fn start(id: &str) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(Mutex::new(State::default()));
+        let mut tasks = JoinSet::new();
+        tasks.spawn(accept(id.to_owned(), listener, Arc::clone(&state)));
+        Ok(Self { id: id.to_owned(), address, state, _tasks: tasks })
+    }
+
+    /// Returns its id.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Returns its address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes how requests are treated.
+    pub fn set_mood(&self, mood: Mood) {
+        lock(&self.state).mood = mood;
+    }
+
+    /// Returns all requests that have arrived.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        lock(&self.state).arrivals.clone()
+    }
+
+    /// Returns how many requests were run.
+    #[must_use]
+    pub fn runs(&self) -> usize {
+        lock(&self.state).arrivals.iter().filter(|arrival| arrival.has_run).count()
+    }
+
+    /// Returns its record in the store.
+    #[must_use]
+    pub fn record(&self, service: &str, state: &str, sequence: u64) -> Vec<u8> {
+        let record = serde_json::json!({
+            "service": service, "address": self.address.to_string(), "zone": "north",
+            "version": "v1", "slots": 16, "state": state, "cold_left_ms": 0,
+            "seq": sequence, "born": 1_700_000_000_000_u64,
+        });
+        record.to_string().into_bytes()
+    }
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn accept(id: String, listener: TcpListener, state: Arc<Mutex<State>>) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                let (id, state) = (id.clone(), Arc::clone(&state));
+                let service = service_fn(move |request| {
+                    let (id, state) = (id.clone(), Arc::clone(&state));
+                    async move { answer(&id, &state, request).await }
+                });
+                connections.spawn(async move {
+                    let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                    drop(serving.await);
+                });
+            }
+            Some(_) = connections.join_next() => (),
+        }
+    }
+}
+
+/// Why a connection is closed without an answer.
+#[derive(Debug)]
+struct Closed;
+
+impl std::fmt::Display for Closed {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the connection is closed without an answer")
+    }
+}
+
+impl std::error::Error for Closed {}
+
+async fn answer(
+    id: &str,
+    state: &Mutex<State>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Closed> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map_err(|_| Closed)?.to_bytes();
+    let mood = lock(state).mood;
+    let is_expected = head.headers.get("expect-instance").is_none_or(|expected| expected == id);
+    let has_run = is_expected && mood != Mood::Full;
+    let line = format!("{} {}", head.method, head.uri);
+    let last_event = text(&head.headers, "last-event-id").and_then(|id| id.parse().ok());
+    let request_id = text(&head.headers, "request-id").unwrap_or_default().to_owned();
+    let is_stream = head.uri.path().contains("/stream/");
+    lock(state).arrivals.push(Arrival { line, headers: head.headers, body, has_run });
+    if !is_expected {
+        return Ok(status(StatusCode::MISDIRECTED_REQUEST, "instance-id", id));
+    }
+    let shown = if mood == Mood::Crossed { "another" } else { request_id.as_str() };
+    let mut response = match mood {
+        Mood::Full => return Ok(status(StatusCode::SERVICE_UNAVAILABLE, "not-executed", "1")),
+        Mood::Breaking => return Err(Closed),
+        Mood::Silent => return pending().await,
+        Mood::Failing => status(StatusCode::INTERNAL_SERVER_ERROR, "request-id", shown),
+        _ if is_stream => {
+            let broken_at = match mood {
+                Mood::BreakingAt(event) => Some(event),
+                _ => None,
+            };
+            Response::new(BodyExt::boxed(StreamBody::new(events(last_event, broken_at))))
+        }
+        _ => Response::new(whole(format!("answer of {id}"))),
+    };
+    let headers = response.headers_mut();
+    headers.insert("request-id", shown.parse().expect("a plain id"));
+    if mood != Mood::Unsealed {
+        headers.insert("response-seal", format!("seal-{id}").parse().expect("a plain id"));
+    }
+    Ok(response)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn whole(text: String) -> Body {
+    Full::new(Bytes::from(text)).map_err(|never| match never {}).boxed()
+}
+
+fn status(status: StatusCode, header: &'static str, value: &str) -> Response<Body> {
+    let mut response = Response::new(whole(String::new()));
+    *response.status_mut() = status;
+    response.headers_mut().insert(header, value.parse().expect("a plain value"));
+    response
+}
+
+/// Returns the text of an event.
+#[must_use]
+pub fn event(number: u32) -> String {
+    format!("id: {number}\ndata: piece {number}\n\n")
+}
+
+fn events(
+    last: Option<u32>,
+    broken_at: Option<u32>,
+) -> impl Stream<Item = io::Result<Frame<Bytes>>> + Send + Sync {
+    let first = last.map_or(1, |last| last + 1);
+    stream::unfold(Some(first), move |next| async move {
+        let number = next.filter(|number| *number <= EVENTS)?;
+        time::sleep(EVENT_TIME).await;
+        let text = event(number);
+        if broken_at == Some(number) {
+            let half = Bytes::from(text[..text.len() / 2].to_owned());
+            return Some((Ok(Frame::data(half)), Some(EVENTS + 2)));
+        }
+        Some((Ok(Frame::data(Bytes::from(text))), Some(number + 1)))
+    })
+    .chain(stream::iter(broken_at.map(|_| Err(io::Error::other("broken off")))))
+}
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -6,6 +6,7 @@
 //! ```
 
 pub mod connection;
+pub mod endpoint;
 pub mod engine;
 pub mod journal;
 pub mod platform;
@@ -13,3 +14,4 @@
 pub mod reply;
 pub mod server;
 pub mod service;
+pub mod store;
--- /dev/null
+++ b/crates/fake/src/store.rs
@@ -0,0 +1,298 @@
+//! The platform's store, by its published calls: keyed topics that are appended to, read and listed.
+
+use std::convert::Infallible;
+use std::fmt::Write as _;
+use std::future::pending;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use indexmap::IndexMap;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio::time;
+
+/// How often a read that waits looks for records.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// How the store treats calls.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Mood {
+    /// It answers.
+    #[default]
+    Well,
+    /// It refuses each call with 503.
+    Busy,
+    /// It answers nothing.
+    Silent,
+}
+
+/// One topic with a single partition.
+#[derive(Debug, Default)]
+struct Topic {
+    first: u64,
+    records: Vec<Bytes>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    mood: Mood,
+    topics: IndexMap<String, Topic>,
+}
+
+/// A running store; it ends when dropped.
+#[derive(Debug)]
+pub struct Store {
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    _tasks: JoinSet<()>,
+}
+
+impl Store {
+    /// Starts a store on a free port.
+    ///
+    /// # Errors
+    /// Returns the error of the operating system.
+    pub async fn start() -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(Mutex::new(State::default()));
+        let mut tasks = JoinSet::new();
+        tasks.spawn(accept(listener, Arc::clone(&state)));
+        Ok(Self { address, state, _tasks: tasks })
+    }
+
+    /// Returns its address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes how calls are treated.
+    pub fn set_mood(&self, mood: Mood) {
+        lock(&self.state).mood = mood;
+    }
+
+    /// Appends a record of a key.
+    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        let mut record = vec![u8::try_from(key.len()).expect("a short key")];
+        record.extend_from_slice(key.as_bytes());
+        record.extend_from_slice(value);
+        lock(&self.state).append(topic, Bytes::from(record));
+    }
+
+    /// Appends a record that removes a key.
+    pub fn remove(&self, topic: &str, key: &str) {
+        self.put(topic, key, &[]);
+    }
+
+    /// Forgets all but the newest record of each key.
+    pub fn forget_history(&self, topic: &str) {
+        let mut state = lock(&self.state);
+        let topic = state.topics.entry(topic.to_owned()).or_default();
+        topic.first = topic.records.len() as u64;
+    }
+
+    /// Returns the newest value of a key.
+    #[must_use]
+    pub fn newest(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
+        let state = lock(&self.state);
+        let (_, value) = state.topics.get(topic)?.newest().swap_remove(key)?;
+        Some(value.to_vec())
+    }
+}
+
+impl State {
+    fn append(&mut self, topic: &str, record: Bytes) -> u64 {
+        let topic = self.topics.entry(topic.to_owned()).or_default();
+        topic.records.push(record);
+        topic.records.len() as u64
+    }
+}
+
+impl Topic {
+    /// Returns the newest record of each key that has a value, with its offset.
+    fn newest(&self) -> IndexMap<String, (u64, Bytes)> {
+        let mut newest = IndexMap::new();
+        for (offset, record) in self.records.iter().enumerate() {
+            let (key, value) = split(record);
+            if value.is_empty() {
+                newest.shift_remove(&key);
+            } else {
+                newest.insert(key, (offset as u64, value));
+            }
+        }
+        newest
+    }
+}
+
+fn split(record: &Bytes) -> (String, Bytes) {
+    let length = record.first().map_or(0, |length| usize::from(*length));
+    let key = String::from_utf8_lossy(&record[1..=length]).into_owned();
+    (key, record.slice(1 + length..))
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn accept(listener: TcpListener, state: Arc<Mutex<State>>) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                let state = Arc::clone(&state);
+                let service = service_fn(move |request| {
+                    let state = Arc::clone(&state);
+                    async move { Ok::<_, Infallible>(answer(&state, request).await) }
+                });
+                connections.spawn(async move {
+                    let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                    drop(serving.await);
+                });
+            }
+            Some(_) = connections.join_next() => (),
+        }
+    }
+}
+
+async fn answer(state: &Mutex<State>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let mood = lock(state).mood;
+    match mood {
+        Mood::Well => (),
+        Mood::Busy => return status(StatusCode::SERVICE_UNAVAILABLE),
+        Mood::Silent => return pending().await,
+    }
+    let query = Query::of(request.uri().query().unwrap_or_default());
+    match request.uri().path() {
+        "/log-append" => match request.into_body().collect().await {
+            Ok(body) => append(state, &query, &body.to_bytes()),
+            Err(_) => status(StatusCode::BAD_REQUEST),
+        },
+        "/log-read" => read(state, &query).await,
+        "/log-newest" => newest(state, &query),
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn append(state: &Mutex<State>, query: &Query, body: &Bytes) -> Response<Full<Bytes>> {
+    let mut state = lock(state);
+    let mut rest = body.clone();
+    let mut end = 0;
+    let mut count = 0;
+    while rest.len() >= 4 {
+        let length = u32::from_be_bytes([rest[0], rest[1], rest[2], rest[3]]) as usize;
+        if rest.len() < 4 + length {
+            return status(StatusCode::BAD_REQUEST);
+        }
+        end = state.append(&query.topic, rest.slice(4..4 + length));
+        rest = rest.slice(4 + length..);
+        count += 1;
+    }
+    document(&json!({ "offset": end - count, "end": end }))
+}
+
+async fn read(state: &Mutex<State>, query: &Query) -> Response<Full<Bytes>> {
+    let until = time::Instant::now() + query.wait;
+    loop {
+        if let Some(answer) = try_read(state, query) {
+            return answer;
+        }
+        if time::Instant::now() >= until {
+            return page(state, query, &[]);
+        }
+        time::sleep(LOOK).await;
+    }
+}
+
+fn try_read(state: &Mutex<State>, query: &Query) -> Option<Response<Full<Bytes>>> {
+    let records = {
+        let state = lock(state);
+        let topic = state.topics.get(&query.topic)?;
+        if query.from < topic.first {
+            return Some(status(StatusCode::GONE));
+        }
+        topic.records.get(usize::try_from(query.from).ok()?..)?.to_vec()
+    };
+    (!records.is_empty()).then(|| page(state, query, &records))
+}
+
+fn page(state: &Mutex<State>, query: &Query, records: &[Bytes]) -> Response<Full<Bytes>> {
+    let state = lock(state);
+    let topic = state.topics.get(&query.topic);
+    let (end, first) = topic.map_or((0, 0), |topic| (topic.records.len() as u64, topic.first));
+    let mut body = Vec::new();
+    body.extend_from_slice(&end.to_be_bytes());
+    body.extend_from_slice(&first.to_be_bytes());
+    for record in records {
+        let length = u32::try_from(record.len()).expect("a short record");
+        body.extend_from_slice(&length.to_be_bytes());
+        body.extend_from_slice(record);
+    }
+    Response::new(Full::new(Bytes::from(body)))
+}
+
+fn newest(state: &Mutex<State>, query: &Query) -> Response<Full<Bytes>> {
+    let state = lock(state);
+    let topic = state.topics.get(&query.topic);
+    let newest = topic.map(Topic::newest).unwrap_or_default();
+    let items = newest.iter().map(|(key, (offset, value))| {
+        json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
+    });
+    let items: Vec<serde_json::Value> = items.collect();
+    let end = topic.map_or(0, |topic| topic.records.len());
+    document(&json!({ "items": items, "has_more": false, "end": end }))
+}
+
+fn document(value: &serde_json::Value) -> Response<Full<Bytes>> {
+    let mut text = String::new();
+    write!(text, "{value}").expect("strings take all text");
+    Response::new(Full::new(Bytes::from(text)))
+}
+
+fn status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
+/// The parts of a query that the calls use.
+#[derive(Debug, Default)]
+struct Query {
+    topic: String,
+    from: u64,
+    wait: Duration,
+}
+
+impl Query {
+    fn of(text: &str) -> Self {
+        let mut query = Self::default();
+        for (name, value) in text.split('&').filter_map(|part| part.split_once('=')) {
+            match name {
+                "topic" => value.clone_into(&mut query.topic),
+                "from" => query.from = value.parse().unwrap_or_default(),
+                "wait_ms" => query.wait = Duration::from_millis(value.parse().unwrap_or_default()),
+                _ => (),
+            }
+        }
+        query
+    }
+}
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -278,13 +278,13 @@
     }
 }
 
-/// Returns how long this attempt may wait for the head of its answer.
+/// Returns how long this attempt may wait for the head of its answer, if another one may follow.
 fn attempt_limit(router: &Router, call: &Call, trail: &Trail) -> Duration {
     let left = call.deadline.saturating_sub(router.now());
     let has_more = trail.runs + 1 < call.route.attempts;
     match call.route.kind {
         Kind::Safe if has_more => left.mul_f64(ATTEMPT_PART),
-        _ => left,
+        _ => Duration::MAX,
     }
 }
 
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -1,6 +1,5 @@
 //! Sending and receiving heartbeats.
 
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,15 +40,8 @@
 const DATAGRAM_BYTES: usize = 60 << 10;
 
 /// Exchanges heartbeats with all peers for as long as the process runs.
-///
-/// # Errors
-/// Returns why the address can't be used.
-pub async fn exchange_heartbeats(router: Rc<Router>, me: Rc<Identity>) -> io::Result<()> {
-    let socket = UdpSocket::bind(me.peers).await?;
-    let sending = send_all(&router, &me, &socket);
-    let receiving = receive_all(&router, &socket);
-    tokio::join!(sending, receiving);
-    Ok(())
+pub async fn exchange_heartbeats(router: Rc<Router>, me: Rc<Identity>, socket: UdpSocket) {
+    tokio::join!(send_all(&router, &me, &socket), receive_all(&router, &socket));
 }
 
 async fn send_all(router: &Router, me: &Identity, socket: &UdpSocket) {
