--- a/crates/aspenline/tests/common/router.rs
+++ b/crates/aspenline/tests/common/router.rs
@@ -154,11 +154,12 @@
         let output = child.stdout.take().expect("standard output is piped");
         let lines = Arc::new(Mutex::new(Vec::new()));
         let sink = Arc::clone(&lines);
-        let reader = thread::spawn(move || {
+        let read = move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
                 sink.lock().expect("no reader panics").push(line);
             }
-        });
+        };
+        let reader = thread::Builder::new().spawn(read).expect("a thread");
         let started = until(|| find(&lines, "started")).await;
         let text = started["outcome"].as_str().expect("addresses").to_owned();
         Router {
