--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -104,7 +104,7 @@
         let keepers = working.filter_map(|(key, runner)| {
             let used = runner.kept.used(prompt.affinity(), self.now);
             let is_likely = used.is_some() || (Some(key) == home && !is_home);
-            is_likely.then_some((Some(key) == home, used, runner.address))
+            is_likely.then_some((Some(key) == home, used, runner.entry.address))
         });
         keepers.max().map(|(.., address)| address)
     }
@@ -115,7 +115,7 @@
         let Some(affinity) = affinity else { return Vec::new() };
         let serving = self.registry.serving(ask.service.as_str());
         let mut ranks: Vec<(Reverse<u64>, Key)> = serving
-            .map(|(key, runner)| (rendezvous::weight(affinity, runner.id.as_str()), key))
+            .map(|(key, runner)| (rendezvous::weight(affinity, runner.entry.id.as_str()), key))
             .map(|(weight, key)| (Reverse(weight), key))
             .collect();
         ranks.sort_unstable();
@@ -139,21 +139,21 @@
         let allowance =
             Allowance::new(self.service.cold_rate, limits.cold_factor, limits.cold_constant);
         let others = limits.peers.iter().map(base::Name::as_str);
-        let part = allowance.part(runner.born, limits.router.as_str(), others);
+        let part = allowance.part(runner.entry.born, limits.router.as_str(), others);
         runner.cold_sent.clone().sum(self.now) < part
     }
 
     fn fits(&self, runner: &Runner, ask: &Ask) -> bool {
         let load = runner.load(self.now);
         let Some(engine) = self.service.engine else {
-            return load.running < runner.slots + runner.slots.div_ceil(PLAIN_SURPLUS);
+            return load.running < runner.entry.slots + runner.entry.slots.div_ceil(PLAIN_SURPLUS);
         };
         let memory = (engine.memory as f64 * MEMORY_PART) as u64;
         let ceiling = self.pace.limits();
         let backlog = (ceiling.backlog as f64 * self.part) as u64;
         let running = (f64::from(ceiling.running) * self.part).ceil() as u32;
         let missing = missing(runner, ask, self.now).min(backlog / 2);
-        load.running < running.min(runner.slots).min(engine.slots)
+        load.running < running.min(runner.entry.slots).min(engine.slots)
             && (load.memory + ask.memory() <= memory || load.running == 0)
             && load.backlog + missing <= backlog
     }
@@ -163,7 +163,7 @@
         let spread = self.spread(runner);
         let failure_ratio = runner.health.failure_ratio();
         let Some(prompt) = &ask.prompt else {
-            let busy = f64::from(load.running + 1) / f64::from(runner.slots.max(1));
+            let busy = f64::from(load.running + 1) / f64::from(runner.entry.slots.max(1));
             return ((busy * 1_000.0 + failure_ratio * 4_000.0) * spread) as u64;
         };
         let waiting = load.backlog + u64::from(load.running) * RUNNING_TOKENS;
@@ -175,7 +175,7 @@
     }
 
     fn spread(&self, runner: &Runner) -> f64 {
-        let weight = rendezvous::weight(self.salt, runner.id.as_str());
+        let weight = rendezvous::weight(self.salt, runner.entry.id.as_str());
         1.0 + SPREAD * (weight as f64 / u64::MAX as f64)
     }
 }
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -331,7 +331,7 @@
         if let Some(prompt) = &ask.prompt {
             runner.kept.remember(prompt, now);
         }
-        let (id, address) = (runner.id.clone(), runner.address);
+        let (id, address) = (runner.entry.id.clone(), runner.entry.address);
         let work = ask.work();
         if let Some(workspace) = &ask.workspace {
             self.usage.charge(now, workspace, work);
--- a/crates/balance/src/registry.rs
+++ b/crates/balance/src/registry.rs
@@ -1,6 +1,5 @@
 //! The runners that are known, by what they say of themselves in the platform's store.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use base::Name;
@@ -8,32 +7,10 @@
 use indexmap::IndexSet;
 use slotmap::SlotMap;
 
+use crate::Entry;
 use crate::Key;
 use crate::Runner;
 
-/// What a runner says of itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Entry {
-    /// The id of the instance.
-    pub id: Name,
-    /// The start of this lifetime, in milliseconds of the Unix time.
-    pub born: u64,
-    /// A number that rises with each entry of this lifetime.
-    pub sequence: u64,
-    /// The service that it serves.
-    pub service: Name,
-    /// Where it accepts connections.
-    pub address: SocketAddr,
-    /// Its availability zone.
-    pub zone: Name,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Whether it is leaving.
-    pub is_draining: bool,
-    /// How much longer it bears only few requests.
-    pub cold_left: Duration,
-}
-
 /// How long an entry that lapsed while the store was away may take to come back.
 const RETURN: Duration = Duration::from_millis(2_500);
 
@@ -56,10 +33,11 @@
     pub fn put(&mut self, now: Duration, entry: &Entry) -> Key {
         self.lapsed.swap_remove(&entry.id);
         if let Some(key) = self.ids.get(&entry.id).copied() {
-            let known = &self.runners[key];
+            let runner = &mut self.runners[key];
+            let known = &runner.entry;
             if known.born == entry.born && known.address == entry.address {
                 if entry.sequence >= known.sequence {
-                    self.update(now, key, entry);
+                    runner.update(now, entry);
                 }
                 return key;
             }
@@ -68,16 +46,8 @@
             }
             self.remove(&entry.id);
         }
-        let runner = Runner::new(
-            entry.id.clone(),
-            entry.born,
-            entry.service.clone(),
-            entry.address,
-            entry.zone.clone(),
-        );
-        let key = self.runners.insert(runner);
+        let key = self.runners.insert(Runner::new(now, entry.clone()));
         self.ids.insert(entry.id.clone(), key);
-        self.update(now, key, entry);
         key
     }
 
@@ -94,6 +64,7 @@
         let known = self.find(entry.id.as_str()).and_then(|key| self.get(key));
         known.is_none_or(|known| {
             let is_colder = now + entry.cold_left > known.cold_until + COLD_NEWS;
+            let known = &known.entry;
             known.born != entry.born
                 || known.is_draining != entry.is_draining
                 || known.address != entry.address
@@ -145,7 +116,7 @@
     /// Replaces the zones that are taken out; runners of a zone that is taken back are cold for `cold`.
     pub fn set_out(&mut self, now: Duration, out: IndexSet<Name>, cold: Duration) {
         for zone in self.out.difference(&out) {
-            for runner in self.runners.values_mut().filter(|runner| runner.zone == *zone) {
+            for runner in self.runners.values_mut().filter(|runner| runner.entry.zone == *zone) {
                 runner.cold_until = runner.cold_until.max(now + cold);
                 runner.kept.clear();
             }
@@ -192,10 +163,10 @@
     pub fn serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (Key, &'a Runner)> {
         let uses_lapsed = self.has_lapsed_mostly(service);
         let all = self.runners.iter();
-        let own = all.filter(move |(_, runner)| runner.service.as_str() == service);
+        let own = all.filter(move |(_, runner)| runner.entry.service.as_str() == service);
         own.filter(move |(_, runner)| {
-            let is_listed = uses_lapsed || !self.lapsed.contains_key(&runner.id);
-            is_listed && !runner.is_draining && !self.is_out(&runner.zone)
+            let is_listed = uses_lapsed || !self.lapsed.contains_key(&runner.entry.id);
+            is_listed && !runner.entry.is_draining && !self.is_out(&runner.entry.zone)
         })
     }
 
@@ -204,21 +175,10 @@
         if self.lapsed.is_empty() {
             return false;
         }
-        let own = self.runners.values().filter(|runner| runner.service.as_str() == service);
+        let own = self.runners.values().filter(|runner| runner.entry.service.as_str() == service);
         let (all, lapsed) = own.fold((0, 0), |(all, lapsed), runner| {
-            (all + 1, lapsed + usize::from(self.lapsed.contains_key(&runner.id)))
+            (all + 1, lapsed + usize::from(self.lapsed.contains_key(&runner.entry.id)))
         });
         lapsed * 2 > all
     }
-
-    fn update(&mut self, now: Duration, key: Key, entry: &Entry) {
-        let runner = &mut self.runners[key];
-        runner.service = entry.service.clone();
-        runner.slots = entry.slots;
-        runner.sequence = entry.sequence;
-        runner.is_draining = runner.is_draining || entry.is_draining;
-        if entry.cold_left > Duration::ZERO {
-            runner.cold_until = runner.cold_until.max(now + entry.cold_left);
-        }
-    }
 }
--- a/crates/balance/src/runner.rs
+++ b/crates/balance/src/runner.rs
@@ -19,14 +19,14 @@
 /// The time over which requests to a cold runner are limited.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 
-/// A runner with its state and load.
-#[derive(Debug, Clone)]
-pub struct Runner {
+/// What a runner says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
     /// The id of the instance, which appears once.
     pub id: Name,
     /// The start of this lifetime, in milliseconds of the Unix time.
     pub born: u64,
-    /// The number of the newest entry of this lifetime.
+    /// A number that rises with each entry of this lifetime.
     pub sequence: u64,
     /// The service that it serves.
     pub service: Name,
@@ -38,6 +38,15 @@
     pub slots: u32,
     /// Whether it is leaving.
     pub is_draining: bool,
+    /// How much longer it bears only few requests.
+    pub cold_left: Duration,
+}
+
+/// A runner with its state and load.
+#[derive(Debug, Clone)]
+pub struct Runner {
+    /// The newest that it has said of itself.
+    pub entry: Entry,
     /// Until when it bears only few requests.
     pub cold_until: Duration,
     /// The results of requests.
@@ -55,22 +64,30 @@
 impl Runner {
     /// Creates a runner without load.
     #[must_use]
-    pub fn new(id: Name, born: u64, service: Name, address: SocketAddr, zone: Name) -> Self {
-        Self {
-            id,
-            born,
-            sequence: 0,
-            service,
-            address,
-            zone,
-            slots: 1,
-            is_draining: false,
+    pub fn new(now: Duration, entry: Entry) -> Self {
+        let mut runner = Self {
+            entry,
             cold_until: Duration::ZERO,
             health: Health::default(),
             kept: Kept::default(),
             own: Load::default(),
             peers: Shares::default(),
             cold_sent: Window::new(COLD_WINDOW),
+        };
+        runner.warm_up(now);
+        runner
+    }
+
+    /// Takes in a newer entry of the same lifetime; a runner that drains goes on draining.
+    pub fn update(&mut self, now: Duration, entry: &Entry) {
+        let is_draining = self.entry.is_draining || entry.is_draining;
+        self.entry = Entry { is_draining, ..entry.clone() };
+        self.warm_up(now);
+    }
+
+    fn warm_up(&mut self, now: Duration) {
+        if self.entry.cold_left > Duration::ZERO {
+            self.cold_until = self.cold_until.max(now + self.entry.cold_left);
         }
     }
 
--- a/crates/balance/tests/waiting.rs
+++ b/crates/balance/tests/waiting.rs
@@ -86,7 +86,7 @@
             let loads: Vec<_> = self.cores[from]
                 .registry
                 .iter()
-                .map(|(_, runner)| (runner.id.clone(), runner.own))
+                .map(|(_, runner)| (runner.entry.id.clone(), runner.own))
                 .collect();
             let used: IndexMap<Name, u64> =
                 self.cores[from].usage.own(now).map(|(name, work)| (name.clone(), work)).collect();
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -81,7 +81,7 @@
     let core = router.core.borrow();
     let loads = core.registry.iter().filter(|(_, runner)| runner.own != Load::default());
     let loads = loads.map(|(_, runner)| RunnerLoad {
-        runner: Digest::of(runner.id.as_str()),
+        runner: Digest::of(runner.entry.id.as_str()),
         running: runner.own.running,
         backlog: runner.own.backlog,
         memory: runner.own.memory,
@@ -182,7 +182,7 @@
     let keys: Vec<_> = core.registry.iter().map(|(key, _)| key).collect();
     for key in keys {
         let Some(runner) = core.registry.get_mut(key) else { continue };
-        let load = loads.get(&Digest::of(runner.id.as_str()));
+        let load = loads.get(&Digest::of(runner.entry.id.as_str()));
         let load = load.map_or_else(Load::default, |load| Load {
             running: load.running,
             backlog: load.backlog,
