--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -27,7 +27,7 @@
 /// The part of the target for which a request waits for a runner.
 const WAIT_PART: f64 = 0.5;
 /// The part of the load of an engine that is kept free of the workspace that has used most.
-const RESERVED_PART: f64 = 0.4;
+const RESERVED_PART: f64 = 0.5;
 /// How long the work of the workspace that has used most is taken as known.
 const MOST_KEPT: Duration = Duration::from_millis(50);
 /// Waiting requests of a service that are looked at for one free place.
--- a/crates/balance/src/watch.rs
+++ b/crates/balance/src/watch.rs
@@ -12,8 +12,10 @@
 
 /// Routers that read a topic all the time.
 const READERS: usize = 3;
-/// The age of what is known from which on a router reads by itself.
-const STALE: Duration = Duration::from_millis(1_200);
+/// The age of what is known from which on a router reads by itself, if heartbeats came at once.
+const STALE: Duration = Duration::from_millis(1_000);
+/// Times between two heartbeats that pass until what a reader knows is known to hold elsewhere.
+const HEARTBEATS: u32 = 2;
 /// The longest time between two reads.
 const LONGEST: Duration = Duration::from_secs(8);
 
@@ -70,14 +72,15 @@
         self.as_of.map(|as_of| now.saturating_sub(as_of))
     }
 
-    /// Returns when the topic is read next; a reader reads again after `pause`.
+    /// Returns when the topic is read next; a reader reads again after `pause`, and routers send a heartbeat each
+    /// `period`.
     #[must_use]
-    pub fn next_read(&self, is_reader: bool, pause: Duration) -> Duration {
+    pub fn next_read(&self, is_reader: bool, pause: Duration, period: Duration) -> Duration {
         if is_reader || self.is_behind() {
             return self.tried + pause;
         }
         let Some(as_of) = self.as_of else { return self.tried + pause };
-        (as_of + STALE).max(self.tried + pause).min(self.tried + LONGEST)
+        (as_of + STALE + HEARTBEATS * period).max(self.tried + pause).min(self.tried + LONGEST)
     }
 
     fn hear(&mut self, as_of: Duration) {
--- a/crates/balance/tests/watch.rs
+++ b/crates/balance/tests/watch.rs
@@ -8,6 +8,7 @@
 
 const NOW: Duration = Duration::from_secs(50);
 const PAUSE: Duration = Duration::from_millis(600);
+const PERIOD: Duration = Duration::from_millis(100);
 
 fn read_at(now: Duration, position: u64) -> Watch {
     let mut watch = Watch::default();
@@ -34,7 +35,7 @@
     assert!(!watch.is_behind());
     watch.told(11, Some(NOW));
     assert!(watch.is_behind());
-    assert_eq!(watch.next_read(false, PAUSE), NOW + PAUSE);
+    assert_eq!(watch.next_read(false, PAUSE, PERIOD), NOW + PAUSE);
     watch.read(NOW, 12, Some(11), true);
     assert!(!watch.is_behind());
     assert_eq!(watch.changed(), 11);
@@ -46,14 +47,14 @@
     for step in 1..20 {
         let now = NOW + Duration::from_millis(300 * step);
         watch.told(9, Some(now));
-        assert!(watch.next_read(false, PAUSE) > now);
+        assert!(watch.next_read(false, PAUSE, PERIOD) > now);
     }
 }
 
 #[test]
 fn a_router_that_is_told_nothing_reads_by_itself() {
     let watch = read_at(NOW, 10);
-    assert!(watch.next_read(false, PAUSE) <= NOW + Duration::from_millis(1_200));
+    assert!(watch.next_read(false, PAUSE, PERIOD) <= NOW + Duration::from_millis(1_200));
 }
 
 #[test]
@@ -63,3 +64,16 @@
     watch.told(11, Some(later));
     assert_eq!(watch.age(later), Some(Duration::from_secs(9)));
 }
+
+#[test]
+fn slow_heartbeats_of_a_large_fleet_alone_make_no_router_read() {
+    let period = Duration::from_millis(450);
+    let reader_age = PAUSE + Duration::from_millis(300);
+    let mut watch = read_at(NOW, 10);
+    for step in 1..17 {
+        let told = NOW + step * period;
+        let as_of = told.saturating_sub(reader_age + period);
+        assert!(watch.next_read(false, PAUSE, period) > told);
+        watch.told(9, Some(as_of));
+    }
+}
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -72,7 +72,8 @@
     incarnation >> SEQUENCE_SHIFT
 }
 
-fn period(peers: usize) -> Duration {
+/// Returns the time between two heartbeats with this many peers.
+pub(crate) fn period(peers: usize) -> Duration {
     let factor = peers.max(SMALL_FLEET) as f64 / SMALL_FLEET as f64;
     PERIOD.mul_f64(factor).min(LONGEST_PERIOD)
 }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -27,6 +27,7 @@
 use crate::Reading;
 use crate::Settings;
 use crate::echo::Echo;
+use crate::heartbeat;
 use crate::pool::Pool;
 
 /// Longest time between two looks at waiting requests, since load of other routers may have ended.
@@ -170,7 +171,13 @@
     pub async fn wait_to_read(&self, topic: Topic, pause: Duration) {
         loop {
             let is_reader = self.is_reader(topic);
-            let due = self.with_watch(topic, |watch| watch.next_read(is_reader, pause));
+            let due = self.with_watch(topic, |watch| {
+                watch.next_read(
+                    is_reader,
+                    pause,
+                    heartbeat::period(self.members.borrow().iter().count()),
+                )
+            });
             let left = due.saturating_sub(self.now());
             if left.is_zero() {
                 return;
