perf(relay): do not name flooded routers to callers

Cause: a flooding workspace's caller keeps one address for as long as the directory names it, whatever connections are closed.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -69,6 +69,7 @@
 pub use runner::Key;
 pub use runner::Runner;
 pub use spread::closed_part;
+pub use spread::is_flooded;
 pub use suspect::Suspects;
 pub use table::Access;
 pub use table::Denied;
--- a/crates/balance/tests/spread.rs
+++ b/crates/balance/tests/spread.rs
@@ -1,6 +1,7 @@
 //! Moving callers away from an instance that gets more than its part.
 
 use balance::closed_part;
+use balance::is_flooded;
 
 #[test]
 fn an_instance_near_the_mean_keeps_its_callers() {
@@ -25,3 +26,10 @@
 fn an_instance_with_few_requests_keeps_them() {
     assert!(closed_part(8.0, 0.1, 1.0) <= 0.0);
 }
+
+#[test]
+fn only_an_instance_far_above_the_mean_is_not_named() {
+    assert!(is_flooded(900.0, 0.12, 300.0));
+    assert!(!is_flooded(60.0, 0.12, 300.0));
+    assert!(!is_flooded(8.0, 0.12, 1.0));
+}
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -16,12 +16,15 @@
     address: SocketAddr,
     /// Its part of a processor.
     share: f64,
+    /// Its requests in the last second.
+    requests: f64,
     is_current: bool,
 }
 
 /// Returns the addresses of routers that take callers, in random order.
 ///
-/// A router that does not know which keys hold refuses most requests, so it is named only if all are like that.
+/// A router that does not know which keys hold refuses most requests, so it is named only if all are like that. One that
+/// is flooded is not named, since a caller keeps to its address for as long as it is named.
 #[must_use]
 pub fn addresses(router: &Router) -> Vec<SocketAddr> {
     let now = router.now();
@@ -31,6 +34,7 @@
         .map(|member| Candidate {
             address: member.identity.callers,
             share: f64::from(member.identity.share_milli) / 1_000.0,
+            requests: f64::from(member.requests),
             is_current: member.is_current,
         })
         .collect();
@@ -38,6 +42,7 @@
         ready.push(Candidate {
             address: router.settings.listen.callers,
             share: router.settings.share,
+            requests: f64::from(router.recent_requests()),
             is_current: !router.is_revocation_unknown(),
         });
     }
@@ -49,6 +54,13 @@
     if ready.iter().any(|candidate| candidate.is_current) {
         ready.retain(|candidate| candidate.is_current);
     }
+    let mean =
+        sum(&ready, |candidate| candidate.requests) / sum(&ready, |candidate| candidate.share);
+    let is_flooded =
+        |candidate: &Candidate| balance::is_flooded(candidate.requests, candidate.share, mean);
+    if !ready.iter().all(is_flooded) {
+        ready.retain(|candidate| !is_flooded(candidate));
+    }
     let largest = ready.iter().map(|candidate| candidate.share).fold(0.0, f64::max);
     ready.shuffle(&mut rand::rng());
     let likely = |candidate: &Candidate| rand::random::<f64>() * largest <= candidate.share;
@@ -58,3 +70,7 @@
     chosen.truncate(ADDRESSES);
     chosen.into_iter().map(|candidate| candidate.address).collect()
 }
+
+fn sum(candidates: &[Candidate], figure: impl Fn(&Candidate) -> f64) -> f64 {
+    candidates.iter().map(figure).sum()
+}
