--- a/crates/balance/tests/waiting.rs
+++ b/crates/balance/tests/waiting.rs
@@ -69,7 +69,8 @@
         for (router, grant, _, workspace) in ended {
             self.cores[router].end(now, &grant, Some(&workspace), true);
         }
-        for router in 0..self.cores.len() {
+        // The router of the small workspace comes last, when the others have filled what was free.
+        for router in (0..self.cores.len()).rev() {
             for (ticket, settled) in self.cores[router].pump(now) {
                 let workspace = self.waiting.swap_remove(&(router, ticket)).expect("waiting");
                 self.settle(now, router, settled, &workspace);
@@ -123,6 +124,28 @@
     assert!(small * 2 >= flood.min(300), "small {small} of 300, flood {flood}");
 }
 
+#[test]
+fn the_workspace_that_has_used_most_leaves_room_for_the_others() {
+    let mut core = core("router-1", 2);
+    let mut queued = 0;
+    for step in 0..20 {
+        let outcome = core.submit(NOW, ask(NOW + ms(step), "flood", step, 6_000));
+        queued += u32::from(matches!(outcome, Outcome::Queued(_)));
+    }
+    assert!(queued > 0, "the engines were never full");
+    core.registry.iter().for_each(|(_, runner)| assert!(runner.own.running > 0));
+    let others = core.pump(NOW + ms(1));
+    assert!(others.is_empty(), "the flood found room");
+    let mut small = ask(NOW + ms(1), "small", 900, 2_000);
+    small.target = NOW + ms(2_000);
+    let Outcome::Queued(ticket) = core.submit(NOW + ms(1), small) else { return };
+    let settled = core.pump(NOW + ms(2));
+    let granted = settled
+        .iter()
+        .any(|(settled, decision)| *settled == ticket && matches!(decision, Settled::Granted(_)));
+    assert!(granted, "the small workspace found no room");
+}
+
 #[test]
 fn a_request_that_no_runner_takes_is_refused_within_its_target() {
     let mut core = core("router-1", 0);
