--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -139,7 +139,7 @@
         let allowance =
             Allowance::new(self.service.cold_rate, limits.cold_factor, limits.cold_constant);
         let others = limits.peers.iter().map(base::Name::as_str);
-        let part = allowance.part(runner.entry.born, limits.router.as_str(), others);
+        let part = allowance.part(runner.entry.started_ms, limits.router.as_str(), others);
         runner.cold_sent.clone().sum(self.now) < part
     }
 
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -65,8 +65,6 @@
     pub address: SocketAddr,
     /// The runner from which it fetches the shared parts that it does not keep.
     pub source: Option<SocketAddr>,
-    /// Whether the runner bears only few requests.
-    pub is_cold: bool,
     load: Load,
     work: u64,
 }
@@ -323,8 +321,7 @@
         let runner = self.registry.get_mut(key).expect("a chosen runner is known");
         let load =
             Load { running: 1, backlog: choice::missing(runner, ask, now), memory: ask.memory() };
-        let is_cold = runner.is_cold(now);
-        if is_cold {
+        if runner.is_cold(now) {
             runner.cold_sent.add(now, 1);
         }
         runner.own.add(load);
@@ -336,7 +333,7 @@
         if let Some(workspace) = &ask.workspace {
             self.usage.charge(now, workspace, work);
         }
-        Grant { runner: key, id, address, source: choice.source, is_cold, load, work }
+        Grant { runner: key, id, address, source: choice.source, load, work }
     }
 
     fn service(&self, name: &Name) -> Option<&Service> {
--- a/crates/balance/src/registry.rs
+++ b/crates/balance/src/registry.rs
@@ -29,19 +29,19 @@
 }
 
 impl Registry {
-    /// Takes in an entry; a new lifetime of a known id replaces the old one.
+    /// Takes in an entry; a new incarnation of a known id replaces the old one.
     pub fn put(&mut self, now: Duration, entry: &Entry) -> Key {
         self.lapsed.swap_remove(&entry.id);
         if let Some(key) = self.ids.get(&entry.id).copied() {
             let runner = &mut self.runners[key];
             let known = &runner.entry;
-            if known.born == entry.born && known.address == entry.address {
+            if known.started_ms == entry.started_ms && known.address == entry.address {
                 if entry.sequence >= known.sequence {
                     runner.update(now, entry);
                 }
                 return key;
             }
-            if known.born > entry.born {
+            if known.started_ms > entry.started_ms {
                 return key;
             }
             self.remove(&entry.id);
@@ -65,7 +65,7 @@
         known.is_none_or(|known| {
             let is_colder = now + entry.cold_left > known.cold_until + COLD_NEWS;
             let known = &known.entry;
-            known.born != entry.born
+            known.started_ms != entry.started_ms
                 || known.is_draining != entry.is_draining
                 || known.address != entry.address
                 || (is_colder && entry.cold_left > Duration::ZERO)
--- a/crates/balance/src/runner.rs
+++ b/crates/balance/src/runner.rs
@@ -24,9 +24,9 @@
 pub struct Entry {
     /// The id of the instance, which appears once.
     pub id: Name,
-    /// The start of this lifetime, in milliseconds of the Unix time.
-    pub born: u64,
-    /// A number that rises with each entry of this lifetime.
+    /// The start of this incarnation, in milliseconds of the Unix time.
+    pub started_ms: u64,
+    /// A number that rises with each entry of this incarnation.
     pub sequence: u64,
     /// The service that it serves.
     pub service: Name,
@@ -78,7 +78,7 @@
         runner
     }
 
-    /// Takes in a newer entry of the same lifetime; a runner that drains goes on draining.
+    /// Takes in a newer entry of the same incarnation; a runner that drains goes on draining.
     pub fn update(&mut self, now: Duration, entry: &Entry) {
         let is_draining = self.entry.is_draining || entry.is_draining;
         self.entry = Entry { is_draining, ..entry.clone() };
--- a/crates/balance/src/table.rs
+++ b/crates/balance/src/table.rs
@@ -1,7 +1,6 @@
 //! The configuration in force: which route takes a request, and for which workspace.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use base::Name;
 use indexmap::IndexMap;
@@ -35,12 +34,6 @@
     pub version: u64,
     /// The largest body of a request, in bytes.
     pub body_bytes: usize,
-    /// The largest head of a request, in bytes.
-    pub head_bytes: usize,
-    /// How long an idle connection of a caller stays open.
-    pub idle: Duration,
-    /// The rate of all engines together, in tokens a second; zero if not stated.
-    pub token_rate: u64,
     hosts: IndexMap<String, Vec<Rc<Route>>>,
     services: IndexMap<Name, Service>,
     keys: IndexMap<String, Name>,
--- a/crates/balance/tests/common/mod.rs
+++ b/crates/balance/tests/common/mod.rs
@@ -29,7 +29,7 @@
 pub(crate) fn entry(id: &str) -> Entry {
     Entry {
         id: Name::new(id),
-        born: 1,
+        started_ms: 1,
         sequence: 1,
         service: Name::new(SERVICE),
         address: "127.0.0.1:9".parse().expect("an address"),
--- a/crates/balance/tests/keyed.rs
+++ b/crates/balance/tests/keyed.rs
@@ -22,8 +22,8 @@
 #[test]
 fn a_key_that_a_newer_page_lacks_is_removed_once() {
     let mut copy = Keyed::default();
-    copy.apply(record(7, "evacuate/north", Some("{}")));
-    let removed = vec![(8, Change::Removed("evacuate/north".to_owned()))];
+    copy.apply(record(7, "out/north", Some("{}")));
+    let removed = vec![(8, Change::Removed("out/north".to_owned()))];
     assert_eq!(copy.replace(Vec::new(), 9), removed);
     assert!(copy.replace(Vec::new(), 9).is_empty());
 }
--- a/crates/balance/tests/registry.rs
+++ b/crates/balance/tests/registry.rs
@@ -68,16 +68,16 @@
 }
 
 #[test]
-fn a_new_lifetime_under_a_known_id_starts_without_state() {
+fn a_new_incarnation_under_a_known_id_starts_without_state() {
     let mut registry = registry(1);
     let before = registry.find("engine-0").expect("known");
     let mut reborn = entry("engine-0");
-    reborn.born = 2;
+    reborn.started_ms = 2;
     reborn.cold_left = Duration::from_secs(3);
     let after = registry.put(NOW, &reborn);
     assert_ne!(before, after);
     assert!(registry.get(after).expect("known").is_cold(NOW));
-    assert_eq!(registry.put(NOW, &entry("engine-0")), after, "the old lifetime is over");
+    assert_eq!(registry.put(NOW, &entry("engine-0")), after, "the old incarnation is over");
 }
 
 #[test]
--- a/crates/relay/src/acquire.rs
+++ b/crates/relay/src/acquire.rs
@@ -15,7 +15,7 @@
 
 /// A granted runner, given back when dropped.
 #[derive(Debug)]
-pub(crate) struct Seat {
+pub(crate) struct Permit {
     router: Rc<Router>,
     call: Rc<Call>,
     pub(crate) grant: Grant,
@@ -36,7 +36,7 @@
     }
 }
 
-impl Seat {
+impl Permit {
     /// Takes in that the runner may have begun to work.
     pub(crate) const fn sent(&mut self) {
         self.has_run = true;
@@ -84,7 +84,7 @@
     }
 }
 
-impl Drop for Seat {
+impl Drop for Permit {
     fn drop(&mut self) {
         self.router.end(&self.grant, self.call.workspace.as_ref(), self.has_run);
     }
@@ -98,7 +98,7 @@
     router: &Rc<Router>,
     call: &Rc<Call>,
     avoid: &[Key],
-) -> Result<Seat, Duration> {
+) -> Result<Permit, Duration> {
     let now = router.now();
     let outcome = router.core.borrow_mut().submit(now, ask(call, avoid));
     let settled = match outcome {
@@ -107,7 +107,7 @@
     };
     match settled {
         Settled::Granted(grant) => {
-            Ok(Seat { router: Rc::clone(router), call: Rc::clone(call), grant, has_run: false })
+            Ok(Permit { router: Rc::clone(router), call: Rc::clone(call), grant, has_run: false })
         }
         Settled::Refused { retry_after } => Err(retry_after),
     }
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -10,8 +10,6 @@
 
 /// Lines of one event that are written in a second.
 const LINES_PER_SECOND: u32 = 150;
-/// The time over which lines are counted.
-const SECOND: Duration = Duration::from_secs(1);
 /// The target of structured lines.
 const TARGET: &str = "event";
 
@@ -40,9 +38,6 @@
     /// The age of what decided, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub age_ms: Option<u64>,
-    /// How long the request waited for a runner, in milliseconds.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub waited_ms: Option<u64>,
     /// How long it took, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub took_ms: Option<u64>,
@@ -136,12 +131,6 @@
             Err(error) => log::error!("a line of event {} was not written: {error}", line.event),
         }
     }
-
-    /// Returns the time over which lines are counted.
-    #[must_use]
-    pub const fn period() -> Duration {
-        SECOND
-    }
 }
 
 /// Returns a time in whole milliseconds.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -24,7 +24,7 @@
 use crate::Router;
 use crate::Stream;
 use crate::acquire;
-use crate::acquire::Seat;
+use crate::acquire::Permit;
 use crate::event;
 
 /// How long a connection to a runner may take to open.
@@ -56,7 +56,7 @@
 /// A runner's answer whose head has arrived.
 #[derive(Debug)]
 pub(crate) struct Opened {
-    pub(crate) seat: Seat,
+    pub(crate) permit: Permit,
     pub(crate) connection: Connection,
     pub(crate) head: response::Parts,
     pub(crate) body: Incoming,
@@ -100,13 +100,13 @@
     let mut trail = Trail::default();
     let mut last = None;
     loop {
-        let seat = match acquire::acquire(router, call, &trail.avoid).await {
-            Ok(seat) => seat,
+        let permit = match acquire::acquire(router, call, &trail.avoid).await {
+            Ok(permit) => permit,
             Err(retry_after) => return give_up(&trail, last, retry_after),
         };
-        trail.avoid.push(seat.grant.runner);
+        trail.avoid.push(permit.grant.runner);
         sends.set(sends.get() + 1);
-        match attempt(router, call, seat, &mut trail, has_run).await {
+        match attempt(router, call, permit, &mut trail, has_run).await {
             Ok(answer) => return answer,
             Err(Fault::Answered(answer)) => last = Some(answer),
             Err(Fault::NotRun | Fault::MayHaveRun) => (),
@@ -120,14 +120,14 @@
 async fn attempt(
     router: &Rc<Router>,
     call: &Rc<Call>,
-    seat: Seat,
+    permit: Permit,
     trail: &mut Trail,
     has_run: &Cell<bool>,
 ) -> Result<Answer, Fault> {
     let limit = attempt_limit(router, call, trail);
     let before = has_run.get();
     has_run.set(true);
-    let opening = open(router, call, seat, None, trail);
+    let opening = open(router, call, permit, None, trail);
     let opened = match time::timeout(limit, opening).await {
         Ok(Ok(opened)) => opened,
         Ok(Err(Fault::NotRun)) => {
@@ -144,12 +144,13 @@
             Ok(Answer::Stream(Box::new(Response::from_parts(head, stream))))
         }
         Judgement::Final => {
-            let answer = whole(router, opened).await?;
+            let (answer, permit) = collect(router, opened).await?;
+            permit.answered();
             Ok(Answer::Whole(answer))
         }
         Judgement::Failed => {
-            opened.seat.judge(Health::failed);
-            let answer = whole_failed(router, opened).await?;
+            opened.permit.judge(Health::failed);
+            let (answer, _) = collect(router, opened).await?;
             Err(Fault::Answered(answer))
         }
         Judgement::NotRun | Judgement::Misdirected => {
@@ -160,8 +161,8 @@
             Err(Fault::NotRun)
         }
         Judgement::Invalid => {
-            router.log(line(call, "invalid_answer").subject(opened.seat.grant.id.as_str()));
-            opened.seat.judge(Health::failed);
+            router.log(line(call, "invalid_answer").subject(opened.permit.grant.id.as_str()));
+            opened.permit.judge(Health::failed);
             Err(Fault::MayHaveRun)
         }
     }
@@ -171,87 +172,76 @@
 async fn open(
     router: &Rc<Router>,
     call: &Rc<Call>,
-    mut seat: Seat,
+    mut permit: Permit,
     last_event: Option<&str>,
     trail: &mut Trail,
 ) -> Result<Opened, Fault> {
-    let runner = seat.grant.runner;
+    let runner = permit.grant.runner;
     let kept = router.pool.borrow_mut().take(runner, call.route.kind.is_idempotent());
     let mut connection = match kept {
         Some(connection) => connection,
-        None => connect(router, call, &seat).await?,
+        None => connect(router, call, &permit).await?,
     };
     let now = router.now();
     let left = call.deadline.saturating_sub(now);
-    let leg = Leg { runner: &seat.grant.id, source: seat.grant.source, left, last_event };
+    let leg = Leg { runner: &permit.grant.id, source: permit.grant.source, left, last_event };
     let request = (router.dialect.request)(call, &leg);
     trail.sends += 1;
     trail.runs += 1;
-    seat.sent();
+    permit.sent();
     match connection.send(request).await {
         Ok(response) => {
             let (head, body) = response.into_parts();
-            Ok(Opened { seat, connection, head, body, sent_at: now })
+            Ok(Opened { permit, connection, head, body, sent_at: now })
         }
         Err(failure) => {
             router.pool.borrow_mut().forget(runner);
             let outcome = format!("{failure:?}");
-            router.log(line(call, "send_failed").subject(seat.grant.id.as_str()).outcome(outcome));
+            router
+                .log(line(call, "send_failed").subject(permit.grant.id.as_str()).outcome(outcome));
             if failure == Failure::NotSent {
                 trail.runs -= 1;
-                seat.not_run();
+                permit.not_run();
                 return Err(Fault::NotRun);
             }
-            seat.crashed();
-            seat.judge(Health::unreachable);
+            permit.crashed();
+            permit.judge(Health::unreachable);
             Err(Fault::MayHaveRun)
         }
     }
 }
 
-async fn connect(router: &Router, call: &Call, seat: &Seat) -> Result<Connection, Fault> {
-    let opened = Connection::open(seat.grant.address, CONNECT_TIMEOUT).await;
+async fn connect(router: &Router, call: &Call, permit: &Permit) -> Result<Connection, Fault> {
+    let opened = Connection::open(permit.grant.address, CONNECT_TIMEOUT).await;
     opened.map_err(|_| {
-        seat.judge(Health::unreachable);
-        router.log(line(call, "connect_failed").subject(seat.grant.id.as_str()));
+        permit.judge(Health::unreachable);
+        router.log(line(call, "connect_failed").subject(permit.grant.id.as_str()));
         Fault::NotRun
     })
 }
 
-async fn whole(router: &Router, opened: Opened) -> Result<Response<Bytes>, Fault> {
-    let Opened { seat, mut connection, head, body, .. } = opened;
-    match connection.collect(body, ANSWER_BYTES).await {
-        Ok(body) => {
-            seat.answered();
-            let stated = (router.dialect.keep_alive)(&head);
-            router.pool.borrow_mut().put(seat.grant.runner, connection, stated);
-            Ok(Response::from_parts(head, body))
-        }
-        Err(_) => {
-            seat.judge(Health::failed);
-            Err(Fault::MayHaveRun)
-        }
-    }
-}
-
-async fn whole_failed(router: &Router, opened: Opened) -> Result<Response<Bytes>, Fault> {
-    let Opened { seat, mut connection, head, body, .. } = opened;
-    let body = connection.collect(body, ANSWER_BYTES).await.map_err(|_| Fault::MayHaveRun)?;
+/// Reads the whole body of an answer and keeps the connection.
+async fn collect(router: &Router, opened: Opened) -> Result<(Response<Bytes>, Permit), Fault> {
+    let Opened { permit, mut connection, head, body, .. } = opened;
+    let Ok(body) = connection.collect(body, ANSWER_BYTES).await else {
+        permit.judge(Health::failed);
+        return Err(Fault::MayHaveRun);
+    };
     let stated = (router.dialect.keep_alive)(&head);
-    router.pool.borrow_mut().put(seat.grant.runner, connection, stated);
-    Ok(Response::from_parts(head, body))
+    router.pool.borrow_mut().put(permit.grant.runner, connection, stated);
+    Ok((Response::from_parts(head, body), permit))
 }
 
 async fn rejected(router: &Router, call: &Call, mut opened: Opened, judgement: Judgement) {
-    opened.seat.not_run();
-    let runner = opened.seat.grant.runner;
+    opened.permit.not_run();
+    let runner = opened.permit.grant.runner;
     let outcome = judgement.to_string();
-    router.log(line(call, "rejected").subject(opened.seat.grant.id.as_str()).outcome(outcome));
+    router.log(line(call, "rejected").subject(opened.permit.grant.id.as_str()).outcome(outcome));
     if judgement == Judgement::Misdirected {
-        opened.seat.judge(Health::unreachable);
+        opened.permit.judge(Health::unreachable);
         return;
     }
-    opened.seat.judge(Health::failed);
+    opened.permit.judge(Health::failed);
     if opened.connection.collect(opened.body, ANSWER_BYTES).await.is_ok() {
         let stated = (router.dialect.keep_alive)(&opened.head);
         router.pool.borrow_mut().put(runner, opened.connection, stated);
@@ -299,9 +289,10 @@
         if !may_go_on(&router, &call, &trail) {
             return None;
         }
-        let seat = acquire::acquire(&router, &call, &trail.avoid).await.ok()?;
-        trail.avoid.push(seat.grant.runner);
-        let Ok(opened) = open(&router, &call, seat, last_event.as_deref(), &mut trail).await else {
+        let permit = acquire::acquire(&router, &call, &trail.avoid).await.ok()?;
+        trail.avoid.push(permit.grant.runner);
+        let Ok(opened) = open(&router, &call, permit, last_event.as_deref(), &mut trail).await
+        else {
             continue;
         };
         match (router.dialect.judge)(&call, &opened.head) {
@@ -311,7 +302,7 @@
                 trail.rejections += 1;
                 rejected(&router, &call, opened, judgement).await;
             }
-            _ => opened.seat.judge(Health::failed),
+            _ => opened.permit.judge(Health::failed),
         }
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -25,7 +25,7 @@
 
 use crate::Call;
 use crate::Router;
-use crate::acquire::Seat;
+use crate::acquire::Permit;
 use crate::event;
 use crate::forward;
 use crate::forward::Opened;
@@ -61,7 +61,7 @@
 
 /// The runner that sends events now.
 struct Source {
-    seat: Seat,
+    permit: Permit,
     connection: Connection,
     body: Incoming,
     keep_alive: Option<Duration>,
@@ -94,7 +94,7 @@
     ) -> (response::Parts, Self) {
         let head = opened.head.clone();
         let trail =
-            Trail { sends: runs, runs, rejections: 0, avoid: vec![opened.seat.grant.runner] };
+            Trail { sends: runs, runs, rejections: 0, avoid: vec![opened.permit.grant.runner] };
         let stream = Self {
             router: Rc::clone(router),
             call: Rc::clone(call),
@@ -122,7 +122,7 @@
             self.events = 0;
             if let Some(source) = &mut self.source {
                 let took = now.saturating_sub(source.sent_at);
-                source.seat.first_token(took);
+                source.permit.first_token(took);
             }
         }
         self.events += sse::events(&bytes);
@@ -151,16 +151,16 @@
     fn finished(&mut self) -> bool {
         let Some(mut source) = self.source.take() else { return false };
         if !self.partial.is_empty() {
-            source.seat.judge(Health::failed);
+            source.permit.judge(Health::failed);
             return false;
         }
         source.connection.finish();
         if self.events >= PACED_EVENTS {
             let took = self.heard.saturating_sub(self.first_at);
-            source.seat.tokens(took / ((self.events - 1) * self.call.event_tokens.max(1)));
+            source.permit.tokens(took / ((self.events - 1) * self.call.event_tokens.max(1)));
         }
-        source.seat.answered();
-        let runner = source.seat.grant.runner;
+        source.permit.answered();
+        let runner = source.permit.grant.runner;
         self.router.pool.borrow_mut().put(runner, source.connection, source.keep_alive);
         self.log("stream_finished", String::new());
         true
@@ -170,10 +170,10 @@
     fn broken(&mut self, reason: &str) -> Result<(), Break> {
         if let Some(source) = self.source.take() {
             if reason == BROKEN {
-                source.seat.crashed();
+                source.permit.crashed();
             }
-            source.seat.judge(Health::unreachable);
-            self.router.pool.borrow_mut().forget(source.seat.grant.runner);
+            source.permit.judge(Health::unreachable);
+            self.router.pool.borrow_mut().forget(source.permit.grant.runner);
         }
         self.partial.clear();
         let trail = self.trail.take().filter(|_| self.call.route.kind == Kind::Resumable);
@@ -265,8 +265,8 @@
 impl Source {
     fn new(router: &Router, opened: Opened) -> Self {
         let keep_alive = (router.dialect.keep_alive)(&opened.head);
-        let Opened { seat, connection, body, sent_at, .. } = opened;
-        Self { seat, connection, body, keep_alive, sent_at }
+        let Opened { permit, connection, body, sent_at, .. } = opened;
+        Self { permit, connection, body, keep_alive, sent_at }
     }
 }
 
