test(fake): take a connection reset while a listener closes for what it is

Cause: an address that stops listening resets a connection which the kernel has set up but nobody has accepted. The test took the first error of any kind for the refusal. Now a reset counts as an accepted connection that ended, any other error still fails the test, and once refused the address must refuse twenty times in a row, which was not asked before.

--- a/crates/fake/tests/engine.rs
+++ b/crates/fake/tests/engine.rs
@@ -77,19 +77,27 @@
 async fn a_fallen_engine_refuses_connections_and_comes_back_at_its_address() {
     let engine = Fake::start(&["engine"]);
     assert_eq!(ask(engine.address, &body("CRASH-RUNNER", 1, true), &[]).await, None);
-    let refused = async {
-        loop {
-            match TcpStream::connect(engine.address).await {
-                Ok(_) => tokio::task::yield_now().await,
-                Err(error) => return error.kind(),
-            }
-        }
-    };
-    let refused = tokio::time::timeout(HANG, refused).await.expect("refused in the end");
-    assert_eq!(refused, ErrorKind::ConnectionRefused);
+    tokio::time::timeout(HANG, first_refusal(engine.address)).await.expect("refused in the end");
+    for _ in 0..20 {
+        let error = TcpStream::connect(engine.address).await.expect_err("still refused");
+        assert_eq!(error.kind(), ErrorKind::ConnectionRefused);
+    }
     until(&engine, "/load", |load| load["warm"] == false).await;
 }
 
+/// Connects until the address refuses.
+///
+/// A connection that the kernel has set up for a listener which closes before it accepts is reset.
+async fn first_refusal(address: SocketAddr) {
+    loop {
+        match TcpStream::connect(address).await {
+            Ok(_) => tokio::task::yield_now().await,
+            Err(error) if error.kind() == ErrorKind::ConnectionReset => {}
+            Err(error) => return assert_eq!(error.kind(), ErrorKind::ConnectionRefused),
+        }
+    }
+}
+
 #[tokio::test]
 async fn cancelled_requests_leave_their_slots() {
     let engine = Fake::start(&["engine", "--slots", "1"]);
