perf(relay): accept no faster than requests are served, and let fewer connections wait

Cause: on the grown site one workspace's callers all connect to one or two instances of 0.12 cores, whatever the directory names (trial with each caller's address in the log: 5,836 requests of one key, all to one instance, while the same callers' other requests go to 30). That instance accepted 128 connections in a row before it went on with anything, and 1,024 more waited: each request was a second old when it was read, so most were late, waited for 400 ms and were refused. Ruled out: that the directory names the flooded instance (in a trial no answer named it once it was flooded); that engines were full (no request preempted, other zones in aim); optimized linking (two trials: no more answers than without). The queue's length follows the share of a processor. The new test fails without the pause between two accepts (384 requests at once, 40 allowed).

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -70,6 +70,7 @@
 pub use runner::Runner;
 pub use spread::closed_part;
 pub use spread::is_flooded;
+pub use spread::waiting_connections;
 pub use suspect::Suspects;
 pub use table::Access;
 pub use table::Denied;
--- a/crates/balance/tests/spread.rs
+++ b/crates/balance/tests/spread.rs
@@ -2,6 +2,7 @@
 
 use balance::closed_part;
 use balance::is_flooded;
+use balance::waiting_connections;
 
 #[test]
 fn an_instance_near_the_mean_keeps_its_callers() {
@@ -33,3 +34,13 @@
     assert!(!is_flooded(60.0, 0.12, 300.0));
     assert!(!is_flooded(8.0, 0.12, 1.0));
 }
+
+#[test]
+fn no_more_connections_wait_than_are_accepted_in_time() {
+    // A processor accepts and serves some 2,500 connections a second; a caller waits for a fifth of a second.
+    assert_eq!(waiting_connections(0.12), 60);
+    assert_eq!(waiting_connections(0.5), 250);
+    // Callers who come back together find a place at the smallest instance, and a large one keeps a bound.
+    assert_eq!(waiting_connections(0.01), 48);
+    assert_eq!(waiting_connections(64.0), 1_024);
+}
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -22,12 +22,11 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
+use tokio::task;
 use tokio::task::JoinSet;
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
-/// Connections that may wait to be accepted.
-const BACKLOG: u32 = 1_024;
 /// Pause after a failed accept, so that a lack of file descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Bytes of a head that are read at most.
@@ -47,15 +46,16 @@
 }
 
 impl Listener {
-    /// Binds an address; connections that are idle for longer than `idle` are closed.
+    /// Binds an address at which `waiting` connections may wait to be accepted; those that are idle for longer than
+    /// `idle` are closed.
     ///
     /// # Errors
     /// Returns why the address can't be used.
-    pub fn bind(address: SocketAddr, idle: Duration) -> io::Result<Self> {
+    pub fn bind(address: SocketAddr, waiting: u32, idle: Duration) -> io::Result<Self> {
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
         socket.bind(address)?;
-        Ok(Self { listener: socket.listen(BACKLOG)?, idle })
+        Ok(Self { listener: socket.listen(waiting)?, idle })
     }
 
     /// Returns the bound address.
@@ -67,6 +67,9 @@
     }
 
     /// Serves until `stop`, then lets each connection finish its request.
+    ///
+    /// After each connection that it accepts, all tasks that can go on do so. A busy process thus accepts no more than
+    /// it serves, and the rest waits in the kernel, where the queue is bounded.
     pub async fn serve<B>(self, handler: Handler<B>, stop: CancellationToken)
     where
         B: Body<Data = Bytes> + 'static,
@@ -80,6 +83,7 @@
                         let connection =
                             connection(stream, Rc::clone(&handler), self.idle, stop.clone());
                         connections.spawn_local(connection);
+                        task::yield_now().await;
                     }
                     Err(error) => {
                         log::warn!("a connection was not accepted: {error}");
--- /dev/null
+++ b/crates/relay/tests/server.rs
@@ -0,0 +1,117 @@
+//! What a listener lets in while it is busy.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http_body::Body;
+use http_body::Frame;
+use relay::Handler;
+use relay::Listener;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::runtime;
+use tokio::task::JoinSet;
+use tokio::task::LocalSet;
+use tokio_util::sync::CancellationToken;
+
+/// Pieces of one answer.
+const PIECES: usize = 20;
+/// Callers who come together.
+const CALLERS: usize = 400;
+/// Connections that may wait.
+const WAITING: u32 = 1_024;
+
+/// How many requests have begun, and how many have ended.
+#[derive(Debug, Default)]
+struct Count {
+    begun: Cell<usize>,
+    ended: Cell<usize>,
+    /// The most that have run at once.
+    most: Cell<usize>,
+}
+
+/// A body that comes in pieces, each ready in the next round of all tasks.
+struct Pieces {
+    count: Rc<Count>,
+    left: usize,
+}
+
+impl Body for Pieces {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if self.left == 0 {
+            self.count.ended.set(self.count.ended.get() + 1);
+            return Poll::Ready(None);
+        }
+        self.left -= 1;
+        context.waker().wake_by_ref();
+        if self.left.is_multiple_of(2) {
+            return Poll::Pending;
+        }
+        Poll::Ready(Some(Ok(Frame::data(Bytes::from_static(b"piece")))))
+    }
+}
+
+fn handler(count: &Rc<Count>) -> Handler<Pieces> {
+    let count = Rc::clone(count);
+    Rc::new(move |_| {
+        let count = Rc::clone(&count);
+        Box::pin(async move {
+            count.begun.set(count.begun.get() + 1);
+            count.most.set(count.most.get().max(count.begun.get() - count.ended.get()));
+            Response::new(Pieces { count, left: PIECES })
+        })
+    })
+}
+
+async fn ask(address: SocketAddr) -> usize {
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    let request = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    stream.write_all(request).await.expect("written");
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.expect("read");
+    answer.windows(5).filter(|window| window == b"piece").count()
+}
+
+#[test]
+fn a_busy_listener_accepts_no_faster_than_it_serves() {
+    let count = Rc::new(Count::default());
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    let callers = runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let callers = callers.expect("a runtime");
+    let server = runtime::Builder::new_current_thread().enable_all().build();
+    let (stop, served) = (CancellationToken::new(), Rc::clone(&count));
+    LocalSet::new().block_on(&server.expect("a runtime"), async move {
+        let listener = Listener::bind(loopback, WAITING, Duration::from_secs(5)).expect("bound");
+        let address = listener.address().expect("an address");
+        // All callers have sent their requests before the first is accepted.
+        let mut asking = JoinSet::new();
+        for _ in 0..CALLERS {
+            asking.spawn_on(ask(address), callers.handle());
+        }
+        std::thread::sleep(Duration::from_millis(300));
+        let mut serving = JoinSet::new();
+        serving.spawn_local(listener.serve(handler(&served), stop.clone()));
+        let pieces = asking.join_all().await;
+        assert_eq!(pieces, [PIECES / 2; CALLERS]);
+        stop.cancel();
+        serving.join_all().await;
+        callers.shutdown_background();
+    });
+    assert_eq!(count.ended.get(), CALLERS);
+    assert!(count.most.get() <= 2 * PIECES, "{} requests ran at once", count.most.get());
+}
