perf(balance): let routers that are told of no change read the store once a minute

The calls grow with the routers. Ruled out: that the reads kept knowledge fresh; readers' heartbeats do that, and a router reads by itself 1 s after they stop. A position that the store has trimmed meanwhile is read anew without taking the store for lost (test seen failing without it, by hand: it never came to an end, so it now has a bound).

--- a/crates/aspenline/tests/common/router.rs
+++ b/crates/aspenline/tests/common/router.rs
@@ -181,6 +181,13 @@
         find(&self.lines, event)
     }
 
+    /// Returns the last log line of an event.
+    pub(crate) fn last(&self, event: &str) -> Option<String> {
+        let wanted = format!("\"event\":\"{event}\"");
+        let lines = self.lines.lock().expect("no reader panics");
+        lines.iter().rfind(|line| line.contains(&wanted)).cloned()
+    }
+
     /// Returns how many log lines of an event there are.
     pub(crate) fn count(&self, event: &str) -> usize {
         let wanted = format!("\"event\":\"{event}\"");
--- a/crates/aspenline/tests/platform.rs
+++ b/crates/aspenline/tests/platform.rs
@@ -17,6 +17,7 @@
 use tokio::time;
 
 use crate::router::HOST;
+use crate::router::PATIENCE;
 use crate::router::Platform;
 use crate::router::call;
 use crate::router::configuration;
@@ -410,3 +411,26 @@
     until(|| router.line("settings_refused")).await;
     assert_eq!(router.call(get("/safe/", "r-1")).await.status, StatusCode::OK);
 }
+
+#[tokio::test]
+async fn a_router_whose_position_is_trimmed_reads_anew_and_does_not_take_the_store_for_lost() {
+    let platform = Platform::start("trimmed").await;
+    platform.configure(&configuration(1));
+    let _runners = platform.runners("engines", 1).await;
+    let router = platform.router("router-1").await;
+    router.settled(1).await;
+    let begun = Instant::now();
+    let mut version = 1;
+    // A record that is read before it is trimmed leaves the position where it may be read from.
+    while router.count("position_trimmed") == 0 {
+        assert!(begun.elapsed() < PATIENCE, "no position was trimmed");
+        version += 1;
+        platform.configure(&configuration(version));
+        platform.store.forget_history("keyed.op");
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    let adopted = format!("\"version\":{version}}}");
+    until(|| router.last("configuration_adopted").filter(|line| line.contains(&adopted))).await;
+    assert_eq!(router.count("store_lost"), 0);
+    assert_eq!(router.call(keyed("POST", "/keyed/", "r-1")).await.status, StatusCode::OK);
+}
--- a/crates/balance/src/watch.rs
+++ b/crates/balance/src/watch.rs
@@ -16,8 +16,8 @@
 const STALE: Duration = Duration::from_millis(1_000);
 /// Times between two heartbeats that pass until what a reader knows is known to hold elsewhere.
 const HEARTBEATS: u32 = 2;
-/// The longest time between two reads.
-const LONGEST: Duration = Duration::from_secs(8);
+/// The longest time between two reads, should the others be wrong about what they know.
+const LONGEST: Duration = Duration::from_secs(60);
 
 /// What a router knows of a topic.
 #[derive(Debug, Clone, Default)]
--- a/crates/balance/tests/watch.rs
+++ b/crates/balance/tests/watch.rs
@@ -44,13 +44,22 @@
 #[test]
 fn a_router_that_is_told_that_there_is_no_change_does_not_read() {
     let mut watch = read_at(NOW, 10);
-    for step in 1..20 {
+    // Three quarters of a minute: what a router must read by itself grows with the number of routers.
+    for step in 1..150 {
         let now = NOW + Duration::from_millis(300 * step);
         watch.told(9, Some(now));
         assert!(watch.next_read(false, PAUSE, PERIOD) > now);
     }
 }
 
+#[test]
+fn a_router_reads_by_itself_in_the_end_whatever_it_is_told() {
+    let mut watch = read_at(NOW, 10);
+    let later = NOW + Duration::from_secs(61);
+    watch.told(9, Some(later));
+    assert!(watch.next_read(false, PAUSE, PERIOD) <= later);
+}
+
 #[test]
 fn a_router_that_is_told_nothing_reads_by_itself() {
     let watch = read_at(NOW, 10);
