--- a/crates/aspenline/tests/platform.rs
+++ b/crates/aspenline/tests/platform.rs
@@ -318,7 +318,7 @@
     both.sort();
     let begun = Instant::now();
     while named(&first).await != both || named(&second).await != both {
-        assert!(begun.elapsed() < router::PATIENCE, "the routers don't know each other");
+        assert!(begun.elapsed() < PATIENCE, "the routers don't know each other");
         time::sleep(Duration::from_millis(50)).await;
     }
     second.signal(Signal::TERM);
