perf(balance): tell other routers where long shared parts were sent

Cause: a part that outgrew its home was read again at each further runner, since the fetch named the home, which did not hold it. Ruled out: too little memory in runners (no preemption; parts are used again within seconds), fetches that cost more than reading (a moved token is priced at a fourteenth). Now heartbeats carry the long shared parts placed since the last one; a source is a runner that has read the part, else the home; a runner that has read it for others is preferred. Test stand-ins had one address for all runners, which made two assertions empty; each runner has its own now. The new tests fail without the change (seen).

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -93,6 +93,7 @@
 
     /// Returns the runner that most likely keeps the shared parts, other than the chosen one.
     ///
+    /// That is one which has read them, by what this router or another has sent; without such a one it is their home.
     /// The chosen runner fetches only what it lacks, so a source is named even if it is believed to keep all.
     fn source(&self, ask: &Ask, ranks: &[Key], chosen: Key) -> Option<SocketAddr> {
         let prompt = ask.prompt.as_ref().filter(|prompt| prompt.shared() >= FETCH_LEAST)?;
@@ -104,7 +105,8 @@
         let keepers = working.filter_map(|(key, runner)| {
             let used = runner.kept.used(prompt.affinity(), self.now);
             let is_likely = used.is_some() || (Some(key) == home && !is_home);
-            is_likely.then_some((Some(key) == home, used, runner.entry.address))
+            let has_read = used.is_some_and(|used| used.is_read);
+            is_likely.then_some((has_read, Some(key) == home, used, runner.entry.address))
         });
         keepers.max().map(|(.., address)| address)
     }
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -26,6 +26,8 @@
 
 /// The part of the target for which a request waits for a runner.
 const WAIT_PART: f64 = 0.5;
+/// Shared parts of which a router tells the others at a time.
+const PLACED_MOST: usize = 48;
 /// The part of the load of an engine that is kept free of the workspace that has used most.
 const RESERVED_PART: f64 = 0.5;
 /// How long the work of the workspace that has used most is taken as known.
@@ -113,6 +115,8 @@
     desks: IndexMap<Name, Desk>,
     tickets: u64,
     most_used: (Duration, u64),
+    /// Shared parts of which other routers were not told yet, with the runner to which they were sent.
+    placed: Vec<(u64, Key)>,
 }
 
 impl Core {
@@ -128,6 +132,7 @@
             desks: IndexMap::new(),
             tickets: 0,
             most_used: (Duration::ZERO, 0),
+            placed: Vec::new(),
         }
     }
 
@@ -316,6 +321,15 @@
         1.0 - RESERVED_PART * (used / self.most_used.1.max(1) as f64).min(1.0)
     }
 
+    /// Takes the shared parts that were placed since the last time, with their runners, for the other routers.
+    ///
+    /// A router that places very many tells of the newest.
+    pub fn take_placed(&mut self) -> Vec<(u64, Key)> {
+        let placed = std::mem::take(&mut self.placed);
+        let old = placed.len().saturating_sub(PLACED_MOST);
+        placed.into_iter().skip(old).collect()
+    }
+
     fn place(&mut self, now: Duration, ask: &Ask, choice: &Choice) -> Grant {
         let key = choice.runner;
         let runner = self.registry.get_mut(key).expect("a chosen runner is known");
@@ -326,7 +340,8 @@
         }
         runner.own.add(load);
         if let Some(prompt) = &ask.prompt {
-            runner.kept.remember(prompt, now);
+            let told = runner.kept.remember(prompt, now);
+            self.placed.extend(told.map(|part| (part, key)));
         }
         let (id, address) = (runner.entry.id.clone(), runner.entry.address);
         let work = ask.work();
--- a/crates/balance/tests/common/mod.rs
+++ b/crates/balance/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Requests, runners and a router's state for tests of decisions.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use balance::Ask;
@@ -27,12 +28,14 @@
 }
 
 pub(crate) fn entry(id: &str) -> Entry {
+    // Runners are told apart by their addresses, so each has its own port, by the number at the end of its id.
+    let number = id.rsplit('-').next().and_then(|number| number.parse::<u16>().ok());
     Entry {
         id: Name::new(id),
         started_ms: 1,
         sequence: 1,
         service: Name::new(SERVICE),
-        address: "127.0.0.1:9".parse().expect("an address"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number.unwrap_or_default())),
         zone: Name::new("north"),
         slots: 128,
         is_draining: false,
--- a/crates/balance/tests/placing.rs
+++ b/crates/balance/tests/placing.rs
@@ -2,8 +2,12 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use balance::Ask;
+use balance::Core;
+use balance::Key;
 use balance::Kind;
 use balance::Outcome;
 use balance::Settled;
@@ -52,6 +56,66 @@
     }
 }
 
+/// Returns the runner to which a router that has heard nothing sends a shared part.
+fn home(part: u64) -> Name {
+    granted(core("router-1", 18).submit(NOW, ask(NOW, "wall", part, 6_000))).id
+}
+
+/// Lets a router hear that another one has sent a shared part to a runner that is not its home.
+fn hear_away(core: &mut Core, part: u64, now: Duration) -> (Key, SocketAddr) {
+    let home = home(part);
+    let other = core.registry.iter().find(|(_, runner)| runner.entry.id != home);
+    let (key, address) =
+        other.map(|(key, runner)| (key, runner.entry.address)).expect("18 runners");
+    core.registry.get_mut(key).expect("known").kept.hear(part, now);
+    (key, address)
+}
+
+#[test]
+fn a_shared_part_is_fetched_from_the_runner_that_has_read_it_for_another_router() {
+    let mut core = core("router-2", 18);
+    let (away, address) = hear_away(&mut core, 7, NOW);
+    let now = NOW + ms(300);
+    // Neither the home, which is loaded, nor the runner that has read the part is free.
+    let home = core.registry.find(home(7).as_str()).expect("known");
+    let request = Ask { avoid: vec![home, away], ..ask(now, "wall", 7, 6_000) };
+    let grant = granted(core.submit(now, request));
+    assert_eq!(grant.source, Some(address));
+}
+
+#[test]
+fn a_shared_part_that_is_still_being_read_is_not_fetched() {
+    let mut core = core("router-2", 18);
+    let (away, address) = hear_away(&mut core, 7, NOW);
+    let now = NOW + ms(100);
+    let home = core.registry.find(home(7).as_str()).expect("known");
+    let request = Ask { avoid: vec![home, away], ..ask(now, "wall", 7, 6_000) };
+    let grant = granted(core.submit(now, request));
+    assert_ne!(grant.source, Some(address));
+}
+
+#[test]
+fn a_runner_that_has_read_a_part_for_another_router_is_preferred_to_one_that_has_not() {
+    let mut core = core("router-2", 18);
+    let (away, _) = hear_away(&mut core, 7, NOW);
+    let home = core.registry.find(home(7).as_str()).expect("known");
+    let request = Ask { avoid: vec![home], ..ask(NOW, "wall", 7, 6_000) };
+    assert_eq!(granted(core.submit(NOW, request)).runner, away);
+}
+
+#[test]
+fn other_routers_are_told_once_where_a_long_shared_part_was_sent() {
+    let mut core = core("router-1", 18);
+    let grant = granted(core.submit(NOW, ask(NOW, "wall", 7, 6_000)));
+    assert_eq!(core.take_placed(), [(7, grant.runner)]);
+    for step in 1..4 {
+        let now = NOW + ms(step);
+        let again = granted(core.submit(now, ask(now, "wall", 7, 6_000)));
+        let told = core.take_placed();
+        assert_eq!(told.is_empty(), again.runner == grant.runner, "{told:?}");
+    }
+}
+
 #[test]
 fn a_hot_part_spreads_to_more_runners_before_first_tokens_are_late() {
     let mut core = core("router-1", 18);
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -79,6 +79,15 @@
     pub(crate) age_ms: Option<u64>,
 }
 
+/// A shared part of a prompt that the sender has placed on a runner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PlacedPart {
+    /// The id of the part.
+    pub(crate) part: u64,
+    /// The runner's id.
+    pub(crate) runner: Digest,
+}
+
 /// A heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Heartbeat {
@@ -92,6 +101,8 @@
     pub(crate) is_ready: bool,
     /// Load on runners.
     pub(crate) loads: Vec<RunnerLoad>,
+    /// Shared parts placed since the last heartbeat.
+    pub(crate) placed: Vec<PlacedPart>,
     /// Use by workspaces.
     pub(crate) used: Vec<WorkspaceUse>,
     /// Limits on the load of engines.
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -22,6 +22,7 @@
 use crate::gossip::Crashes;
 use crate::gossip::Digest;
 use crate::gossip::Heartbeat;
+use crate::gossip::PlacedPart;
 use crate::gossip::Received;
 use crate::gossip::RunnerLoad;
 use crate::gossip::ServiceLimits;
@@ -79,6 +80,7 @@
 }
 
 fn heartbeat(router: &Router, me: &Identity, sequence: u64) -> Heartbeat {
+    let placed = placed(router);
     let core = router.core.borrow();
     let loads = core.registry.iter().filter(|(_, runner)| runner.own != Load::default());
     let loads = loads.map(|(_, runner)| RunnerLoad {
@@ -103,6 +105,7 @@
         sequence,
         is_ready: router.is_ready(),
         loads: loads.collect(),
+        placed,
         used: used.collect(),
         limits: limits.collect(),
         crashes: crashes.collect(),
@@ -112,6 +115,16 @@
     }
 }
 
+fn placed(router: &Router) -> Vec<PlacedPart> {
+    let mut core = router.core.borrow_mut();
+    let placed = core.take_placed();
+    let known = placed.into_iter().filter_map(|(part, runner)| {
+        let runner = core.registry.get(runner)?;
+        Some(PlacedPart { part, runner: Digest::of(runner.entry.id.as_str()) })
+    });
+    known.collect()
+}
+
 fn watched(router: &Router) -> Vec<Watched> {
     let now = router.now();
     let watches = router.watches.borrow();
@@ -183,7 +196,10 @@
     let keys: Vec<_> = core.registry.iter().map(|(key, _)| key).collect();
     for key in keys {
         let Some(runner) = core.registry.get_mut(key) else { continue };
-        let load = loads.get(&Digest::of(runner.entry.id.as_str()));
+        let digest = Digest::of(runner.entry.id.as_str());
+        let placed = heartbeat.placed.iter().filter(|placed| placed.runner == digest);
+        placed.for_each(|placed| runner.kept.hear(placed.part, now));
+        let load = loads.get(&digest);
         let load = load.map_or_else(Load::default, |load| Load {
             running: load.running,
             backlog: load.backlog,
