feat(aspenline): explain a request from log lines; name the runner of each send

Cause: lines of streams did not name their runner, so a failed stream could not be traced from its id; under load most refused requests had no line at all, since 150 lines of an event are written in a second; and finding the first cause was left to grep. Now each send has a line (runner, source of shared parts, version and age of the configuration), requests that went wrong always keep theirs, and 'aspenline explain REQUEST-ID FILE...' prints a request's lines, the first failure and what its router had last learnt before. What the further lines cost is not measured yet.

--- a/crates/aspenline/src/cli.rs
+++ b/crates/aspenline/src/cli.rs
@@ -7,6 +7,7 @@
 use crate::command::check;
 use crate::command::completions;
 use crate::command::config;
+use crate::command::explain;
 use crate::command::keys;
 use crate::command::placement;
 use crate::command::platform;
@@ -48,6 +49,7 @@
         .subcommand(placement::command("instance", "Takes one instance or runner out or back"))
         .subcommand(status::command())
         .subcommand(timeline::command())
+        .subcommand(explain::command())
         .subcommand(config::command())
         .subcommand(keys::command())
         .subcommand(completions::command())
@@ -63,6 +65,7 @@
         "apply" => apply::run(matches),
         "status" => status::run(matches),
         "timeline" => timeline::run(matches),
+        "explain" => explain::run(matches),
         "config" => config::run(matches),
         "keys" => keys::run(matches),
         "completions" => completions::run(matches),
--- a/crates/aspenline/src/command.rs
+++ b/crates/aspenline/src/command.rs
@@ -4,6 +4,7 @@
 pub(crate) mod check;
 pub(crate) mod completions;
 pub(crate) mod config;
+pub(crate) mod explain;
 pub(crate) mod keys;
 pub(crate) mod placement;
 pub(crate) mod platform;
--- /dev/null
+++ b/crates/aspenline/src/explain.rs
@@ -0,0 +1,173 @@
+//! What happened to one request, by the log lines of routers.
+
+use std::fmt::Write as _;
+
+use indexmap::IndexMap;
+use serde::Deserialize;
+
+/// Events that end a try of a request badly.
+const FAILURES: [&str; 8] = [
+    "rejected_request",
+    "connect_failed",
+    "send_failed",
+    "rejected",
+    "invalid_answer",
+    "stream_broken",
+    "refused",
+    "failed",
+];
+/// Milliseconds within which failures of other requests count as of the same trouble.
+const NEAR_MS: u64 = 1_000;
+/// Events that change what a router believes, whatever the request.
+const BELIEFS: [&str; 5] =
+    ["configuration_adopted", "zones_out", "load", "store_lost", "store_regained"];
+
+/// A log line.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+struct Entry {
+    event: String,
+    at_ms: u64,
+    request: Option<String>,
+    route: Option<String>,
+    workspace: Option<String>,
+    subject: Option<String>,
+    version: Option<u64>,
+    age_ms: Option<u64>,
+    took_ms: Option<u64>,
+    sends: Option<u32>,
+    outcome: Option<String>,
+}
+
+impl Entry {
+    fn is_failure(&self) -> bool {
+        FAILURES.contains(&self.event.as_str())
+    }
+
+    /// Returns the inputs and the outcome, as far as the line tells them.
+    fn details(&self) -> String {
+        let texts = [&self.subject, &self.outcome].into_iter().flatten();
+        let mut details: Vec<String> = texts.filter(|text| !text.is_empty()).cloned().collect();
+        let numbers = [
+            ("version", self.version),
+            ("age in ms", self.age_ms),
+            ("took ms", self.took_ms),
+            ("sends", self.sends.map(u64::from)),
+        ];
+        let known = numbers.iter().filter_map(|(name, number)| Some((name, (*number)?)));
+        details.extend(known.map(|(name, number)| format!("{name} {number}")));
+        details.join(", ")
+    }
+}
+
+/// The lines of the processes that tell of a request.
+#[derive(Debug, Default)]
+pub(crate) struct Explanation {
+    request: String,
+    processes: IndexMap<String, Vec<Entry>>,
+    unreadable: usize,
+}
+
+impl Explanation {
+    /// Creates an explanation of a request that knows no lines yet.
+    pub(crate) fn new(request: &str) -> Self {
+        Self { request: request.to_owned(), ..Self::default() }
+    }
+
+    /// Takes in log lines; words before a line's object name its process, otherwise `source` does.
+    pub(crate) fn read(&mut self, source: &str, text: &str) {
+        for line in text.lines().filter(|line| !line.trim().is_empty()) {
+            let begin = line.find('{').unwrap_or_default();
+            let (before, object) = line.split_at(begin);
+            match serde_json::from_str::<Entry>(object) {
+                Ok(entry) => {
+                    let process = before.split_whitespace().last().unwrap_or(source);
+                    self.processes.entry(process.to_owned()).or_default().push(entry);
+                }
+                Err(_) => self.unreadable += 1,
+            }
+        }
+    }
+
+    /// Returns whether any line tells of the request.
+    pub(crate) fn is_known(&self) -> bool {
+        self.processes.values().flatten().any(|entry| self.is_of_request(entry))
+    }
+
+    /// Returns what happened, the first cause, and what the router believed then.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::new();
+        for (process, entries) in &self.processes {
+            let own: Vec<&Entry> =
+                entries.iter().filter(|entry| self.is_of_request(entry)).collect();
+            if let Some(first) = own.first() {
+                self.tell(&mut text, process, &own);
+                match own.iter().position(|entry| entry.is_failure()) {
+                    Some(index) => cause(&mut text, process, entries, &own[..=index]),
+                    None => line(&mut text, format_args!("no failure in the lines of {process}")),
+                }
+                believed(&mut text, process, entries, first, &own);
+            }
+        }
+        if self.unreadable > 0 {
+            line(&mut text, format_args!("{} lines could not be read", self.unreadable));
+        }
+        text
+    }
+
+    fn is_of_request(&self, entry: &Entry) -> bool {
+        entry.request.as_deref() == Some(self.request.as_str())
+    }
+
+    fn tell(&self, text: &mut String, process: &str, own: &[&Entry]) {
+        let known = |field: fn(&Entry) -> &Option<String>| {
+            own.iter()
+                .find_map(|entry| field(entry).clone())
+                .unwrap_or_else(|| "unknown".to_owned())
+        };
+        let (route, workspace) = (known(|entry| &entry.route), known(|entry| &entry.workspace));
+        let request = &self.request;
+        line(text, format_args!("request {request}, route {route}, workspace {workspace}"));
+        for entry in own {
+            let (at, event) = (entry.at_ms, &entry.event);
+            line(text, format_args!("{at:>10} ms  {process}  {event}: {}", entry.details()));
+        }
+    }
+}
+
+/// Writes the first line that ended a try badly, and whether other requests fared alike.
+fn cause(text: &mut String, process: &str, entries: &[Entry], until: &[&Entry]) {
+    let Some(failure) = until.last() else { return };
+    let details = failure.details();
+    line(text, format_args!("first cause: {} at {process}: {details}", failure.event));
+    let Some(subject) = &failure.subject else { return };
+    let others =
+        entries.iter().filter(|entry| entry.is_failure() && entry.request != failure.request);
+    let same = others.filter(|entry| {
+        entry.subject.as_ref() == Some(subject) && entry.at_ms.abs_diff(failure.at_ms) <= NEAR_MS
+    });
+    let count = same.count();
+    line(text, format_args!("within 1 s {count} other requests failed with {subject} there"));
+}
+
+/// Writes the newest lines before the request's first one that tell what the router believed, with their age.
+fn believed(text: &mut String, process: &str, entries: &[Entry], first: &Entry, own: &[&Entry]) {
+    let subjects: Vec<&String> = own.iter().filter_map(|entry| entry.subject.as_ref()).collect();
+    let mut newest: IndexMap<(&str, &str), &Entry> = IndexMap::new();
+    for entry in entries.iter().take_while(|entry| entry.at_ms <= first.at_ms) {
+        let subject = entry.subject.as_deref().unwrap_or_default();
+        let is_own = entry.request.is_some();
+        let names_runner = subjects.iter().any(|named| named.as_str() == subject);
+        if !is_own && (BELIEFS.contains(&entry.event.as_str()) || names_runner) {
+            newest.insert((entry.event.as_str(), subject), entry);
+        }
+    }
+    line(text, format_args!("what {process} had last learnt before:"));
+    for entry in newest.values() {
+        let age = first.at_ms - entry.at_ms;
+        line(text, format_args!("{age:>10} ms ago  {}: {}", entry.event, entry.details()));
+    }
+}
+
+fn line(text: &mut String, content: std::fmt::Arguments<'_>) {
+    writeln!(text, "{content}").expect("strings take all text");
+}
--- a/crates/aspenline/src/main.rs
+++ b/crates/aspenline/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod command;
+mod explain;
 mod failure;
 mod fleet;
 mod keys;
--- /dev/null
+++ b/crates/aspenline/tests/explain.rs
@@ -0,0 +1,80 @@
+//! What is told of a request by the log lines of routers.
+
+mod common;
+
+use std::fs;
+
+use common::directory;
+use common::run;
+use common::run_with_input;
+use common::text;
+
+/// Lines as a router writes them: a request that loses its runner, another one beside it, and what was learnt before.
+const LINES: &str = r#"
+{"event":"configuration_adopted","at_ms":60100,"version":7}
+{"event":"runner","at_ms":60200,"subject":"i-1","outcome":"ready"}
+{"event":"runner","at_ms":60300,"subject":"i-9","outcome":"ready"}
+{"event":"load","at_ms":60900,"subject":"engines","outcome":"waiting 3"}
+{"event":"sent","at_ms":61000,"request":"r-1","route":"r-a","workspace":"w","subject":"i-1","version":7,"age_ms":40,"outcome":"shared parts from 10.0.0.1:80"}
+{"event":"sent","at_ms":61001,"request":"r-2","route":"r-a","workspace":"w","subject":"i-1","version":7}
+{"event":"send_failed","at_ms":61040,"request":"r-2","route":"r-a","workspace":"w","subject":"i-1","outcome":"Broken"}
+{"event":"configuration_adopted","at_ms":61045,"version":8}
+{"event":"send_failed","at_ms":61050,"request":"r-1","route":"r-a","workspace":"w","subject":"i-1","outcome":"Broken"}
+{"event":"failed","at_ms":61051,"request":"r-1","route":"r-a","workspace":"w","took_ms":52,"sends":1,"outcome":"lost"}
+"#;
+
+#[test]
+fn a_failed_request_is_told_in_order_with_its_first_cause_and_what_was_known_before() {
+    let told = run_with_input(&["explain", "r-1"], LINES);
+    assert_eq!((told.code, told.error.as_str()), (Some(0), ""));
+    let expected = "\
+request r-1, route r-a, workspace w
+     61000 ms  -  sent: i-1, shared parts from 10.0.0.1:80, version 7, age in ms 40
+     61050 ms  -  send_failed: i-1, Broken
+     61051 ms  -  failed: lost, took ms 52, sends 1
+first cause: send_failed at -: i-1, Broken
+within 1 s 1 other requests failed with i-1 there
+what - had last learnt before:
+       900 ms ago  configuration_adopted: version 7
+       800 ms ago  runner: i-1, ready
+       100 ms ago  load: engines, waiting 3
+";
+    assert_eq!(told.output.replace("standard input", "-"), expected);
+}
+
+#[test]
+fn lines_of_many_processes_are_told_apart_by_file_or_by_the_words_before_them() {
+    let place = directory("explain");
+    let (one, all) = (place.join("router-1.log"), place.join("all.log"));
+    fs::write(&one, LINES).expect("written");
+    let line = r#"{"event":"refused","at_ms":1,"request":"r-3","outcome":"no runner in time"}"#;
+    fs::write(&all, format!("  1.5 router-2 {line}\n  1.6 router-3 {line}\n")).expect("written");
+    let told = run(&["explain", "r-1", text(&one), text(&all)]);
+    assert!(told.output.contains(&format!("first cause: send_failed at {}", text(&one))));
+    let told = run(&["explain", "r-3", text(&one), text(&all)]);
+    for router in ["router-2", "router-3"] {
+        let cause = format!("first cause: refused at {router}: no runner in time");
+        assert!(told.output.contains(&cause), "{}", told.output);
+    }
+}
+
+#[test]
+fn a_request_without_a_failure_has_no_cause() {
+    let line = r#"{"event":"answered","at_ms":1,"request":"r-4","outcome":"200"}"#;
+    let told = run_with_input(&["explain", "r-4"], line);
+    assert_eq!(told.code, Some(0));
+    assert!(told.output.contains("no failure in the lines of"), "{}", told.output);
+}
+
+#[test]
+fn lines_that_cannot_be_read_are_counted_and_an_unknown_request_is_a_failure() {
+    let input = format!("{LINES}not a line\n{{\"event\":7}}\n");
+    let told = run_with_input(&["explain", "r-1"], &input);
+    assert!(told.output.ends_with("2 lines could not be read\n"), "{}", told.output);
+    let unknown = run_with_input(&["explain", "r-77"], &input);
+    assert_eq!((unknown.code, unknown.output.as_str()), (Some(1), ""));
+    assert!(unknown.error.contains("no line tells of request r-77"), "{}", unknown.error);
+    assert!(unknown.error.contains("2 lines could not be read"), "{}", unknown.error);
+    let missing = run(&["explain", "r-1", "/nowhere/a.log"]);
+    assert_eq!(missing.code, Some(2));
+}
--- a/crates/aspenline/tests/help.rs
+++ b/crates/aspenline/tests/help.rs
@@ -4,7 +4,8 @@
 
 use common::run;
 
-const COMMANDS: &str = "serve check apply zone instance status timeline config keys completions";
+const COMMANDS: &str =
+    "serve check apply zone instance status timeline explain config keys completions";
 
 #[test]
 fn help_lists_all_commands_and_exit_codes() {
--- a/crates/aspenline/tests/platform.rs
+++ b/crates/aspenline/tests/platform.rs
@@ -14,6 +14,7 @@
 use http::StatusCode;
 use http_body_util::Full;
 use rustix::process::Signal;
+use tokio::task::JoinSet;
 use tokio::time;
 
 use crate::router::HOST;
@@ -434,3 +435,52 @@
     assert_eq!(router.count("store_lost"), 0);
     assert_eq!(router.call(keyed("POST", "/keyed/", "r-1")).await.status, StatusCode::OK);
 }
+
+#[tokio::test]
+async fn the_line_of_a_send_names_the_runner_of_a_stream_and_what_decided() {
+    let platform = Platform::start("sent").await;
+    platform.configure(&configuration(1));
+    let _runners = platform.runners("engines", 1).await;
+    let router = platform.router("router-1").await;
+    router.settled(1).await;
+    let answer = router.call(keyed("POST", "/stream/", "r-1")).await;
+    assert_eq!(answer.body, whole_stream());
+    let line = until(|| router.line("sent")).await;
+    assert_eq!(
+        (line["request"].as_str(), line["subject"].as_str()),
+        (Some("r-1"), Some("engines-0"))
+    );
+    assert_eq!(
+        (line["route"].as_str(), line["workspace"].as_str()),
+        (Some("stream"), Some("wall"))
+    );
+    assert_eq!(line["version"].as_u64(), Some(1));
+    assert!(line["age_ms"].as_u64().is_some_and(|age| age < 5_000), "{line}");
+}
+
+#[tokio::test]
+async fn each_refused_request_keeps_its_line_while_other_events_are_bounded() {
+    let platform = Platform::start("bounded").await;
+    platform.configure(&configuration(1));
+    let router = platform.router("router-1").await;
+    until(|| router.line("configuration_adopted")).await;
+    let mut calls = JoinSet::new();
+    for number in 0..400 {
+        calls.spawn(call(router.callers, get("/safe/", &format!("r-{number}"))));
+    }
+    for answer in calls.join_all().await {
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    until(|| (router.count("refused") == 400).then_some(())).await;
+    let _runners = platform.runners("ledger", 4).await;
+    router.settled(4).await;
+    let mut calls = JoinSet::new();
+    for number in 0..1_000 {
+        calls.spawn(call(router.callers, get("/safe/", &format!("s-{number}"))));
+    }
+    let begun = Instant::now();
+    let answers = calls.join_all().await;
+    let seconds = usize::try_from(begun.elapsed().as_secs()).expect("few") + 2;
+    assert_eq!(answers.len(), 1_000);
+    assert!(router.count("sent") <= 150 * seconds, "{} lines", router.count("sent"));
+}
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -8,8 +8,10 @@
 
 use crate::Clock;
 
-/// Lines of one event that are written in a second.
+/// Lines of one event that are written in a second, but for those of requests that went wrong.
 const LINES_PER_SECOND: u32 = 150;
+/// Events that tell how a request went wrong; each of them keeps its line.
+const KEPT: [&str; 4] = ["refused", "failed", "stream_broken", "rejected_request"];
 /// The target of structured lines.
 const TARGET: &str = "event";
 
@@ -119,7 +121,7 @@
             line.left_out = Some(count.left_out).filter(|left_out| *left_out > 0);
             *count = Count { second: now.as_secs(), ..Count::default() };
         }
-        if count.written >= LINES_PER_SECOND {
+        if count.written >= LINES_PER_SECOND && !KEPT.contains(&line.event) {
             count.left_out += 1;
             return;
         }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -186,6 +186,7 @@
     let left = call.deadline.saturating_sub(now);
     let leg = Leg { runner: &permit.grant.id, source: permit.grant.source, left, last_event };
     let request = (router.dialect.request)(call, &leg);
+    router.log(sent(router, call, &leg));
     trail.sends += 1;
     trail.runs += 1;
     permit.sent();
@@ -211,6 +212,17 @@
     }
 }
 
+/// Returns the line that names the runner of a request.
+fn sent(router: &Router, call: &Call, leg: &Leg<'_>) -> Line {
+    let source = leg.source.map(|source| format!("shared parts from {source}"));
+    let line = described(call, "sent").subject(leg.runner.as_str());
+    let line = line.outcome(source.unwrap_or_default());
+    match router.config_age() {
+        Some(age) => line.age(age),
+        None => line,
+    }
+}
+
 async fn connect(router: &Router, call: &Call, permit: &Permit) -> Result<Connection, Fault> {
     let opened = Connection::open(permit.grant.address, CONNECT_TIMEOUT).await;
     opened.map_err(|_| {
@@ -314,6 +326,14 @@
     line
 }
 
+/// Returns a line of a call with its route and workspace.
+fn described(call: &Call, event: &'static str) -> Line {
+    let mut line = line(call, event);
+    line.route = Some(call.route.name.to_string());
+    line.workspace = call.workspace.as_ref().map(ToString::to_string);
+    line
+}
+
 fn log_answer(router: &Router, call: &Call, answer: &Answer, sends: u32) {
     let (event, outcome) = match answer {
         Answer::Whole(response) => ("answered", response.status().as_u16().to_string()),
@@ -325,9 +345,7 @@
     if !matches!(answer, Answer::Problem(_)) {
         router.meter.answered(call.route.kind, took);
     }
-    let mut line = line(call, event).outcome(outcome);
-    line.route = Some(call.route.name.to_string());
-    line.workspace = call.workspace.as_ref().map(ToString::to_string);
+    let mut line = described(call, event).outcome(outcome);
     line.took_ms = Some(event::millis(took));
     line.sends = Some(sends);
     router.log(line);
