fix(node): raise an order above one of the same counter that beats it

Cause: an operator's order at a router that had not yet heard of the last order got the same counter. The others kept the older one (with equal counters out wins) and answered with it, but an order was only given again above a larger counter, so nobody ever took it: after 1 s the operator got 503, only this router has the order so far.

--- a/crates/node/src/control/placement.rs
+++ b/crates/node/src/control/placement.rs
@@ -97,10 +97,13 @@
         self.mesh.send(from, answer);
     }
 
-    /// Gives an order again above a newer one of the same subject that this router did not know of.
+    /// Gives an order again above another one of the same subject that beats it and that this router did not know of.
+    ///
+    /// The other one may have the same counter: a router that has not heard of an order gives the next one the same.
     fn raise_orders(&mut self, newer: &Placed) {
+        let register = register_of(newer);
         let overtaken = |pending: &PendingOrder| {
-            pending.order.key == newer.key && pending.order.counter < newer.counter
+            pending.order.key == newer.key && register.beats(&register_of(&pending.order))
         };
         while let Some(index) = self.pending_orders.iter().position(overtaken) {
             let pending = self.pending_orders.swap_remove(index);
--- a/crates/rig/tests/zones.rs
+++ b/crates/rig/tests/zones.rs
@@ -6,6 +6,7 @@
 
 use base::Verdict;
 use rig::Call;
+use rig::Change;
 use rig::Fleet;
 use rig::Load;
 use rig::Space;
@@ -193,6 +194,29 @@
     support::log_down(&fleet, false).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_order_at_a_router_that_has_not_heard_of_the_last_one_is_the_later_one() {
+    let fleet = support::start(support::builder(3).proxied()).await;
+    // Only members tell of orders, and the second router hears of them late.
+    support::log_down(&fleet, true).await;
+    let late = Change { delay_ms: Some(100), ..Change::default() };
+    for link in ["peer:r1:r2", "peer:r2:r1", "peer:r2:r3", "peer:r3:r2"] {
+        fleet
+            .network()
+            .expect("led through a network")
+            .change_link(link, late)
+            .await
+            .expect("late");
+    }
+    for zone in ["nottingham", "derby", "leicester"] {
+        let out = support::place(&fleet, 0, "zone", zone, true).await;
+        let back = support::place(&fleet, 1, "zone", zone, false).await;
+        assert!(back > out, "{zone}: the later order has counter {back}, the one before {out}");
+    }
+    until_out(&fleet, &[0, 1, 2], &[]).await;
+    support::log_down(&fleet, false).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn two_operators_who_race_leave_all_routers_of_one_mind() {
     let fleet = support::start(support::builder(5)).await;
