feat(aspenline): check settings of a router on the platform

Cause: 'aspenline check' knew only the product's own settings, so a wrong template showed at the start of a process; messages named no unit. Ruled out: checking the template itself, which needs the platform's renderer; its filled-in form is checked by a test.

--- a/crates/aspenline/src/command/check.rs
+++ b/crates/aspenline/src/command/check.rs
@@ -21,6 +21,8 @@
 enum Kind {
     Settings,
     Configuration,
+    /// Settings of a router on the platform.
+    Platform,
 }
 
 /// Returns the command.
@@ -40,7 +42,8 @@
         .after_help(
             "Prints all faults with line, column, field, what was found and what is allowed.\n\n\
              Examples:\n  aspenline check settings.json --keys\n  \
-             aspenline check fleet.json --kind configuration",
+             aspenline check fleet.json --kind configuration\n  \
+             aspenline check router.json --kind platform",
         )
         .arg(file)
         .arg(kind)
@@ -61,6 +64,11 @@
                     .map_err(|failure| Failure::Invalid(format!("{}: {failure}", source.name)))?;
             }
         }
+        Kind::Platform => {
+            platform::Settings::parse(&source.text).map_err(|report| {
+                Failure::Invalid(format!("{}: {}", source.name, report.current_context()))
+            })?;
+        }
         Kind::Configuration => {
             Configuration::parse(&source.text)
                 .map_err(|report| invalid(&source, report.current_context()))?;
@@ -71,6 +79,9 @@
 
 /// Takes the kind for which a file has fewer faults.
 fn kind_of(source: &Source) -> Result<Kind, Failure> {
+    if platform::Settings::parse(&source.text).is_ok() {
+        return Ok(Kind::Platform);
+    }
     let Err(settings) = Settings::parse(&source.text) else { return Ok(Kind::Settings) };
     let Err(configuration) = Configuration::parse(&source.text) else {
         return Ok(Kind::Configuration);
--- a/crates/aspenline/tests/check.rs
+++ b/crates/aspenline/tests/check.rs
@@ -73,3 +73,56 @@
     assert_eq!(done.code, Some(2));
     assert!(done.error.contains("peer_keys.certificate: can't read "), "{}", done.error);
 }
+
+/// Settings of a router on the platform, as its template is filled in.
+fn platform_settings() -> String {
+    let template = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/settings.json");
+    let mut text = fs::read_to_string(template).expect("the template can be read");
+    for (name, value) in [
+        ("{{node_name}}", "router-1"),
+        ("{{zone}}", "north"),
+        ("{{listen.front}}", "10.0.0.1:80"),
+        ("{{listen.ready}}", "10.0.0.1:81"),
+        ("{{listen.directory}}", "10.0.0.1:82"),
+        ("{{ip}}", "10.0.0.1"),
+        ("{{internal_ports.0}}", "7000"),
+        ("{{platform.address}}", "10.0.0.2:90"),
+        ("{{limits.cpu_share|json}}", "0.25"),
+        ("{{bounds.grace_s|json}}", "8.0"),
+        ("{{bounds.cold_overage|json}}", "1.5"),
+        ("{{bounds.cold_slack|json}}", "5"),
+        ("{{bounds.retry_budget_ratio|json}}", "0.2"),
+        ("{{bounds.budget_extra|json}}", "58"),
+        ("{{bounds.budget_window_s|json}}", "10"),
+        ("{{#bounds.strict_revoke}}{{bounds.revoke_ms|json}}{{/bounds.strict_revoke}}", "5000"),
+        ("{{^bounds.strict_revoke}}null{{/bounds.strict_revoke}}", ""),
+    ] {
+        assert!(text.contains(name), "{name} is not in the template");
+        text = text.replace(name, value);
+    }
+    assert!(!text.contains("{{"), "{text}");
+    text
+}
+
+#[test]
+fn the_filled_in_template_for_the_platform_is_valid() {
+    let text = platform_settings();
+    assert_eq!(run_with_input(&["check", "-"], &text), valid("standard input", "platform"));
+}
+
+#[test]
+fn a_fault_in_settings_for_the_platform_names_field_bound_and_unit() {
+    for (from, to, fault) in [
+        ("0.25", "0", "share: 0 is not a number of at least 0.001 processors"),
+        ("8.0", "-1", "grace_s: -1 is not a number of at least 0.1 seconds"),
+        ("\"retry_ratio\": 0.2", "\"retry_ratio\": -2", "at least 0 retries a request"),
+        ("\"zone\"", "\"zones\"", "unknown field `zones`"),
+        ("10.0.0.2:90", "nowhere", "store: invalid socket address"),
+    ] {
+        let text = platform_settings().replace(from, to);
+        let done = run_with_input(&["check", "-", "--kind", "platform"], &text);
+        assert_eq!((done.code, done.output.as_str()), (Some(2), ""));
+        assert!(done.error.contains(fault), "{}", done.error);
+        assert_eq!(done.error.lines().count(), 1, "{}", done.error);
+    }
+}
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -108,17 +108,17 @@
     fn check(&self) -> Result<(), Report<Error>> {
         let bounds = &self.bounds;
         let numbers = [
-            ("share", self.share, 0.001),
-            ("grace_s", self.grace_s, 0.1),
-            ("bounds.cold_factor", bounds.cold_factor, 0.0),
-            ("bounds.cold_constant", bounds.cold_constant, 0.0),
-            ("bounds.retry_ratio", bounds.retry_ratio, 0.0),
-            ("bounds.retry_constant", bounds.retry_constant, 0.0),
-            ("bounds.retry_window_s", bounds.retry_window_s, 0.1),
+            ("share", self.share, 0.001, "processors"),
+            ("grace_s", self.grace_s, 0.1, "seconds"),
+            ("bounds.cold_factor", bounds.cold_factor, 0.0, "times a cold runner's rate"),
+            ("bounds.cold_constant", bounds.cold_constant, 0.0, "requests a second"),
+            ("bounds.retry_ratio", bounds.retry_ratio, 0.0, "retries a request"),
+            ("bounds.retry_constant", bounds.retry_constant, 0.0, "retries"),
+            ("bounds.retry_window_s", bounds.retry_window_s, 0.1, "seconds"),
         ];
-        for (field, value, least) in numbers {
+        for (field, value, least, unit) in numbers {
             if !(value >= least && value.is_finite()) {
-                let text = format!("{field}: {value} is not a number of at least {least}");
+                let text = format!("{field}: {value} is not a number of at least {least} {unit}");
                 return Err(Report::new(Error(text)));
             }
         }
