perf(balance): let few routers try often while the store is away

Ruled out: that they need it; the three readers find out that the store is back and their heartbeats tell the others, and a router that knows of a change or knows nothing yet goes on trying often. The pause is a decision and moved to balance.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -78,4 +78,5 @@
 pub use usage::Usage;
 pub use watch::Watch;
 pub use watch::is_reader;
+pub use watch::own_retry_pause;
 pub use window::Window;
--- a/crates/balance/src/watch.rs
+++ b/crates/balance/src/watch.rs
@@ -19,6 +19,13 @@
 /// The longest time between two reads, should the others be wrong about what they know.
 const LONGEST: Duration = Duration::from_secs(60);
 
+/// The pause after the first read that fails.
+const FIRST_RETRY: Duration = Duration::from_millis(100);
+/// The longest pause after failed reads of a router on which others depend, or which has a change to read.
+const SOON: Duration = Duration::from_millis(800);
+/// The longest pause after failed reads of any other router, which others tell when the store is back.
+const LATE: Duration = Duration::from_secs(3);
+
 /// What a router knows of a topic.
 #[derive(Debug, Clone, Default)]
 pub struct Watch {
@@ -83,6 +90,16 @@
         (as_of + STALE + HEARTBEATS * period).max(self.tried + pause).min(self.tried + LONGEST)
     }
 
+    /// Returns the pause after reads have failed several times in a row.
+    ///
+    /// While the store is away nobody can tell that nothing has changed, so all routers try to read. Those that others
+    /// depend on go on trying often.
+    #[must_use]
+    pub fn retry_pause(&self, failures: u32, is_reader: bool) -> Duration {
+        let longest = if is_reader || self.is_behind() { SOON } else { LATE };
+        backoff(failures, longest)
+    }
+
     fn hear(&mut self, as_of: Duration) {
         self.as_of = Some(self.as_of.map_or(as_of, |heard| heard.max(as_of)));
     }
@@ -92,3 +109,13 @@
 pub fn is_reader<'a>(topic: u64, router: &Name, others: impl Iterator<Item = &'a str>) -> bool {
     rendezvous::rank(topic, router.as_str(), others) < READERS
 }
+
+/// Returns the pause after failed reads of a topic that each router reads, once it `is_known`.
+#[must_use]
+pub fn own_retry_pause(failures: u32, is_known: bool) -> Duration {
+    backoff(failures, if is_known { LATE } else { SOON })
+}
+
+fn backoff(failures: u32, longest: Duration) -> Duration {
+    (FIRST_RETRY * 2u32.pow(failures.clamp(1, 6) - 1)).min(longest)
+}
--- a/crates/balance/tests/watch.rs
+++ b/crates/balance/tests/watch.rs
@@ -4,6 +4,7 @@
 
 use balance::Watch;
 use balance::is_reader;
+use balance::own_retry_pause;
 use base::Name;
 
 const NOW: Duration = Duration::from_secs(50);
@@ -86,3 +87,32 @@
         watch.told(9, Some(as_of));
     }
 }
+
+#[test]
+fn while_the_store_is_away_most_routers_try_rarely_and_the_readers_often() {
+    // 89 routers follow a topic for the eight seconds of an outage.
+    let tries = |watch: &Watch, is_reader: bool| {
+        let mut passed = Duration::ZERO;
+        let mut tries = 0;
+        while passed < Duration::from_secs(8) {
+            tries += 1;
+            passed += watch.retry_pause(tries, is_reader);
+        }
+        tries
+    };
+    let watch = read_at(NOW, 10);
+    let all = 86 * tries(&watch, false) + 3 * tries(&watch, true);
+    let if_alike = 89 * tries(&watch, true);
+    assert!(3 * all <= 2 * if_alike, "{all} tries, {if_alike} if all tried like the readers");
+    assert!(tries(&watch, true) >= 10, "the readers find soon that the store is back");
+    let mut behind = read_at(NOW, 10);
+    behind.told(11, None);
+    assert_eq!(tries(&behind, false), tries(&watch, true), "a change that is known is read soon");
+}
+
+#[test]
+fn a_router_that_knows_nothing_yet_tries_often() {
+    assert!(own_retry_pause(9, false) <= Duration::from_millis(800));
+    assert!(own_retry_pause(9, true) > own_retry_pause(9, false));
+    assert_eq!(own_retry_pause(1, true), own_retry_pause(1, false));
+}
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -189,6 +189,14 @@
         }
     }
 
+    /// Waits for a while, or until another router tells of a change that was not read yet.
+    pub async fn pause_until_told(&self, topic: Topic, pause: Duration) {
+        tokio::select! {
+            () = time::sleep(pause) => (),
+            () = self.told[topic as usize].notified() => (),
+        }
+    }
+
     /// Counts a request of a caller.
     pub fn count_request(&self, service: &base::Name) {
         let now = self.now();
