--- a/crates/aspenline/src/explain.rs
+++ b/crates/aspenline/src/explain.rs
@@ -16,6 +16,8 @@
     "refused",
     "failed",
 ];
+/// The event of a process's start.
+const START: &str = "started";
 /// Milliseconds within which failures of other requests count as of the same trouble.
 const NEAR_MS: u64 = 1_000;
 /// Events that change what a router believes, whatever the request.
@@ -150,20 +152,24 @@
 }
 
 /// Writes the newest lines before the request's first one that tell what the router believed, with their age.
+///
+/// Lines of an earlier life of the process tell nothing: its clock began anew.
 fn believed(text: &mut String, process: &str, entries: &[Entry], first: &Entry, own: &[&Entry]) {
     let subjects: Vec<&String> = own.iter().filter_map(|entry| entry.subject.as_ref()).collect();
+    let before = entries.iter().position(|entry| entry == first).unwrap_or_default();
+    let entries = &entries[..before];
+    let start = entries.iter().rposition(|entry| entry.event == START).unwrap_or_default();
     let mut newest: IndexMap<(&str, &str), &Entry> = IndexMap::new();
-    for entry in entries.iter().take_while(|entry| entry.at_ms <= first.at_ms) {
+    for entry in entries[start..].iter().filter(|entry| entry.request.is_none()) {
         let subject = entry.subject.as_deref().unwrap_or_default();
-        let is_own = entry.request.is_some();
         let names_runner = subjects.iter().any(|named| named.as_str() == subject);
-        if !is_own && (BELIEFS.contains(&entry.event.as_str()) || names_runner) {
+        if names_runner || BELIEFS.contains(&entry.event.as_str()) {
             newest.insert((entry.event.as_str(), subject), entry);
         }
     }
     line(text, format_args!("what {process} had last learnt before:"));
     for entry in newest.values() {
-        let age = first.at_ms - entry.at_ms;
+        let age = first.at_ms.saturating_sub(entry.at_ms);
         line(text, format_args!("{age:>10} ms ago  {}: {}", entry.event, entry.details()));
     }
 }
--- a/crates/aspenline/tests/explain.rs
+++ b/crates/aspenline/tests/explain.rs
@@ -58,6 +58,21 @@
     }
 }
 
+#[test]
+fn what_a_process_learnt_before_it_was_started_again_is_not_told() {
+    let life = r#"{"event":"started","at_ms":60000}
+{"event":"configuration_adopted","at_ms":60050,"version":9}
+{"event":"sent","at_ms":60060,"request":"r-5","subject":"i-9"}
+"#;
+    let told = run_with_input(&["explain", "r-5"], &format!("{LINES}{life}"));
+    let expected = "        10 ms ago  configuration_adopted: version 9\n";
+    assert!(
+        told.output.ends_with(&format!("had last learnt before:\n{expected}")),
+        "{}",
+        told.output
+    );
+}
+
 #[test]
 fn a_request_without_a_failure_has_no_cause() {
     let line = r#"{"event":"answered","at_ms":1,"request":"r-4","outcome":"200"}"#;
