fix(node): read the instance list often for as long as it names nobody

Cause: a router that starts before it is listed read an empty list and looked again a second later, so it answered the question for addresses with 503 although it served callers and the others knew it.

--- a/crates/node/src/tail.rs
+++ b/crates/node/src/tail.rs
@@ -16,6 +16,8 @@
 pub(crate) const PLACEMENT_STREAM: &str = "placement";
 /// Time from one look at the instance list to the next.
 const INSTANCES_PERIOD: Duration = Duration::from_millis(1_000);
+/// Time from one look to the next for as long as the list names nobody, as when a fleet starts.
+const EMPTY_LIST_PERIOD: Duration = Duration::from_millis(100);
 /// Time before the log is asked again after a failure.
 const LOG_PAUSE: Duration = Duration::from_millis(300);
 /// Longest wait for new records in one read.
@@ -25,16 +27,19 @@
 
 /// Follows the instance list; ends when the control thread is gone.
 pub(crate) async fn instances(instances: Instances, inputs: mpsc::Sender<Input>) {
+    let mut period = EMPTY_LIST_PERIOD;
     loop {
         match instances.fetch().await {
             Ok(list) => {
+                period =
+                    if list.instances.is_empty() { EMPTY_LIST_PERIOD } else { INSTANCES_PERIOD };
                 if inputs.send(Input::Instances(list)).await.is_err() {
                     return;
                 }
             }
             Err(error) => log::debug!("node: the instance list is not available: {error}"),
         }
-        time::sleep(INSTANCES_PERIOD).await;
+        time::sleep(period).await;
     }
 }
 
--- a/crates/rig/tests/members.rs
+++ b/crates/rig/tests/members.rs
@@ -238,6 +238,21 @@
     assert_eq!(stranger.alive().await, ["s9"]);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_router_that_started_before_it_was_listed_names_addresses_soon_after() {
+    let fleet = support::builder(0).start().await.expect("a platform");
+    let space = Space::new().expect("a directory");
+    let authority = own::authority("fleet");
+    let keys = own::keys(&authority, "s1", &[&authority]);
+    let router = Own::start(&space, own::settings(&fleet, "s1", 0, &keys));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    own::list(&fleet, &[&router]).await;
+    let took = support::until(Duration::from_millis(500), "addresses", async || {
+        router.caller().addresses(ENGINE).await.is_ok()
+    });
+    println!("names addresses {:?} after it was listed", took.await);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn keys_are_rotated_router_by_router_while_calls_succeed() {
     let fleet = support::builder(0).start().await.expect("a platform");
