fix(fake): give no answer on a connection that was closed before its first request

Cause: a connection accepted just after a stand-in fell is reset at once, but the choice between its end and its first request was random, so a request could get a head. Ruled out: the control call's order, whose answer comes after the flag is set.

--- a/crates/fake/src/server.rs
+++ b/crates/fake/src/server.rs
@@ -192,9 +192,11 @@
         answer(Arc::clone(&hub), call, first, handle.clone())
     });
     let serving = http1::Builder::new().serve_connection(TokioIo::new(gate), service);
+    // A connection that is closed before its first request gets no answer.
     tokio::select! {
-        _ = serving => {}
+        biased;
         () = connection.closed() => {}
+        _ = serving => {}
     }
     hub.connections().swap_remove(&id);
 }
--- a/crates/fake/tests/engine.rs
+++ b/crates/fake/tests/engine.rs
@@ -13,6 +13,8 @@
 use common::whole;
 use http_body_util::BodyExt;
 use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 const PATH: &str = "/v1/completions";
@@ -85,13 +87,18 @@
     until(&engine, "/load", |load| load["warm"] == false).await;
 }
 
-/// Connects until the address refuses.
+/// Connects until the address refuses; no connection that is still set up may get an answer.
 ///
 /// A connection that the kernel has set up for a listener which closes before it accepts is reset.
 async fn first_refusal(address: SocketAddr) {
     loop {
         match TcpStream::connect(address).await {
-            Ok(_) => tokio::task::yield_now().await,
+            Ok(mut stream) => {
+                let _reset = stream.write_all(b"GET /load HTTP/1.1\r\nhost: a\r\n\r\n").await;
+                let mut answer = Vec::new();
+                let _reset = stream.read_to_end(&mut answer).await;
+                assert_eq!(String::from_utf8_lossy(&answer), "");
+            }
             Err(error) if error.kind() == ErrorKind::ConnectionReset => {}
             Err(error) => return assert_eq!(error.kind(), ErrorKind::ConnectionRefused),
         }
