--- a/crates/mesh/src/core.rs
+++ b/crates/mesh/src/core.rs
@@ -45,6 +45,14 @@
     pub(crate) session: Arc<tokio::sync::Mutex<Inbox>>,
 }
 
+/// The outgoing link to one process of a peer.
+#[derive(Debug)]
+struct Link {
+    /// The incarnation of the process, or `None` if it was not known when the link was opened.
+    incarnation: Option<u64>,
+    handle: Handle,
+}
+
 /// The shared state of all tasks.
 #[derive(Debug)]
 pub(crate) struct Core {
@@ -57,7 +65,7 @@
     pub(crate) incoming: Mutex<IndexMap<Name, Incoming>>,
     started: Instant,
     swim: Mutex<Swim>,
-    links: Mutex<IndexMap<Name, Handle>>,
+    links: Mutex<IndexMap<Name, Link>>,
     pending: Mutex<Pending>,
     changed: Notify,
 }
@@ -186,13 +194,21 @@
         self.changed.notify_one();
     }
 
+    /// Returns the link to the current process of a peer.
+    ///
+    /// Frames for a new process must not be sent on the link to an earlier one, which may still look open.
     fn link(self: &Arc<Self>, to: &Name) -> Handle {
+        let incarnation = self.with_swim(|swim| swim.incarnation(to));
         let mut links = lock(&self.links);
-        if let Some(handle) = links.get(to) {
-            return handle.clone();
+        if let Some(link) = links.get_mut(to) {
+            let both = link.incarnation.zip(incarnation);
+            if both.is_none_or(|(of_link, current)| of_link == current) {
+                link.incarnation = link.incarnation.or(incarnation);
+                return link.handle.clone();
+            }
         }
         let handle = link::open(self, to);
-        links.insert(to.clone(), handle.clone());
+        links.insert(to.clone(), Link { incarnation, handle: handle.clone() });
         handle
     }
 }
--- a/crates/mesh/src/swim/machine.rs
+++ b/crates/mesh/src/swim/machine.rs
@@ -211,6 +211,13 @@
         self.membership.entries.get(name).is_some_and(|entry| !entry.has_ended())
     }
 
+    /// Returns the incarnation of a router, if an update about it was received.
+    #[must_use]
+    pub fn incarnation(&self, name: &Name) -> Option<u64> {
+        let entry = self.membership.entries.get(name)?;
+        entry.state.map(|_| entry.version.incarnation)
+    }
+
     /// Returns the names of all other routers that are listed or known.
     #[must_use]
     pub fn known_names(&self) -> IndexSet<Name> {
--- a/crates/mesh/tests/links/trust.rs
+++ b/crates/mesh/tests/links/trust.rs
@@ -11,6 +11,7 @@
 use mesh::issue;
 use mesh::issue::Authority;
 use tokio::time::sleep;
+use tokio::time::timeout;
 use wire::Frame;
 
 use crate::common::Router;
@@ -21,6 +22,9 @@
 use crate::common::state;
 use crate::common::until;
 
+/// The time within which an expected frame must arrive.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(20);
+
 fn authority(name: &str) -> Authority {
     issue::authority(name).expect("an authority")
 }
@@ -44,7 +48,8 @@
 /// Returns the next frame, skipping other events.
 async fn next_frame(router: &mut Router) -> (Name, Frame) {
     loop {
-        match router.events.recv().await.expect("the mesh is running") {
+        let event = timeout(FRAME_TIMEOUT, router.events.recv()).await.expect("a frame in time");
+        match event.expect("the mesh is running") {
             Event::Frame { from, frame } => return (from, frame),
             Event::Members(_) | Event::Register(_) => {}
         }
