--- a/crates/aspenline/tests/platform.rs
+++ b/crates/aspenline/tests/platform.rs
@@ -494,3 +494,30 @@
     assert_eq!(answers.len(), 1_000);
     assert!(router.count("sent") <= 150 * seconds, "{} lines", router.count("sent"));
 }
+
+#[tokio::test]
+async fn routers_of_different_zones_learn_of_each_other_through_the_sums_of_their_zones() {
+    let platform = Platform::start("zones").await;
+    platform.configure(&configuration(1));
+    let _runners = platform.runners("engines", 1).await;
+    let mut routers = Vec::new();
+    for (name, zone) in [("n-1", "north"), ("n-2", "north"), ("s-1", "south"), ("s-2", "south")] {
+        routers.push(platform.router_in(name, zone).await);
+    }
+    for router in &routers {
+        router.wait_for_runners(1).await;
+    }
+    for router in &routers {
+        let mut named = 0;
+        let start = Instant::now();
+        while named < routers.len() && start.elapsed() < WAIT_TIMEOUT {
+            let answer = call(router.directory, get("/resolve", "r-1")).await;
+            let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+            named = body["addresses"].as_array().map_or(0, Vec::len);
+            time::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(named, routers.len());
+    }
+    let aggregators = routers.iter().filter(|router| router.count("aggregator") > 0).count();
+    assert!(aggregators >= 2, "{aggregators}");
+}
--- a/crates/balance/src/adaptive_limit.rs
+++ b/crates/balance/src/adaptive_limit.rs
@@ -36,7 +36,7 @@
 /// The time after which the shortest required time per token, that of the longest answer, expires.
 const REQUIRED_TIME_EXPIRY: Duration = Duration::from_secs(10);
 
-/// The weight of another router's limits when they arrive, before it is divided by the number of other routers.
+/// The weight of the limits of all other routers, when those of each have arrived once.
 const PEER_WEIGHT: f64 = 0.2;
 
 /// Limits on the load of one engine.
@@ -84,9 +84,9 @@
         LoadLimits { backlog: self.backlog as u64, running: self.running as u32 }
     }
 
-    /// Moves towards the limits of one of `routers` other routers.
-    pub fn move_towards(&mut self, other: LoadLimits, routers: usize) {
-        let weight = PEER_WEIGHT / routers.max(1) as f64;
+    /// Moves towards the limits of a fraction of the other routers.
+    pub fn move_towards(&mut self, other: LoadLimits, fraction: f64) {
+        let weight = PEER_WEIGHT * fraction;
         self.backlog += weight * (other.backlog as f64 - self.backlog);
         self.running += weight * (f64::from(other.running) - self.running);
     }
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -233,10 +233,10 @@
         self.services.iter().map(|(name, state)| (name, &state.adaptive_limit, state.queue.len()))
     }
 
-    /// Records the limits on the load of one engine that another router has derived.
-    pub fn record_peer_limits(&mut self, service: &Name, other: LoadLimits) {
-        let routers = self.limits.peers.len();
-        self.service_state(service).adaptive_limit.move_towards(other, routers);
+    /// Records the limits on the load of one engine that a number of other routers have derived.
+    pub fn record_peer_limits(&mut self, service: &Name, other: LoadLimits, routers: usize) {
+        let fraction = routers as f64 / self.limits.peers.len().max(1) as f64;
+        self.service_state(service).adaptive_limit.move_towards(other, fraction.min(1.0));
     }
 
     /// Records the time per token of an answer.
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 mod adaptive_limit;
+mod aggregation;
 mod choice;
 mod cold_limit;
 mod core;
@@ -21,6 +22,7 @@
 mod health;
 mod load;
 mod member;
+mod origin;
 mod prefix_cache;
 mod queue;
 mod read_schedule;
@@ -38,6 +40,9 @@
 
 pub use adaptive_limit::AdaptiveLimit;
 pub use adaptive_limit::LoadLimits;
+pub use aggregation::Aggregation;
+pub use aggregation::ranks_first;
+pub use aggregation::targets;
 pub use cold_limit::ColdLimit;
 pub use core::Core;
 pub use core::Decision;
@@ -52,8 +57,10 @@
 pub use member::Member;
 pub use member::MemberStatus;
 pub use member::Members;
+pub use origin::Origin;
 pub use prefix_cache::PrefixCache;
 pub use queue::Ticket;
+pub use read_schedule::Candidate;
 pub use read_schedule::ReadSchedule;
 pub use read_schedule::is_reader;
 pub use read_schedule::unshared_retry_delay;
--- a/crates/balance/src/load.rs
+++ b/crates/balance/src/load.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use base::Name;
 use indexmap::IndexMap;
 
-/// The time after which the figures of another router expire.
+use crate::Origin;
+
+/// The time after which reported figures expire.
 const EXPIRY: Duration = Duration::from_millis(1_500);
 
 /// The load placed on a runner.
@@ -35,28 +36,38 @@
     }
 }
 
-/// The load that each other router has placed on one runner.
+/// The load that other routers have placed on one runner.
 #[derive(Debug, Clone, Default)]
 pub struct PeerLoads {
-    routers: IndexMap<Name, (Duration, Load)>,
+    reported: IndexMap<Origin, (Duration, Load)>,
 }
 
 impl PeerLoads {
-    /// Records the newest figures of a router.
-    pub fn put(&mut self, router: &Name, now: Duration, load: Load) {
+    /// Records the newest figures of an origin, which it reported at `at`.
+    pub fn put(&mut self, origin: &Origin, at: Duration, load: Load) {
         if load == Load::default() {
-            self.routers.swap_remove(router);
+            self.reported.swap_remove(origin);
         } else {
-            self.routers.insert(router.clone(), (now, load));
+            self.reported.insert(origin.clone(), (at, load));
         }
     }
 
-    /// Returns the sum over all routers whose figures have not expired.
+    /// Returns the sum over all routers, without figures that have expired.
     #[must_use]
     pub fn sum(&self, now: Duration) -> Load {
+        self.sum_where(now, |_| true)
+    }
+
+    /// Returns the sum over the routers that report their own figures, without figures that have expired.
+    #[must_use]
+    pub fn sum_of_routers(&self, now: Duration) -> Load {
+        self.sum_where(now, Origin::is_router)
+    }
+
+    fn sum_where(&self, now: Duration, applies: impl Fn(&Origin) -> bool) -> Load {
         let mut sum = Load::default();
-        for (at, load) in self.routers.values() {
-            if now < *at + EXPIRY {
+        for (origin, (at, load)) in &self.reported {
+            if now < *at + EXPIRY && applies(origin) {
                 sum.add(*load);
             }
         }
--- a/crates/balance/src/member.rs
+++ b/crates/balance/src/member.rs
@@ -8,6 +8,8 @@
 
 /// The time after the last heartbeat for which a router counts as alive.
 const ALIVE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The time after the last heartbeat for which a router counts as alive if other routers report the heartbeat.
+const REPORTED_ALIVE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// The identity that a router publishes when it starts.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -24,6 +26,9 @@
     pub share_milli: u32,
     /// The key that authenticates its heartbeats, in hexadecimal.
     pub key: String,
+    /// Its availability zone; `None` for a router of an earlier version, which sends heartbeats to all routers.
+    #[serde(default)]
+    pub zone: Option<Name>,
 }
 
 /// Another router.
@@ -31,29 +36,31 @@
 pub struct Member {
     /// The identity that it has published.
     pub identity: Identity,
-    /// The time of its last heartbeat, or `None` before the first one.
+    /// The time of its last heartbeat that this router has received, or `None` before the first one.
     pub last_contact: Option<Duration>,
     /// The sequence number of that heartbeat.
     pub sequence: u64,
-    /// Whether it accepts callers.
-    pub is_ready: bool,
-    /// Whether it knows which API keys are valid.
-    pub is_current: bool,
-    /// The number of its requests in the last second.
-    pub requests: u32,
+    /// The time at which it last sent the sums of its zone to this router.
+    pub sent_sums_at: Option<Duration>,
+    /// Its newest known state.
+    pub status: MemberStatus,
+    status_at: Option<Duration>,
+    alive_until: Duration,
 }
 
-/// The state of its sender that a heartbeat reports.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// The state of a router that it reports in its heartbeats.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct MemberStatus {
-    /// The sequence number, which increases with each heartbeat.
-    pub sequence: u64,
-    /// Whether the sender accepts callers.
+    /// Whether it accepts callers.
     pub is_ready: bool,
-    /// Whether the sender knows which API keys are valid.
+    /// Whether it knows which API keys are valid.
     pub is_current: bool,
-    /// The number of the sender's requests in the last second.
+    /// The number of its requests in the last second.
     pub requests: u32,
+    /// The number of routers of its zone from which it has heard recently.
+    pub heard: u32,
+    /// Whether its last call to the store succeeded.
+    pub reaches_store: bool,
 }
 
 /// All other routers that have published an identity.
@@ -63,10 +70,48 @@
 }
 
 impl Member {
-    /// Returns whether a heartbeat was received recently.
+    const fn new(identity: Identity) -> Self {
+        Self {
+            identity,
+            last_contact: None,
+            sequence: 0,
+            sent_sums_at: None,
+            status: MemberStatus {
+                is_ready: false,
+                is_current: false,
+                requests: 0,
+                heard: 0,
+                reaches_store: true,
+            },
+            status_at: None,
+            alive_until: Duration::ZERO,
+        }
+    }
+
+    /// Returns whether a heartbeat was received recently, by this router or one that reports it.
     #[must_use]
     pub fn is_alive(&self, now: Duration) -> bool {
-        self.last_contact.is_some_and(|contact| now < contact + ALIVE_TIMEOUT)
+        now < self.alive_until
+    }
+
+    /// Returns whether this router has received a heartbeat within a time span.
+    #[must_use]
+    pub fn was_heard_within(&self, now: Duration, span: Duration) -> bool {
+        self.last_contact.is_some_and(|contact| now < contact + span)
+    }
+
+    /// Returns whether a router in `zone` exchanges heartbeats with this one directly.
+    #[must_use]
+    pub fn is_direct(&self, zone: &Name) -> bool {
+        self.identity.zone.as_ref().is_none_or(|own| own == zone)
+    }
+
+    fn record_status(&mut self, at: Duration, alive_until: Duration, status: MemberStatus) {
+        self.alive_until = self.alive_until.max(alive_until);
+        if self.status_at.is_none_or(|known| at >= known) {
+            self.status_at = Some(at);
+            self.status = status;
+        }
     }
 }
 
@@ -78,15 +123,7 @@
             return;
         }
         let name = identity.name.clone();
-        let member = Member {
-            identity,
-            last_contact: None,
-            sequence: 0,
-            is_ready: false,
-            is_current: false,
-            requests: 0,
-        };
-        self.members.insert(name, member);
+        self.members.insert(name, Member::new(identity));
     }
 
     /// Removes a router that has withdrawn its identity.
@@ -101,26 +138,69 @@
     }
 
     /// Records a heartbeat; returns `false` if the sender is unknown or the heartbeat is not newer than the last one.
-    pub fn record_heartbeat(&mut self, now: Duration, name: &str, status: MemberStatus) -> bool {
+    pub fn record_heartbeat(
+        &mut self,
+        now: Duration,
+        name: &str,
+        sequence: u64,
+        status: MemberStatus,
+    ) -> bool {
         let Some(member) = self.members.get_mut(name) else { return false };
-        if member.last_contact.is_some() && status.sequence <= member.sequence {
+        if member.last_contact.is_some() && sequence <= member.sequence {
             return false;
         }
         member.last_contact = Some(now);
-        member.sequence = status.sequence;
-        member.is_ready = status.is_ready;
-        member.is_current = status.is_current;
-        member.requests = status.requests;
+        member.sequence = sequence;
+        member.record_status(now, now + ALIVE_TIMEOUT, status);
         true
     }
 
+    /// Records that a router has sent the sums of its zone.
+    pub fn record_sums(&mut self, now: Duration, name: &str) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.sent_sums_at = Some(now);
+        }
+    }
+
+    /// Records the state of a router that the aggregator of its zone reports, and the time of the heartbeat on which it is
+    /// based.
+    pub fn record_report(
+        &mut self,
+        heartbeat_at: Duration,
+        name: &str,
+        incarnation: u64,
+        status: MemberStatus,
+    ) {
+        let member = self.members.get_mut(name);
+        if let Some(member) = member.filter(|known| known.identity.incarnation == incarnation) {
+            member.record_status(heartbeat_at, heartbeat_at + REPORTED_ALIVE_TIMEOUT, status);
+        }
+    }
+
     /// Returns all routers.
     pub fn iter(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
     }
 
+    /// Returns the other routers that exchange heartbeats with a router in `zone` directly.
+    pub fn direct<'a>(&'a self, zone: &'a Name) -> impl Iterator<Item = &'a Member> {
+        self.members.values().filter(move |member| member.is_direct(zone))
+    }
+
+    /// Returns the routers of other zones than `zone`, by zone.
+    #[must_use]
+    pub fn by_other_zone(&self, zone: &Name) -> IndexMap<&Name, Vec<&Member>> {
+        let mut zones: IndexMap<&Name, Vec<&Member>> = IndexMap::new();
+        for member in self.members.values() {
+            if let Some(other) = member.identity.zone.as_ref().filter(|other| *other != zone) {
+                zones.entry(other).or_default().push(member);
+            }
+        }
+        zones
+    }
+
     /// Returns the routers to which callers may be directed.
     pub fn ready(&self, now: Duration) -> impl Iterator<Item = &Member> {
-        self.members.values().filter(move |member| member.is_ready && member.is_alive(now))
+        self.members.values().filter(move |member| member.status.is_ready && member.is_alive(now))
     }
 }
--- a/crates/balance/src/read_schedule.rs
+++ b/crates/balance/src/read_schedule.rs
@@ -1,17 +1,17 @@
 //! The schedule by which a router reads a topic of the store.
 //!
 //! Load pattern: hundreds of routers that each poll the store would exhaust its rate limit. Therefore only a few
-//! routers, the readers, poll a topic; all routers choose the same ones by rendezvous hashing. The others read when a
-//! peer reports a change that they have not read, or when no peer has recently confirmed that there is no change.
+//! routers of each zone, its readers, poll a topic; all routers of the zone choose the same ones by rendezvous hashing.
+//! The others read when a peer reports a change that they have not read, or when no peer has recently confirmed that
+//! there is no change. The store may reject some routers and serve others, so a router that it rejects is no reader
+//! while another one of its zone is served.
 
 use std::time::Duration;
 
-use base::Name;
-
 use crate::rendezvous;
 
-/// The number of routers that poll a topic.
-const READERS: usize = 3;
+/// The minimum number of routers that poll a topic, over all zones.
+const MIN_READERS: usize = 3;
 /// The age of the last confirmation after which a router reads by itself, not counting the delay of heartbeats.
 const STALE_AFTER: Duration = Duration::from_millis(1_000);
 /// The heartbeat periods that may pass until a reader's confirmation reaches another router.
@@ -118,9 +118,28 @@
     }
 }
 
-/// Returns whether a router is one of the readers of a topic.
-pub fn is_reader<'a>(topic: u64, router: &Name, others: impl Iterator<Item = &'a str>) -> bool {
-    rendezvous::rank(topic, router.as_str(), others) < READERS
+/// A router that may be a reader.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate<'a> {
+    /// The name of the router.
+    pub name: &'a str,
+    /// Whether its last call to the store succeeded.
+    pub reaches_store: bool,
+}
+
+/// Returns whether a router is one of the readers of a topic in its zone; `others` are the other routers of the zone and
+/// `zones` is the number of zones.
+pub fn is_reader<'a>(
+    topic: u64,
+    router: Candidate<'_>,
+    others: impl Iterator<Item = Candidate<'a>>,
+    zones: usize,
+) -> bool {
+    let before = others.filter(|other| {
+        let weight = |candidate: &str| rendezvous::weight(topic, candidate);
+        (other.reaches_store, weight(other.name)) > (router.reaches_store, weight(router.name))
+    });
+    before.count() < MIN_READERS.div_ceil(zones.max(1))
 }
 
 /// Returns the delay after failed reads of a topic that each router polls.
--- a/crates/balance/src/registry.rs
+++ b/crates/balance/src/registry.rs
@@ -156,6 +156,11 @@
         self.runners.get_mut(key)
     }
 
+    /// Returns all runners for modification.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Runner> {
+        self.runners.values_mut()
+    }
+
     /// Returns all runners.
     pub fn iter(&self) -> impl Iterator<Item = (Key, &Runner)> {
         self.runners.iter()
--- a/crates/balance/src/usage.rs
+++ b/crates/balance/src/usage.rs
@@ -5,9 +5,11 @@
 use base::Name;
 use indexmap::IndexMap;
 
+use crate::Origin;
+
 /// The time after which past use has half of its weight.
 const HALF_LIFE: Duration = Duration::from_secs(3);
-/// The time after which the figures of another router expire.
+/// The time after which reported figures expire.
 const EXPIRY: Duration = Duration::from_millis(1_500);
 
 /// A sum with exponential decay.
@@ -21,7 +23,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Usage {
     own: IndexMap<Name, Decay>,
-    peers: IndexMap<Name, (Duration, IndexMap<Name, u64>)>,
+    reported: IndexMap<Origin, (Duration, IndexMap<Name, u64>)>,
 }
 
 impl Decay {
@@ -49,28 +51,30 @@
         }
     }
 
-    /// Records the work that another router has charged.
-    pub fn put(&mut self, router: &Name, now: Duration, sums: IndexMap<Name, u64>) {
-        self.peers.insert(router.clone(), (now, sums));
+    /// Records the work that other routers have charged, by workspace, which an origin reported at `at`.
+    pub fn put(&mut self, origin: &Origin, at: Duration, sums: IndexMap<Name, u64>) {
+        self.reported.insert(origin.clone(), (at, sums));
     }
 
     /// Returns the recent work of a workspace over all routers.
     #[must_use]
     pub fn of(&self, now: Duration, workspace: &Name) -> u64 {
-        let own = self.own.get(workspace).map_or(0.0, |decay| decay.value(now));
-        let peers = self.peers.values().filter(|(at, _)| now < *at + EXPIRY);
-        let sums = peers.filter_map(|(_, sums)| sums.get(workspace));
-        own as u64 + sums.sum::<u64>()
+        self.sum(now, workspace, |_| true)
     }
 
     /// Returns the largest recent work of any workspace over all routers.
     #[must_use]
     pub fn max_work(&self, now: Duration) -> u64 {
-        let others = self.peers.values().flat_map(|(_, sums)| sums.keys());
-        let mut names: Vec<&Name> = self.own.keys().chain(others).collect();
-        names.sort_unstable();
-        names.dedup();
-        names.into_iter().map(|name| self.of(now, name)).max().unwrap_or_default()
+        self.workspaces().into_iter().map(|name| self.of(now, name)).max().unwrap_or_default()
+    }
+
+    /// Returns the recent work at this router and those that report their own, by workspace, for a report to other zones.
+    pub fn of_routers(&self, now: Duration) -> impl Iterator<Item = (&Name, u64)> {
+        let sums = self
+            .workspaces()
+            .into_iter()
+            .map(move |name| (name, self.sum(now, name, Origin::is_router)));
+        sums.filter(|(_, sum)| *sum > 0)
     }
 
     /// Returns the work that this router has charged recently, by workspace.
@@ -78,4 +82,21 @@
         let sums = self.own.iter().map(move |(name, decay)| (name, decay.value(now) as u64));
         sums.filter(|(_, sum)| *sum > 0)
     }
+
+    fn sum(&self, now: Duration, workspace: &Name, applies: impl Fn(&Origin) -> bool) -> u64 {
+        let own = self.own.get(workspace).map_or(0.0, |decay| decay.value(now));
+        let reported =
+            self.reported.iter().filter(|(origin, (at, _))| now < *at + EXPIRY && applies(origin));
+        let sums = reported.filter_map(|(_, (_, sums))| sums.get(workspace));
+        own as u64 + sums.sum::<u64>()
+    }
+
+    /// Returns all workspaces with use, each once.
+    fn workspaces(&self) -> Vec<&Name> {
+        let reported = self.reported.values().flat_map(|(_, sums)| sums.keys());
+        let mut names: Vec<&Name> = self.own.keys().chain(reported).collect();
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
 }
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -34,8 +34,8 @@
         .map(|member| Candidate {
             address: member.identity.callers,
             share: f64::from(member.identity.share_milli) / 1_000.0,
-            requests: f64::from(member.requests),
-            is_current: member.is_current,
+            requests: f64::from(member.status.requests),
+            is_current: member.status.is_current,
         })
         .collect();
     if router.is_ready() {
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -1,5 +1,8 @@
 //! The heartbeat that routers send to each other, with the load that they have placed on runners.
 //!
+//! A datagram holds a heartbeat as earlier versions know it and an extension that they ignore, so that routers of
+//! different versions exchange heartbeats during a rolling upgrade.
+//!
 //! Heartbeats are authenticated with a key that each process creates at its start and publishes with its identity in a
 //! topic of the platform's store, which only the fleet can write.
 
@@ -117,17 +120,69 @@
     pub(crate) is_current: bool,
 }
 
+/// The state of a router, as the aggregator of its zone reports it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct MemberReport {
+    /// The name of the router.
+    pub(crate) name: Digest,
+    /// The low half of its incarnation.
+    pub(crate) incarnation: u32,
+    /// The time since its last heartbeat, in milliseconds.
+    pub(crate) age_ms: u32,
+    /// Whether it accepts callers.
+    pub(crate) is_ready: bool,
+    /// Whether it knows which API keys are valid.
+    pub(crate) is_current: bool,
+    /// The number of its requests in the last second.
+    pub(crate) requests: u32,
+}
+
+/// The sums over all routers of an availability zone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ZoneSums {
+    /// The zone.
+    pub(crate) zone: String,
+    /// The time since the sums were made, in milliseconds.
+    pub(crate) age_ms: u32,
+    /// The load that these routers have placed on runners.
+    pub(crate) loads: Vec<RunnerLoad>,
+    /// Shared parts placed since the last sums.
+    pub(crate) placed: Vec<PlacedPart>,
+    /// The recent use of engines by workspaces.
+    pub(crate) used: Vec<WorkspaceUse>,
+    /// The aggregator's adaptive limits on the load of engines.
+    pub(crate) limits: Vec<ServiceLimits>,
+    /// Requests that crash runners.
+    pub(crate) crashes: Vec<Crashes>,
+    /// The routers of the zone.
+    pub(crate) members: Vec<MemberReport>,
+}
+
+/// The part of a datagram that routers of earlier versions ignore.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Extension {
+    /// The number of routers of the sender's zone from which it has heard recently.
+    pub(crate) heard: u32,
+    /// Whether the sender's last call to the store succeeded.
+    pub(crate) reaches_store: bool,
+    /// The sums of the sender's own zone for other zones, or those of other zones for its own.
+    pub(crate) sums: Vec<ZoneSums>,
+}
+
 /// A received heartbeat, and the newest heartbeat of the receiver that it acknowledges.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Received {
     pub(crate) heartbeat: Heartbeat,
+    /// The extension; `None` if the sender has an earlier version.
+    pub(crate) extension: Option<Extension>,
     /// The sequence number of the acknowledged heartbeat; 0 if there is none.
     pub(crate) acknowledged: u64,
 }
 
-/// Encodes a heartbeat, whose content is the same for all receivers.
-pub(crate) fn encode(heartbeat: &Heartbeat) -> Option<Vec<u8>> {
-    postcard::to_stdvec(heartbeat).ok()
+/// Encodes a heartbeat with its extension, whose content is the same for all receivers.
+pub(crate) fn encode(heartbeat: &Heartbeat, extension: &Extension) -> Option<Vec<u8>> {
+    let encoded = postcard::to_stdvec(heartbeat).ok()?;
+    postcard::to_extend(extension, encoded).ok()
 }
 
 /// Appends the acknowledged sequence number for one receiver, and the authentication code of the entire datagram.
@@ -147,10 +202,11 @@
 ) -> Option<Received> {
     let (content, code) = bytes.split_at_checked(bytes.len().checked_sub(CODE_BYTES)?)?;
     let (encoded, acknowledged) = content.split_last_chunk::<ACKNOWLEDGED_BYTES>()?;
-    let heartbeat: Heartbeat = postcard::from_bytes(encoded).ok()?;
+    let (heartbeat, rest): (Heartbeat, &[u8]) = postcard::take_from_bytes(encoded).ok()?;
     let key = key_of(&heartbeat.sender, heartbeat.incarnation)?;
     mac(&key, content).verify_truncated_left(code).ok()?;
-    Some(Received { heartbeat, acknowledged: u64::from_be_bytes(*acknowledged) })
+    let extension = postcard::from_bytes(rest).ok();
+    Some(Received { heartbeat, extension, acknowledged: u64::from_be_bytes(*acknowledged) })
 }
 
 fn mac(key: &str, bytes: &[u8]) -> Hmac<Sha256> {
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -1,16 +1,15 @@
 //! Sending and receiving of heartbeats.
+//!
+//! A router sends heartbeats to the routers of its own availability zone. The aggregator of the zone also sends the sums
+//! over the zone to the aggregators of the other zones, and passes the sums of the other zones on to its own.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use balance::Identity;
-use balance::Load;
-use balance::LoadLimits;
+use balance::Member;
 use balance::MemberStatus;
-use balance::Runner;
-use base::Name;
-use indexmap::IndexMap;
 use strum::IntoEnumIterator;
 use tokio::net::UdpSocket;
 use tokio::time;
@@ -20,27 +19,38 @@
 use crate::Topic;
 use crate::event;
 use crate::gossip;
-use crate::gossip::Crashes;
-use crate::gossip::Digest;
+use crate::gossip::Extension;
 use crate::gossip::Heartbeat;
-use crate::gossip::PlacedPart;
 use crate::gossip::Received;
-use crate::gossip::RunnerLoad;
-use crate::gossip::ServiceLimits;
 use crate::gossip::TopicStatus;
-use crate::gossip::WorkspaceUse;
+use crate::report;
 
-/// Interval between two heartbeats in a small fleet.
-const PERIOD: Duration = Duration::from_millis(100);
-/// Number of peers up to which that interval holds; beyond it, the interval grows with the fleet.
-const SMALL_FLEET: usize = 12;
+/// Interval between two heartbeats in a small zone.
+const PERIOD: Duration = Duration::from_millis(50);
+/// Number of peers up to which that interval holds; beyond it, the interval grows with the zone.
+const SMALL_ZONE: usize = 6;
 /// Maximum interval between two heartbeats, well below the time after which a router counts as gone.
-const MAX_PERIOD: Duration = Duration::from_millis(450);
+const MAX_PERIOD: Duration = Duration::from_millis(300);
+/// Heartbeat periods without a heartbeat after which a router does not count as heard.
+const HEARD_PERIODS: u32 = 4;
 /// Number of low bits of an incarnation that the first sequence number leaves out.
 const SEQUENCE_SHIFT: u32 = 20;
 /// Maximum size of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
 
+/// The receiver of a datagram.
+struct Receiver {
+    address: SocketAddr,
+    /// The newest heartbeat that this router has received from it.
+    acknowledged: u64,
+}
+
+impl Receiver {
+    const fn of(member: &Member) -> Self {
+        Self { address: member.identity.peers, acknowledged: member.sequence }
+    }
+}
+
 /// Exchanges heartbeats with all peers until the process ends.
 pub async fn exchange_heartbeats(router: Rc<Router>, identity: Rc<Identity>, socket: UdpSocket) {
     tokio::join!(send_all(&router, &identity, &socket), receive_all(&router, &socket));
@@ -50,22 +60,16 @@
     let mut sequence = first_sequence(identity.incarnation);
     loop {
         sequence += 1;
-        router.sent_heartbeats.borrow_mut().record_sent(router.now(), sequence);
-        let peers: Vec<(SocketAddr, u64)> = router
-            .members
-            .borrow()
-            .iter()
-            .map(|member| (member.identity.peers, member.sequence))
-            .collect();
-        if let Some(encoded) = gossip::encode(&heartbeat(router, identity, sequence)) {
-            for (peer, acknowledged) in &peers {
-                let datagram = gossip::seal(&encoded, *acknowledged, &identity.key);
-                if let Err(error) = socket.try_send_to(&datagram, *peer) {
-                    log::debug!("failed to send a heartbeat to {peer}: {error}");
-                }
-            }
+        let now = router.now();
+        router.sent_heartbeats.borrow_mut().record_sent(now, sequence);
+        let is_aggregator = update_aggregation(router, now);
+        let heartbeat = heartbeat(router, identity, sequence);
+        router.exchange.borrow_mut().record_placed(&heartbeat.placed);
+        send_to_zone(router, identity, socket, &heartbeat, is_aggregator);
+        if is_aggregator && router.exchange.borrow_mut().begin_sums(now) {
+            send_to_other_zones(router, identity, socket, heartbeat);
         }
-        time::sleep(period(peers.len())).await;
+        time::sleep(period(router)).await;
     }
 }
 
@@ -75,56 +79,128 @@
     incarnation >> SEQUENCE_SHIFT
 }
 
-/// Returns the interval between two heartbeats for this number of peers.
-pub(crate) fn period(peers: usize) -> Duration {
-    let factor = peers.max(SMALL_FLEET) as f64 / SMALL_FLEET as f64;
+/// Returns the interval between two heartbeats of this router.
+pub(crate) fn period(router: &Router) -> Duration {
+    period_for(router.members.borrow().direct(&router.settings.zone).count())
+}
+
+fn period_for(peers: usize) -> Duration {
+    let factor = peers.max(SMALL_ZONE) as f64 / SMALL_ZONE as f64;
     PERIOD.mul_f64(factor).min(MAX_PERIOD)
 }
 
+/// Returns whether this router acts as the aggregator of its zone.
+fn update_aggregation(router: &Router, now: Duration) -> bool {
+    let settings = &router.settings;
+    let is_first = balance::ranks_first(
+        now,
+        period(router),
+        &settings.zone,
+        &settings.name,
+        router.members.borrow().direct(&settings.zone),
+    );
+    let mut exchange = router.exchange.borrow_mut();
+    let was_active = exchange.is_aggregator;
+    exchange.is_aggregator = exchange.aggregation.update(now, is_first);
+    let is_active = exchange.is_aggregator;
+    drop(exchange);
+    if is_active != was_active {
+        let outcome = if is_active { "started" } else { "stopped" };
+        router.log(Line::new("aggregator").subject(settings.zone.as_str()).outcome(outcome));
+    }
+    is_active
+}
+
+fn send_to_zone(
+    router: &Router,
+    identity: &Identity,
+    socket: &UdpSocket,
+    heartbeat: &Heartbeat,
+    is_aggregator: bool,
+) {
+    let mut extension = extension(router);
+    if is_aggregator {
+        extension.sums = router.exchange.borrow_mut().take_sums(router.now());
+    }
+    let members = router.members.borrow();
+    let receivers = members.direct(&router.settings.zone).map(Receiver::of);
+    send(identity, socket, heartbeat, &extension, receivers);
+}
+
+/// Sends the sums of this zone; the figures of this router alone are part of them.
+fn send_to_other_zones(
+    router: &Router,
+    identity: &Identity,
+    socket: &UdpSocket,
+    heartbeat: Heartbeat,
+) {
+    let heartbeat = Heartbeat {
+        loads: Vec::new(),
+        placed: Vec::new(),
+        used: Vec::new(),
+        limits: Vec::new(),
+        crashes: Vec::new(),
+        ..heartbeat
+    };
+    let mut extension = extension(router);
+    extension.sums.push(report::zone_sums(router, identity.incarnation));
+    let now = router.now();
+    let members = router.members.borrow();
+    let zones = members.by_other_zone(&router.settings.zone);
+    let receivers =
+        zones.into_iter().flat_map(|(zone, members)| balance::targets(now, zone, &members));
+    send(identity, socket, &heartbeat, &extension, receivers.map(Receiver::of));
+}
+
+fn send(
+    identity: &Identity,
+    socket: &UdpSocket,
+    heartbeat: &Heartbeat,
+    extension: &Extension,
+    receivers: impl Iterator<Item = Receiver>,
+) {
+    let Some(encoded) = gossip::encode(heartbeat, extension) else {
+        log::warn!("a heartbeat can't be encoded");
+        return;
+    };
+    for receiver in receivers {
+        let datagram = gossip::seal(&encoded, receiver.acknowledged, &identity.key);
+        if let Err(error) = socket.try_send_to(&datagram, receiver.address) {
+            log::debug!("failed to send a heartbeat to {}: {error}", receiver.address);
+        }
+    }
+}
+
 fn heartbeat(router: &Router, identity: &Identity, sequence: u64) -> Heartbeat {
-    let placed = take_placements(router);
-    let core = router.core.borrow();
-    let loads = core.registry.iter().filter(|(_, runner)| runner.own_load != Load::default());
-    let loads = loads.map(|(_, runner)| RunnerLoad {
-        runner: Digest::of(runner.registration.id.as_str()),
-        running: runner.own_load.running,
-        backlog: runner.own_load.backlog,
-        memory: runner.own_load.memory,
-    });
-    let used = core.usage.own(router.now());
-    let used = used
-        .map(|(workspace, work)| WorkspaceUse { workspace: Digest::of(workspace.as_str()), work });
-    let limits = core.service_loads().map(|(service, adaptive_limit, _)| {
-        let load_limits = adaptive_limit.limits();
-        let (backlog, running) = (load_limits.backlog, load_limits.running);
-        ServiceLimits { service: Digest::of(service.as_str()), backlog, running }
-    });
-    let crashes = core.crash_history.own_crashes(router.now()).into_iter();
-    let crashes = crashes.map(|(digest, count)| Crashes { digest, count });
+    let now = router.now();
+    let mut core = router.core.borrow_mut();
     Heartbeat {
         sender: identity.name.to_string(),
         incarnation: identity.incarnation,
         sequence,
-        is_ready: router.is_ready(),
-        loads: loads.collect(),
-        placed,
-        used: used.collect(),
-        limits: limits.collect(),
-        crashes: crashes.collect(),
+        placed: report::take_placements(&mut core),
+        loads: report::own_loads(&core),
+        used: report::own_use(&core, now),
+        limits: report::limits(&core),
+        crashes: report::own_crashes(&core, now),
         topics: topic_statuses(router),
         requests: router.recent_requests(),
         is_current: !router.is_revocation_unknown(),
+        is_ready: !router.is_leaving() && core.table.is_some(),
     }
 }
 
-fn take_placements(router: &Router) -> Vec<PlacedPart> {
-    let mut core = router.core.borrow_mut();
-    let placed = core.take_placements();
-    let known = placed.into_iter().filter_map(|(part, runner)| {
-        let runner = core.registry.get(runner)?;
-        Some(PlacedPart { part, runner: Digest::of(runner.registration.id.as_str()) })
-    });
-    known.collect()
+fn extension(router: &Router) -> Extension {
+    let now = router.now();
+    let span = HEARD_PERIODS * period(router);
+    let members = router.members.borrow();
+    let heard =
+        members.direct(&router.settings.zone).filter(|peer| peer.was_heard_within(now, span));
+    Extension {
+        heard: u32::try_from(heard.count()).unwrap_or(u32::MAX),
+        reaches_store: router.reaches_store(),
+        sums: Vec::new(),
+    }
 }
 
 fn topic_statuses(router: &Router) -> Vec<TopicStatus> {
@@ -156,28 +232,58 @@
         let member = members.get(sender)?;
         (member.identity.incarnation == incarnation).then(|| member.identity.key.clone())
     });
-    let Some(Received { heartbeat, acknowledged }) = received else { return };
+    let Some(Received { heartbeat, extension, acknowledged }) = received else { return };
     let now = router.now();
-    let was_unreachable = {
-        let members = router.members.borrow();
-        members.get(&heartbeat.sender).is_some_and(|member| !member.is_alive(now))
-    };
+    if !record_sender(router, now, &heartbeat, extension.as_ref()) {
+        return;
+    }
+    if is_direct(router, &heartbeat.sender) {
+        report::apply_heartbeat(router, now, &heartbeat);
+    }
+    for sums in extension.iter().flat_map(|extension| &extension.sums) {
+        report::apply_sums(router, now, sums);
+    }
+    record_topics(router, &heartbeat, acknowledged);
+    router.wake_queue();
+}
+
+/// Records the state of the sender of a heartbeat; returns `false` if the heartbeat is not newer than the last one.
+fn record_sender(
+    router: &Router,
+    now: Duration,
+    heartbeat: &Heartbeat,
+    extension: Option<&Extension>,
+) -> bool {
     let sender = heartbeat.sender.as_str();
     let status = MemberStatus {
-        sequence: heartbeat.sequence,
         is_ready: heartbeat.is_ready,
         is_current: heartbeat.is_current,
         requests: heartbeat.requests,
+        heard: extension.map_or(0, |extension| extension.heard),
+        reaches_store: extension.is_none_or(|extension| extension.reaches_store),
     };
-    if !router.members.borrow_mut().record_heartbeat(now, sender, status) {
-        return;
+    let mut members = router.members.borrow_mut();
+    let was_alive = members.get(sender).is_some_and(|member| member.is_alive(now));
+    if !members.record_heartbeat(now, sender, heartbeat.sequence, status) {
+        return false;
+    }
+    let zone = members.get(sender).and_then(|member| member.identity.zone.clone());
+    let sums = extension.iter().flat_map(|extension| &extension.sums);
+    if sums.into_iter().any(|sums| zone.as_ref().is_some_and(|zone| zone.as_str() == sums.zone)) {
+        members.record_sums(now, sender);
     }
-    if was_unreachable {
+    drop(members);
+    if !was_alive {
         router.log(Line::new("router_alive").subject(sender));
     }
-    apply(router, now, &heartbeat);
-    record_topics(router, &heartbeat, acknowledged);
-    router.wake_queue();
+    true
+}
+
+/// Returns whether a router exchanges heartbeats with this one directly, so that its figures are no part of any sums
+/// that this router receives.
+fn is_direct(router: &Router, sender: &str) -> bool {
+    let members = router.members.borrow();
+    members.get(sender).is_some_and(|member| member.is_direct(&router.settings.zone))
 }
 
 /// Records another router's view of the store's topics.
@@ -189,52 +295,3 @@
         router.record_topic_report(topic, status.last_change, as_of);
     }
 }
-
-/// Records the shared parts that another router has sent to a runner.
-fn record_placements(runner: &mut Runner, now: Duration, digest: Digest, placed: &[PlacedPart]) {
-    for placed in placed.iter().filter(|placed| placed.runner == digest) {
-        runner.prefix_cache.record_sent_by_peer(placed.part, now);
-    }
-}
-
-/// Applies the load, placements, use, crashes and limits that another router reports.
-fn apply(router: &Router, now: Duration, heartbeat: &Heartbeat) {
-    let sender = Name::new(&heartbeat.sender);
-    let loads: IndexMap<Digest, &RunnerLoad> =
-        heartbeat.loads.iter().map(|load| (load.runner, load)).collect();
-    let mut core = router.core.borrow_mut();
-    let keys: Vec<_> = core.registry.iter().map(|(key, _)| key).collect();
-    for key in keys {
-        let Some(runner) = core.registry.get_mut(key) else { continue };
-        let digest = Digest::of(runner.registration.id.as_str());
-        record_placements(runner, now, digest, &heartbeat.placed);
-        let load = loads.get(&digest);
-        let load = load.map_or_else(Load::default, |load| Load {
-            running: load.running,
-            backlog: load.backlog,
-            memory: load.memory,
-        });
-        runner.peer_loads.put(&sender, now, load);
-    }
-    let names: Vec<Name> =
-        core.table.iter().flat_map(balance::Table::workspaces).cloned().collect();
-    let used: IndexMap<Digest, u64> =
-        heartbeat.used.iter().map(|used| (used.workspace, used.work)).collect();
-    let sums = names.into_iter().filter_map(|name| {
-        let work = used.get(&Digest::of(name.as_str())).copied()?;
-        Some((name, work))
-    });
-    let sums = sums.collect();
-    core.usage.put(&sender, now, sums);
-    for crashes in &heartbeat.crashes {
-        core.crash_history.record_peer_crashes(&sender, now, crashes.digest, crashes.count);
-    }
-    let services: Vec<Name> = core.service_loads().map(|(service, ..)| service.clone()).collect();
-    for service in services {
-        let digest = Digest::of(service.as_str());
-        if let Some(limits) = heartbeat.limits.iter().find(|limits| limits.service == digest) {
-            let load_limits = LoadLimits { backlog: limits.backlog, running: limits.running };
-            core.record_peer_limits(&service, load_limits);
-        }
-    }
-}
--- /dev/null
+++ b/crates/relay/src/report.rs
@@ -0,0 +1,259 @@
+//! The figures that routers report to each other: what this router reports, and how reports of others are applied.
+
+use std::time::Duration;
+
+use balance::Core;
+use balance::Load;
+use balance::LoadLimits;
+use balance::Member;
+use balance::MemberStatus;
+use balance::Origin;
+use balance::Runner;
+use base::Name;
+use indexmap::IndexMap;
+
+use crate::Router;
+use crate::exchange;
+use crate::gossip::Crashes;
+use crate::gossip::Digest;
+use crate::gossip::Heartbeat;
+use crate::gossip::MemberReport;
+use crate::gossip::PlacedPart;
+use crate::gossip::RunnerLoad;
+use crate::gossip::ServiceLimits;
+use crate::gossip::WorkspaceUse;
+use crate::gossip::ZoneSums;
+
+/// Figures of one origin.
+struct Figures<'a> {
+    loads: &'a [RunnerLoad],
+    placed: &'a [PlacedPart],
+    used: &'a [WorkspaceUse],
+    limits: &'a [ServiceLimits],
+    crashes: &'a [Crashes],
+    /// The number of routers that report these figures.
+    routers: usize,
+}
+
+/// Returns the load that this router has placed on each runner.
+pub(crate) fn own_loads(core: &Core) -> Vec<RunnerLoad> {
+    loads(core, |runner| runner.own_load)
+}
+
+/// Returns the recent use of engines through this router.
+pub(crate) fn own_use(core: &Core, now: Duration) -> Vec<WorkspaceUse> {
+    workspace_use(core.usage.own(now))
+}
+
+/// Returns the adaptive limits of this router.
+pub(crate) fn limits(core: &Core) -> Vec<ServiceLimits> {
+    let limits = core.service_loads().map(|(service, adaptive_limit, _)| {
+        let LoadLimits { backlog, running } = adaptive_limit.limits();
+        ServiceLimits { service: Digest::of(service.as_str()), backlog, running }
+    });
+    limits.collect()
+}
+
+/// Returns the runner crashes that this router has counted.
+pub(crate) fn own_crashes(core: &Core, now: Duration) -> Vec<Crashes> {
+    crashes(core.crash_history.own_crashes(now))
+}
+
+/// Removes and returns the shared parts that this router has placed since the last call.
+pub(crate) fn take_placements(core: &mut Core) -> Vec<PlacedPart> {
+    let placed = core.take_placements();
+    let known = placed.into_iter().filter_map(|(part, runner)| {
+        let runner = core.registry.get(runner)?;
+        Some(PlacedPart { part, runner: Digest::of(runner.registration.id.as_str()) })
+    });
+    known.collect()
+}
+
+/// Returns the sums over all routers of this router's zone.
+pub(crate) fn zone_sums(router: &Router, incarnation: u64) -> ZoneSums {
+    let now = router.now();
+    let core = router.core.borrow();
+    let zone_load = |runner: &Runner| {
+        let mut load = runner.own_load;
+        load.add(runner.peer_loads.sum_of_routers(now));
+        load
+    };
+    ZoneSums {
+        zone: router.settings.zone.to_string(),
+        age_ms: 0,
+        loads: loads(&core, zone_load),
+        placed: router.exchange.borrow_mut().take_placed(),
+        used: workspace_use(core.usage.of_routers(now)),
+        limits: limits(&core),
+        crashes: crashes(core.crash_history.crashes_of_routers(now)),
+        members: member_reports(router, now, incarnation),
+    }
+}
+
+/// Applies the figures of a router that exchanges heartbeats with this one directly.
+pub(crate) fn apply_heartbeat(router: &Router, now: Duration, heartbeat: &Heartbeat) {
+    let figures = Figures {
+        loads: &heartbeat.loads,
+        placed: &heartbeat.placed,
+        used: &heartbeat.used,
+        limits: &heartbeat.limits,
+        crashes: &heartbeat.crashes,
+        routers: 1,
+    };
+    let origin = Origin::Router(Name::new(&heartbeat.sender));
+    figures.apply(&mut router.core.borrow_mut(), &origin, now, now);
+    router.exchange.borrow_mut().record_placed(&heartbeat.placed);
+}
+
+/// Applies the sums of another zone, unless newer ones are known.
+pub(crate) fn apply_sums(router: &Router, now: Duration, sums: &ZoneSums) {
+    if sums.zone == router.settings.zone.as_str() {
+        return;
+    }
+    let Some(at) = router.exchange.borrow_mut().record_sums(now, sums) else { return };
+    let figures = Figures {
+        loads: &sums.loads,
+        placed: &sums.placed,
+        used: &sums.used,
+        limits: &sums.limits,
+        crashes: &sums.crashes,
+        routers: sums.members.len(),
+    };
+    let zone = Name::new(&sums.zone);
+    figures.apply(&mut router.core.borrow_mut(), &Origin::Zone(zone.clone()), now, at);
+    apply_member_reports(router, &zone, at, &sums.members);
+}
+
+impl Figures<'_> {
+    /// Records the figures of an origin, which were made at `at`.
+    fn apply(&self, core: &mut Core, origin: &Origin, now: Duration, at: Duration) {
+        self.apply_loads(core, origin, now, at);
+        self.apply_use(core, origin, at);
+        for crashes in self.crashes {
+            core.crash_history.record_peer_crashes(origin, now, crashes.digest, crashes.count);
+        }
+        self.apply_limits(core);
+    }
+
+    fn apply_loads(&self, core: &mut Core, origin: &Origin, now: Duration, at: Duration) {
+        let loads: IndexMap<Digest, &RunnerLoad> =
+            self.loads.iter().map(|load| (load.runner, load)).collect();
+        for runner in core.registry.iter_mut() {
+            let digest = Digest::of(runner.registration.id.as_str());
+            for placed in self.placed.iter().filter(|placed| placed.runner == digest) {
+                runner.prefix_cache.record_sent_by_peer(placed.part, now);
+            }
+            let load = loads.get(&digest).map_or_else(Load::default, |load| Load {
+                running: load.running,
+                backlog: load.backlog,
+                memory: load.memory,
+            });
+            runner.peer_loads.put(origin, at, load);
+        }
+    }
+
+    fn apply_use(&self, core: &mut Core, origin: &Origin, at: Duration) {
+        let used: IndexMap<Digest, u64> =
+            self.used.iter().map(|used| (used.workspace, used.work)).collect();
+        let names = core.table.iter().flat_map(balance::Table::workspaces);
+        let sums = names.filter_map(|name| {
+            let work = used.get(&Digest::of(name.as_str())).copied()?;
+            Some((name.clone(), work))
+        });
+        let sums = sums.collect();
+        core.usage.put(origin, at, sums);
+    }
+
+    fn apply_limits(&self, core: &mut Core) {
+        let services: Vec<Name> =
+            core.service_loads().map(|(service, ..)| service.clone()).collect();
+        for service in services {
+            let digest = Digest::of(service.as_str());
+            if let Some(limits) = self.limits.iter().find(|limits| limits.service == digest) {
+                let load_limits = LoadLimits { backlog: limits.backlog, running: limits.running };
+                core.record_peer_limits(&service, load_limits, self.routers);
+            }
+        }
+    }
+}
+
+fn loads(core: &Core, load_of: impl Fn(&Runner) -> Load) -> Vec<RunnerLoad> {
+    let loaded = core.registry.iter().filter_map(|(_, runner)| {
+        let load = load_of(runner);
+        (load != Load::default()).then(|| RunnerLoad {
+            runner: Digest::of(runner.registration.id.as_str()),
+            running: load.running,
+            backlog: load.backlog,
+            memory: load.memory,
+        })
+    });
+    loaded.collect()
+}
+
+fn workspace_use<'a>(used: impl Iterator<Item = (&'a Name, u64)>) -> Vec<WorkspaceUse> {
+    let used = used
+        .map(|(workspace, work)| WorkspaceUse { workspace: Digest::of(workspace.as_str()), work });
+    used.collect()
+}
+
+fn crashes(counted: Vec<(u64, u32)>) -> Vec<Crashes> {
+    counted.into_iter().map(|(digest, count)| Crashes { digest, count }).collect()
+}
+
+fn member_reports(router: &Router, now: Duration, incarnation: u64) -> Vec<MemberReport> {
+    let own = MemberReport {
+        name: Digest::of(router.settings.name.as_str()),
+        incarnation: low_half(incarnation),
+        age_ms: 0,
+        is_ready: router.is_ready(),
+        is_current: !router.is_revocation_unknown(),
+        requests: router.recent_requests(),
+    };
+    let members = router.members.borrow();
+    let of_zone = members.direct(&router.settings.zone).filter(|member| member.is_alive(now));
+    let others = of_zone.filter_map(|member| {
+        let contact = member.last_contact.filter(|_| member.identity.zone.is_some())?;
+        Some(MemberReport {
+            name: Digest::of(member.identity.name.as_str()),
+            incarnation: low_half(member.identity.incarnation),
+            age_ms: exchange::age_ms(now, contact),
+            is_ready: member.status.is_ready,
+            is_current: member.status.is_current,
+            requests: member.status.requests,
+        })
+    });
+    std::iter::once(own).chain(others).collect()
+}
+
+fn apply_member_reports(router: &Router, zone: &Name, at: Duration, reports: &[MemberReport]) {
+    let by_name: IndexMap<Digest, &MemberReport> =
+        reports.iter().map(|report| (report.name, report)).collect();
+    let mut members = router.members.borrow_mut();
+    let is_of_zone = |member: &&Member| member.identity.zone.as_ref() == Some(zone);
+    let reported: Vec<(Name, u64, MemberReport)> = members
+        .iter()
+        .filter(is_of_zone)
+        .filter_map(|member| {
+            let identity = &member.identity;
+            let report = **by_name.get(&Digest::of(identity.name.as_str()))?;
+            let is_same = report.incarnation == low_half(identity.incarnation);
+            is_same.then(|| (identity.name.clone(), identity.incarnation, report))
+        })
+        .collect();
+    for (name, incarnation, report) in reported {
+        let age = Duration::from_millis(u64::from(report.age_ms));
+        let status = MemberStatus {
+            is_ready: report.is_ready,
+            is_current: report.is_current,
+            requests: report.requests,
+            heard: 0,
+            reaches_store: true,
+        };
+        members.record_report(at.saturating_sub(age), name.as_str(), incarnation, status);
+    }
+}
+
+#[expect(clippy::cast_possible_truncation, reason = "the low half tells incarnations apart")]
+const fn low_half(incarnation: u64) -> u32 {
+    incarnation as u32
+}
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use balance::Candidate;
 use balance::Core;
 use balance::Decision;
 use balance::FleetLimits;
@@ -26,6 +27,7 @@
 use crate::Metrics;
 use crate::RunnerProtocol;
 use crate::Settings;
+use crate::exchange::Exchange;
 use crate::heartbeat;
 use crate::pool::Pool;
 use crate::sent_heartbeats::SentHeartbeats;
@@ -69,6 +71,8 @@
     pub clock: Clock,
     pub(crate) pool: RefCell<Pool>,
     pub(crate) sent_heartbeats: RefCell<SentHeartbeats>,
+    pub(crate) exchange: RefCell<Exchange>,
+    reaches_store: Cell<bool>,
     waiters: RefCell<IndexMap<Ticket, oneshot::Sender<Decision>>>,
     queue_changed: Notify,
     is_leaving: Cell<bool>,
@@ -96,6 +100,8 @@
             clock,
             pool: RefCell::default(),
             sent_heartbeats: RefCell::default(),
+            exchange: RefCell::default(),
+            reaches_store: Cell::new(true),
             waiters: RefCell::default(),
             queue_changed: Notify::new(),
             is_leaving: Cell::new(false),
@@ -161,14 +167,31 @@
         work(&mut self.read_schedules.borrow_mut()[topic as usize])
     }
 
+    /// Records whether the last call to the store succeeded.
+    pub fn record_store_call(&self, has_succeeded: bool) {
+        self.reaches_store.set(has_succeeded);
+    }
+
+    /// Returns whether the last call to the store succeeded.
+    pub(crate) fn reaches_store(&self) -> bool {
+        self.reaches_store.get()
+    }
+
     /// Returns whether this router is one of the readers of a topic.
     #[must_use]
     pub fn is_reader(&self, topic: Topic) -> bool {
         let now = self.now();
+        let zone = &self.settings.zone;
         let members = self.members.borrow();
-        let alive = members.iter().filter(|member| member.is_alive(now));
-        let others = alive.map(|member| member.identity.name.as_str());
-        balance::is_reader(topic as u64, &self.settings.name, others)
+        let zones = members.by_other_zone(zone).len() + 1;
+        let alive = members.direct(zone).filter(|member| member.is_alive(now));
+        let others = alive.map(|member| Candidate {
+            name: member.identity.name.as_str(),
+            reaches_store: member.status.reaches_store,
+        });
+        let own =
+            Candidate { name: self.settings.name.as_str(), reaches_store: self.reaches_store() };
+        balance::is_reader(topic as u64, own, others, zones)
     }
 
     /// Waits until the next read of a topic is due; `interval` is the time between two reads of a reader.
@@ -176,11 +199,7 @@
         loop {
             let is_reader = self.is_reader(topic);
             let due = self.with_read_schedule(topic, |schedule| {
-                schedule.next_read(
-                    is_reader,
-                    interval,
-                    heartbeat::period(self.members.borrow().iter().count()),
-                )
+                schedule.next_read(is_reader, interval, heartbeat::period(self))
             });
             let left = due.saturating_sub(self.now());
             if left.is_zero() {
@@ -225,7 +244,7 @@
         let now = self.now();
         let members = self.members.borrow();
         let ready = members.ready(now).map(|member| {
-            (f64::from(member.requests), f64::from(member.identity.share_milli) / 1_000.0)
+            (f64::from(member.status.requests), f64::from(member.identity.share_milli) / 1_000.0)
         });
         let (requests, shares) = ready
             .fold((own, share), |(requests, shares), other| (requests + other.0, shares + other.1));
