--- a/crates/aspenline/src/lines.rs
+++ b/crates/aspenline/src/lines.rs
@@ -1,14 +1,12 @@
 //! Log lines on standard output, written by a separate thread so that a slow reader delays no request.
 
-use std::fmt;
 use std::io;
 use std::io::Write;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
-use std::sync::mpsc;
-use std::sync::mpsc::Receiver;
-use std::sync::mpsc::RecvTimeoutError;
-use std::sync::mpsc::SyncSender;
+use std::mem;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -23,84 +21,96 @@
 use crate::failure::Failure;
 
 /// The maximum number of queued lines; further lines are dropped and counted.
-const MAX_QUEUED_LINES: usize = 2_048;
-/// The maximum time for which written lines are buffered.
-const FLUSH_INTERVAL: Duration = Duration::from_millis(100);
+const MAX_QUEUED_LINES: usize = 4_096;
+/// The interval between two writes. The thread is not woken for each line, which would cost a busy router more than the
+/// line itself.
+const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 /// The log target of lines that are JSON objects already.
 const STRUCTURED_TARGET: &str = "event";
 /// The name of the appender.
 const APPENDER: &str = "lines";
 
-/// A message to the writer thread.
-enum Message {
-    /// A line to write.
-    Line(String),
-    /// The process ends, and so does the thread.
-    Stop,
+/// The lines that wait to be written.
+#[derive(Debug, Default)]
+struct Queue {
+    lines: Vec<String>,
+    dropped: u64,
+    is_closed: bool,
 }
 
 /// An appender that queues lines for the writer thread without blocking.
+#[derive(Debug)]
 struct Lines {
-    sender: SyncSender<Message>,
-    dropped: AtomicU64,
+    queue: Arc<Mutex<Queue>>,
 }
 
 /// A handle of the writer thread.
 #[derive(Debug)]
 pub(crate) struct Writer {
-    sender: SyncSender<Message>,
+    queue: Arc<Mutex<Queue>>,
     thread: JoinHandle<()>,
 }
 
-impl fmt::Debug for Lines {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Lines").field("dropped", &self.dropped).finish_non_exhaustive()
-    }
-}
-
 impl Append for Lines {
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
         let line = format_record(record);
-        let dropped = self.dropped.swap(0, Ordering::Relaxed);
-        if dropped > 0 {
-            let notice = format!("{{\"event\":\"lines_dropped\",\"left_out\":{dropped}}}");
-            if self.sender.try_send(Message::Line(notice)).is_err() {
-                self.dropped.fetch_add(dropped, Ordering::Relaxed);
-            }
-        }
-        if self.sender.try_send(Message::Line(line)).is_err() {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
-        }
+        lock(&self.queue).push(line);
         Ok(())
     }
 
     fn flush(&self) {}
 }
 
+impl Queue {
+    fn push(&mut self, line: String) {
+        if self.lines.len() < MAX_QUEUED_LINES {
+            self.lines.push(line);
+        } else {
+            self.dropped += 1;
+        }
+    }
+
+    /// Removes and returns all lines, each with its end, and a notice of dropped lines.
+    fn take_text(&mut self) -> String {
+        let mut text = String::new();
+        for line in self.lines.drain(..) {
+            text.push_str(&line);
+            text.push('\n');
+        }
+        let dropped = mem::take(&mut self.dropped);
+        if dropped > 0 {
+            let notice = format!("{{\"event\":\"lines_dropped\",\"left_out\":{dropped}}}\n");
+            text.push_str(&notice);
+        }
+        text
+    }
+}
+
 impl Writer {
     /// Writes all queued lines and ends the thread.
     pub(crate) fn finish(self) {
-        if self.sender.send(Message::Stop).is_ok() {
-            drop(self.thread.join());
-        }
+        lock(&self.queue).is_closed = true;
+        self.thread.thread().unpark();
+        drop(self.thread.join());
     }
 }
 
 /// Starts the writer thread and installs the logger.
 pub(crate) fn start() -> Result<Writer, Failure> {
     let failed = |error: String| Failure::Failed(format!("can't set up the log: {error}"));
-    let (sender, receiver) = mpsc::sync_channel(MAX_QUEUED_LINES);
+    let queue = Arc::new(Mutex::new(Queue::default()));
+    let shared = Arc::clone(&queue);
     let thread = thread::Builder::new()
         .name("log".to_owned())
-        .spawn(move || write_lines(&receiver))
+        .spawn(move || write_lines(&shared))
         .map_err(|error| failed(error.to_string()))?;
-    let lines = Lines { sender: sender.clone(), dropped: AtomicU64::new(0) };
+    let lines = Lines { queue: Arc::clone(&queue) };
     let config = Config::builder()
         .appender(Appender::builder().build(APPENDER, Box::new(lines)))
         .build(Root::builder().appender(APPENDER).build(LevelFilter::Info))
         .map_err(|error| failed(error.to_string()))?;
     log4rs::init_config(config).map_err(|error| failed(error.to_string()))?;
-    Ok(Writer { sender, thread })
+    Ok(Writer { queue, thread })
 }
 
 fn format_record(record: &Record<'_>) -> String {
@@ -112,29 +122,22 @@
 }
 
 /// Writes lines in batches until the process ends or standard output is closed.
-fn write_lines(receiver: &Receiver<Message>) {
-    let mut output = io::BufWriter::new(io::stdout());
-    let mut is_flushed = true;
+fn write_lines(queue: &Mutex<Queue>) {
+    let mut output = io::stdout();
     loop {
-        let message = if is_flushed {
-            receiver.recv().map_err(|_| RecvTimeoutError::Disconnected)
-        } else {
-            receiver.recv_timeout(FLUSH_INTERVAL)
-        };
-        let written = match message {
-            Ok(Message::Line(line)) => {
-                is_flushed = false;
-                writeln!(output, "{line}")
-            }
-            Err(RecvTimeoutError::Timeout) => {
-                is_flushed = true;
-                output.flush()
-            }
-            Ok(Message::Stop) | Err(RecvTimeoutError::Disconnected) => break,
+        thread::park_timeout(WRITE_INTERVAL);
+        let (text, is_closed) = {
+            let mut queue = lock(queue);
+            (queue.take_text(), queue.is_closed)
         };
-        if written.is_err() {
-            break;
+        let written = output.write_all(text.as_bytes()).and_then(|()| output.flush());
+        if is_closed || written.is_err() {
+            return;
         }
     }
-    drop(output.flush());
+}
+
+/// Locks the queue, also when it is poisoned by a panic of another holder.
+fn lock(queue: &Mutex<Queue>) -> MutexGuard<'_, Queue> {
+    queue.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -74,16 +74,24 @@
     has_capacity: bool,
 }
 
+/// The limits that apply to the requests of a workspace at one engine.
+#[derive(Debug, Clone, Copy)]
+struct WorkspaceLimits {
+    backlog: u64,
+    running: u32,
+}
+
 impl Selector<'_> {
     /// Chooses the runner with the lowest cost, or `None` if it has no capacity and the request may still wait for it.
     pub(crate) fn choose(&self, request: &Request) -> Option<Choice> {
         let ranks = self.ranks(request);
         let serving = self.registry.serving(request.service.as_str());
         let usable = serving.filter(|(key, runner)| self.is_usable(*key, runner, request));
-        let candidates = usable.map(|(key, runner)| Candidate {
-            key,
-            cost: self.cost(runner, request, ranks.iter().position(|ranked| *ranked == key)),
-            has_capacity: self.has_capacity(runner, request),
+        let candidates = usable.map(|(key, runner)| {
+            let missing = missing_tokens(runner, request, self.now);
+            let rank = ranks.iter().position(|ranked| *ranked == key);
+            let cost = self.cost(runner, request, missing, rank);
+            Candidate { key, cost, has_capacity: self.has_capacity(runner, request, missing) }
         });
         let may_wait = self.now < request.arrived + max_preferred_wait(request);
         let candidates = candidates.filter(|candidate| candidate.has_capacity || may_wait);
@@ -92,6 +100,28 @@
         best.has_capacity.then_some(Choice { runner: best.key, source })
     }
 
+    /// Returns whether any runner has room for a request of the workspace that needs no processing of its prompt.
+    ///
+    /// If none has, no request of the workspace can be granted, whatever its prompt.
+    pub(crate) fn has_room(&self) -> bool {
+        let limits = self.workspace_limits();
+        let mut serving = self.registry.serving(self.service.name.as_str());
+        serving.any(|(_, runner)| {
+            let load = runner.load();
+            let Some(engine) = self.service.engine else { return true };
+            load.running < limits.running.min(runner.registration.slots).min(engine.slots)
+                && load.backlog <= limits.backlog
+        })
+    }
+
+    fn workspace_limits(&self) -> WorkspaceLimits {
+        let limits = self.adaptive_limit.limits();
+        WorkspaceLimits {
+            backlog: (limits.backlog as f64 * self.fraction) as u64,
+            running: (f64::from(limits.running) * self.fraction).ceil() as u32,
+        }
+    }
+
     /// Returns the address of the runner that most likely holds the shared parts, other than the chosen one.
     ///
     /// This is a runner that has processed them for a request of this router or another one, or else the runner that
@@ -157,25 +187,24 @@
         runner.cold_sent.clone().sum(self.now) < share
     }
 
-    fn has_capacity(&self, runner: &Runner, request: &Request) -> bool {
-        let load = runner.load(self.now);
+    /// Returns whether a runner has capacity for a request, of whose prompt it still has to process `missing` tokens.
+    fn has_capacity(&self, runner: &Runner, request: &Request, missing: u64) -> bool {
+        let load = runner.load();
         let Some(engine) = self.service.engine else {
             return load.running
                 < runner.registration.slots
                     + runner.registration.slots.div_ceil(PLAIN_SURPLUS_DIVISOR);
         };
         let memory = (engine.memory as f64 * MEMORY_FRACTION) as u64;
-        let limits = self.adaptive_limit.limits();
-        let backlog = (limits.backlog as f64 * self.fraction) as u64;
-        let running = (f64::from(limits.running) * self.fraction).ceil() as u32;
-        let missing = missing_tokens(runner, request, self.now).min(backlog / 2);
+        let WorkspaceLimits { backlog, running } = self.workspace_limits();
+        let missing = missing.min(backlog / 2);
         load.running < running.min(runner.registration.slots).min(engine.slots)
             && (load.memory + request.memory() <= memory || load.running == 0)
             && load.backlog + missing <= backlog
     }
 
-    fn cost(&self, runner: &Runner, request: &Request, rank: Option<usize>) -> u64 {
-        let load = runner.load(self.now);
+    fn cost(&self, runner: &Runner, request: &Request, missing: u64, rank: Option<usize>) -> u64 {
+        let load = runner.load();
         let jitter = self.jitter(runner);
         let failure_ratio = runner.health.failure_ratio();
         let Some(prompt) = &request.prompt else {
@@ -184,8 +213,9 @@
         };
         let waiting = load.backlog + u64::from(load.running) * RUNNING_TOKENS;
         let cached = rank.map_or(0.0, |rank| CACHED_FRACTIONS[rank]);
-        let missing = missing_shared(runner, prompt, self.now) as f64;
-        let fetched = missing.min(prompt.shared() as f64 * (1.0 - cached));
+        let unshared = prompt.input.saturating_sub(prompt.shared());
+        let missing_shared = missing.saturating_sub(unshared) as f64;
+        let fetched = missing_shared.min(prompt.shared() as f64 * (1.0 - cached));
         let failures = failure_ratio * FAILURE_TOKENS;
         (waiting as f64 * jitter + FETCHED_TOKEN_COST * fetched + failures) as u64
     }
@@ -206,12 +236,6 @@
     request.prompt.as_ref().map_or(0, |prompt| runner.prefix_cache.missing_tokens(prompt, now))
 }
 
-/// Returns the number of tokens in shared parts that a runner does not hold.
-fn missing_shared(runner: &Runner, prompt: &Prompt, now: Duration) -> u64 {
-    let unshared = prompt.input.saturating_sub(prompt.shared());
-    runner.prefix_cache.missing_tokens(prompt, now).saturating_sub(unshared)
-}
-
 /// Returns whether a request may probe a runner that has failed before.
 const fn may_probe(request: &Request) -> bool {
     !matches!(request.kind, Kind::Unsafe)
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -287,9 +287,17 @@
         decided: &mut Vec<(Ticket, Decision)>,
     ) {
         let order = self.services[service].queue.in_order(&self.usage, now, MAX_EXAMINED);
+        let mut has_room: IndexMap<Option<Name>, bool> = IndexMap::new();
         for ticket in order {
             let Some(waiting) = self.services[service].queue.get(ticket) else { continue };
             let request = waiting.request.clone();
+            let workspace = request.workspace.clone();
+            let may_fit = *has_room
+                .entry(workspace)
+                .or_insert_with_key(|workspace| self.has_room(now, service, workspace.as_ref()));
+            if !may_fit {
+                continue;
+            }
             if let Some(grant) = self.grant(now, &request) {
                 self.services[service].queue.take(ticket);
                 decided.push((ticket, Decision::Granted(grant)));
@@ -303,21 +311,36 @@
     }
 
     fn grant(&mut self, now: Duration, request: &Request) -> Option<Grant> {
-        let fraction = self.allowed_fraction(now, request.workspace.as_ref());
-        self.service_state(&request.service);
+        let choice = {
+            let selector = self.selector(now, &request.service, request.workspace.as_ref())?;
+            selector.choose(request)?
+        };
+        Some(self.place(now, request, &choice))
+    }
+
+    /// Returns whether any runner has room for requests of a workspace.
+    fn has_room(&mut self, now: Duration, service: &Name, workspace: Option<&Name>) -> bool {
+        self.selector(now, service, workspace).is_some_and(|selector| selector.has_room())
+    }
+
+    fn selector(
+        &mut self,
+        now: Duration,
+        service: &Name,
+        workspace: Option<&Name>,
+    ) -> Option<Selector<'_>> {
+        let fraction = self.allowed_fraction(now, workspace);
+        self.service_state(service);
         self.tickets += 1;
-        let service = self.service(&request.service)?;
-        let selector = Selector {
+        Some(Selector {
             registry: &self.registry,
-            service,
-            adaptive_limit: &self.services[&request.service].adaptive_limit,
+            service: self.service(service)?,
+            adaptive_limit: &self.services[service].adaptive_limit,
             fraction,
             fleet_limits: &self.limits,
             now,
             salt: self.tickets,
-        };
-        let choice = selector.choose(request)?;
-        Some(self.place(now, request, &choice))
+        })
     }
 
     /// Returns the fraction of an engine's limits that a workspace may fill.
--- a/crates/balance/src/load.rs
+++ b/crates/balance/src/load.rs
@@ -37,40 +37,62 @@
 }
 
 /// The load that other routers have placed on one runner.
+///
+/// The sums are kept, since a choice among many runners needs them for each request.
 #[derive(Debug, Clone, Default)]
 pub struct PeerLoads {
     reported: IndexMap<Origin, (Duration, Load)>,
+    sum: Load,
+    /// The earliest time at which figures that are part of the sum expire.
+    expires_at: Option<Duration>,
 }
 
 impl PeerLoads {
     /// Records the newest figures of an origin, which it reported at `at`.
     pub fn put(&mut self, origin: &Origin, at: Duration, load: Load) {
-        if load == Load::default() {
-            self.reported.swap_remove(origin);
+        let previous = if load == Load::default() {
+            self.reported.swap_remove(origin)
         } else {
-            self.reported.insert(origin.clone(), (at, load));
+            self.reported.insert(origin.clone(), (at, load))
+        };
+        if let Some((_, load)) = previous {
+            self.sum.remove(load);
+        }
+        self.sum.add(load);
+        if load != Load::default() {
+            let expires_at = at + EXPIRY;
+            self.expires_at =
+                Some(self.expires_at.map_or(expires_at, |known| known.min(expires_at)));
         }
     }
 
-    /// Returns the sum over all routers, without figures that have expired.
+    /// Returns the sum over all routers; figures that have expired count until [`PeerLoads::remove_expired`].
     #[must_use]
-    pub fn sum(&self, now: Duration) -> Load {
-        self.sum_where(now, |_| true)
+    pub const fn sum(&self) -> Load {
+        self.sum
     }
 
-    /// Returns the sum over the routers that report their own figures, without figures that have expired.
+    /// Returns the sum over the routers that report their own figures.
     #[must_use]
-    pub fn sum_of_routers(&self, now: Duration) -> Load {
-        self.sum_where(now, Origin::is_router)
+    pub fn sum_of_routers(&self) -> Load {
+        sum(self.reported.iter().filter(|(origin, _)| origin.is_router()))
     }
 
-    fn sum_where(&self, now: Duration, applies: impl Fn(&Origin) -> bool) -> Load {
-        let mut sum = Load::default();
-        for (origin, (at, load)) in &self.reported {
-            if now < *at + EXPIRY && applies(origin) {
-                sum.add(*load);
-            }
+    /// Removes figures that have expired.
+    pub fn remove_expired(&mut self, now: Duration) {
+        if self.expires_at.is_none_or(|expires_at| now < expires_at) {
+            return;
         }
-        sum
+        self.reported.retain(|_, (at, _)| now < *at + EXPIRY);
+        self.expires_at = self.reported.values().map(|(at, _)| *at + EXPIRY).min();
+        self.sum = sum(self.reported.iter());
+    }
+}
+
+fn sum<'a>(reported: impl Iterator<Item = (&'a Origin, &'a (Duration, Load))>) -> Load {
+    let mut sum = Load::default();
+    for (_, (_, load)) in reported {
+        sum.add(*load);
     }
+    sum
 }
--- a/crates/balance/src/prefix_cache.rs
+++ b/crates/balance/src/prefix_cache.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use rustc_hash::FxBuildHasher;
 
 use crate::Prompt;
 
@@ -57,13 +58,16 @@
     }
 }
 
+/// Parts by their identifier; each choice of a runner looks parts up at all runners.
+type Parts = IndexMap<u64, Cached, FxBuildHasher>;
+
 /// The prompt parts in the prefix cache of a runner, by the requests that routers have sent to it.
 #[derive(Debug, Clone, Default)]
 pub struct PrefixCache {
     /// Parts that this router has sent.
-    own: IndexMap<u64, Cached>,
+    own: Parts,
     /// Last shared parts that other routers have sent.
-    peers: IndexMap<u64, Cached>,
+    peers: Parts,
 }
 
 impl PrefixCache {
@@ -116,7 +120,7 @@
     }
 }
 
-fn touch(parts: &mut IndexMap<u64, Cached>, id: u64, now: Duration) {
+fn touch(parts: &mut Parts, id: u64, now: Duration) {
     if parts.len() >= MAX_PARTS && !parts.contains_key(&id) {
         parts.retain(|_, part| now < part.last + EVICTION_TIME / 2);
     }
--- a/crates/balance/src/registry.rs
+++ b/crates/balance/src/registry.rs
@@ -102,8 +102,11 @@
         }
     }
 
-    /// Removes the runners whose registrations were not renewed in time.
+    /// Removes the runners whose registrations were not renewed in time, and reported figures that have expired.
     pub fn remove_expired(&mut self, now: Duration) {
+        for runner in self.runners.values_mut() {
+            runner.peer_loads.remove_expired(now);
+        }
         if self.is_store_unreachable {
             return;
         }
--- a/crates/balance/src/runner.rs
+++ b/crates/balance/src/runner.rs
@@ -99,9 +99,9 @@
 
     /// Returns the load that all routers have placed on the runner.
     #[must_use]
-    pub fn load(&self, now: Duration) -> Load {
+    pub const fn load(&self) -> Load {
         let mut load = self.own_load;
-        load.add(self.peer_loads.sum(now));
+        load.add(self.peer_loads.sum());
         load
     }
 }
--- a/crates/balance/src/usage.rs
+++ b/crates/balance/src/usage.rs
@@ -24,6 +24,8 @@
 pub struct Usage {
     own: IndexMap<Name, Decay>,
     reported: IndexMap<Origin, (Duration, IndexMap<Name, u64>)>,
+    /// The sums of the reported figures, which each decision needs.
+    reported_sums: IndexMap<Name, u64>,
 }
 
 impl Decay {
@@ -53,13 +55,37 @@
 
     /// Records the work that other routers have charged, by workspace, which an origin reported at `at`.
     pub fn put(&mut self, origin: &Origin, at: Duration, sums: IndexMap<Name, u64>) {
-        self.reported.insert(origin.clone(), (at, sums));
+        for (workspace, work) in &sums {
+            *self.reported_sums.entry(workspace.clone()).or_default() += work;
+        }
+        let previous = self.reported.insert(origin.clone(), (at, sums));
+        self.subtract(previous);
+    }
+
+    /// Removes reported figures that have expired.
+    pub fn remove_expired(&mut self, now: Duration) {
+        let is_expired = |at: Duration| now >= at + EXPIRY;
+        let origins = self.reported.iter().filter(|(_, (at, _))| is_expired(*at));
+        let expired: Vec<Origin> = origins.map(|(origin, _)| origin.clone()).collect();
+        for origin in expired {
+            let removed = self.reported.swap_remove(&origin);
+            self.subtract(removed);
+        }
+    }
+
+    fn subtract(&mut self, removed: Option<(Duration, IndexMap<Name, u64>)>) {
+        for (workspace, work) in removed.into_iter().flat_map(|(_, sums)| sums) {
+            if let Some(sum) = self.reported_sums.get_mut(&workspace) {
+                *sum = sum.saturating_sub(work);
+            }
+        }
     }
 
     /// Returns the recent work of a workspace over all routers.
     #[must_use]
     pub fn of(&self, now: Duration, workspace: &Name) -> u64 {
-        self.sum(now, workspace, |_| true)
+        let reported = self.reported_sums.get(workspace).copied().unwrap_or_default();
+        self.own_work(now, workspace) + reported
     }
 
     /// Returns the largest recent work of any workspace over all routers.
@@ -73,7 +99,7 @@
         let sums = self
             .workspaces()
             .into_iter()
-            .map(move |name| (name, self.sum(now, name, Origin::is_router)));
+            .map(move |name| (name, self.own_work(now, name) + self.work_of_routers(name)));
         sums.filter(|(_, sum)| *sum > 0)
     }
 
@@ -83,17 +109,18 @@
         sums.filter(|(_, sum)| *sum > 0)
     }
 
-    fn sum(&self, now: Duration, workspace: &Name, applies: impl Fn(&Origin) -> bool) -> u64 {
-        let own = self.own.get(workspace).map_or(0.0, |decay| decay.value(now));
-        let reported =
-            self.reported.iter().filter(|(origin, (at, _))| now < *at + EXPIRY && applies(origin));
-        let sums = reported.filter_map(|(_, (_, sums))| sums.get(workspace));
-        own as u64 + sums.sum::<u64>()
+    fn own_work(&self, now: Duration, workspace: &Name) -> u64 {
+        self.own.get(workspace).map_or(0.0, |decay| decay.value(now)) as u64
+    }
+
+    fn work_of_routers(&self, workspace: &Name) -> u64 {
+        let routers = self.reported.iter().filter(|(origin, _)| origin.is_router());
+        routers.filter_map(|(_, (_, sums))| sums.get(workspace)).sum()
     }
 
     /// Returns all workspaces with use, each once.
     fn workspaces(&self) -> Vec<&Name> {
-        let reported = self.reported.values().flat_map(|(_, sums)| sums.keys());
+        let reported = self.reported_sums.keys();
         let mut names: Vec<&Name> = self.own.keys().chain(reported).collect();
         names.sort_unstable();
         names.dedup();
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -75,7 +75,7 @@
     let core = router.core.borrow();
     let zone_load = |runner: &Runner| {
         let mut load = runner.own_load;
-        load.add(runner.peer_loads.sum_of_routers(now));
+        load.add(runner.peer_loads.sum_of_routers());
         load
     };
     ZoneSums {
@@ -149,6 +149,7 @@
                 memory: load.memory,
             });
             runner.peer_loads.put(origin, at, load);
+            runner.peer_loads.remove_expired(now);
         }
     }
 
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -343,7 +343,11 @@
             time::sleep(CLEANUP_INTERVAL).await;
             self.pool.borrow_mut().remove_expired();
             let now = self.now();
-            self.core.borrow_mut().registry.remove_expired(now);
+            {
+                let mut core = self.core.borrow_mut();
+                core.registry.remove_expired(now);
+                core.usage.remove_expired(now);
+            }
             self.log_load();
         }
     }
