--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -3,7 +3,8 @@
 //! Load pattern: a long prompt delays the tokens of all requests at its runner, and a runner that holds the shared
 //! parts of a prompt in its prefix cache need not process them. The load that is balanced is therefore the number of
 //! prompt tokens that a runner still has to process. The runner that ranks first for a shared part is preferred as long
-//! as its backlog does not outweigh the cached tokens; any other runner fetches the shared parts from it.
+//! as its backlog does not outweigh the cached tokens; any other runner fetches the shared parts from it. Runners of the
+//! router's own zone are preferred a little, since what crosses zones is paid for.
 
 use std::cmp::Reverse;
 use std::net::SocketAddr;
@@ -32,6 +33,12 @@
 const FAILURE_TOKENS: f64 = 20_000.0;
 /// The cost of a shared token that is fetched from another runner, in waiting prompt tokens.
 const FETCHED_TOKEN_COST: f64 = 0.5;
+/// The cost of a runner in another zone, in waiting prompt tokens; small, so that a busy zone passes its work on.
+const OTHER_ZONE_TOKENS: f64 = 400.0;
+/// The cost of a plain runner in another zone, as a fraction of its slots in use.
+const OTHER_ZONE_BUSY: f64 = 0.34;
+/// The number of runners in a zone from which on shared parts are held in each zone by itself.
+const MIN_ZONE_RUNNERS: usize = 8;
 /// The minimum number of shared tokens for which a fetch is worth its overhead.
 const MIN_FETCH_TOKENS: u64 = 32;
 /// The fraction of the shared tokens that the runners which rank first for them are assumed to hold, by rank.
@@ -125,11 +132,12 @@
     /// Returns the address of the runner that most likely holds the shared parts, other than the chosen one.
     ///
     /// This is a runner that has processed them for a request of this router or another one, or else the runner that
-    /// ranks first for them. The chosen runner only fetches what it lacks, so a source is returned even if it is
+    /// ranks first for them; one in the zone of the chosen runner comes first. The chosen runner only fetches what it lacks, so a source is returned even if it is
     /// assumed to hold all parts.
     fn source(&self, request: &Request, ranks: &[Key], chosen: Key) -> Option<SocketAddr> {
         let prompt =
             request.prompt.as_ref().filter(|prompt| prompt.shared() >= MIN_FETCH_TOKENS)?;
+        let zone = self.registry.get(chosen).map(|runner| &runner.registration.zone);
         let preferred = ranks.first().copied();
         let is_preferred = preferred == Some(chosen);
         let serving = self.registry.serving(request.service.as_str());
@@ -141,6 +149,7 @@
             let has_processed = used.is_some_and(|used| used.is_processed);
             is_likely.then_some((
                 has_processed,
+                Some(&runner.registration.zone) == zone,
                 Some(key) == preferred,
                 used,
                 runner.registration.address,
@@ -150,11 +159,17 @@
     }
 
     /// Returns the runners that rank first for the last shared part of the prompt.
+    ///
+    /// They are runners of the router's zone if it has enough of them to share the popular parts.
     fn ranks(&self, request: &Request) -> Vec<Key> {
         let affinity = request.prompt.as_ref().map(Prompt::affinity).filter(|part| *part != 0);
         let Some(affinity) = affinity else { return Vec::new() };
-        let serving = self.registry.serving(request.service.as_str());
-        let mut ranks: Vec<(Reverse<u64>, Key)> = serving
+        let serving = || self.registry.serving(request.service.as_str());
+        let is_near = |runner: &Runner| runner.registration.zone == self.fleet_limits.zone;
+        let near_count = serving().filter(|(_, runner)| is_near(runner)).count();
+        let is_zone_large = near_count >= MIN_ZONE_RUNNERS;
+        let ranked = serving().filter(|(_, runner)| !is_zone_large || is_near(runner));
+        let mut ranks: Vec<(Reverse<u64>, Key)> = ranked
             .map(|(key, runner)| {
                 (rendezvous::weight(affinity, runner.registration.id.as_str()), key)
             })
@@ -207,9 +222,11 @@
         let load = runner.load();
         let jitter = self.jitter(runner);
         let failure_ratio = runner.health.failure_ratio();
+        let is_near = runner.registration.zone == self.fleet_limits.zone;
         let Some(prompt) = &request.prompt else {
             let busy = f64::from(load.running + 1) / f64::from(runner.registration.slots.max(1));
-            return ((busy * 1_000.0 + failure_ratio * 4_000.0) * jitter) as u64;
+            let distance = if is_near { 0.0 } else { OTHER_ZONE_BUSY };
+            return (((busy + distance) * 1_000.0 + failure_ratio * 4_000.0) * jitter) as u64;
         };
         let waiting = load.backlog + u64::from(load.running) * RUNNING_TOKENS;
         let cached = rank.map_or(0.0, |rank| CACHED_FRACTIONS[rank]);
@@ -217,7 +234,8 @@
         let missing_shared = missing.saturating_sub(unshared) as f64;
         let fetched = missing_shared.min(prompt.shared() as f64 * (1.0 - cached));
         let failures = failure_ratio * FAILURE_TOKENS;
-        (waiting as f64 * jitter + FETCHED_TOKEN_COST * fetched + failures) as u64
+        let distance = if is_near { 0.0 } else { OTHER_ZONE_TOKENS };
+        (waiting as f64 * jitter + FETCHED_TOKEN_COST * fetched + distance + failures) as u64
     }
 
     fn jitter(&self, runner: &Runner) -> f64 {
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -42,6 +42,8 @@
 pub struct FleetLimits {
     /// The name of this router.
     pub router: Name,
+    /// The availability zone of this router.
+    pub zone: Name,
     /// The names of the other routers, whether they are connected or not.
     pub peers: Vec<Name>,
     /// The factor on the rate that a cold runner can handle.
--- a/crates/balance/tests/common/mod.rs
+++ b/crates/balance/tests/common/mod.rs
@@ -46,6 +46,7 @@
 pub(crate) fn limits(router: &str) -> FleetLimits {
     FleetLimits {
         router: Name::new(router),
+        zone: Name::new("north"),
         peers: Vec::new(),
         cold_factor: 1.5,
         cold_constant: 5.0,
--- a/crates/balance/tests/placing.rs
+++ b/crates/balance/tests/placing.rs
@@ -21,6 +21,7 @@
 use crate::common::granted;
 use crate::common::ms;
 use crate::common::plain;
+use crate::common::registration;
 use crate::common::request;
 
 const NOW: Duration = Duration::from_secs(100);
@@ -192,3 +193,75 @@
     assert!(matches!(core.submit(NOW, request(NOW, "wall", 7, 50)), Outcome::Queued(_)));
     assert_eq!(core.registry.serving(SERVICE).count(), 0);
 }
+
+/// Creates a router in the zone `north` with engines in four zones, `count` in each.
+fn core_with_zones(count: usize) -> Core {
+    let mut core = core("router-1", 0);
+    for (index, zone) in ["north", "east", "south", "west"].into_iter().enumerate() {
+        for number in 0..count {
+            let mut registration = registration(&format!("engine-{}", index * 100 + number));
+            registration.zone = Name::new(zone);
+            core.registry.put(Duration::ZERO, &registration);
+        }
+    }
+    core
+}
+
+fn zone_of(core: &Core, id: &Name) -> Name {
+    let key = core.registry.find(id.as_str()).expect("a known runner");
+    core.registry.get(key).expect("a known runner").registration.zone.clone()
+}
+
+/// Returns how many of the next requests, each with a shared part of its own, stay in the router's zone.
+fn count_near(core: &mut Core, requests: u64) -> usize {
+    let zones = (0..requests).map(|step| {
+        let now = NOW + ms(step);
+        let grant = granted(core.submit(now, request(now, "wall", 1_000 + step, 600)));
+        zone_of(core, &grant.id)
+    });
+    zones.filter(|zone| zone.as_str() == "north").count()
+}
+
+#[test]
+fn requests_stay_in_the_zone_of_their_router_while_it_is_no_busier_than_the_others() {
+    assert_eq!(count_near(&mut core_with_zones(10), 10), 10);
+}
+
+#[test]
+fn a_busy_zone_passes_its_work_on_at_once() {
+    let mut core = core_with_zones(10);
+    let near: Vec<Key> = core
+        .registry
+        .iter()
+        .filter(|(_, runner)| runner.registration.zone.as_str() == "north")
+        .map(|(key, _)| key)
+        .collect();
+    for key in near {
+        let runner = core.registry.get_mut(key).expect("a known runner");
+        runner.own_load.backlog += 20_000;
+    }
+    assert_eq!(count_near(&mut core, 30), 0);
+}
+
+#[test]
+fn a_zone_that_is_out_of_service_gets_nothing_and_the_others_serve_at_once() {
+    let mut core = core_with_zones(10);
+    core.registry.set_zones_out(NOW, IndexSet::from([Name::new("north")]), ms(0));
+    assert_eq!(count_near(&mut core, 30), 0);
+}
+
+#[test]
+fn a_zone_with_few_engines_shares_popular_parts_with_the_others() {
+    let mut core = core_with_zones(2);
+    let homes: IndexSet<Name> = (0..40)
+        .map(|part| {
+            let now = NOW + ms(part);
+            let prompt = request(now, "wall", 1_000 + part, 10);
+            let mut grant = granted(core.submit(now, prompt));
+            core.record_first_token(now, &mut grant, &Name::new(SERVICE), ms(50), TARGET);
+            core.release(now, &grant, None, true);
+            zone_of(&core, &grant.id)
+        })
+        .collect();
+    assert_eq!(homes.len(), 4, "{homes:?}");
+}
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -390,6 +390,7 @@
     let bounds = &settings.bounds;
     FleetLimits {
         router: settings.name.clone(),
+        zone: settings.zone.clone(),
         peers: Vec::new(),
         cold_factor: bounds.cold_factor,
         cold_constant: bounds.cold_constant,
