--- a/crates/aspenline/tests/common/router.rs
+++ b/crates/aspenline/tests/common/router.rs
@@ -165,7 +165,12 @@
 
     /// Starts a router in a zone and waits until it listens.
     pub(crate) async fn router_in(&self, name: &str, zone: &str) -> Router {
-        let mut command = self.command(name, &self.settings_in(name, zone).to_string());
+        self.router_with(name, &self.settings_in(name, zone)).await
+    }
+
+    /// Starts a router with these settings and waits until it listens.
+    pub(crate) async fn router_with(&self, name: &str, settings: &Value) -> Router {
+        let mut command = self.command(name, &settings.to_string());
         let mut child = command.stdout(Stdio::piped()).spawn().expect("the router starts");
         let output = child.stdout.take().expect("standard output is piped");
         let lines = Arc::new(Mutex::new(Vec::new()));
--- a/crates/aspenline/tests/platform.rs
+++ b/crates/aspenline/tests/platform.rs
@@ -521,3 +521,31 @@
     let aggregators = routers.iter().filter(|router| router.count("aggregator") > 0).count();
     assert!(aggregators >= 2, "{aggregators}");
 }
+
+#[tokio::test]
+async fn a_router_that_the_store_rejects_learns_of_changes_from_a_router_that_it_serves() {
+    let platform = Platform::start("rejected").await;
+    platform.configure(&configuration(1));
+    let runners = platform.runners("engines", 2).await;
+    let entrance = platform.store.open_entrance().await.expect("an entrance");
+    let _served = platform.router("served").await;
+    let mut settings = platform.settings("rejected");
+    settings["store"] = entrance.address().to_string().into();
+    let rejected = platform.router_with("rejected", &settings).await;
+    rejected.wait_for_runners(2).await;
+    wait_for(|| (rejected.count("router_alive") > 0).then_some(())).await;
+    entrance.set_fault_mode(fake::store::FaultMode::Unavailable);
+    wait_for(|| (rejected.count("store_lost") >= 2).then_some(())).await;
+    platform.configure(&configuration(2));
+    platform.list_runner(&runners[0], "engines", "draining", 2);
+    let changed = Instant::now();
+    wait_for(|| (rejected.count("configuration_adopted") == 2).then_some(())).await;
+    wait_for(|| rejected.last("runner").filter(|line| line.contains("draining"))).await;
+    assert!(changed.elapsed() < Duration::from_secs(2), "after {:?}", changed.elapsed());
+    for number in 0..6 {
+        let request = request_with_key("GET", "/keyed/", &format!("r-{number}"));
+        assert_eq!(rejected.call(request).await.status, StatusCode::OK);
+    }
+    assert_eq!(runners[0].execution_count(), 0);
+    assert_eq!(rejected.count("store_regained"), 0);
+}
--- a/crates/balance/src/member.rs
+++ b/crates/balance/src/member.rs
@@ -29,6 +29,9 @@
     /// Its availability zone; `None` for a router of an earlier version, which sends heartbeats to all routers.
     #[serde(default)]
     pub zone: Option<Name>,
+    /// The address at which other routers fetch records of the store from it; `None` for a router of an earlier version.
+    #[serde(default)]
+    pub records: Option<SocketAddr>,
 }
 
 /// Another router.
@@ -42,6 +45,8 @@
     pub sequence: u64,
     /// The time at which it last sent the sums of its zone to this router.
     pub sent_sums_at: Option<Duration>,
+    /// The positions after the last changes that it has read, by topic of the store.
+    pub last_changes: Vec<u64>,
     /// Its newest known state.
     pub status: MemberStatus,
     status_at: Option<Duration>,
@@ -76,6 +81,7 @@
             last_contact: None,
             sequence: 0,
             sent_sums_at: None,
+            last_changes: Vec::new(),
             status: MemberStatus {
                 is_ready: false,
                 is_current: false,
@@ -155,6 +161,13 @@
         true
     }
 
+    /// Records the positions after the last changes that a router has read, by topic of the store.
+    pub fn record_last_changes(&mut self, name: &str, last_changes: Vec<u64>) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.last_changes = last_changes;
+        }
+    }
+
     /// Records that a router has sent the sums of its zone.
     pub fn record_sums(&mut self, now: Duration, name: &str) {
         if let Some(member) = self.members.get_mut(name) {
--- a/crates/balance/src/read_schedule.rs
+++ b/crates/balance/src/read_schedule.rs
@@ -70,6 +70,12 @@
         self.last_try = now;
     }
 
+    /// Returns the position after the last record that was read.
+    #[must_use]
+    pub const fn position(&self) -> u64 {
+        self.position
+    }
+
     /// Returns the position after the last change.
     #[must_use]
     pub const fn last_change(&self) -> u64 {
--- a/crates/balance/src/topic_view.rs
+++ b/crates/balance/src/topic_view.rs
@@ -25,23 +25,32 @@
     pub value: Option<Vec<u8>>,
 }
 
-/// The keys of a topic with the offsets of their newest records.
+/// The newest record of a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Newest {
+    offset: u64,
+    value: Option<Vec<u8>>,
+}
+
+/// The keys of a topic with their newest records.
 #[derive(Debug, Clone, Default)]
 pub struct TopicView {
-    offsets: IndexMap<String, (u64, bool)>,
+    records: IndexMap<String, Newest>,
 }
 
 impl TopicView {
     /// Applies a record; returns its offset and the change that it makes, if it is newer than the known one.
     pub fn apply(&mut self, record: Record) -> Option<(u64, Change)> {
-        let known = self.offsets.get(&record.key).copied();
-        if known.is_some_and(|(offset, _)| offset >= record.offset) {
+        let known = self.records.get(&record.key);
+        if known.is_some_and(|known| known.offset >= record.offset) {
             return None;
         }
-        self.offsets.insert(record.key.clone(), (record.offset, record.value.is_some()));
+        let was_present = known.is_some_and(|known| known.value.is_some());
+        let newest = Newest { offset: record.offset, value: record.value.clone() };
+        self.records.insert(record.key.clone(), newest);
         let change = match record.value {
             Some(value) => Change::Put(record.key, value),
-            None if known.is_some_and(|(_, is_present)| is_present) => Change::Removed(record.key),
+            None if was_present => Change::Removed(record.key),
             None => return None,
         };
         Some((record.offset, change))
@@ -53,17 +62,30 @@
     pub fn replace(&mut self, records: Vec<Record>, end: u64) -> Vec<(u64, Change)> {
         let is_missing = |key: &str| !records.iter().any(|record| record.key == key);
         let missing: Vec<String> = self
-            .offsets
+            .records
             .iter()
-            .filter(|(key, (offset, is_present))| *is_present && *offset < end && is_missing(key))
+            .filter(|(key, known)| known.value.is_some() && known.offset < end && is_missing(key))
             .map(|(key, _)| key.clone())
             .collect();
+        let offset = end.saturating_sub(1);
         for key in &missing {
-            self.offsets.insert(key.clone(), (end.saturating_sub(1), false));
+            self.records.insert(key.clone(), Newest { offset, value: None });
         }
-        let removed = missing.into_iter().map(|key| (end.saturating_sub(1), Change::Removed(key)));
+        let removed = missing.into_iter().map(|key| (offset, Change::Removed(key)));
         let put: Vec<(u64, Change)> =
             records.into_iter().filter_map(|record| self.apply(record)).collect();
         removed.chain(put).collect()
     }
+
+    /// Returns the newest records of all keys that have changed since an offset, in the order of their offsets.
+    pub fn records_from(&self, offset: u64) -> impl Iterator<Item = Record> {
+        let mut changed: Vec<(&String, &Newest)> =
+            self.records.iter().filter(|(_, newest)| newest.offset >= offset).collect();
+        changed.sort_unstable_by_key(|(_, newest)| newest.offset);
+        changed.into_iter().map(|(key, newest)| Record {
+            offset: newest.offset,
+            key: key.clone(),
+            value: newest.value.clone(),
+        })
+    }
 }
--- a/crates/balance/tests/aggregation.rs
+++ b/crates/balance/tests/aggregation.rs
@@ -29,6 +29,7 @@
         share_milli: 250,
         key: String::new(),
         zone: zone.map(Name::new),
+        records: None,
     }
 }
 
--- a/crates/balance/tests/keyed.rs
+++ b/crates/balance/tests/keyed.rs
@@ -34,6 +34,24 @@
     assert_eq!(view.apply(record(1, "router-1", None)), None);
 }
 
+#[test]
+fn the_newest_record_of_each_changed_key_brings_another_view_up_to_date() {
+    let mut view = TopicView::default();
+    for (offset, key, value) in
+        [(1, "a", Some("1")), (2, "b", Some("1")), (3, "a", Some("2")), (4, "b", None)]
+    {
+        view.apply(record(offset, key, value));
+    }
+    let mut behind = TopicView::default();
+    behind.apply(record(1, "a", Some("1")));
+    behind.apply(record(2, "b", Some("1")));
+    let fetched: Vec<Record> = view.records_from(3).collect();
+    assert_eq!(fetched, [record(3, "a", Some("2")), record(4, "b", None)]);
+    let changes: Vec<_> = fetched.into_iter().filter_map(|record| behind.apply(record)).collect();
+    let removed = Change::Removed("b".to_owned());
+    assert_eq!(changes, [(3, Change::Put("a".to_owned(), b"2".to_vec())), (4, removed)]);
+}
+
 proptest! {
     #[test]
     fn every_order_of_reads_ends_with_the_newest_values_of_the_topic(
--- a/crates/balance/tests/placing.rs
+++ b/crates/balance/tests/placing.rs
@@ -170,7 +170,7 @@
 #[test]
 fn a_half_open_runner_receives_one_idempotent_request_and_no_other() {
     let mut core = core("router-1", 1);
-    let mut registration = common::registration("ledger-0");
+    let mut registration = registration("ledger-0");
     registration.service = Name::new(common::PLAIN);
     registration.slots = 6;
     let key = core.registry.put(NOW, &registration);
--- a/crates/fake/src/store.rs
+++ b/crates/fake/src/store.rs
@@ -65,6 +65,27 @@
     _tasks: JoinSet<()>,
 }
 
+/// Another address of a store, which closes when it is dropped.
+#[derive(Debug)]
+pub struct Entrance {
+    address: SocketAddr,
+    fault_mode: Arc<Mutex<FaultMode>>,
+    _tasks: JoinSet<()>,
+}
+
+impl Entrance {
+    /// Returns the address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets the fault mode of later calls to this address.
+    pub fn set_fault_mode(&self, fault_mode: FaultMode) {
+        *self.fault_mode.lock().unwrap_or_else(PoisonError::into_inner) = fault_mode;
+    }
+}
+
 impl Store {
     /// Starts a store on a free port.
     ///
@@ -75,7 +96,7 @@
         let address = listener.local_addr()?;
         let state = Arc::new(Mutex::new(State::default()));
         let mut tasks = JoinSet::new();
-        tasks.spawn(accept(listener, Arc::clone(&state)));
+        tasks.spawn(accept(listener, Arc::clone(&state), None));
         Ok(Self { address, state, _tasks: tasks })
     }
 
@@ -90,6 +111,19 @@
         lock(&self.state).fault_mode = fault_mode;
     }
 
+    /// Opens another address of the store, with a fault mode of its own, for routers that the store treats differently.
+    ///
+    /// # Errors
+    /// Returns the error of the operating system.
+    pub async fn open_entrance(&self) -> io::Result<Entrance> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let fault_mode = Arc::new(Mutex::new(FaultMode::Normal));
+        let mut tasks = JoinSet::new();
+        tasks.spawn(accept(listener, Arc::clone(&self.state), Some(Arc::clone(&fault_mode))));
+        Ok(Entrance { address, fault_mode, _tasks: tasks })
+    }
+
     /// Appends a record that sets the value of a key.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
         let mut record = vec![u8::try_from(key.len()).expect("the key is shorter than 256 bytes")];
@@ -153,16 +187,25 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn accept(listener: TcpListener, state: Arc<Mutex<State>>) {
+/// Accepts connections; `fault_mode` replaces that of the store.
+async fn accept(
+    listener: TcpListener,
+    state: Arc<Mutex<State>>,
+    fault_mode: Option<Arc<Mutex<FaultMode>>>,
+) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => {
                 let Ok((stream, _)) = accepted else { continue };
-                let state = Arc::clone(&state);
+                let (state, fault_mode) = (Arc::clone(&state), fault_mode.clone());
                 let service = service_fn(move |request| {
                     let state = Arc::clone(&state);
-                    async move { Ok::<_, Infallible>(answer(&state, request).await) }
+                    let own = fault_mode.as_deref().map(|mode| {
+                        *mode.lock().unwrap_or_else(PoisonError::into_inner)
+                    });
+                    let mode = own.unwrap_or_else(|| lock(&state).fault_mode);
+                    async move { Ok::<_, Infallible>(answer(&state, mode, request).await) }
                 });
                 connections.spawn(async move {
                     let connection =
@@ -175,8 +218,11 @@
     }
 }
 
-async fn answer(state: &Mutex<State>, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    let fault_mode = lock(state).fault_mode;
+async fn answer(
+    state: &Mutex<State>,
+    fault_mode: FaultMode,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
     match fault_mode {
         FaultMode::Normal => (),
         FaultMode::Unavailable => return status(StatusCode::SERVICE_UNAVAILABLE),
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -10,6 +10,7 @@
 use hmac::Mac;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use sha2::Sha256;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -209,6 +210,26 @@
     Some(Received { heartbeat, extension, acknowledged: u64::from_be_bytes(*acknowledged) })
 }
 
+/// Encodes a message and appends its authentication code.
+pub(crate) fn seal_message(message: &impl Serialize, key: &str) -> Option<Vec<u8>> {
+    let mut bytes = postcard::to_stdvec(message).ok()?;
+    let code = mac(key, &bytes).finalize().into_bytes();
+    bytes.extend_from_slice(&code[..CODE_BYTES]);
+    Some(bytes)
+}
+
+/// Decodes a message and verifies its authentication code; `key_of` returns the key of its sender.
+pub(crate) fn open_message<T: DeserializeOwned>(
+    bytes: &[u8],
+    key_of: impl FnOnce(&T) -> Option<String>,
+) -> Option<T> {
+    let (content, code) = bytes.split_at_checked(bytes.len().checked_sub(CODE_BYTES)?)?;
+    let message: T = postcard::from_bytes(content).ok()?;
+    let key = key_of(&message)?;
+    mac(&key, content).verify_truncated_left(code).ok()?;
+    Some(message)
+}
+
 fn mac(key: &str, bytes: &[u8]) -> Hmac<Sha256> {
     let mut mac =
         Hmac::<Sha256>::new_from_slice(key.as_bytes()).expect("HMAC accepts keys of any length");
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -288,6 +288,8 @@
 
 /// Records another router's view of the store's topics.
 fn record_topics(router: &Router, heartbeat: &Heartbeat, acknowledged: u64) {
+    let last_changes = heartbeat.topics.iter().map(|status| status.last_change).collect();
+    router.members.borrow_mut().record_last_changes(&heartbeat.sender, last_changes);
     for (topic, status) in Topic::iter().zip(&heartbeat.topics) {
         let age = status.age_ms.map(Duration::from_millis);
         let as_of =
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -13,6 +13,7 @@
 use balance::Members;
 use balance::ReadSchedule;
 use balance::Ticket;
+use balance::TopicView;
 use balance::Window;
 use indexmap::IndexMap;
 use strum::EnumCount;
@@ -80,6 +81,7 @@
     revocation: Cell<Option<Duration>>,
     pub(crate) read_schedules: RefCell<[ReadSchedule; Topic::COUNT]>,
     topic_reports: [Notify; Topic::COUNT],
+    views: [Rc<RefCell<TopicView>>; Topic::COUNT],
     requests: RefCell<Window>,
 }
 
@@ -107,6 +109,7 @@
             is_leaving: Cell::new(false),
             read_schedules: RefCell::default(),
             topic_reports: Default::default(),
+            views: Default::default(),
             requests: RefCell::new(Window::new(REQUEST_WINDOW)),
         }
     }
@@ -158,6 +161,12 @@
         }
     }
 
+    /// Returns the records of a topic that this router has read.
+    #[must_use]
+    pub fn view(&self, topic: Topic) -> Rc<RefCell<TopicView>> {
+        Rc::clone(&self.views[topic as usize])
+    }
+
     /// Calls `work` with the read schedule of a topic and returns its result.
     pub fn with_read_schedule<T>(
         &self,
