--- a/crates/aspenline/src/cli.rs
+++ b/crates/aspenline/src/cli.rs
@@ -68,7 +68,7 @@
         "explain" => explain::run(matches),
         "config" => config::run(matches),
         "keys" => keys::run(matches),
-        "completions" => completions::run(matches),
+        "completions" => completions::run(matches, command()),
         kind => placement::run(kind, matches),
     }
 }
--- a/crates/aspenline/src/command/completions.rs
+++ b/crates/aspenline/src/command/completions.rs
@@ -6,7 +6,6 @@
 use clap::value_parser;
 use clap_complete::Shell;
 
-use crate::cli;
 use crate::failure::Failure;
 use crate::output;
 
@@ -23,10 +22,10 @@
         .arg(shell)
 }
 
-/// Runs the command.
-pub(crate) fn run(matches: &ArgMatches) -> Result<(), Failure> {
+/// Runs the command for the whole command-line interface.
+pub(crate) fn run(matches: &ArgMatches, mut interface: Command) -> Result<(), Failure> {
     let shell = matches.get_one::<Shell>("shell").copied().expect("clap requires the shell");
     let mut script = Vec::new();
-    clap_complete::generate(shell, &mut cli::command(), "aspenline", &mut script);
+    clap_complete::generate(shell, &mut interface, "aspenline", &mut script);
     output::text(&String::from_utf8_lossy(&script))
 }
