--- a/crates/aspenline/tests/platform.rs
+++ b/crates/aspenline/tests/platform.rs
@@ -547,5 +547,6 @@
         assert_eq!(rejected.call(request).await.status, StatusCode::OK);
     }
     assert_eq!(runners[0].execution_count(), 0);
+    assert!(rejected.count("records_fetched") > 0);
     assert_eq!(rejected.count("store_regained"), 0);
 }
