--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -132,8 +132,8 @@
     /// Returns the address of the runner that most likely holds the shared parts, other than the chosen one.
     ///
     /// This is a runner that has processed them for a request of this router or another one, or else the runner that
-    /// ranks first for them; one in the zone of the chosen runner comes first. The chosen runner only fetches what it lacks, so a source is returned even if it is
-    /// assumed to hold all parts.
+    /// ranks first for them; one in the zone of the chosen runner comes first. The chosen runner only fetches what it
+    /// lacks, so a source is returned even if it is assumed to hold all parts.
     fn source(&self, request: &Request, ranks: &[Key], chosen: Key) -> Option<SocketAddr> {
         let prompt =
             request.prompt.as_ref().filter(|prompt| prompt.shared() >= MIN_FETCH_TOKENS)?;
