--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -189,14 +189,17 @@
     }
 
     /// Returns whether the cold limit allows one more request of this router to a runner.
+    ///
+    /// A router that has just started does not know with how many others it shares the limit, so it uses none of it.
     fn has_cold_capacity(&self, runner: &Runner) -> bool {
         if !runner.is_cold(self.now) {
             return true;
         }
         let limits = self.fleet_limits;
+        let Some(peers) = &limits.peers else { return false };
         let cold_limit =
             ColdLimit::new(self.service.cold_rate, limits.cold_factor, limits.cold_constant);
-        let others = limits.peers.iter().map(base::Name::as_str);
+        let others = peers.iter().map(base::Name::as_str);
         let share =
             cold_limit.share(runner.registration.started_ms, limits.router.as_str(), others);
         runner.cold_sent.clone().sum(self.now) < share
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -44,8 +44,8 @@
     pub router: Name,
     /// The availability zone of this router.
     pub zone: Name,
-    /// The names of the other routers, whether they are connected or not.
-    pub peers: Vec<Name>,
+    /// The names of the other routers, whether they are connected or not; `None` until they are known.
+    pub peers: Option<Vec<Name>>,
     /// The factor on the rate that a cold runner can handle.
     pub cold_factor: f64,
     /// Requests per second that a cold runner may be sent in addition.
@@ -140,7 +140,7 @@
 
     /// Replaces the limits, except the names of the other routers.
     pub fn set_limits(&mut self, limits: FleetLimits) {
-        let peers = std::mem::take(&mut self.limits.peers);
+        let peers = self.limits.peers.take();
         self.limits = FleetLimits { peers, ..limits };
         for state in self.services.values_mut() {
             state.budget.set(self.limits.retry_ratio, self.limits.retry_constant);
@@ -149,7 +149,7 @@
 
     /// Replaces the names of the other routers.
     pub fn set_peers(&mut self, peers: Vec<Name>) {
-        self.limits.peers = peers;
+        self.limits.peers = Some(peers);
     }
 
     /// Adopts a configuration and returns `true`, or returns `false` if it is not newer than the current one.
@@ -167,8 +167,10 @@
     }
 
     /// Takes a retry from the budget of a service; returns `false` if none is left.
+    ///
+    /// Until the other routers are known, the constant part of the budget is not used.
     pub fn take_retry(&mut self, now: Duration, service: &Name) -> bool {
-        let routers = self.limits.peers.len() + 1;
+        let routers = self.limits.peers.as_ref().map_or(usize::MAX, |peers| peers.len() + 1);
         self.service_state(service).budget.take_retry(now, routers)
     }
 
@@ -237,7 +239,8 @@
 
     /// Records the limits on the load of one engine that a number of other routers have derived.
     pub fn record_peer_limits(&mut self, service: &Name, other: LoadLimits, routers: usize) {
-        let fraction = routers as f64 / self.limits.peers.len().max(1) as f64;
+        let peers = self.limits.peers.as_ref().map_or(0, Vec::len);
+        let fraction = routers as f64 / peers.max(1) as f64;
         self.service_state(service).adaptive_limit.move_towards(other, fraction.min(1.0));
     }
 
--- a/crates/balance/tests/common/mod.rs
+++ b/crates/balance/tests/common/mod.rs
@@ -47,7 +47,7 @@
     FleetLimits {
         router: Name::new(router),
         zone: Name::new("north"),
-        peers: Vec::new(),
+        peers: Some(Vec::new()),
         cold_factor: 1.5,
         cold_constant: 5.0,
         retry_window: Duration::from_secs(10),
--- a/crates/balance/tests/placing.rs
+++ b/crates/balance/tests/placing.rs
@@ -7,6 +7,7 @@
 
 use balance::Core;
 use balance::Decision;
+use balance::FleetLimits;
 use balance::Key;
 use balance::Kind;
 use balance::Outcome;
@@ -19,10 +20,12 @@
 use crate::common::TARGET;
 use crate::common::core;
 use crate::common::granted;
+use crate::common::limits;
 use crate::common::ms;
 use crate::common::plain;
 use crate::common::registration;
 use crate::common::request;
+use crate::common::table;
 
 const NOW: Duration = Duration::from_secs(100);
 
@@ -139,6 +142,19 @@
     granted(core.submit(NOW, huge));
 }
 
+#[test]
+fn a_router_that_does_not_know_the_others_yet_sends_nothing_to_a_cold_runner() {
+    let mut core = Core::new(FleetLimits { peers: None, ..limits("router-1") });
+    core.adopt(table());
+    let mut cold = registration("engine-0");
+    cold.cold_left = Duration::from_secs(60);
+    core.registry.put(NOW, &cold);
+    assert!(matches!(core.submit(NOW, request(NOW, "wall", 7, 100)), Outcome::Queued(_)));
+    core.set_peers((0..9).map(|n| Name::new(&format!("router-{}", n + 2))).collect());
+    let decided = core.process_queue(NOW + ms(10));
+    assert!(matches!(decided[..], [(_, Decision::Granted(_))]), "{decided:?}");
+}
+
 #[test]
 fn a_cold_runner_receives_no_more_than_its_limit_in_any_second() {
     let mut core = core("router-1", 1);
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -400,7 +400,7 @@
     FleetLimits {
         router: settings.name.clone(),
         zone: settings.zone.clone(),
-        peers: Vec::new(),
+        peers: None,
         cold_factor: bounds.cold_factor,
         cold_constant: bounds.cold_constant,
         retry_window: Duration::from_secs_f64(bounds.retry_window_s),
