--- a/crates/aspenline/src/lines.rs
+++ b/crates/aspenline/src/lines.rs
@@ -70,19 +70,14 @@
         }
     }
 
-    /// Removes and returns all lines, each with its end, and a notice of dropped lines.
-    fn take_text(&mut self) -> String {
-        let mut text = String::new();
-        for line in self.lines.drain(..) {
-            text.push_str(&line);
-            text.push('\n');
-        }
+    /// Removes and returns all lines, and a notice of dropped lines.
+    fn take_lines(&mut self) -> Vec<String> {
+        let mut lines = mem::take(&mut self.lines);
         let dropped = mem::take(&mut self.dropped);
         if dropped > 0 {
-            let notice = format!("{{\"event\":\"lines_dropped\",\"left_out\":{dropped}}}\n");
-            text.push_str(&notice);
+            lines.push(format!("{{\"event\":\"lines_dropped\",\"left_out\":{dropped}}}"));
         }
-        text
+        lines
     }
 }
 
@@ -122,15 +117,18 @@
 }
 
 /// Writes lines in batches until the process ends or standard output is closed.
+///
+/// A write holds whole lines, so that one that is interrupted leaves no part of a line.
 fn write_lines(queue: &Mutex<Queue>) {
-    let mut output = io::stdout();
+    let mut output = io::BufWriter::new(io::stdout());
     loop {
         thread::park_timeout(WRITE_INTERVAL);
-        let (text, is_closed) = {
+        let (lines, is_closed) = {
             let mut queue = lock(queue);
-            (queue.take_text(), queue.is_closed)
+            (queue.take_lines(), queue.is_closed)
         };
-        let written = output.write_all(text.as_bytes()).and_then(|()| output.flush());
+        let written = lines.iter().try_for_each(|line| writeln!(output, "{line}"));
+        let written = written.and_then(|()| output.flush());
         if is_closed || written.is_err() {
             return;
         }
