--- a/crates/aspenline/tests/common/router.rs
+++ b/crates/aspenline/tests/common/router.rs
@@ -1,4 +1,5 @@
 //! A router process on a fake platform with a store and runners.
+#![allow(dead_code, reason = "each test file uses some of these items")]
 
 use std::fs;
 use std::io::BufRead;
--- /dev/null
+++ b/crates/aspenline/tests/platform_operation.rs
@@ -0,0 +1,119 @@
+//! Settings, signals, metrics and log lines of a router process.
+
+#[path = "common/router.rs"]
+mod router;
+
+use std::time::Instant;
+
+use fake::endpoint::STREAM_EVENTS;
+use fake::endpoint::event_text;
+use http::StatusCode;
+use rustix::process::Signal;
+use tokio::task::JoinSet;
+
+use crate::router::Platform;
+use crate::router::call;
+use crate::router::configuration;
+use crate::router::get;
+use crate::router::request_with_key;
+use crate::router::wait_for;
+
+/// Returns the text of a complete stream.
+fn complete_stream() -> String {
+    (1..=STREAM_EVENTS).map(event_text).collect()
+}
+
+#[tokio::test]
+async fn metrics_agree_with_the_log() {
+    let platform = Platform::start("metrics").await;
+    platform.configure(&configuration(1));
+    let _ledger = platform.runners("ledger", 1).await;
+    let router = platform.router("router-1").await;
+    router.wait_for_runners(1).await;
+    router.call(get("/safe/", "r-1")).await;
+    let metrics = call(router.metrics, get("/metrics", "r-2")).await;
+    let text = String::from_utf8(metrics.body.to_vec()).expect("text");
+    assert!(text.contains("aspenline_events_total{event=\"answered\"} 1"), "{text}");
+    assert!(text.contains("aspenline_known_runners 1"), "{text}");
+    let line = wait_for(|| router.first_line("answered")).await;
+    assert_eq!(line["request"], "r-1");
+    assert_eq!(line["version"], 1);
+    assert_eq!(line["sends"], 1);
+}
+
+#[tokio::test]
+async fn invalid_settings_stop_the_start_with_one_line_on_standard_error() {
+    let platform = Platform::start("wrong-settings").await;
+    let mut settings = platform.settings("router-1");
+    settings["bounds"]["retry_ratio"] = serde_json::json!(-1);
+    for text in [settings.to_string(), "{".to_owned(), "{\"nam\": 1}".to_owned()] {
+        let output = platform.command("router-1", &text).output().expect("the program runs");
+        assert_eq!(output.status.code(), Some(2));
+        let error = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(error.trim().lines().count(), 1, "{error}");
+    }
+}
+
+#[tokio::test]
+async fn a_signal_reloads_the_settings_and_invalid_ones_are_rejected() {
+    let platform = Platform::start("reload").await;
+    platform.configure(&configuration(1));
+    let _ledger = platform.runners("ledger", 1).await;
+    let router = platform.router("router-1").await;
+    router.wait_for_runners(1).await;
+    router.signal(Signal::HUP);
+    wait_for(|| router.first_line("settings_reloaded")).await;
+    drop(platform.command("router-1", "{"));
+    router.signal(Signal::HUP);
+    wait_for(|| router.first_line("settings_refused")).await;
+    assert_eq!(router.call(get("/safe/", "r-1")).await.status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn the_log_line_of_an_attempt_names_its_runner_and_the_inputs_of_the_decision() {
+    let platform = Platform::start("sent").await;
+    platform.configure(&configuration(1));
+    let _runners = platform.runners("engines", 1).await;
+    let router = platform.router("router-1").await;
+    router.wait_for_runners(1).await;
+    let answer = router.call(request_with_key("POST", "/stream/", "r-1")).await;
+    assert_eq!(answer.body, complete_stream());
+    let line = wait_for(|| router.first_line("sent")).await;
+    assert_eq!(
+        (line["request"].as_str(), line["subject"].as_str()),
+        (Some("r-1"), Some("engines-0"))
+    );
+    assert_eq!(
+        (line["route"].as_str(), line["workspace"].as_str()),
+        (Some("stream"), Some("wall"))
+    );
+    assert_eq!(line["version"].as_u64(), Some(1));
+    assert!(line["age_ms"].as_u64().is_some_and(|age| age < 5_000), "{line}");
+}
+
+#[tokio::test]
+async fn each_refused_request_is_logged_while_other_events_are_rate_limited() {
+    let platform = Platform::start("bounded").await;
+    platform.configure(&configuration(1));
+    let router = platform.router("router-1").await;
+    wait_for(|| router.first_line("configuration_adopted")).await;
+    let mut calls = JoinSet::new();
+    for number in 0..400 {
+        calls.spawn(call(router.callers, get("/safe/", &format!("r-{number}"))));
+    }
+    for answer in calls.join_all().await {
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    wait_for(|| (router.count("refused") == 400).then_some(())).await;
+    let _runners = platform.runners("ledger", 4).await;
+    router.wait_for_runners(4).await;
+    let mut calls = JoinSet::new();
+    for number in 0..1_000 {
+        calls.spawn(call(router.callers, get("/safe/", &format!("s-{number}"))));
+    }
+    let start = Instant::now();
+    let answers = calls.join_all().await;
+    let seconds = usize::try_from(start.elapsed().as_secs()).expect("few") + 2;
+    assert_eq!(answers.len(), 1_000);
+    assert!(router.count("sent") <= 150 * seconds, "{} lines", router.count("sent"));
+}
