--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -12,6 +12,8 @@
 
 use crate::AdaptiveLimit;
 use crate::ColdLimit;
+use crate::Engine;
+use crate::EngineRoom;
 use crate::FleetLimits;
 use crate::Key;
 use crate::Kind;
@@ -88,6 +90,14 @@
     running: u32,
 }
 
+impl WorkspaceLimits {
+    /// Returns whether the number of running requests allows one more at a runner.
+    fn may_run(&self, runner: &Runner, engine: &Engine) -> bool {
+        let limit = self.running.min(runner.registration.slots).min(engine.slots);
+        runner.load().running < limit
+    }
+}
+
 impl Selector<'_> {
     /// Chooses the runner with the lowest cost, or `None` if it has no capacity and the request may still wait for it.
     pub(crate) fn choose(&self, request: &Request) -> Option<Choice> {
@@ -111,16 +121,35 @@
     ///
     /// If none has, no request of the workspace can be granted, whatever its prompt.
     pub(crate) fn has_room(&self) -> bool {
+        let Some(engine) = self.service.engine else { return true };
         let limits = self.workspace_limits();
         let mut serving = self.registry.serving(self.service.name.as_str());
         serving.any(|(_, runner)| {
-            let load = runner.load();
-            let Some(engine) = self.service.engine else { return true };
-            load.running < limits.running.min(runner.registration.slots).min(engine.slots)
-                && load.backlog <= limits.backlog
+            limits.may_run(runner, &engine) && runner.load().backlog <= limits.backlog
         })
     }
 
+    /// Returns the number of engines by what limits them for requests of the workspace.
+    pub(crate) fn engine_room(&self) -> EngineRoom {
+        let mut room = EngineRoom::default();
+        let Some(engine) = self.service.engine else { return room };
+        let limits = self.workspace_limits();
+        for (_, runner) in self.registry.serving(self.service.name.as_str()) {
+            let load = runner.load();
+            let count = if !limits.may_run(runner, &engine) {
+                &mut room.at_running_limit
+            } else if load.backlog >= limits.backlog {
+                &mut room.at_backlog_limit
+            } else if load.memory >= usable_memory(&engine) {
+                &mut room.at_memory_limit
+            } else {
+                &mut room.free
+            };
+            *count += 1;
+        }
+        room
+    }
+
     fn workspace_limits(&self) -> WorkspaceLimits {
         let limits = self.adaptive_limit.limits();
         WorkspaceLimits {
@@ -213,12 +242,12 @@
                 < runner.registration.slots
                     + runner.registration.slots.div_ceil(PLAIN_SURPLUS_DIVISOR);
         };
-        let memory = (engine.memory as f64 * MEMORY_FRACTION) as u64;
-        let WorkspaceLimits { backlog, running } = self.workspace_limits();
-        let missing = missing.min(backlog / 2);
-        load.running < running.min(runner.registration.slots).min(engine.slots)
-            && (load.memory + request.memory() <= memory || load.running == 0)
-            && load.backlog + missing <= backlog
+        let limits = self.workspace_limits();
+        let missing = missing.min(limits.backlog / 2);
+        let has_memory = load.memory + request.memory() <= usable_memory(&engine);
+        limits.may_run(runner, &engine)
+            && (has_memory || load.running == 0)
+            && load.backlog + missing <= limits.backlog
     }
 
     fn cost(&self, runner: &Runner, request: &Request, missing: u64, rank: Option<usize>) -> u64 {
@@ -247,6 +276,11 @@
     }
 }
 
+/// Returns the tokens of an engine's memory that requests may fill.
+const fn usable_memory(engine: &Engine) -> u64 {
+    (engine.memory as f64 * MEMORY_FRACTION) as u64
+}
+
 /// Returns how long a request may wait for the runner with the lowest cost.
 fn max_preferred_wait(request: &Request) -> Duration {
     request.target.saturating_sub(request.arrived).mul_f64(PREFERRED_WAIT_FRACTION)
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -1,16 +1,21 @@
 //! The state of a router and its decisions on each request.
 
-use std::net::SocketAddr;
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use base::Name;
 use indexmap::IndexMap;
 
 use crate::AdaptiveLimit;
+use crate::Contention;
 use crate::CrashHistory;
+use crate::Decision;
+use crate::FleetLimits;
+use crate::Grant;
 use crate::Key;
 use crate::Load;
 use crate::LoadLimits;
+use crate::Outcome;
 use crate::Registry;
 use crate::Request;
 use crate::RetryBudget;
@@ -37,63 +42,6 @@
 /// The shortest retry delay that a refused caller is given.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 
-/// The limits that hold over all routers, with the names of the routers that share them.
-#[derive(Debug, Clone)]
-pub struct FleetLimits {
-    /// The name of this router.
-    pub router: Name,
-    /// The availability zone of this router.
-    pub zone: Name,
-    /// The names of the other routers, whether they are connected or not; `None` until they are known.
-    pub peers: Option<Vec<Name>>,
-    /// The factor on the rate that a cold runner can handle.
-    pub cold_factor: f64,
-    /// Requests per second that a cold runner may be sent in addition.
-    pub cold_constant: f64,
-    /// The window of the retry budget.
-    pub retry_window: Duration,
-    /// Retries per request.
-    pub retry_ratio: f64,
-    /// Additional retries in a window, over all routers.
-    pub retry_constant: f64,
-}
-
-/// The right to send one request to one runner, which must be returned by [`Core::release`].
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Grant {
-    /// The runner.
-    pub runner: Key,
-    /// The identifier of the runner.
-    pub id: Name,
-    /// The address at which it accepts connections.
-    pub address: SocketAddr,
-    /// The runner from which it fetches the shared parts that it does not hold.
-    pub source: Option<SocketAddr>,
-    load: Load,
-    work: u64,
-}
-
-/// The decision on a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Decision {
-    /// The request may be sent.
-    Granted(Grant),
-    /// No runner has capacity in time.
-    Refused {
-        /// The time after which the caller may retry.
-        retry_after: Duration,
-    },
-}
-
-/// The result of submitting a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Outcome {
-    /// The request is decided.
-    Decided(Decision),
-    /// The request waits for a decision by [`Core::process_queue`].
-    Queued(Ticket),
-}
-
 /// The state of one service.
 #[derive(Debug, Clone)]
 struct ServiceState {
@@ -237,6 +185,21 @@
         self.services.iter().map(|(name, state)| (name, &state.adaptive_limit, state.queue.len()))
     }
 
+    /// Returns what keeps the waiting requests of a service from the engines, most waiting requests first.
+    pub fn contention(&mut self, now: Duration, service: &Name) -> Vec<Contention> {
+        let counts = self.service_state(service).queue.by_workspace();
+        let mut counts: Vec<(Name, usize)> =
+            counts.into_iter().map(|(name, count)| (name.clone(), count)).collect();
+        counts.sort_by_key(|(_, count)| Reverse(*count));
+        let states = counts.into_iter().filter_map(|(workspace, waiting)| {
+            let selector = self.selector(now, service, Some(&workspace))?;
+            let (engines, allowed_fraction) = (selector.engine_room(), selector.fraction);
+            let used = self.usage.of(now, &workspace);
+            Some(Contention { workspace, waiting, used, allowed_fraction, engines })
+        });
+        states.collect()
+    }
+
     /// Records the limits on the load of one engine that a number of other routers have derived.
     pub fn record_peer_limits(&mut self, service: &Name, other: LoadLimits, routers: usize) {
         let peers = self.limits.peers.as_ref().map_or(0, Vec::len);
--- /dev/null
+++ b/crates/balance/src/decision.rs
@@ -0,0 +1,48 @@
+//! The decisions on a request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::Name;
+
+use crate::Key;
+use crate::Load;
+use crate::Ticket;
+
+/// The right to send one request to one runner, which must be returned by [`crate::Core::release`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Grant {
+    /// The runner.
+    pub runner: Key,
+    /// The identifier of the runner.
+    pub id: Name,
+    /// The address at which it accepts connections.
+    pub address: SocketAddr,
+    /// The runner from which it fetches the shared parts that it does not hold.
+    pub source: Option<SocketAddr>,
+    /// The load that the request places on the runner.
+    pub(crate) load: Load,
+    /// The work that is charged to the workspace, in tokens.
+    pub(crate) work: u64,
+}
+
+/// The decision on a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Decision {
+    /// The request may be sent.
+    Granted(Grant),
+    /// No runner has capacity in time.
+    Refused {
+        /// The time after which the caller may retry.
+        retry_after: Duration,
+    },
+}
+
+/// The result of submitting a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// The request is decided.
+    Decided(Decision),
+    /// The request waits for a decision by [`crate::Core::process_queue`].
+    Queued(Ticket),
+}
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -89,4 +89,15 @@
     pub(crate) fn get(&self, ticket: Ticket) -> Option<&Waiting> {
         self.waiting.get(&ticket)
     }
+
+    /// Returns the number of waiting requests of each workspace.
+    pub(crate) fn by_workspace(&self) -> IndexMap<&Name, usize> {
+        let mut counts = IndexMap::new();
+        for waiting in self.waiting.values() {
+            if let Some(workspace) = &waiting.request.workspace {
+                *counts.entry(workspace).or_default() += 1;
+            }
+        }
+        counts
+    }
 }
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -68,6 +68,13 @@
         self
     }
 
+    /// Sets the workspace.
+    #[must_use]
+    pub fn workspace(mut self, workspace: &str) -> Self {
+        self.workspace = Some(workspace.to_owned());
+        self
+    }
+
     /// Sets the outcome.
     #[must_use]
     pub fn outcome(mut self, outcome: impl Into<String>) -> Self {
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -39,6 +39,8 @@
 const REVOCATION_FRACTION: f64 = 0.8;
 /// Delay from a change to the run of the queue, so that several changes are processed together.
 const QUEUE_DELAY: Duration = Duration::from_millis(3);
+/// Maximum number of workspaces of a service whose waiting requests are logged at one time.
+const MAX_CONTENTION_LINES: usize = 4;
 /// The window over which requests are counted.
 const REQUEST_WINDOW: Duration = Duration::from_secs(1);
 /// Interval between two removals of expired state.
@@ -361,9 +363,10 @@
         }
     }
 
-    /// Logs the number of waiting requests and the load limits of each engine.
+    /// Logs the load limits of each service's engines, and what keeps waiting requests from them.
     fn log_load(&self) {
-        let core = self.core.borrow();
+        let now = self.now();
+        let mut core = self.core.borrow_mut();
         for (service, adaptive_limit, waiting) in core.service_loads() {
             let text = format!(
                 "waiting {waiting}, backlog limit {} tokens, running limit {}",
@@ -372,6 +375,15 @@
             );
             self.log(Line::new("load").subject(service.as_str()).outcome(text));
         }
+        let services: Vec<base::Name> =
+            core.service_loads().map(|(service, ..)| service.clone()).collect();
+        for service in services {
+            for contention in core.contention(now, &service).iter().take(MAX_CONTENTION_LINES) {
+                let line = Line::new("contention").subject(service.as_str());
+                let line = line.workspace(contention.workspace.as_str());
+                self.log(line.outcome(contention.to_string()));
+            }
+        }
     }
 
     /// Returns all metrics as text.
