--- a/crates/balance/tests/common/mod.rs
+++ b/crates/balance/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Requests, runners and router states for the tests of decisions.
 #![allow(dead_code, reason = "each test file uses some of these items")]
 
+pub(crate) mod fleet;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/balance/tests/waiting.rs
+++ b/crates/balance/tests/waiting.rs
@@ -4,125 +4,35 @@
 
 use std::time::Duration;
 
-use balance::Core;
 use balance::Decision;
-use balance::Grant;
-use balance::Origin;
 use balance::Outcome;
 use base::Name;
-use indexmap::IndexMap;
 
 use crate::common::core;
+use crate::common::fleet::Fleet;
 use crate::common::ms;
 use crate::common::request;
 
 const NOW: Duration = Duration::from_secs(100);
 
-/// Routers that report their load to each other every 100 ms, and engines that process a fixed number of tokens per
-/// second.
-struct Fleet {
-    cores: Vec<Core>,
-    running: Vec<(usize, Grant, Duration, Name)>,
-    granted: IndexMap<Name, u64>,
-    waiting: IndexMap<(usize, balance::Ticket), Name>,
-}
-
 /// The time from a grant to its end at an engine under this load.
 const RUN: Duration = Duration::from_millis(120);
 
-impl Fleet {
-    fn new(routers: usize, engines: usize) -> Self {
-        let names: Vec<Name> = (0..routers).map(|n| Name::new(&format!("router-{n}"))).collect();
-        let cores = names.iter().map(|name| {
-            let mut core = core(name.as_str(), engines);
-            core.set_peers(names.iter().filter(|other| *other != name).cloned().collect());
-            core
-        });
-        Self {
-            cores: cores.collect(),
-            running: Vec::new(),
-            granted: IndexMap::new(),
-            waiting: IndexMap::new(),
-        }
-    }
-
-    fn submit(&mut self, now: Duration, router: usize, workspace: &str, shared: u64) {
-        let request = request(now, workspace, shared, 6_000);
-        match self.cores[router].submit(now, request) {
-            Outcome::Queued(ticket) => {
-                self.waiting.insert((router, ticket), Name::new(workspace));
-            }
-            Outcome::Decided(decision) => self.record(now, router, decision, &Name::new(workspace)),
-        }
-    }
-
-    fn record(&mut self, now: Duration, router: usize, decision: Decision, workspace: &Name) {
-        if let Decision::Granted(grant) = decision {
-            *self.granted.entry(workspace.clone()).or_default() += 1;
-            self.running.push((router, grant, now + RUN, workspace.clone()));
-        }
-    }
-
-    fn step(&mut self, now: Duration) {
-        let (ended, running) = std::mem::take(&mut self.running)
-            .into_iter()
-            .partition(|(_, _, until, _)| *until <= now);
-        self.running = running;
-        for (router, grant, _, workspace) in ended {
-            self.cores[router].release(now, &grant, Some(&workspace), true);
-        }
-        // The router of the small workspace runs last, after the others have used the free capacity.
-        for router in (0..self.cores.len()).rev() {
-            for (ticket, decision) in self.cores[router].process_queue(now) {
-                let workspace = self.waiting.swap_remove(&(router, ticket)).expect("waiting");
-                self.record(now, router, decision, &workspace);
-            }
-        }
-        if now.as_millis().is_multiple_of(100) {
-            self.exchange(now);
-        }
-    }
-
-    fn exchange(&mut self, now: Duration) {
-        for from in 0..self.cores.len() {
-            let sender = Origin::Router(Name::new(&format!("router-{from}")));
-            let loads: Vec<_> = self.cores[from]
-                .registry
-                .iter()
-                .map(|(_, runner)| (runner.registration.id.clone(), runner.own_load))
-                .collect();
-            let used: IndexMap<Name, u64> =
-                self.cores[from].usage.own(now).map(|(name, work)| (name.clone(), work)).collect();
-            for (to, core) in self.cores.iter_mut().enumerate() {
-                if to == from {
-                    continue;
-                }
-                for (id, load) in &loads {
-                    let key = core.registry.find(id.as_str()).expect("known");
-                    let runner = core.registry.get_mut(key).expect("known");
-                    runner.peer_loads.put(&sender, now, *load);
-                }
-                core.usage.put(&sender, now, used.clone());
-            }
-        }
-    }
-}
-
 #[test]
 fn a_workspace_at_one_router_gets_its_fair_share_beside_one_that_floods_all_others() {
-    let mut fleet = Fleet::new(9, 4);
+    let mut fleet = Fleet::new(9, 4, RUN, ms(100));
     for step in 0..600 {
         let now = NOW + ms(10 * step);
         fleet.step(now);
         for router in 1..9 {
-            fleet.submit(now, router, "flood", step * 9 + router as u64);
+            fleet.submit(now, router, request(now, "flood", step * 9 + router as u64, 6_000));
         }
         if step % 2 == 0 {
-            fleet.submit(now, 0, "small", 100_000 + step);
+            fleet.submit(now, 0, request(now, "small", 100_000 + step, 6_000));
         }
     }
-    let flood = fleet.granted["flood"];
-    let small = fleet.granted.get("small").copied().unwrap_or_default();
+    let flood = fleet.granted_between("flood", 100, 106);
+    let small = fleet.granted_between("small", 100, 106);
     assert!(small * 2 >= flood.min(300), "small {small} of 300, flood {flood}");
 }
 
