fix(balance): limits follow a workspace's fair share of present demand, not its use of idle engines

Cause: the workspace with most recent use could fill half of an engine's limits, all others more, and use halved in 3 s. One that used most while engines were idle thus stood behind all others for seconds once they were short, whoever flooded. The contention lines show it: 0.50 allowed for four seconds, no engine with room, no requests sent. Ruled out: processor of the crowded router and connections let in late (its refusals are decided in time).

Change: routers exchange what workspaces lack beside what they use (a section of the heartbeat that earlier builds ignore; nothing while nothing is lacking). Each router derives the max-min fair share from both, and a workspace may fill the less of an engine the more it has had of that share; half remains at the share, as before. Use halves in 1 s.

--- a/crates/balance/src/contention.rs
+++ b/crates/balance/src/contention.rs
@@ -4,6 +4,8 @@
 
 use base::Name;
 
+use crate::Work;
+
 /// The waiting requests of a workspace, and the limits that hold for it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Contention {
@@ -11,8 +13,10 @@
     pub workspace: Name,
     /// The number of its requests that wait at this router.
     pub waiting: usize,
-    /// Its recent work over all routers, in tokens.
-    pub used: u64,
+    /// Its recent work over all routers.
+    pub work: Work,
+    /// The fair share of a workspace, in tokens.
+    pub fair_share: u64,
     /// The fraction of an engine's limits that it may fill.
     pub allowed_fraction: f64,
     /// The engines, by what limits them for this workspace.
@@ -34,8 +38,10 @@
 
 impl fmt::Display for Contention {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { waiting, used, allowed_fraction, engines, .. } = self;
-        write!(formatter, "waiting {waiting}, used {used} tokens, ")?;
+        let Self { waiting, work, fair_share, allowed_fraction, engines, .. } = self;
+        let Work { used, unmet } = work;
+        write!(formatter, "waiting {waiting}, used {used} and lacked {unmet} tokens, ")?;
+        write!(formatter, "fair share {fair_share}, ")?;
         write!(formatter, "may fill {allowed_fraction:.2} of an engine; {engines}")
     }
 }
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -10,6 +10,7 @@
 use crate::Contention;
 use crate::CrashHistory;
 use crate::Decision;
+use crate::FairShare;
 use crate::FleetLimits;
 use crate::Grant;
 use crate::Key;
@@ -33,10 +34,8 @@
 const MAX_WAIT_FRACTION: f64 = 0.5;
 /// The maximum number of placements in one report to other routers.
 const MAX_PLACEMENTS: usize = 48;
-/// The fraction of an engine's load that the workspace with the largest recent work leaves to the others.
-const RESERVED_FRACTION: f64 = 0.5;
-/// The interval at which the largest recent work of a workspace is computed again.
-const MAX_WORK_INTERVAL: Duration = Duration::from_millis(50);
+/// The interval at which the fair share of a workspace is computed again.
+const FAIR_SHARE_INTERVAL: Duration = Duration::from_millis(50);
 /// The maximum number of waiting requests of a service that are examined in one run of its queue.
 const MAX_EXAMINED: usize = 24;
 /// The shortest retry delay that a refused caller is given.
@@ -64,7 +63,8 @@
     limits: FleetLimits,
     services: IndexMap<Name, ServiceState>,
     tickets: u64,
-    max_work: (Duration, u64),
+    /// The fair share of a workspace, with the time at which it was computed.
+    fair_share: (Duration, FairShare),
     /// Shared parts that are to be reported to other routers, with the runners to which they were sent.
     placements: Vec<(u64, Key)>,
 }
@@ -81,7 +81,7 @@
             limits,
             services: IndexMap::new(),
             tickets: 0,
-            max_work: (Duration::ZERO, 0),
+            fair_share: (Duration::ZERO, FairShare::default()),
             placements: Vec::new(),
         }
     }
@@ -125,6 +125,9 @@
     /// Submits a request for a runner.
     pub fn submit(&mut self, now: Duration, request: Request) -> Outcome {
         let has_waiting = !self.service_state(&request.service).queue.is_empty();
+        if let Some(workspace) = &request.workspace {
+            self.usage.record_demand(now, workspace, request.work());
+        }
         if let Some(prompt) = &request.prompt {
             let time = request.deadline.saturating_sub(request.arrived);
             self.service_state(&request.service).adaptive_limit.record_request(
@@ -187,6 +190,7 @@
 
     /// Returns what keeps the waiting requests of a service from the engines, most waiting requests first.
     pub fn contention(&mut self, now: Duration, service: &Name) -> Vec<Contention> {
+        let fair_share = self.fair_share(now).tokens();
         let counts = self.service_state(service).queue.by_workspace();
         let mut counts: Vec<(Name, usize)> =
             counts.into_iter().map(|(name, count)| (name.clone(), count)).collect();
@@ -194,8 +198,8 @@
         let states = counts.into_iter().filter_map(|(workspace, waiting)| {
             let selector = self.selector(now, service, Some(&workspace))?;
             let (engines, allowed_fraction) = (selector.engine_room(), selector.fraction);
-            let used = self.usage.of(now, &workspace);
-            Some(Contention { workspace, waiting, used, allowed_fraction, engines })
+            let work = self.usage.of(now, &workspace);
+            Some(Contention { workspace, waiting, work, fair_share, allowed_fraction, engines })
         });
         states.collect()
     }
@@ -312,16 +316,17 @@
     }
 
     /// Returns the fraction of an engine's limits that a workspace may fill.
-    ///
-    /// Routers have no common queue. The workspace with the largest recent work therefore has a lower limit at all
-    /// routers, so that requests of the others find capacity at once.
     fn allowed_fraction(&mut self, now: Duration, workspace: Option<&Name>) -> f64 {
         let Some(workspace) = workspace else { return 1.0 };
-        if now >= self.max_work.0 + MAX_WORK_INTERVAL {
-            self.max_work = (now, self.usage.max_work(now));
+        let used = self.usage.of(now, workspace).used;
+        self.fair_share(now).allowed_fraction(used)
+    }
+
+    fn fair_share(&mut self, now: Duration) -> FairShare {
+        if now >= self.fair_share.0 + FAIR_SHARE_INTERVAL {
+            self.fair_share = (now, FairShare::of(self.usage.all(now)));
         }
-        let used = self.usage.of(now, workspace) as f64;
-        1.0 - RESERVED_FRACTION * (used / self.max_work.1.max(1) as f64).min(1.0)
+        self.fair_share.1
     }
 
     /// Removes and returns the placements of shared parts since the last call, for a report to the other routers.
--- a/crates/balance/src/usage.rs
+++ b/crates/balance/src/usage.rs
@@ -1,5 +1,6 @@
-//! The recent use of engines by each workspace, over all routers.
+//! The recent work of each workspace, over all routers: what its requests have asked for and what they were granted.
 
+use std::ops::AddAssign;
 use std::time::Duration;
 
 use base::Name;
@@ -7,11 +8,42 @@
 
 use crate::Origin;
 
-/// The time after which past use has half of its weight.
-const HALF_LIFE: Duration = Duration::from_secs(3);
+/// The time after which past work has half of its weight.
+const HALF_LIFE: Duration = Duration::from_secs(1);
 /// The time after which reported figures expire.
 const EXPIRY: Duration = Duration::from_millis(1_500);
 
+/// Recent work of a workspace, in tokens, as sums with exponential decay.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Work {
+    /// The work of requests that were granted a runner.
+    pub used: u64,
+    /// The work of requests that were not, while they wait and after they are refused.
+    pub unmet: u64,
+}
+
+impl Work {
+    /// Returns the work of all requests.
+    #[must_use]
+    pub const fn demand(self) -> u64 {
+        self.used + self.unmet
+    }
+
+    const fn saturating_sub(self, other: Self) -> Self {
+        Self {
+            used: self.used.saturating_sub(other.used),
+            unmet: self.unmet.saturating_sub(other.unmet),
+        }
+    }
+}
+
+impl AddAssign for Work {
+    fn add_assign(&mut self, other: Self) {
+        self.used += other.used;
+        self.unmet += other.unmet;
+    }
+}
+
 /// A sum with exponential decay.
 #[derive(Debug, Clone, Copy, Default)]
 struct Decay {
@@ -19,13 +51,23 @@
     sum: f64,
 }
 
-/// The recent work of each workspace, as sums with exponential decay.
+/// The work of a workspace at this router.
+#[derive(Debug, Clone, Copy, Default)]
+struct OwnWork {
+    used: Decay,
+    demand: Decay,
+}
+
+/// Reported work by workspace, with the time of the report.
+type Report = (Duration, IndexMap<Name, Work>);
+
+/// The recent work of each workspace.
 #[derive(Debug, Clone, Default)]
 pub struct Usage {
-    own: IndexMap<Name, Decay>,
-    reported: IndexMap<Origin, (Duration, IndexMap<Name, u64>)>,
+    own: IndexMap<Name, OwnWork>,
+    reported: IndexMap<Origin, Report>,
     /// The sums of the reported figures, which each decision needs.
-    reported_sums: IndexMap<Name, u64>,
+    reported_sums: IndexMap<Name, Work>,
 }
 
 impl Decay {
@@ -40,25 +82,37 @@
     }
 }
 
+impl OwnWork {
+    fn value(self, now: Duration) -> Work {
+        let (used, demand) = (self.used.value(now) as u64, self.demand.value(now) as u64);
+        Work { used, unmet: demand.saturating_sub(used) }
+    }
+}
+
 impl Usage {
+    /// Records the work that a new request of a workspace asks for.
+    pub fn record_demand(&mut self, now: Duration, workspace: &Name, work: u64) {
+        self.own.entry(workspace.clone()).or_default().demand.add(now, work as f64);
+    }
+
     /// Charges work to a workspace.
     pub fn charge(&mut self, now: Duration, workspace: &Name, work: u64) {
-        self.own.entry(workspace.clone()).or_default().add(now, work as f64);
+        self.own.entry(workspace.clone()).or_default().used.add(now, work as f64);
     }
 
     /// Refunds work that was charged but not done.
     pub fn refund(&mut self, now: Duration, workspace: &Name, work: u64) {
-        if let Some(decay) = self.own.get_mut(workspace) {
-            decay.add(now, -(work as f64));
+        if let Some(own) = self.own.get_mut(workspace) {
+            own.used.add(now, -(work as f64));
         }
     }
 
-    /// Records the work that other routers have charged, by workspace, which an origin reported at `at`.
-    pub fn put(&mut self, origin: &Origin, at: Duration, sums: IndexMap<Name, u64>) {
-        for (workspace, work) in &sums {
-            *self.reported_sums.entry(workspace.clone()).or_default() += work;
+    /// Records the work at other routers, by workspace, which an origin reported at `at`.
+    pub fn put(&mut self, origin: &Origin, at: Duration, works: IndexMap<Name, Work>) {
+        for (workspace, work) in &works {
+            *self.reported_sums.entry(workspace.clone()).or_default() += *work;
         }
-        let previous = self.reported.insert(origin.clone(), (at, sums));
+        let previous = self.reported.insert(origin.clone(), (at, works));
         self.subtract(previous);
     }
 
@@ -73,8 +127,8 @@
         }
     }
 
-    fn subtract(&mut self, removed: Option<(Duration, IndexMap<Name, u64>)>) {
-        for (workspace, work) in removed.into_iter().flat_map(|(_, sums)| sums) {
+    fn subtract(&mut self, removed: Option<Report>) {
+        for (workspace, work) in removed.into_iter().flat_map(|(_, works)| works) {
             if let Some(sum) = self.reported_sums.get_mut(&workspace) {
                 *sum = sum.saturating_sub(work);
             }
@@ -83,42 +137,45 @@
 
     /// Returns the recent work of a workspace over all routers.
     #[must_use]
-    pub fn of(&self, now: Duration, workspace: &Name) -> u64 {
-        let reported = self.reported_sums.get(workspace).copied().unwrap_or_default();
-        self.own_work(now, workspace) + reported
+    pub fn of(&self, now: Duration, workspace: &Name) -> Work {
+        let mut work = self.reported_sums.get(workspace).copied().unwrap_or_default();
+        work += self.own_work(now, workspace);
+        work
     }
 
-    /// Returns the largest recent work of any workspace over all routers.
-    #[must_use]
-    pub fn max_work(&self, now: Duration) -> u64 {
-        self.workspaces().into_iter().map(|name| self.of(now, name)).max().unwrap_or_default()
+    /// Returns the recent work of each workspace over all routers.
+    pub fn all(&self, now: Duration) -> impl Iterator<Item = Work> {
+        self.workspaces().into_iter().map(move |name| self.of(now, name))
     }
 
     /// Returns the recent work at this router and those that report their own, by workspace, for a report to other zones.
-    pub fn of_routers(&self, now: Duration) -> impl Iterator<Item = (&Name, u64)> {
-        let sums = self
-            .workspaces()
-            .into_iter()
-            .map(move |name| (name, self.own_work(now, name) + self.work_of_routers(name)));
-        sums.filter(|(_, sum)| *sum > 0)
+    pub fn of_routers(&self, now: Duration) -> impl Iterator<Item = (&Name, Work)> {
+        self.workspaces().into_iter().map(move |name| {
+            let mut work = self.own_work(now, name);
+            work += self.work_of_routers(name);
+            (name, work)
+        })
     }
 
-    /// Returns the work that this router has charged recently, by workspace.
-    pub fn own(&self, now: Duration) -> impl Iterator<Item = (&Name, u64)> {
-        let sums = self.own.iter().map(move |(name, decay)| (name, decay.value(now) as u64));
-        sums.filter(|(_, sum)| *sum > 0)
+    /// Returns the recent work at this router, by workspace.
+    pub fn own(&self, now: Duration) -> impl Iterator<Item = (&Name, Work)> {
+        self.own.iter().map(move |(name, own)| (name, own.value(now)))
     }
 
-    fn own_work(&self, now: Duration, workspace: &Name) -> u64 {
-        self.own.get(workspace).map_or(0.0, |decay| decay.value(now)) as u64
+    fn own_work(&self, now: Duration, workspace: &Name) -> Work {
+        self.own.get(workspace).map_or_else(Work::default, |own| own.value(now))
     }
 
-    fn work_of_routers(&self, workspace: &Name) -> u64 {
+    fn work_of_routers(&self, workspace: &Name) -> Work {
         let routers = self.reported.iter().filter(|(origin, _)| origin.is_router());
-        routers.filter_map(|(_, (_, sums))| sums.get(workspace)).sum()
+        let works = routers.filter_map(|(_, (_, works))| works.get(workspace));
+        works.fold(Work::default(), |mut sum, work| {
+            sum += *work;
+            sum
+        })
     }
 
-    /// Returns all workspaces with use, each once.
+    /// Returns all workspaces with recent work, each once.
     fn workspaces(&self) -> Vec<&Name> {
         let reported = self.reported_sums.keys();
         let mut names: Vec<&Name> = self.own.keys().chain(reported).collect();
--- a/crates/balance/tests/common/fleet.rs
+++ b/crates/balance/tests/common/fleet.rs
@@ -8,6 +8,7 @@
 use balance::Origin;
 use balance::Outcome;
 use balance::Request;
+use balance::Work;
 use base::Name;
 use indexmap::IndexMap;
 
@@ -138,7 +139,7 @@
                 .iter()
                 .map(|(_, runner)| (runner.registration.id.clone(), runner.own_load))
                 .collect();
-            let used: IndexMap<Name, u64> =
+            let works: IndexMap<Name, Work> =
                 self.cores[from].usage.own(now).map(|(name, work)| (name.clone(), work)).collect();
             for (to, core) in self.cores.iter_mut().enumerate() {
                 if to == from {
@@ -149,7 +150,7 @@
                     let runner = core.registry.get_mut(key).expect("known");
                     runner.peer_loads.put(&sender, now, *load);
                 }
-                core.usage.put(&sender, now, used.clone());
+                core.usage.put(&sender, now, works.clone());
             }
         }
     }
--- a/crates/balance/tests/waiting.rs
+++ b/crates/balance/tests/waiting.rs
@@ -88,9 +88,9 @@
     let mut core = core("router-1", 1);
     let wall = Name::new("wall");
     let grant = common::granted(core.submit(NOW, request(NOW, "wall", 7, 50)));
-    assert!(core.usage.of(NOW, &wall) > 0);
+    assert!(core.usage.of(NOW, &wall).used > 0);
     core.release(NOW, &grant, Some(&wall), false);
-    assert_eq!(core.usage.of(NOW, &wall), 0);
+    assert_eq!(core.usage.of(NOW, &wall).used, 0);
 }
 
 #[test]
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -157,6 +157,9 @@
     pub(crate) crashes: Vec<Crashes>,
     /// The routers of the zone.
     pub(crate) members: Vec<MemberReport>,
+    /// The recent work that workspaces have lacked.
+    #[serde(skip)]
+    pub(crate) unmet: Vec<WorkspaceUse>,
 }
 
 /// The part of a datagram that routers of earlier versions ignore.
@@ -168,6 +171,18 @@
     pub(crate) reaches_store: bool,
     /// The sums of the sender's own zone for other zones, or those of other zones for its own.
     pub(crate) sums: Vec<ZoneSums>,
+    /// The recent work that workspaces have lacked at the sender.
+    #[serde(skip)]
+    pub(crate) unmet: Vec<WorkspaceUse>,
+}
+
+/// The work that workspaces have lacked, in a part of a datagram of its own, which earlier versions ignore.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct UnmetWork {
+    /// At the sender.
+    own: Vec<WorkspaceUse>,
+    /// In each zone, in the order of [`Extension::sums`].
+    by_zone: Vec<Vec<WorkspaceUse>>,
 }
 
 /// A received heartbeat, and the newest heartbeat of the receiver that it acknowledges.
@@ -183,7 +198,20 @@
 /// Encodes a heartbeat with its extension, whose content is the same for all receivers.
 pub(crate) fn encode(heartbeat: &Heartbeat, extension: &Extension) -> Option<Vec<u8>> {
     let encoded = postcard::to_stdvec(heartbeat).ok()?;
-    postcard::to_extend(extension, encoded).ok()
+    let encoded = postcard::to_extend(extension, encoded).ok()?;
+    let by_zone = extension.sums.iter().map(|sums| sums.unmet.clone()).collect();
+    postcard::to_extend(&UnmetWork { own: extension.unmet.clone(), by_zone }, encoded).ok()
+}
+
+/// Decodes an extension, with the unmet work if the sender reports it.
+fn decode_extension(bytes: &[u8]) -> Option<Extension> {
+    let (mut extension, rest): (Extension, &[u8]) = postcard::take_from_bytes(bytes).ok()?;
+    let unmet: UnmetWork = postcard::from_bytes(rest).unwrap_or_default();
+    extension.unmet = unmet.own;
+    for (sums, unmet) in extension.sums.iter_mut().zip(unmet.by_zone) {
+        sums.unmet = unmet;
+    }
+    Some(extension)
 }
 
 /// Appends the acknowledged sequence number for one receiver, and the authentication code of the entire datagram.
@@ -206,7 +234,7 @@
     let (heartbeat, rest): (Heartbeat, &[u8]) = postcard::take_from_bytes(encoded).ok()?;
     let key = key_of(&heartbeat.sender, heartbeat.incarnation)?;
     mac(&key, content).verify_truncated_left(code).ok()?;
-    let extension = postcard::from_bytes(rest).ok();
+    let extension = decode_extension(rest);
     Some(Received { heartbeat, extension, acknowledged: u64::from_be_bytes(*acknowledged) })
 }
 
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -119,6 +119,7 @@
     is_aggregator: bool,
 ) {
     let mut extension = extension(router);
+    extension.unmet = report::own_unmet(&router.core.borrow(), router.now());
     if is_aggregator {
         extension.sums = router.exchange.borrow_mut().take_sums(router.now());
     }
@@ -200,6 +201,7 @@
         heard: u32::try_from(heard.count()).unwrap_or(u32::MAX),
         reaches_store: router.reaches_store(),
         sums: Vec::new(),
+        unmet: Vec::new(),
     }
 }
 
@@ -238,7 +240,8 @@
         return;
     }
     if is_direct(router, &heartbeat.sender) {
-        report::apply_heartbeat(router, now, &heartbeat);
+        let unmet = extension.as_ref().map_or(&[][..], |extension| &extension.unmet);
+        report::apply_heartbeat(router, now, &heartbeat, unmet);
     }
     for sums in extension.iter().flat_map(|extension| &extension.sums) {
         report::apply_sums(router, now, sums);
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -9,6 +9,7 @@
 use balance::MemberStatus;
 use balance::Origin;
 use balance::Runner;
+use balance::Work;
 use base::Name;
 use indexmap::IndexMap;
 
@@ -29,6 +30,7 @@
     loads: &'a [RunnerLoad],
     placed: &'a [PlacedPart],
     used: &'a [WorkspaceUse],
+    unmet: &'a [WorkspaceUse],
     limits: &'a [ServiceLimits],
     crashes: &'a [Crashes],
     /// The number of routers that report these figures.
@@ -42,7 +44,12 @@
 
 /// Returns the recent use of engines through this router.
 pub(crate) fn own_use(core: &Core, now: Duration) -> Vec<WorkspaceUse> {
-    workspace_use(core.usage.own(now))
+    workspace_use(core.usage.own(now).map(|(name, work)| (name, work.used)))
+}
+
+/// Returns the recent work that workspaces have lacked at this router.
+pub(crate) fn own_unmet(core: &Core, now: Duration) -> Vec<WorkspaceUse> {
+    workspace_use(core.usage.own(now).map(|(name, work)| (name, work.unmet)))
 }
 
 /// Returns the adaptive limits of this router.
@@ -83,7 +90,8 @@
         age_ms: 0,
         loads: loads(&core, zone_load),
         placed: router.exchange.borrow_mut().take_placed(),
-        used: workspace_use(core.usage.of_routers(now)),
+        used: workspace_use(core.usage.of_routers(now).map(|(name, work)| (name, work.used))),
+        unmet: workspace_use(core.usage.of_routers(now).map(|(name, work)| (name, work.unmet))),
         limits: limits(&core),
         crashes: crashes(core.crash_history.crashes_of_routers(now)),
         members: member_reports(router, now, incarnation),
@@ -91,11 +99,17 @@
 }
 
 /// Applies the figures of a router that exchanges heartbeats with this one directly.
-pub(crate) fn apply_heartbeat(router: &Router, now: Duration, heartbeat: &Heartbeat) {
+pub(crate) fn apply_heartbeat(
+    router: &Router,
+    now: Duration,
+    heartbeat: &Heartbeat,
+    unmet: &[WorkspaceUse],
+) {
     let figures = Figures {
         loads: &heartbeat.loads,
         placed: &heartbeat.placed,
         used: &heartbeat.used,
+        unmet,
         limits: &heartbeat.limits,
         crashes: &heartbeat.crashes,
         routers: 1,
@@ -115,6 +129,7 @@
         loads: &sums.loads,
         placed: &sums.placed,
         used: &sums.used,
+        unmet: &sums.unmet,
         limits: &sums.limits,
         crashes: &sums.crashes,
         routers: sums.members.len(),
@@ -154,15 +169,20 @@
     }
 
     fn apply_use(&self, core: &mut Core, origin: &Origin, at: Duration) {
-        let used: IndexMap<Digest, u64> =
-            self.used.iter().map(|used| (used.workspace, used.work)).collect();
+        let mut works: IndexMap<Digest, Work> = IndexMap::new();
+        for used in self.used {
+            works.entry(used.workspace).or_default().used = used.work;
+        }
+        for unmet in self.unmet {
+            works.entry(unmet.workspace).or_default().unmet = unmet.work;
+        }
         let names = core.table.iter().flat_map(balance::Table::workspaces);
-        let sums = names.filter_map(|name| {
-            let work = used.get(&Digest::of(name.as_str())).copied()?;
+        let works = names.filter_map(|name| {
+            let work = works.get(&Digest::of(name.as_str())).copied()?;
             Some((name.clone(), work))
         });
-        let sums = sums.collect();
-        core.usage.put(origin, at, sums);
+        let works = works.collect();
+        core.usage.put(origin, at, works);
     }
 
     fn apply_limits(&self, core: &mut Core) {
@@ -192,6 +212,7 @@
 }
 
 fn workspace_use<'a>(used: impl Iterator<Item = (&'a Name, u64)>) -> Vec<WorkspaceUse> {
+    let used = used.filter(|(_, work)| *work > 0);
     let used = used
         .map(|(workspace, work)| WorkspaceUse { workspace: Digest::of(workspace.as_str()), work });
     used.collect()
