perf(balance): a request that fits no engine costs little

Cause: the queue looks at up to 24 requests a run, and each that fits no engine paid for ranks and costs of all of them. Since a workspace within its fair share finds some room more often, this was done more often. Change: if no engine has capacity even for a request that it holds in its cache, nothing else is computed.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -101,9 +101,12 @@
 impl Selector<'_> {
     /// Chooses the runner with the lowest cost, or `None` if it has no capacity and the request may still wait for it.
     pub(crate) fn choose(&self, request: &Request) -> Option<Choice> {
+        let serving = || self.registry.serving(request.service.as_str());
+        if !serving().any(|(_, runner)| self.may_have_capacity(runner, request)) {
+            return None;
+        }
         let ranks = self.ranks(request);
-        let serving = self.registry.serving(request.service.as_str());
-        let usable = serving.filter(|(key, runner)| self.is_usable(*key, runner, request));
+        let usable = serving().filter(|(key, runner)| self.is_usable(*key, runner, request));
         let candidates = usable.map(|(key, runner)| {
             let missing = missing_tokens(runner, request, self.now);
             let rank = ranks.iter().position(|ranked| *ranked == key);
@@ -234,6 +237,13 @@
         runner.cold_sent.clone().sum(self.now) < share
     }
 
+    /// Returns whether a runner has capacity for a request if it holds all of its prompt.
+    ///
+    /// This is known at little cost, and no engine has capacity for most requests that wait.
+    fn may_have_capacity(&self, runner: &Runner, request: &Request) -> bool {
+        self.has_capacity(runner, request, 0)
+    }
+
     /// Returns whether a runner has capacity for a request, of whose prompt it still has to process `missing` tokens.
     fn has_capacity(&self, runner: &Runner, request: &Request, missing: u64) -> bool {
         let load = runner.load();
