fix(balance): routers don't all fill the same room, and use of idle engines counts up to the fair share only

Cause: every router sees the same free room and fills it before it hears of the others' requests, so engines get several times their limit; and recent use counted alike whether engines were idle or short.

Change: a workspace that asks for more than its fair share competes; for its requests a router uses, within two intervals of heartbeats, only its part of the free room, in proportion to what these workspaces lack there. Use while nobody competes counts up to the fair share and not beyond. Use halves in 0.7 s. Shares are computed anew at once when a workspace exceeds its own. Heartbeats report what was used and lacked while engines were short.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -23,6 +23,7 @@
 use crate::Runner;
 use crate::Service;
 use crate::rendezvous;
+use crate::room_part::RoomPart;
 
 /// The prompt tokens that delay a first token as much as one running request does.
 const RUNNING_TOKENS: u64 = 48;
@@ -60,6 +61,8 @@
     pub(crate) adaptive_limit: &'a AdaptiveLimit,
     /// The fraction of these limits that the workspace may fill.
     pub(crate) fraction: f64,
+    /// The part of free room that this router may use for the workspace; `None` if it may use all.
+    pub(crate) room_part: Option<RoomPart>,
     /// The limits that hold over all routers, with the names of this router and its peers.
     pub(crate) fleet_limits: &'a FleetLimits,
     /// The current time.
@@ -96,6 +99,15 @@
         let limit = self.running.min(runner.registration.slots).min(engine.slots);
         runner.load().running < limit
     }
+
+    /// Returns how many requests with `missing` tokens to process had room at a runner at the start of the interval of
+    /// a part.
+    fn fitting(&self, runner: &Runner, part: RoomPart, missing: u64) -> f64 {
+        let (load, recent) = (runner.load(), part.recent_load(runner));
+        let running = (self.running + recent.running).saturating_sub(load.running);
+        let backlog = (self.backlog + recent.backlog).saturating_sub(load.backlog);
+        f64::from(running).min(backlog as f64 / missing.max(1) as f64)
+    }
 }
 
 impl Selector<'_> {
@@ -258,6 +270,9 @@
         limits.may_run(runner, &engine)
             && (has_memory || load.running == 0)
             && load.backlog + missing <= limits.backlog
+            && self
+                .room_part
+                .is_none_or(|part| part.allows(runner, limits.fitting(runner, part, missing)))
     }
 
     fn cost(&self, runner: &Runner, request: &Request, missing: u64, rank: Option<usize>) -> u64 {
--- a/crates/balance/src/contention.rs
+++ b/crates/balance/src/contention.rs
@@ -39,8 +39,9 @@
 impl fmt::Display for Contention {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { waiting, work, fair_share, allowed_fraction, engines, .. } = self;
-        let Work { used, unmet } = work;
-        write!(formatter, "waiting {waiting}, used {used} and lacked {unmet} tokens, ")?;
+        let Work { used, contended, unmet } = work;
+        write!(formatter, "waiting {waiting}, used {used} tokens, {contended} of them ")?;
+        write!(formatter, "when engines were short, lacked {unmet}, ")?;
         write!(formatter, "fair share {fair_share}, ")?;
         write!(formatter, "may fill {allowed_fraction:.2} of an engine; {engines}")
     }
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -29,13 +29,17 @@
 use crate::choice::Selector;
 use crate::queue::Queue;
 use crate::queue::Waiting;
+use crate::room_part;
+use crate::room_part::RoomPart;
 
 /// The fraction of its target time for which a request waits for a runner.
 const MAX_WAIT_FRACTION: f64 = 0.5;
 /// The maximum number of placements in one report to other routers.
 const MAX_PLACEMENTS: usize = 48;
-/// The interval at which the fair share of a workspace is computed again.
-const FAIR_SHARE_INTERVAL: Duration = Duration::from_millis(50);
+/// The interval at which the shares of workspaces and of this router are computed again.
+const SHARE_INTERVAL: Duration = Duration::from_millis(50);
+/// The interval of reports to other routers until it is known.
+const DEFAULT_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// The maximum number of waiting requests of a service that are examined in one run of its queue.
 const MAX_EXAMINED: usize = 24;
 /// The shortest retry delay that a refused caller is given.
@@ -49,6 +53,16 @@
     budget: RetryBudget,
 }
 
+/// The shares that are derived from the recent work of all workspaces.
+#[derive(Debug, Clone, Copy, Default)]
+struct Shares {
+    /// The time until which they are used.
+    until: Duration,
+    fair_share: FairShare,
+    /// The part of this router in the requests of competing workspaces; `None` if none competes.
+    part: Option<f64>,
+}
+
 /// The state of a router.
 #[derive(Debug, Clone)]
 pub struct Core {
@@ -63,8 +77,8 @@
     limits: FleetLimits,
     services: IndexMap<Name, ServiceState>,
     tickets: u64,
-    /// The fair share of a workspace, with the time at which it was computed.
-    fair_share: (Duration, FairShare),
+    shares: Shares,
+    report_interval: Duration,
     /// Shared parts that are to be reported to other routers, with the runners to which they were sent.
     placements: Vec<(u64, Key)>,
 }
@@ -81,7 +95,8 @@
             limits,
             services: IndexMap::new(),
             tickets: 0,
-            fair_share: (Duration::ZERO, FairShare::default()),
+            shares: Shares::default(),
+            report_interval: DEFAULT_REPORT_INTERVAL,
             placements: Vec::new(),
         }
     }
@@ -100,6 +115,11 @@
         self.limits.peers = Some(peers);
     }
 
+    /// Sets the time after which the other routers know of a grant.
+    pub const fn set_report_interval(&mut self, interval: Duration) {
+        self.report_interval = interval;
+    }
+
     /// Adopts a configuration and returns `true`, or returns `false` if it is not newer than the current one.
     pub fn adopt(&mut self, table: Table) -> bool {
         if self.table.as_ref().is_some_and(|current| current.version >= table.version) {
@@ -125,9 +145,6 @@
     /// Submits a request for a runner.
     pub fn submit(&mut self, now: Duration, request: Request) -> Outcome {
         let has_waiting = !self.service_state(&request.service).queue.is_empty();
-        if let Some(workspace) = &request.workspace {
-            self.usage.record_demand(now, workspace, request.work());
-        }
         if let Some(prompt) = &request.prompt {
             let time = request.deadline.saturating_sub(request.arrived);
             self.service_state(&request.service).adaptive_limit.record_request(
@@ -136,7 +153,11 @@
                 prompt.output,
             );
         }
-        if !has_waiting && let Some(grant) = self.grant(now, &request) {
+        let grant = if has_waiting { None } else { self.grant(now, &request) };
+        if let Some(workspace) = &request.workspace {
+            self.usage.record_demand(now, workspace, request.work());
+        }
+        if let Some(grant) = grant {
             return Outcome::Decided(Decision::Granted(grant));
         }
         let expires_at = expires_at(&request);
@@ -248,7 +269,7 @@
             runner.own_load.remove(grant.load);
         }
         if let Some(workspace) = workspace.filter(|_| !may_have_run) {
-            self.usage.refund(now, workspace, grant.work);
+            self.usage.refund(now, workspace, grant.work, grant.is_contended);
         }
     }
 
@@ -302,6 +323,7 @@
         workspace: Option<&Name>,
     ) -> Option<Selector<'_>> {
         let fraction = self.allowed_fraction(now, workspace);
+        let room_part = self.room_part(now, workspace);
         self.service_state(service);
         self.tickets += 1;
         Some(Selector {
@@ -309,6 +331,7 @@
             service: self.service(service)?,
             adaptive_limit: &self.services[service].adaptive_limit,
             fraction,
+            room_part,
             fleet_limits: &self.limits,
             now,
             salt: self.tickets,
@@ -318,15 +341,33 @@
     /// Returns the fraction of an engine's limits that a workspace may fill.
     fn allowed_fraction(&mut self, now: Duration, workspace: Option<&Name>) -> f64 {
         let Some(workspace) = workspace else { return 1.0 };
-        let used = self.usage.of(now, workspace).used;
-        self.fair_share(now).allowed_fraction(used)
+        let work = self.usage.of(now, workspace);
+        self.fair_share(now).allowed_fraction(work)
     }
 
     fn fair_share(&mut self, now: Duration) -> FairShare {
-        if now >= self.fair_share.0 + FAIR_SHARE_INTERVAL {
-            self.fair_share = (now, FairShare::of(self.usage.all(now)));
+        self.update_shares(now);
+        self.shares.fair_share
+    }
+
+    /// Returns the part of free room that this router uses for requests of a workspace, or `None` if it may use all.
+    fn room_part(&mut self, now: Duration, workspace: Option<&Name>) -> Option<RoomPart> {
+        let work = self.usage.of(now, workspace?);
+        if !self.fair_share(now).is_competing(work) {
+            return None;
         }
-        self.fair_share.1
+        let part = self.shares.part?;
+        Some(RoomPart::new(&self.limits.router, now, self.report_interval, part))
+    }
+
+    fn update_shares(&mut self, now: Duration) {
+        if now < self.shares.until {
+            return;
+        }
+        let fair_share = FairShare::of(self.usage.all(now).map(|(_, all)| all));
+        let competing = self.usage.all(now).filter(|(_, all)| fair_share.is_competing(*all));
+        let part = room_part::part(competing);
+        self.shares = Shares { until: now + SHARE_INTERVAL, fair_share, part };
     }
 
     /// Removes and returns the placements of shared parts since the last call, for a report to the other routers.
@@ -350,16 +391,21 @@
             runner.cold_sent.add(now, 1);
         }
         runner.own_load.add(load);
+        runner.recent_load.add(room_part::interval(now, self.report_interval), load);
         if let Some(prompt) = &request.prompt {
             let reported = runner.prefix_cache.record_sent(prompt, now);
             self.placements.extend(reported.map(|part| (part, key)));
         }
         let (id, address) = (runner.registration.id.clone(), runner.registration.address);
+        let is_contended = self.shares.part.is_some();
         let work = request.work();
         if let Some(workspace) = &request.workspace {
-            self.usage.charge(now, workspace, work);
+            self.usage.charge(now, workspace, work, is_contended);
+            if self.usage.of(now, workspace).used > self.shares.fair_share.tokens() {
+                self.shares.until = now;
+            }
         }
-        Grant { runner: key, id, address, source: choice.source, load, work }
+        Grant { runner: key, id, address, source: choice.source, load, work, is_contended }
     }
 
     fn service(&self, name: &Name) -> Option<&Service> {
--- a/crates/balance/src/decision.rs
+++ b/crates/balance/src/decision.rs
@@ -24,6 +24,8 @@
     pub(crate) load: Load,
     /// The work that is charged to the workspace, in tokens.
     pub(crate) work: u64,
+    /// Whether some workspace lacked work when the request was granted.
+    pub(crate) is_contended: bool,
 }
 
 /// The decision on a request.
--- a/crates/balance/src/fair_share.rs
+++ b/crates/balance/src/fair_share.rs
@@ -11,6 +11,8 @@
 
 /// The fraction of an engine's limits that a workspace leaves to others when it has been granted its fair share.
 const RESERVED_FRACTION: f64 = 0.5;
+/// The part of its demand that a workspace must lack to count as competing.
+const MIN_UNMET_FRACTION: f64 = 0.1;
 /// The smallest fraction of an engine's limits that a workspace may fill.
 const MIN_FRACTION: f64 = 0.25;
 
@@ -46,10 +48,20 @@
         self.0
     }
 
-    /// Returns the fraction of an engine's limits that a workspace may fill after it has used some work.
+    /// Returns whether a workspace competes with others: it lacks work and asks for more than its fair share.
     #[must_use]
-    pub fn allowed_fraction(self, used: u64) -> f64 {
-        let granted = used as f64 / self.0.max(1) as f64;
+    pub fn is_competing(self, work: Work) -> bool {
+        let demand = work.demand();
+        demand > self.0 && work.unmet as f64 > MIN_UNMET_FRACTION * demand as f64
+    }
+
+    /// Returns the fraction of an engine's limits that a workspace may fill.
+    ///
+    /// What it has used while nobody lacked any counts up to the share, but not beyond.
+    #[must_use]
+    pub fn allowed_fraction(self, work: Work) -> f64 {
+        let counted = work.contended.max(work.used.min(self.0));
+        let granted = counted as f64 / self.0.max(1) as f64;
         (1.0 - RESERVED_FRACTION * granted).max(MIN_FRACTION)
     }
 }
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -35,6 +35,7 @@
 mod rendezvous;
 mod request;
 mod retry_budget;
+mod room_part;
 mod route;
 mod runner;
 mod table;
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -70,7 +70,7 @@
         for waiting in self.waiting.values() {
             let workspace = waiting.request.workspace.as_ref();
             used.entry(workspace)
-                .or_insert_with(|| workspace.map_or(0, |name| usage.of(now, name).used));
+                .or_insert_with(|| workspace.map_or(0, |name| usage.of(now, name).contended));
         }
         let mut order: Vec<(u64, u32, Reverse<bool>, Duration, Ticket)> = self
             .waiting
--- a/crates/balance/src/usage.rs
+++ b/crates/balance/src/usage.rs
@@ -1,6 +1,5 @@
 //! The recent work of each workspace, over all routers: what its requests have asked for and what they were granted.
 
-use std::ops::AddAssign;
 use std::time::Duration;
 
 use base::Name;
@@ -9,7 +8,7 @@
 use crate::Origin;
 
 /// The time after which past work has half of its weight.
-const HALF_LIFE: Duration = Duration::from_secs(1);
+const HALF_LIFE: Duration = Duration::from_millis(700);
 /// The time after which reported figures expire.
 const EXPIRY: Duration = Duration::from_millis(1_500);
 
@@ -18,6 +17,8 @@
 pub struct Work {
     /// The work of requests that were granted a runner.
     pub used: u64,
+    /// The part of it that was granted while some workspace lacked work.
+    pub contended: u64,
     /// The work of requests that were not, while they wait and after they are refused.
     pub unmet: u64,
 }
@@ -29,21 +30,23 @@
         self.used + self.unmet
     }
 
+    const fn plus(self, other: Self) -> Self {
+        Self {
+            used: self.used + other.used,
+            contended: self.contended + other.contended,
+            unmet: self.unmet + other.unmet,
+        }
+    }
+
     const fn saturating_sub(self, other: Self) -> Self {
         Self {
             used: self.used.saturating_sub(other.used),
+            contended: self.contended.saturating_sub(other.contended),
             unmet: self.unmet.saturating_sub(other.unmet),
         }
     }
 }
 
-impl AddAssign for Work {
-    fn add_assign(&mut self, other: Self) {
-        self.used += other.used;
-        self.unmet += other.unmet;
-    }
-}
-
 /// A sum with exponential decay.
 #[derive(Debug, Clone, Copy, Default)]
 struct Decay {
@@ -55,6 +58,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct OwnWork {
     used: Decay,
+    contended: Decay,
     demand: Decay,
 }
 
@@ -83,9 +87,21 @@
 }
 
 impl OwnWork {
+    fn charge(&mut self, now: Duration, work: f64, is_contended: bool) {
+        self.used.add(now, work);
+        if is_contended {
+            self.contended.add(now, work);
+        }
+    }
+
     fn value(self, now: Duration) -> Work {
-        let (used, demand) = (self.used.value(now) as u64, self.demand.value(now) as u64);
-        Work { used, unmet: demand.saturating_sub(used) }
+        let used = self.used.value(now) as u64;
+        let demand = self.demand.value(now) as u64;
+        Work {
+            used,
+            contended: self.contended.value(now) as u64,
+            unmet: demand.saturating_sub(used),
+        }
     }
 }
 
@@ -95,22 +111,23 @@
         self.own.entry(workspace.clone()).or_default().demand.add(now, work as f64);
     }
 
-    /// Charges work to a workspace.
-    pub fn charge(&mut self, now: Duration, workspace: &Name, work: u64) {
-        self.own.entry(workspace.clone()).or_default().used.add(now, work as f64);
+    /// Charges work to a workspace; `is_contended` tells whether some workspace lacks work.
+    pub fn charge(&mut self, now: Duration, workspace: &Name, work: u64, is_contended: bool) {
+        self.own.entry(workspace.clone()).or_default().charge(now, work as f64, is_contended);
     }
 
     /// Refunds work that was charged but not done.
-    pub fn refund(&mut self, now: Duration, workspace: &Name, work: u64) {
+    pub fn refund(&mut self, now: Duration, workspace: &Name, work: u64, is_contended: bool) {
         if let Some(own) = self.own.get_mut(workspace) {
-            own.used.add(now, -(work as f64));
+            own.charge(now, -(work as f64), is_contended);
         }
     }
 
     /// Records the work at other routers, by workspace, which an origin reported at `at`.
     pub fn put(&mut self, origin: &Origin, at: Duration, works: IndexMap<Name, Work>) {
         for (workspace, work) in &works {
-            *self.reported_sums.entry(workspace.clone()).or_default() += *work;
+            let sum = self.reported_sums.entry(workspace.clone()).or_default();
+            *sum = sum.plus(*work);
         }
         let previous = self.reported.insert(origin.clone(), (at, works));
         self.subtract(previous);
@@ -138,23 +155,23 @@
     /// Returns the recent work of a workspace over all routers.
     #[must_use]
     pub fn of(&self, now: Duration, workspace: &Name) -> Work {
-        let mut work = self.reported_sums.get(workspace).copied().unwrap_or_default();
-        work += self.own_work(now, workspace);
-        work
+        let reported = self.reported_sums.get(workspace).copied().unwrap_or_default();
+        reported.plus(self.own_work(now, workspace))
     }
 
-    /// Returns the recent work of each workspace over all routers.
-    pub fn all(&self, now: Duration) -> impl Iterator<Item = Work> {
-        self.workspaces().into_iter().map(move |name| self.of(now, name))
+    /// Returns the recent work of each workspace at this router and over all routers.
+    pub fn all(&self, now: Duration) -> impl Iterator<Item = (Work, Work)> {
+        self.workspaces().into_iter().map(move |name| {
+            let own = self.own_work(now, name);
+            (own, own.plus(self.reported_sums.get(name).copied().unwrap_or_default()))
+        })
     }
 
     /// Returns the recent work at this router and those that report their own, by workspace, for a report to other zones.
     pub fn of_routers(&self, now: Duration) -> impl Iterator<Item = (&Name, Work)> {
-        self.workspaces().into_iter().map(move |name| {
-            let mut work = self.own_work(now, name);
-            work += self.work_of_routers(name);
-            (name, work)
-        })
+        self.workspaces()
+            .into_iter()
+            .map(move |name| (name, self.own_work(now, name).plus(self.work_of_routers(name))))
     }
 
     /// Returns the recent work at this router, by workspace.
@@ -169,10 +186,7 @@
     fn work_of_routers(&self, workspace: &Name) -> Work {
         let routers = self.reported.iter().filter(|(origin, _)| origin.is_router());
         let works = routers.filter_map(|(_, (_, works))| works.get(workspace));
-        works.fold(Work::default(), |mut sum, work| {
-            sum += *work;
-            sum
-        })
+        works.fold(Work::default(), |sum, work| sum.plus(*work))
     }
 
     /// Returns all workspaces with recent work, each once.
--- a/crates/balance/tests/common/fleet.rs
+++ b/crates/balance/tests/common/fleet.rs
@@ -33,8 +33,8 @@
     pub(crate) cores: Vec<Core>,
     /// The number of requests granted, by workspace and whole second.
     pub(crate) granted: IndexMap<(Name, u64), u64>,
-    /// The routers whose reports do not arrive anywhere.
-    pub(crate) silent: Vec<usize>,
+    /// A router whose reports get lost from one time to another.
+    pub(crate) silent: Option<(usize, Duration, Duration)>,
     run: Duration,
     interval: Duration,
     running: Vec<Running>,
@@ -47,13 +47,14 @@
         let names: Vec<Name> = (0..routers).map(|n| Name::new(&format!("router-{n}"))).collect();
         let cores = names.iter().map(|name| {
             let mut core = core(name.as_str(), engines);
+            core.set_report_interval(interval);
             core.set_peers(names.iter().filter(|other| *other != name).cloned().collect());
             core
         });
         Self {
             cores: cores.collect(),
             granted: IndexMap::new(),
-            silent: Vec::new(),
+            silent: None,
             run,
             interval,
             running: Vec::new(),
@@ -130,7 +131,8 @@
 
     fn exchange(&mut self, now: Duration) {
         for from in 0..self.cores.len() {
-            if self.silent.contains(&from) {
+            let is_silent = |(router, start, end)| router == from && (start..end).contains(&now);
+            if self.silent.is_some_and(is_silent) {
                 continue;
             }
             let sender = Origin::Router(Name::new(&format!("router-{from}")));
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -54,6 +54,17 @@
     pub(crate) work: u64,
 }
 
+/// What a workspace has used and lacked while engines were short.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Shortage {
+    /// The workspace's name.
+    pub(crate) workspace: Digest,
+    /// The decaying sum of the work that was granted meanwhile, in tokens.
+    pub(crate) contended: u64,
+    /// The decaying sum of the work that was not granted, in tokens.
+    pub(crate) unmet: u64,
+}
+
 /// The sender's adaptive limits on the load of one engine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ServiceLimits {
@@ -157,9 +168,9 @@
     pub(crate) crashes: Vec<Crashes>,
     /// The routers of the zone.
     pub(crate) members: Vec<MemberReport>,
-    /// The recent work that workspaces have lacked.
+    /// What workspaces have used and lacked while engines were short.
     #[serde(skip)]
-    pub(crate) unmet: Vec<WorkspaceUse>,
+    pub(crate) shortage: Vec<Shortage>,
 }
 
 /// The part of a datagram that routers of earlier versions ignore.
@@ -171,18 +182,18 @@
     pub(crate) reaches_store: bool,
     /// The sums of the sender's own zone for other zones, or those of other zones for its own.
     pub(crate) sums: Vec<ZoneSums>,
-    /// The recent work that workspaces have lacked at the sender.
+    /// What workspaces have used and lacked at the sender while engines were short.
     #[serde(skip)]
-    pub(crate) unmet: Vec<WorkspaceUse>,
+    pub(crate) shortage: Vec<Shortage>,
 }
 
-/// The work that workspaces have lacked, in a part of a datagram of its own, which earlier versions ignore.
+/// The shortages of workspaces, in a part of a datagram of its own, which earlier versions ignore.
 #[derive(Debug, Default, Serialize, Deserialize)]
-struct UnmetWork {
+struct Shortages {
     /// At the sender.
-    own: Vec<WorkspaceUse>,
+    own: Vec<Shortage>,
     /// In each zone, in the order of [`Extension::sums`].
-    by_zone: Vec<Vec<WorkspaceUse>>,
+    by_zone: Vec<Vec<Shortage>>,
 }
 
 /// A received heartbeat, and the newest heartbeat of the receiver that it acknowledges.
@@ -199,17 +210,17 @@
 pub(crate) fn encode(heartbeat: &Heartbeat, extension: &Extension) -> Option<Vec<u8>> {
     let encoded = postcard::to_stdvec(heartbeat).ok()?;
     let encoded = postcard::to_extend(extension, encoded).ok()?;
-    let by_zone = extension.sums.iter().map(|sums| sums.unmet.clone()).collect();
-    postcard::to_extend(&UnmetWork { own: extension.unmet.clone(), by_zone }, encoded).ok()
+    let by_zone = extension.sums.iter().map(|sums| sums.shortage.clone()).collect();
+    postcard::to_extend(&Shortages { own: extension.shortage.clone(), by_zone }, encoded).ok()
 }
 
-/// Decodes an extension, with the unmet work if the sender reports it.
+/// Decodes an extension, with the shortages if the sender reports them.
 fn decode_extension(bytes: &[u8]) -> Option<Extension> {
     let (mut extension, rest): (Extension, &[u8]) = postcard::take_from_bytes(bytes).ok()?;
-    let unmet: UnmetWork = postcard::from_bytes(rest).unwrap_or_default();
-    extension.unmet = unmet.own;
-    for (sums, unmet) in extension.sums.iter_mut().zip(unmet.by_zone) {
-        sums.unmet = unmet;
+    let shortages: Shortages = postcard::from_bytes(rest).unwrap_or_default();
+    extension.shortage = shortages.own;
+    for (sums, shortage) in extension.sums.iter_mut().zip(shortages.by_zone) {
+        sums.shortage = shortage;
     }
     Some(extension)
 }
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -31,6 +31,8 @@
 const SMALL_ZONE: usize = 6;
 /// Maximum interval between two heartbeats, well below the time after which a router counts as gone.
 const MAX_PERIOD: Duration = Duration::from_millis(300);
+/// Heartbeat periods after which most other routers know of a grant.
+const REPORT_PERIODS: u32 = 2;
 /// Heartbeat periods without a heartbeat after which a router does not count as heard.
 const HEARD_PERIODS: u32 = 4;
 /// Number of low bits of an incarnation that the first sequence number leaves out.
@@ -62,6 +64,7 @@
         sequence += 1;
         let now = router.now();
         router.sent_heartbeats.borrow_mut().record_sent(now, sequence);
+        router.core.borrow_mut().set_report_interval(REPORT_PERIODS * period(router));
         let is_aggregator = update_aggregation(router, now);
         let heartbeat = heartbeat(router, identity, sequence);
         router.exchange.borrow_mut().record_placed(&heartbeat.placed);
@@ -119,7 +122,7 @@
     is_aggregator: bool,
 ) {
     let mut extension = extension(router);
-    extension.unmet = report::own_unmet(&router.core.borrow(), router.now());
+    extension.shortage = report::own_shortage(&router.core.borrow(), router.now());
     if is_aggregator {
         extension.sums = router.exchange.borrow_mut().take_sums(router.now());
     }
@@ -201,7 +204,7 @@
         heard: u32::try_from(heard.count()).unwrap_or(u32::MAX),
         reaches_store: router.reaches_store(),
         sums: Vec::new(),
-        unmet: Vec::new(),
+        shortage: Vec::new(),
     }
 }
 
@@ -240,8 +243,8 @@
         return;
     }
     if is_direct(router, &heartbeat.sender) {
-        let unmet = extension.as_ref().map_or(&[][..], |extension| &extension.unmet);
-        report::apply_heartbeat(router, now, &heartbeat, unmet);
+        let shortage = extension.as_ref().map_or(&[][..], |extension| &extension.shortage);
+        report::apply_heartbeat(router, now, &heartbeat, shortage);
     }
     for sums in extension.iter().flat_map(|extension| &extension.sums) {
         report::apply_sums(router, now, sums);
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -22,6 +22,7 @@
 use crate::gossip::PlacedPart;
 use crate::gossip::RunnerLoad;
 use crate::gossip::ServiceLimits;
+use crate::gossip::Shortage;
 use crate::gossip::WorkspaceUse;
 use crate::gossip::ZoneSums;
 
@@ -30,7 +31,7 @@
     loads: &'a [RunnerLoad],
     placed: &'a [PlacedPart],
     used: &'a [WorkspaceUse],
-    unmet: &'a [WorkspaceUse],
+    shortage: &'a [Shortage],
     limits: &'a [ServiceLimits],
     crashes: &'a [Crashes],
     /// The number of routers that report these figures.
@@ -44,12 +45,12 @@
 
 /// Returns the recent use of engines through this router.
 pub(crate) fn own_use(core: &Core, now: Duration) -> Vec<WorkspaceUse> {
-    workspace_use(core.usage.own(now).map(|(name, work)| (name, work.used)))
+    workspace_use(core.usage.own(now))
 }
 
-/// Returns the recent work that workspaces have lacked at this router.
-pub(crate) fn own_unmet(core: &Core, now: Duration) -> Vec<WorkspaceUse> {
-    workspace_use(core.usage.own(now).map(|(name, work)| (name, work.unmet)))
+/// Returns what workspaces have used and lacked at this router while engines were short.
+pub(crate) fn own_shortage(core: &Core, now: Duration) -> Vec<Shortage> {
+    shortage(core.usage.own(now))
 }
 
 /// Returns the adaptive limits of this router.
@@ -90,8 +91,8 @@
         age_ms: 0,
         loads: loads(&core, zone_load),
         placed: router.exchange.borrow_mut().take_placed(),
-        used: workspace_use(core.usage.of_routers(now).map(|(name, work)| (name, work.used))),
-        unmet: workspace_use(core.usage.of_routers(now).map(|(name, work)| (name, work.unmet))),
+        used: workspace_use(core.usage.of_routers(now)),
+        shortage: shortage(core.usage.of_routers(now)),
         limits: limits(&core),
         crashes: crashes(core.crash_history.crashes_of_routers(now)),
         members: member_reports(router, now, incarnation),
@@ -103,13 +104,13 @@
     router: &Router,
     now: Duration,
     heartbeat: &Heartbeat,
-    unmet: &[WorkspaceUse],
+    shortage: &[Shortage],
 ) {
     let figures = Figures {
         loads: &heartbeat.loads,
         placed: &heartbeat.placed,
         used: &heartbeat.used,
-        unmet,
+        shortage,
         limits: &heartbeat.limits,
         crashes: &heartbeat.crashes,
         routers: 1,
@@ -129,7 +130,7 @@
         loads: &sums.loads,
         placed: &sums.placed,
         used: &sums.used,
-        unmet: &sums.unmet,
+        shortage: &sums.shortage,
         limits: &sums.limits,
         crashes: &sums.crashes,
         routers: sums.members.len(),
@@ -173,8 +174,9 @@
         for used in self.used {
             works.entry(used.workspace).or_default().used = used.work;
         }
-        for unmet in self.unmet {
-            works.entry(unmet.workspace).or_default().unmet = unmet.work;
+        for Shortage { workspace, contended, unmet } in self.shortage {
+            let work = works.entry(*workspace).or_default();
+            (work.contended, work.unmet) = (*contended, *unmet);
         }
         let names = core.table.iter().flat_map(balance::Table::workspaces);
         let works = names.filter_map(|name| {
@@ -211,13 +213,25 @@
     loaded.collect()
 }
 
-fn workspace_use<'a>(used: impl Iterator<Item = (&'a Name, u64)>) -> Vec<WorkspaceUse> {
-    let used = used.filter(|(_, work)| *work > 0);
-    let used = used
-        .map(|(workspace, work)| WorkspaceUse { workspace: Digest::of(workspace.as_str()), work });
+fn workspace_use<'a>(works: impl Iterator<Item = (&'a Name, Work)>) -> Vec<WorkspaceUse> {
+    let used = works.filter(|(_, work)| work.used > 0);
+    let used = used.map(|(workspace, work)| WorkspaceUse {
+        workspace: Digest::of(workspace.as_str()),
+        work: work.used,
+    });
     used.collect()
 }
 
+fn shortage<'a>(works: impl Iterator<Item = (&'a Name, Work)>) -> Vec<Shortage> {
+    let short = works.filter(|(_, work)| work.contended > 0 || work.unmet > 0);
+    let short = short.map(|(workspace, work)| Shortage {
+        workspace: Digest::of(workspace.as_str()),
+        contended: work.contended,
+        unmet: work.unmet,
+    });
+    short.collect()
+}
+
 fn crashes(counted: Vec<(u64, u32)>) -> Vec<Crashes> {
     counted.into_iter().map(|(digest, count)| Crashes { digest, count }).collect()
 }
