feat(relay,platform): runners that say in an answer that they leave, or want no requests for a time

A runner that leaves says so in all its answers, and one that turns a request away may say for how long it wants none; neither was read, so a router went on sending until the store told, or as soon as the circuit breaker let it.

Change: both are read on every answer, also those that are not passed on. The first marks the runner as draining for the rest of its incarnation (told apart by its start and address), the same state as a record in the store sets; heartbeats tell the others. The second stops this router's requests to it for that time; if all runners of a service want nothing, callers are refused at once and told when the first one will. Unreadable times are ignored and logged.

A long retry-after does not count as a failure of the runner.

--- a/crates/aspenline/src/explain.rs
+++ b/crates/aspenline/src/explain.rs
@@ -21,8 +21,17 @@
 /// The interval, in milliseconds, within which failures of other requests count as related.
 const RELATED_WINDOW_MS: u64 = 1_000;
 /// Events that change the state on which a router bases its decisions about any request.
-const STATE_EVENTS: [&str; 5] =
-    ["configuration_adopted", "zones_out", "load", "store_lost", "store_regained"];
+const STATE_EVENTS: [&str; 9] = [
+    "configuration_adopted",
+    "zones_out",
+    "load",
+    "contention",
+    "runner_leaving",
+    "runner_paused",
+    "runner_resumed",
+    "store_lost",
+    "store_regained",
+];
 
 /// A parsed log line.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -226,7 +226,9 @@
 
     /// Returns whether a runner may be used for a request, apart from its capacity.
     fn is_usable(&self, key: Key, runner: &Runner, request: &Request) -> bool {
-        let is_usable = runner.health.is_usable(self.now) && !request.avoid.contains(&key);
+        let is_usable = runner.health.is_usable(self.now)
+            && !runner.is_paused(self.now)
+            && !request.avoid.contains(&key);
         let is_available =
             !runner.health.is_half_open() || (runner.own_load.running == 0 && may_probe(request));
         is_usable && is_available && self.has_cold_capacity(runner)
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -161,8 +161,9 @@
             return Outcome::Decided(Decision::Granted(grant));
         }
         let expires_at = expires_at(&request);
-        if now >= expires_at {
-            return Outcome::Decided(self.refusal(&request));
+        let resumes_at = self.registry.resumes_at(now, request.service.as_str());
+        if now >= expires_at || resumes_at.is_some_and(|resumes_at| resumes_at >= expires_at) {
+            return Outcome::Decided(self.refusal(now, &request));
         }
         self.tickets += 1;
         let ticket = Ticket(self.tickets);
@@ -257,6 +258,13 @@
         state.adaptive_limit.record_first_token(now, took, target, has_waiting);
     }
 
+    /// Returns the time until the first runner of a service wants requests of this router, if none does now.
+    #[must_use]
+    pub fn pause(&self, now: Duration, service: &Name) -> Option<Duration> {
+        let resumes_at = self.registry.resumes_at(now, service.as_str())?;
+        Some(resumes_at.saturating_sub(now))
+    }
+
     /// Releases a grant; work that the runner can't have run is not charged.
     pub fn release(
         &mut self,
@@ -298,7 +306,7 @@
         }
         for ticket in self.services[service].queue.expired(now) {
             if let Some(waiting) = self.services[service].queue.take(ticket) {
-                decided.push((ticket, self.refusal(&waiting.request)));
+                decided.push((ticket, self.refusal(now, &waiting.request)));
             }
         }
     }
@@ -412,9 +420,10 @@
         self.table.as_ref()?.service(name.as_str())
     }
 
-    fn refusal(&self, request: &Request) -> Decision {
+    fn refusal(&self, now: Duration, request: &Request) -> Decision {
         let span = request.target.saturating_sub(request.arrived);
-        Decision::Refused { retry_after: span.max(MIN_RETRY_AFTER) }
+        let pause = self.pause(now, &request.service).unwrap_or_default();
+        Decision::Refused { retry_after: span.max(MIN_RETRY_AFTER).max(pause) }
     }
 
     fn service_state(&mut self, service: &Name) -> &mut ServiceState {
--- a/crates/balance/src/registry.rs
+++ b/crates/balance/src/registry.rs
@@ -67,7 +67,7 @@
             let is_colder = now + registration.cold_left > known.cold_until + MIN_COLD_EXTENSION;
             let known = &known.registration;
             known.started_ms != registration.started_ms
-                || known.is_draining != registration.is_draining
+                || (registration.is_draining && !known.is_draining)
                 || known.address != registration.address
                 || (is_colder && registration.cold_left > Duration::ZERO)
                 || self.expired.contains_key(&registration.id)
@@ -185,6 +185,28 @@
         })
     }
 
+    /// Returns the time at which the first runner of a service wants requests of this router again, if none does now.
+    #[must_use]
+    pub fn resumes_at(&self, now: Duration, service: &str) -> Option<Duration> {
+        let mut first = None;
+        for (_, runner) in self.serving(service) {
+            let until = runner.paused_until.filter(|until| now < *until)?;
+            first = Some(first.map_or(until, |first: Duration| first.min(until)));
+        }
+        first
+    }
+
+    /// Ends the pauses that are over, and returns the identifiers of their runners.
+    pub fn end_pauses(&mut self, now: Duration) -> Vec<Name> {
+        let paused = self.runners.values_mut().filter(|runner| runner.paused_until.is_some());
+        let over = paused.filter(|runner| runner.paused_until.is_some_and(|until| now >= until));
+        over.map(|runner| {
+            runner.paused_until = None;
+            runner.registration.id.clone()
+        })
+        .collect()
+    }
+
     /// Returns whether most registrations of a service have expired.
     fn has_mostly_expired(&self, service: &str) -> bool {
         if self.expired.is_empty() {
--- a/crates/balance/src/runner.rs
+++ b/crates/balance/src/runner.rs
@@ -52,6 +52,10 @@
     pub cold_until: Duration,
     /// The circuit breaker, based on the results of requests.
     pub health: Health,
+    /// Whether it has said in an answer that it leaves; it then counts as draining for the rest of this incarnation.
+    pub is_leaving: bool,
+    /// The time until which it wants no requests of this router.
+    pub(crate) paused_until: Option<Duration>,
     /// The prompt parts that it is assumed to hold.
     pub prefix_cache: PrefixCache,
     /// The load that this router has placed on it.
@@ -72,6 +76,8 @@
             registration,
             cold_until: Duration::ZERO,
             health: Health::default(),
+            is_leaving: false,
+            paused_until: None,
             prefix_cache: PrefixCache::default(),
             own_load: Load::default(),
             recent_load: RecentLoad::default(),
@@ -95,6 +101,25 @@
         }
     }
 
+    /// Records that the runner has said in an answer that it leaves; returns `false` if that was known.
+    pub const fn record_leaving(&mut self) -> bool {
+        let is_new = !self.is_leaving;
+        self.is_leaving = true;
+        self.registration.is_draining = true;
+        is_new
+    }
+
+    /// Records that the runner wants no requests of this router until a time; a known later time is kept.
+    pub fn pause(&mut self, until: Duration) {
+        self.paused_until = self.paused_until.max(Some(until));
+    }
+
+    /// Returns whether the runner wants no requests of this router.
+    #[must_use]
+    pub fn is_paused(&self, now: Duration) -> bool {
+        self.paused_until.is_some_and(|until| now < until)
+    }
+
     /// Returns whether the runner can handle only few requests.
     #[must_use]
     pub fn is_cold(&self, now: Duration) -> bool {
--- a/crates/fake/src/endpoint.rs
+++ b/crates/fake/src/endpoint.rs
@@ -14,6 +14,7 @@
 use futures_util::StreamExt;
 use futures_util::stream;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -35,6 +36,9 @@
 /// The time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
+/// The start of a runner that its record states, in milliseconds since the Unix epoch.
+pub const FIRST_START_MS: u64 = 1_700_000_000_000;
+
 /// How a runner misbehaves.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum FaultMode {
@@ -73,6 +77,7 @@
 #[derive(Debug, Default)]
 struct State {
     fault_mode: FaultMode,
+    added_headers: Vec<(&'static str, &'static str)>,
     requests: Vec<RecordedRequest>,
 }
 
@@ -118,6 +123,11 @@
         lock(&self.state).fault_mode = fault_mode;
     }
 
+    /// Sets headers that all later answers have, whatever their status.
+    pub fn set_added_headers(&self, headers: &[(&'static str, &'static str)]) {
+        lock(&self.state).added_headers = headers.to_vec();
+    }
+
     /// Returns all requests received so far, oldest first.
     #[must_use]
     pub fn requests(&self) -> Vec<RecordedRequest> {
@@ -133,10 +143,22 @@
     /// Returns the record that the runner publishes in the store, as JSON.
     #[must_use]
     pub fn record(&self, service: &str, state: &str, sequence: u64) -> Vec<u8> {
+        self.record_of_start(service, state, sequence, FIRST_START_MS)
+    }
+
+    /// Returns the record of a runner that started at a time, in milliseconds since the Unix epoch.
+    #[must_use]
+    pub fn record_of_start(
+        &self,
+        service: &str,
+        state: &str,
+        sequence: u64,
+        started_ms: u64,
+    ) -> Vec<u8> {
         let record = serde_json::json!({
             "service": service, "address": self.address.to_string(), "zone": "north",
             "version": "v1", "slots": 16, "state": state, "cold_left_ms": 0,
-            "seq": sequence, "born": 1_700_000_000_000_u64,
+            "seq": sequence, "born": started_ms,
         });
         record.to_string().into_bytes()
     }
@@ -155,7 +177,7 @@
                 let (id, state) = (id.clone(), Arc::clone(&state));
                 let service = service_fn(move |request| {
                     let (id, state) = (id.clone(), Arc::clone(&state));
-                    async move { answer(&id, &state, request).await }
+                    async move { answer_with_added_headers(&id, &state, request).await }
                 });
                 connections.spawn(async move {
                     let connection =
@@ -180,6 +202,18 @@
 
 impl std::error::Error for Closed {}
 
+async fn answer_with_added_headers(
+    id: &str,
+    state: &Mutex<State>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Closed> {
+    let mut response = answer(id, state, request).await?;
+    for (name, value) in lock(state).added_headers.iter().copied() {
+        response.headers_mut().insert(name, HeaderValue::from_static(value));
+    }
+    Ok(response)
+}
+
 async fn answer(
     id: &str,
     state: &Mutex<State>,
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -15,6 +15,8 @@
 use http::response;
 use http_body_util::Full;
 
+use crate::Notice;
+
 /// A request that was checked and may be forwarded.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -88,4 +90,6 @@
     pub classify: fn(&Call, &response::Parts) -> AnswerClass,
     /// Returns how long the runner keeps the idle connection open, if the answer states it.
     pub keep_alive: fn(&response::Parts) -> Option<Duration>,
+    /// Returns what the runner says about itself in an answer.
+    pub notice: fn(&response::Parts) -> Notice,
 }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -26,6 +26,7 @@
 use crate::acquire;
 use crate::acquire::Permit;
 use crate::event;
+use crate::notice;
 
 /// Timeout for opening a connection to a runner.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -112,7 +113,8 @@
             Err(AttemptError::NotRun | AttemptError::MayHaveRun) => (),
         }
         if !may_retry(router, call, &history) {
-            return last_answer(&history, last, NOT_RUN_RETRY_AFTER);
+            let pause = router.core.borrow().pause(router.now(), &call.service);
+            return last_answer(&history, last, pause.unwrap_or(NOT_RUN_RETRY_AFTER));
         }
     }
 }
@@ -194,6 +196,8 @@
     match connection.send(request).await {
         Ok(response) => {
             let (head, body) = response.into_parts();
+            let notice = (router.protocol.notice)(&head);
+            notice::record(router, &permit.grant, &notice);
             Ok(Reply { permit, connection, head, body, sent_at: now })
         }
         Err(failure) => {
@@ -258,7 +262,9 @@
         reply.permit.update_health(Health::record_unreachable);
         return;
     }
-    reply.permit.update_health(Health::record_failure);
+    if !notice::is_paused(router, &reply.permit.grant) {
+        reply.permit.update_health(Health::record_failure);
+    }
     if reply.connection.collect(reply.body, MAX_ANSWER_BYTES).await.is_ok() {
         let stated = (router.protocol.keep_alive)(&reply.head);
         router.pool.borrow_mut().put(runner, reply.connection, stated);
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -185,15 +185,29 @@
     /// What workspaces have used and lacked at the sender while engines were short.
     #[serde(skip)]
     pub(crate) shortage: Vec<Shortage>,
+    /// The runners that are known to leave.
+    #[serde(skip)]
+    pub(crate) leaving: Vec<LeavingRunner>,
+}
+
+/// A runner that has said in an answer that it leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LeavingRunner {
+    /// The runner's id.
+    pub(crate) runner: Digest,
+    /// The start of the incarnation that leaves, in milliseconds since the Unix epoch.
+    pub(crate) started_ms: u64,
 }
 
-/// The shortages of workspaces, in a part of a datagram of its own, which earlier versions ignore.
+/// The last part of a datagram, which earlier versions ignore.
 #[derive(Debug, Default, Serialize, Deserialize)]
-struct Shortages {
-    /// At the sender.
-    own: Vec<Shortage>,
-    /// In each zone, in the order of [`Extension::sums`].
-    by_zone: Vec<Vec<Shortage>>,
+struct Supplement {
+    /// The shortages of workspaces at the sender.
+    shortage: Vec<Shortage>,
+    /// The shortages in each zone, in the order of [`Extension::sums`].
+    shortage_by_zone: Vec<Vec<Shortage>>,
+    /// The runners that are known to leave.
+    leaving: Vec<LeavingRunner>,
 }
 
 /// A received heartbeat, and the newest heartbeat of the receiver that it acknowledges.
@@ -210,16 +224,21 @@
 pub(crate) fn encode(heartbeat: &Heartbeat, extension: &Extension) -> Option<Vec<u8>> {
     let encoded = postcard::to_stdvec(heartbeat).ok()?;
     let encoded = postcard::to_extend(extension, encoded).ok()?;
-    let by_zone = extension.sums.iter().map(|sums| sums.shortage.clone()).collect();
-    postcard::to_extend(&Shortages { own: extension.shortage.clone(), by_zone }, encoded).ok()
+    let supplement = Supplement {
+        shortage: extension.shortage.clone(),
+        shortage_by_zone: extension.sums.iter().map(|sums| sums.shortage.clone()).collect(),
+        leaving: extension.leaving.clone(),
+    };
+    postcard::to_extend(&supplement, encoded).ok()
 }
 
-/// Decodes an extension, with the shortages if the sender reports them.
+/// Decodes an extension, with the supplement if the sender has one.
 fn decode_extension(bytes: &[u8]) -> Option<Extension> {
     let (mut extension, rest): (Extension, &[u8]) = postcard::take_from_bytes(bytes).ok()?;
-    let shortages: Shortages = postcard::from_bytes(rest).unwrap_or_default();
-    extension.shortage = shortages.own;
-    for (sums, shortage) in extension.sums.iter_mut().zip(shortages.by_zone) {
+    let supplement: Supplement = postcard::from_bytes(rest).unwrap_or_default();
+    extension.shortage = supplement.shortage;
+    extension.leaving = supplement.leaving;
+    for (sums, shortage) in extension.sums.iter_mut().zip(supplement.shortage_by_zone) {
         sums.shortage = shortage;
     }
     Some(extension)
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -205,6 +205,7 @@
         reaches_store: router.reaches_store(),
         sums: Vec::new(),
         shortage: Vec::new(),
+        leaving: report::leaving(&router.core.borrow()),
     }
 }
 
@@ -246,6 +247,8 @@
         let shortage = extension.as_ref().map_or(&[][..], |extension| &extension.shortage);
         report::apply_heartbeat(router, now, &heartbeat, shortage);
     }
+    let leaving = extension.iter().flat_map(|extension| &extension.leaving);
+    report::apply_leaving(router, &heartbeat.sender, leaving);
     for sums in extension.iter().flat_map(|extension| &extension.sums) {
         report::apply_sums(router, now, sums);
     }
--- /dev/null
+++ b/crates/relay/src/notice.rs
@@ -0,0 +1,68 @@
+//! What a runner says about itself in any of its answers.
+
+use std::time::Duration;
+
+use balance::Grant;
+
+use crate::Line;
+use crate::Router;
+use crate::event;
+
+/// How long a runner wants no requests of this router, as it states it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Pause {
+    /// For a time from its answer on.
+    For(Duration),
+    /// The statement can't be read.
+    Unreadable(String),
+}
+
+/// What a runner says about itself in an answer.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// Whether it leaves.
+    pub is_leaving: bool,
+    /// The pause that it asks for.
+    pub pause: Option<Pause>,
+}
+
+/// Records what the runner of a grant says in an answer.
+pub(crate) fn record(router: &Router, grant: &Grant, notice: &Notice) {
+    if notice.is_leaving {
+        record_leaving(router, grant);
+    }
+    match &notice.pause {
+        Some(Pause::For(pause)) => record_pause(router, grant, *pause),
+        Some(Pause::Unreadable(text)) => {
+            let line = Line::new("retry_after_unreadable").subject(grant.id.as_str());
+            router.log(line.outcome(text.as_str()));
+        }
+        None => (),
+    }
+}
+
+/// Returns whether the runner of a grant wants no requests of this router.
+pub(crate) fn is_paused(router: &Router, grant: &Grant) -> bool {
+    let core = router.core.borrow();
+    core.registry.get(grant.runner).is_some_and(|runner| runner.is_paused(router.now()))
+}
+
+fn record_leaving(router: &Router, grant: &Grant) {
+    let mut core = router.core.borrow_mut();
+    let runner = core.registry.get_mut(grant.runner);
+    let is_new = runner.is_some_and(balance::Runner::record_leaving);
+    drop(core);
+    if is_new {
+        router.pool.borrow_mut().discard(grant.runner);
+        router.log(Line::new("runner_leaving").subject(grant.id.as_str()).outcome("answer"));
+    }
+}
+
+fn record_pause(router: &Router, grant: &Grant, pause: Duration) {
+    let mut core = router.core.borrow_mut();
+    let Some(runner) = core.registry.get_mut(grant.runner) else { return };
+    runner.pause(router.now() + pause);
+    drop(core);
+    let line = Line::new("runner_paused").subject(grant.id.as_str());
+    router.log(line.outcome(format!("for {} ms", event::millis(pause))));
+}
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -359,10 +359,20 @@
                 core.registry.remove_expired(now);
                 core.usage.remove_expired(now);
             }
+            self.end_pauses(now);
             self.log_load();
         }
     }
 
+    /// Ends the pauses of runners that are over.
+    fn end_pauses(&self, now: Duration) {
+        let resumed = self.core.borrow_mut().registry.end_pauses(now);
+        for id in resumed {
+            self.log(Line::new("runner_resumed").subject(id.as_str()));
+        }
+        self.wake_queue();
+    }
+
     /// Logs the load limits of each service's engines, and what keeps waiting requests from them.
     fn log_load(&self) {
         let now = self.now();
