feat(platform,balance): a store that comes back from an older copy begins a new era

After such a drill offsets go back and are given out again; a router would wait at an offset that does not exist, or take other records for those that it has read.

Change: the era is read from every answer of the store at one place. Positions hold it above the offset, so that views, reports between routers and fetched records order by it without further cases. A topic is read again from its newest records, by non-readers from a peer if one has read them. A missing era counts as the known one; a lower one has no effect.

The fake store speaks eras and can be restored from a backup; a read beyond its end gets 410.

Not tried: the old build beside the new one during a rise; all routers restarted in it.

--- a/crates/balance/src/member.rs
+++ b/crates/balance/src/member.rs
@@ -143,6 +143,12 @@
         self.members.get(name)
     }
 
+    /// Returns whether a router is known and alive.
+    #[must_use]
+    pub fn is_alive(&self, now: Duration, name: &str) -> bool {
+        self.get(name).is_some_and(|member| member.is_alive(now))
+    }
+
     /// Records a heartbeat; returns `false` if the sender is unknown or the heartbeat is not newer than the last one.
     pub fn record_heartbeat(
         &mut self,
--- a/crates/balance/src/read_schedule.rs
+++ b/crates/balance/src/read_schedule.rs
@@ -82,6 +82,12 @@
         self.last_change
     }
 
+    /// Returns the position after the last change that was reported and not read at that time.
+    #[must_use]
+    pub const fn reported(&self) -> u64 {
+        self.reported
+    }
+
     /// Returns whether a change was reported that this router has not read yet.
     #[must_use]
     pub const fn is_behind(&self) -> bool {
--- a/crates/balance/src/topic_view.rs
+++ b/crates/balance/src/topic_view.rs
@@ -2,9 +2,14 @@
 //!
 //! A page of the newest records is not a snapshot and may be older than what was read before. Each key therefore only
 //! moves to higher offsets, and a key that is missing from a page is removed only if the page is newer than its record.
+//!
+//! Offsets are positions with an [era](crate::era). What the view holds and a restored store has lost is kept for a
+//! while, since its owner writes it again.
 
 use indexmap::IndexMap;
 
+use crate::era;
+
 /// A change of one key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
@@ -32,6 +37,15 @@
     value: Option<Vec<u8>>,
 }
 
+/// What becomes of a key that is known to be removed if a restored store has it again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RemovedKeys {
+    /// It has its value again, until it is removed in the new era.
+    Return,
+    /// It stays removed, until it is written in the new era.
+    StayRemoved,
+}
+
 /// The keys of a topic with their newest records.
 #[derive(Debug, Clone, Default)]
 pub struct TopicView {
@@ -64,6 +78,7 @@
         let missing: Vec<String> = self
             .records
             .iter()
+            .filter(|(_, known)| era::of(known.offset) == era::of(end))
             .filter(|(key, known)| known.value.is_some() && known.offset < end && is_missing(key))
             .map(|(key, _)| key.clone())
             .collect();
@@ -77,6 +92,43 @@
         removed.chain(put).collect()
     }
 
+    /// Applies all newest records of a store that was restored, at the beginning of its new era.
+    ///
+    /// Keys that it lacks are kept until [`TopicView::remove_lost`]. Returns the changes with their offsets.
+    pub fn restore(&mut self, records: Vec<Record>, removed: RemovedKeys) -> Vec<(u64, Change)> {
+        let applied = records.into_iter().filter_map(|record| {
+            let known = self.records.get_mut(&record.key);
+            let is_removed = known.as_ref().is_some_and(|known| known.value.is_none());
+            match known {
+                Some(known) if is_removed && removed == RemovedKeys::StayRemoved => {
+                    known.offset = known.offset.max(record.offset);
+                    None
+                }
+                _ => self.apply(record),
+            }
+        });
+        applied.collect()
+    }
+
+    /// Returns the number of keys with a value that was not written in an era.
+    #[must_use]
+    pub fn count_lost(&self, era: u32) -> usize {
+        let lost = self.records.values().filter(|known| is_lost(known, era));
+        lost.count()
+    }
+
+    /// Removes the keys whose values nobody has written again in the era of a position, and returns the changes.
+    pub fn remove_lost(&mut self, position: u64) -> Vec<(u64, Change)> {
+        let era = era::of(position);
+        let offset = position.saturating_sub(1).max(era::position(era, 0));
+        let lost = self.records.iter_mut().filter(|(_, known)| is_lost(known, era));
+        lost.map(|(key, known)| {
+            *known = Newest { offset, value: None };
+            (offset, Change::Removed(key.clone()))
+        })
+        .collect()
+    }
+
     /// Returns the newest records of all keys that have changed since an offset, in the order of their offsets.
     pub fn records_from(&self, offset: u64) -> impl Iterator<Item = Record> {
         let mut changed: Vec<(&String, &Newest)> =
@@ -89,3 +141,7 @@
         })
     }
 }
+
+fn is_lost(known: &Newest, era: u32) -> bool {
+    known.value.is_some() && era::of(known.offset) < era
+}
--- a/crates/balance/tests/keyed.rs
+++ b/crates/balance/tests/keyed.rs
@@ -2,7 +2,9 @@
 
 use balance::Change;
 use balance::Record;
+use balance::RemovedKeys;
 use balance::TopicView;
+use balance::era;
 use indexmap::IndexMap;
 use proptest::prelude::*;
 
@@ -102,3 +104,98 @@
         prop_assert_eq!(state, expected);
     }
 }
+
+#[test]
+fn what_a_restored_store_has_lost_is_kept_until_it_is_given_up() {
+    let mut view = TopicView::default();
+    view.apply(record(era::position(1, 7), "runner-1", Some("ready")));
+    view.apply(record(era::position(1, 8), "runner-2", Some("ready")));
+    let restored = vec![record(era::position(2, 3), "runner-2", Some("older"))];
+    let changes = view.restore(restored, RemovedKeys::StayRemoved);
+    let older = Change::Put("runner-2".to_owned(), b"older".to_vec());
+    assert_eq!(changes, [(era::position(2, 3), older)]);
+    assert!(view.replace(vec![], era::position(2, 3)).is_empty(), "a page of the new era");
+    let end = era::position(2, 4);
+    let removed = Change::Removed("runner-1".to_owned());
+    assert_eq!(view.remove_lost(end), [(era::position(2, 3), removed)]);
+    assert!(view.remove_lost(end).is_empty());
+}
+
+#[test]
+fn an_offset_that_is_given_again_is_read_as_its_new_record() {
+    let mut view = TopicView::default();
+    view.apply(record(era::position(1, 7), "config", Some("lost")));
+    view.restore(vec![record(era::position(2, 6), "config", Some("old"))], RemovedKeys::Return);
+    let change = Change::Put("config".to_owned(), b"new".to_vec());
+    let position = era::position(2, 7);
+    assert_eq!(view.apply(record(position, "config", Some("new"))), Some((position, change)));
+}
+
+#[test]
+fn a_removed_key_that_a_restored_store_has_again_returns_only_where_that_is_safe() {
+    for (removed, returns) in [(RemovedKeys::Return, true), (RemovedKeys::StayRemoved, false)] {
+        let mut view = TopicView::default();
+        view.apply(record(era::position(1, 1), "key", Some("1")));
+        view.apply(record(era::position(1, 2), "key", None));
+        let restored = vec![record(era::position(2, 1), "key", Some("1"))];
+        assert_eq!(!view.restore(restored, removed).is_empty(), returns);
+        let again = view.apply(record(era::position(2, 2), "key", Some("2")));
+        assert!(again.is_some(), "written again in the new era");
+    }
+}
+
+proptest! {
+    #[test]
+    fn after_any_restores_a_view_ends_with_what_was_written_last(
+        eras in prop::collection::vec(
+            (prop::collection::vec((0..4u8, prop::option::of(0..9u8)), 1..12), 0..12usize),
+            1..6,
+        ),
+        reads in prop::collection::vec(any::<bool>(), 60),
+    ) {
+        let mut log: Vec<(u8, Option<u8>)> = Vec::new();
+        let mut view = TopicView::default();
+        let mut reads = reads.into_iter().cycle();
+        for (number, (writes, kept)) in (1..).zip(&eras) {
+            log.truncate(*kept);
+            view.restore(newest(&log, number), RemovedKeys::Return);
+            for (key, value) in writes {
+                log.push((*key, *value));
+                let offset = era::position(number, log.len() as u64 - 1);
+                if reads.next().unwrap_or(true) {
+                    view.apply(record(offset, &key.to_string(), value.map(|value| value.to_string()).as_deref()));
+                }
+            }
+            view.replace(newest(&log, number), era::position(number, log.len() as u64));
+            view.remove_lost(era::position(number, log.len() as u64));
+            let held: IndexMap<String, Vec<u8>> = view
+                .records_from(0)
+                .filter_map(|record| Some((record.key, record.value?)))
+                .collect();
+            let wanted: IndexMap<String, Vec<u8>> = newest(&log, number)
+                .into_iter()
+                .filter_map(|record| Some((record.key, record.value?)))
+                .collect();
+            prop_assert_eq!(sorted(held), sorted(wanted));
+        }
+    }
+}
+
+/// Returns the newest record of each key of a log that has a value.
+fn newest(log: &[(u8, Option<u8>)], number: u32) -> Vec<Record> {
+    let mut newest = IndexMap::new();
+    for (offset, (key, value)) in log.iter().enumerate() {
+        let value = value.map(|value| value.to_string());
+        newest.insert(
+            *key,
+            record(era::position(number, offset as u64), &key.to_string(), value.as_deref()),
+        );
+    }
+    newest.into_values().filter(|record| record.value.is_some()).collect()
+}
+
+fn sorted(map: IndexMap<String, Vec<u8>>) -> Vec<(String, Vec<u8>)> {
+    let mut sorted: Vec<_> = map.into_iter().collect();
+    sorted.sort_unstable();
+    sorted
+}
--- a/crates/fake/src/store.rs
+++ b/crates/fake/src/store.rs
@@ -14,6 +14,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -45,7 +46,7 @@
 }
 
 /// One topic, with a single partition.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Topic {
     first: u64,
     records: Vec<Bytes>,
@@ -54,6 +55,14 @@
 #[derive(Debug, Default)]
 struct State {
     fault_mode: FaultMode,
+    /// The number of times that the store was restored from a copy.
+    era: u32,
+    topics: IndexMap<String, Topic>,
+}
+
+/// A copy of a store's topics, from which it can be restored.
+#[derive(Debug, Clone)]
+pub struct Backup {
     topics: IndexMap<String, Topic>,
 }
 
@@ -144,6 +153,19 @@
         topic.first = topic.records.len() as u64;
     }
 
+    /// Returns a copy of all topics.
+    #[must_use]
+    pub fn back_up(&self) -> Backup {
+        Backup { topics: lock(&self.state).topics.clone() }
+    }
+
+    /// Replaces all topics by a copy, which begins a new era; what was written since is gone.
+    pub fn restore(&self, backup: &Backup) {
+        let mut state = lock(&self.state);
+        state.topics = backup.topics.clone();
+        state.era += 1;
+    }
+
     /// Returns the newest value of a key.
     #[must_use]
     pub fn newest(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
@@ -218,10 +240,22 @@
     }
 }
 
+/// Answers a call; each answer states the era in which it was made.
 async fn answer(
     state: &Mutex<State>,
     fault_mode: FaultMode,
     request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let mut response = answer_call(state, fault_mode, request).await;
+    let era = HeaderValue::from(lock(state).era);
+    response.headers_mut().insert("store-era", era);
+    response
+}
+
+async fn answer_call(
+    state: &Mutex<State>,
+    fault_mode: FaultMode,
+    request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     match fault_mode {
         FaultMode::Normal => (),
@@ -275,7 +309,8 @@
     let records = {
         let state = lock(state);
         let topic = state.topics.get(&query.topic)?;
-        if query.from < topic.first {
+        let end = topic.records.len() as u64;
+        if query.from < topic.first || query.from > end {
             return Some(status(StatusCode::GONE));
         }
         topic.records.get(usize::try_from(query.from).ok()?..)?.to_vec()
--- a/crates/plat/src/client.rs
+++ b/crates/plat/src/client.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use conn::Connection;
 use conn::Failure;
+use http::HeaderMap;
 use http::Method;
 use http::Request;
 use http::header;
@@ -50,6 +51,8 @@
     pub status: u16,
     /// The delay before a retry, from the `Retry-After` header.
     pub retry_after: Option<Duration>,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
 }
@@ -162,8 +165,9 @@
     let response = connection.send(request(call, host)?).await?;
     let status = response.status().as_u16();
     let retry_after = retry_after(response.headers());
+    let headers = response.headers().clone();
     let body = connection.collect(response.into_body(), MAX_BODY_BYTES).await?;
-    Ok(Answer { status, retry_after, body })
+    Ok(Answer { status, retry_after, headers, body })
 }
 
 fn request(call: &Call, host: &str) -> Result<Request<Full<Bytes>>, Failure> {
@@ -175,7 +179,7 @@
     request.body(Full::new(call.body.clone())).map_err(|_| Failure::NotSent)
 }
 
-fn retry_after(headers: &http::HeaderMap) -> Option<Duration> {
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
     let seconds: f64 = headers.get(header::RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
     Duration::try_from_secs_f64(seconds).ok()
 }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -88,7 +88,7 @@
 /// The sender's view of a topic of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct TopicStatus {
-    /// The position after the last change that the sender has read.
+    /// The offset after the last change that the sender has read; its era stands in the extension.
     pub(crate) last_change: u64,
     /// How long ago the sender knew that there was no later change, in milliseconds; `None` if it does not know.
     pub(crate) age_ms: Option<u64>,
@@ -188,6 +188,9 @@
     /// The runners that are known to leave.
     #[serde(skip)]
     pub(crate) leaving: Vec<LeavingRunner>,
+    /// The eras of the store in which the last changes were read, in the order of the topics.
+    #[serde(skip)]
+    pub(crate) eras: Vec<u32>,
 }
 
 /// A runner that has said in an answer that it leaves.
@@ -208,6 +211,8 @@
     shortage_by_zone: Vec<Vec<Shortage>>,
     /// The runners that are known to leave.
     leaving: Vec<LeavingRunner>,
+    /// The eras of the store in which the last changes were read, in the order of [`Heartbeat::topics`].
+    eras: Vec<u32>,
 }
 
 /// A received heartbeat, and the newest heartbeat of the receiver that it acknowledges.
@@ -228,6 +233,7 @@
         shortage: extension.shortage.clone(),
         shortage_by_zone: extension.sums.iter().map(|sums| sums.shortage.clone()).collect(),
         leaving: extension.leaving.clone(),
+        eras: extension.eras.clone(),
     };
     postcard::to_extend(&supplement, encoded).ok()
 }
@@ -238,6 +244,7 @@
     let supplement: Supplement = postcard::from_bytes(rest).unwrap_or_default();
     extension.shortage = supplement.shortage;
     extension.leaving = supplement.leaving;
+    extension.eras = supplement.eras;
     for (sums, shortage) in extension.sums.iter_mut().zip(supplement.shortage_by_zone) {
         sums.shortage = shortage;
     }
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -3,6 +3,7 @@
 //! A router sends heartbeats to the routers of its own availability zone. The aggregator of the zone also sends the sums
 //! over the zone to the aggregators of the other zones, and passes the sums of the other zones on to its own.
 
+use std::iter;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use balance::Identity;
 use balance::Member;
 use balance::MemberStatus;
+use balance::era;
 use strum::IntoEnumIterator;
 use tokio::net::UdpSocket;
 use tokio::time;
@@ -206,6 +208,7 @@
         sums: Vec::new(),
         shortage: Vec::new(),
         leaving: report::leaving(&router.core.borrow()),
+        eras: last_changes(router).map(era::of).collect(),
     }
 }
 
@@ -213,12 +216,19 @@
     let now = router.now();
     let schedules = router.read_schedules.borrow();
     let statuses = schedules.iter().map(|schedule| TopicStatus {
-        last_change: schedule.last_change(),
+        last_change: era::offset(schedule.last_change()),
         age_ms: schedule.age(now).map(event::millis),
     });
     statuses.collect()
 }
 
+/// Returns the positions after the last changes that this router has read, by topic.
+fn last_changes(router: &Router) -> impl Iterator<Item = u64> {
+    let schedules = router.read_schedules.borrow();
+    let positions: Vec<u64> = schedules.iter().map(balance::ReadSchedule::last_change).collect();
+    positions.into_iter()
+}
+
 async fn receive_all(router: &Router, socket: &UdpSocket) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
@@ -252,7 +262,8 @@
     for sums in extension.iter().flat_map(|extension| &extension.sums) {
         report::apply_sums(router, now, sums);
     }
-    record_topics(router, &heartbeat, acknowledged);
+    let eras = extension.as_ref().map_or(&[][..], |extension| &extension.eras);
+    record_topics(router, &heartbeat, eras, acknowledged);
     router.wake_queue();
 }
 
@@ -295,14 +306,22 @@
     members.get(sender).is_some_and(|member| member.is_direct(&router.settings.zone))
 }
 
-/// Records another router's view of the store's topics.
-fn record_topics(router: &Router, heartbeat: &Heartbeat, acknowledged: u64) {
-    let last_changes = heartbeat.topics.iter().map(|status| status.last_change).collect();
-    router.members.borrow_mut().record_last_changes(&heartbeat.sender, last_changes);
-    for (topic, status) in Topic::iter().zip(&heartbeat.topics) {
+/// Records another router's view of the store's topics; one that states no eras has an earlier version, and is taken to
+/// be in the era of this router.
+fn record_topics(router: &Router, heartbeat: &Heartbeat, eras: &[u32], acknowledged: u64) {
+    let own_eras = last_changes(router).map(era::of);
+    let eras = eras.iter().copied().map(Some).chain(iter::repeat(None)).zip(own_eras);
+    let statuses = heartbeat.topics.iter().zip(eras);
+    let last_changes: Vec<u64> = statuses
+        .map(|(status, (era, own))| era::position(era.unwrap_or(own), status.last_change))
+        .collect();
+    for ((topic, status), last_change) in
+        Topic::iter().zip(&heartbeat.topics).zip(last_changes.iter().copied())
+    {
         let age = status.age_ms.map(Duration::from_millis);
         let as_of =
             age.and_then(|age| router.sent_heartbeats.borrow().known_as_of(acknowledged, age));
-        router.record_topic_report(topic, status.last_change, as_of);
+        router.record_topic_report(topic, last_change, as_of);
     }
+    router.members.borrow_mut().record_last_changes(&heartbeat.sender, last_changes);
 }
