--- a/crates/aspenline/tests/platform_members.rs
+++ b/crates/aspenline/tests/platform_members.rs
@@ -20,6 +20,7 @@
 use crate::router::configuration;
 use crate::router::get;
 use crate::router::request_with_key;
+use crate::router::wait_for;
 
 /// Returns the text of a complete stream.
 fn complete_stream() -> String {
@@ -120,3 +121,19 @@
     let aggregators = routers.iter().filter(|router| router.count("aggregator") > 0).count();
     assert!(aggregators >= 2, "{aggregators}");
 }
+
+/// Guards against routers that divide common limits without a router that still sends requests.
+#[tokio::test]
+async fn a_router_that_is_leaving_keeps_its_identity_until_it_has_ended() {
+    let platform = Platform::start("leaving-identity").await;
+    platform.configure(&configuration(1));
+    let mut router = platform.router("router-1").await;
+    let identity = || platform.store.newest("keyed.routers", "router-1");
+    wait_for(identity).await;
+    router.signal(Signal::TERM);
+    wait_for(|| router.first_line("leaving")).await;
+    time::sleep(Duration::from_millis(300)).await;
+    assert!(identity().is_some(), "withdrawn while callers are still served");
+    assert_eq!(router.wait_for_exit().await, Some(0));
+    assert!(identity().is_none(), "not withdrawn at the end");
+}
