--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -10,7 +10,6 @@
 use crate::Contention;
 use crate::CrashHistory;
 use crate::Decision;
-use crate::FairShare;
 use crate::FleetLimits;
 use crate::Grant;
 use crate::Key;
@@ -29,17 +28,12 @@
 use crate::choice::Selector;
 use crate::queue::Queue;
 use crate::queue::Waiting;
-use crate::room_part;
-use crate::room_part::RoomPart;
+use crate::shares::Shares;
 
 /// The fraction of its target time for which a request waits for a runner.
 const MAX_WAIT_FRACTION: f64 = 0.5;
 /// The maximum number of placements in one report to other routers.
 const MAX_PLACEMENTS: usize = 48;
-/// The interval at which the shares of workspaces and of this router are computed again.
-const SHARE_INTERVAL: Duration = Duration::from_millis(50);
-/// The interval of reports to other routers until it is known.
-const DEFAULT_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// The maximum number of waiting requests of a service that are examined in one run of its queue.
 const MAX_EXAMINED: usize = 24;
 /// The shortest retry delay that a refused caller is given.
@@ -53,16 +47,6 @@
     budget: RetryBudget,
 }
 
-/// The shares that are derived from the recent work of all workspaces.
-#[derive(Debug, Clone, Copy, Default)]
-struct Shares {
-    /// The time until which they are used.
-    until: Duration,
-    fair_share: FairShare,
-    /// The part of this router in the requests of competing workspaces; `None` if none competes.
-    part: Option<f64>,
-}
-
 /// The state of a router.
 #[derive(Debug, Clone)]
 pub struct Core {
@@ -78,7 +62,6 @@
     services: IndexMap<Name, ServiceState>,
     tickets: u64,
     shares: Shares,
-    report_interval: Duration,
     /// Shared parts that are to be reported to other routers, with the runners to which they were sent.
     placements: Vec<(u64, Key)>,
 }
@@ -96,7 +79,6 @@
             services: IndexMap::new(),
             tickets: 0,
             shares: Shares::default(),
-            report_interval: DEFAULT_REPORT_INTERVAL,
             placements: Vec::new(),
         }
     }
@@ -117,7 +99,7 @@
 
     /// Sets the time after which the other routers know of a grant.
     pub const fn set_report_interval(&mut self, interval: Duration) {
-        self.report_interval = interval;
+        self.shares.report_interval = interval;
     }
 
     /// Adopts a configuration and returns `true`, or returns `false` if it is not newer than the current one.
@@ -212,7 +194,8 @@
 
     /// Returns what keeps the waiting requests of a service from the engines, most waiting requests first.
     pub fn contention(&mut self, now: Duration, service: &Name) -> Vec<Contention> {
-        let fair_share = self.fair_share(now).tokens();
+        self.shares.update(now, &self.usage);
+        let fair_share = self.shares.fair_share().tokens();
         let counts = self.service_state(service).queue.by_workspace();
         let mut counts: Vec<(Name, usize)> =
             counts.into_iter().map(|(name, count)| (name.clone(), count)).collect();
@@ -330,54 +313,21 @@
         service: &Name,
         workspace: Option<&Name>,
     ) -> Option<Selector<'_>> {
-        let fraction = self.allowed_fraction(now, workspace);
-        let room_part = self.room_part(now, workspace);
+        self.shares.update(now, &self.usage);
         self.service_state(service);
         self.tickets += 1;
         Some(Selector {
             registry: &self.registry,
             service: self.service(service)?,
             adaptive_limit: &self.services[service].adaptive_limit,
-            fraction,
-            room_part,
+            fraction: self.shares.allowed_fraction(now, &self.usage, workspace),
+            room_part: self.shares.room_part(now, &self.usage, &self.limits.router, workspace),
             fleet_limits: &self.limits,
             now,
             salt: self.tickets,
         })
     }
 
-    /// Returns the fraction of an engine's limits that a workspace may fill.
-    fn allowed_fraction(&mut self, now: Duration, workspace: Option<&Name>) -> f64 {
-        let Some(workspace) = workspace else { return 1.0 };
-        let work = self.usage.of(now, workspace);
-        self.fair_share(now).allowed_fraction(work)
-    }
-
-    fn fair_share(&mut self, now: Duration) -> FairShare {
-        self.update_shares(now);
-        self.shares.fair_share
-    }
-
-    /// Returns the part of free room that this router uses for requests of a workspace, or `None` if it may use all.
-    fn room_part(&mut self, now: Duration, workspace: Option<&Name>) -> Option<RoomPart> {
-        let work = self.usage.of(now, workspace?);
-        if !self.fair_share(now).is_competing(work) {
-            return None;
-        }
-        let part = self.shares.part?;
-        Some(RoomPart::new(&self.limits.router, now, self.report_interval, part))
-    }
-
-    fn update_shares(&mut self, now: Duration) {
-        if now < self.shares.until {
-            return;
-        }
-        let fair_share = FairShare::of(self.usage.all(now).map(|(_, all)| all));
-        let competing = self.usage.all(now).filter(|(_, all)| fair_share.is_competing(*all));
-        let part = room_part::part(competing);
-        self.shares = Shares { until: now + SHARE_INTERVAL, fair_share, part };
-    }
-
     /// Removes and returns the placements of shared parts since the last call, for a report to the other routers.
     ///
     /// If there are too many for one report, only the newest are returned.
@@ -399,19 +349,17 @@
             runner.cold_sent.add(now, 1);
         }
         runner.own_load.add(load);
-        runner.recent_load.add(room_part::interval(now, self.report_interval), load);
+        self.shares.record_load(now, runner, load);
         if let Some(prompt) = &request.prompt {
             let reported = runner.prefix_cache.record_sent(prompt, now);
             self.placements.extend(reported.map(|part| (part, key)));
         }
         let (id, address) = (runner.registration.id.clone(), runner.registration.address);
-        let is_contended = self.shares.part.is_some();
+        let is_contended = self.shares.is_contended();
         let work = request.work();
         if let Some(workspace) = &request.workspace {
             self.usage.charge(now, workspace, work, is_contended);
-            if self.usage.of(now, workspace).used > self.shares.fair_share.tokens() {
-                self.shares.until = now;
-            }
+            self.shares.record_use(now, &self.usage, workspace);
         }
         Grant { runner: key, id, address, source: choice.source, load, work, is_contended }
     }
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -39,6 +39,7 @@
 mod room_part;
 mod route;
 mod runner;
+mod shares;
 mod table;
 mod topic_view;
 mod usage;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,6 +29,7 @@
 mod settings;
 mod sse;
 mod stream;
+mod upkeep;
 
 pub use answer::Answer;
 pub use answer::Problem;
@@ -57,3 +58,4 @@
 pub use settings::Error;
 pub use settings::Settings;
 pub use stream::Stream;
+pub use upkeep::keep_up;
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -39,12 +39,8 @@
 const REVOCATION_FRACTION: f64 = 0.8;
 /// Delay from a change to the run of the queue, so that several changes are processed together.
 const QUEUE_DELAY: Duration = Duration::from_millis(3);
-/// Maximum number of workspaces of a service whose waiting requests are logged at one time.
-const MAX_CONTENTION_LINES: usize = 4;
 /// The window over which requests are counted.
 const REQUEST_WINDOW: Duration = Duration::from_secs(1);
-/// Interval between two removals of expired state.
-const CLEANUP_INTERVAL: Duration = Duration::from_millis(500);
 
 /// A topic of the store that only a few routers, its readers, poll.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::EnumCount, strum::EnumIter)]
@@ -348,54 +344,6 @@
         }
     }
 
-    /// Removes expired connections and runners and logs the load at regular intervals, until the process ends.
-    pub async fn run_cleanup(self: Rc<Self>) {
-        loop {
-            time::sleep(CLEANUP_INTERVAL).await;
-            self.pool.borrow_mut().remove_expired();
-            let now = self.now();
-            {
-                let mut core = self.core.borrow_mut();
-                core.registry.remove_expired(now);
-                core.usage.remove_expired(now);
-            }
-            self.end_pauses(now);
-            self.log_load();
-        }
-    }
-
-    /// Ends the pauses of runners that are over.
-    fn end_pauses(&self, now: Duration) {
-        let resumed = self.core.borrow_mut().registry.end_pauses(now);
-        for id in resumed {
-            self.log(Line::new("runner_resumed").subject(id.as_str()));
-        }
-        self.wake_queue();
-    }
-
-    /// Logs the load limits of each service's engines, and what keeps waiting requests from them.
-    fn log_load(&self) {
-        let now = self.now();
-        let mut core = self.core.borrow_mut();
-        for (service, adaptive_limit, waiting) in core.service_loads() {
-            let text = format!(
-                "waiting {waiting}, backlog limit {} tokens, running limit {}",
-                adaptive_limit.limits().backlog,
-                adaptive_limit.limits().running
-            );
-            self.log(Line::new("load").subject(service.as_str()).outcome(text));
-        }
-        let services: Vec<base::Name> =
-            core.service_loads().map(|(service, ..)| service.clone()).collect();
-        for service in services {
-            for contention in core.contention(now, &service).iter().take(MAX_CONTENTION_LINES) {
-                let line = Line::new("contention").subject(service.as_str());
-                let line = line.workspace(contention.workspace.as_str());
-                self.log(line.outcome(contention.to_string()));
-            }
-        }
-    }
-
     /// Returns all metrics as text.
     #[must_use]
     pub fn metrics(&self) -> String {
--- /dev/null
+++ b/crates/relay/src/upkeep.rs
@@ -0,0 +1,71 @@
+//! Work at regular intervals: removal of what has expired, and log lines on the load.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use balance::AdaptiveLimit;
+use base::Name;
+use tokio::time;
+
+use crate::Line;
+use crate::Router;
+
+/// Interval between two runs.
+const INTERVAL: Duration = Duration::from_millis(500);
+/// Maximum number of workspaces of a service whose waiting requests are logged at one time.
+const MAX_CONTENTION_LINES: usize = 4;
+
+/// Removes expired connections, runners and figures and logs the load, until the process ends.
+pub async fn keep_up(router: Rc<Router>) {
+    loop {
+        time::sleep(INTERVAL).await;
+        let now = router.now();
+        router.pool.borrow_mut().remove_expired();
+        remove_expired(&router, now);
+        end_pauses(&router, now);
+        log_loads(&router);
+        log_contention(&router, now);
+    }
+}
+
+fn remove_expired(router: &Router, now: Duration) {
+    let mut core = router.core.borrow_mut();
+    core.registry.remove_expired(now);
+    core.usage.remove_expired(now);
+}
+
+/// Ends the pauses of runners that are over.
+fn end_pauses(router: &Router, now: Duration) {
+    let resumed = router.core.borrow_mut().registry.end_pauses(now);
+    for id in resumed {
+        router.log(Line::new("runner_resumed").subject(id.as_str()));
+    }
+}
+
+/// Logs the load limits of each service's engines.
+fn log_loads(router: &Router) {
+    let core = router.core.borrow();
+    for (service, adaptive_limit, waiting) in core.service_loads() {
+        let outcome = describe_load(adaptive_limit, waiting);
+        router.log(Line::new("load").subject(service.as_str()).outcome(outcome));
+    }
+}
+
+fn describe_load(adaptive_limit: &AdaptiveLimit, waiting: usize) -> String {
+    let limits = adaptive_limit.limits();
+    let (backlog, running) = (limits.backlog, limits.running);
+    format!("waiting {waiting}, backlog limit {backlog} tokens, running limit {running}")
+}
+
+/// Logs what keeps waiting requests from each service's engines.
+fn log_contention(router: &Router, now: Duration) {
+    let mut core = router.core.borrow_mut();
+    let services: Vec<Name> = core.service_loads().map(|(service, ..)| service.clone()).collect();
+    for service in services {
+        for contention in core.contention(now, &service).iter().take(MAX_CONTENTION_LINES) {
+            let line = Line::new("contention").subject(service.as_str());
+            let line = line.workspace(contention.workspace.as_str());
+            router.log(line.outcome(contention.to_string()));
+        }
+    }
+}
