--- a/crates/balance/src/era.rs
+++ b/crates/balance/src/era.rs
@@ -7,6 +7,15 @@
 /// The number of bits of an offset in a position.
 const OFFSET_BITS: u32 = 40;
 
+/// The number of bits of an era in a position.
+const ERA_BITS: u32 = 24;
+
+/// Returns the era that a store states; eras count from zero again when they no longer fit.
+#[must_use]
+pub const fn stated(number: u64) -> u32 {
+    (number & ((1 << ERA_BITS) - 1)) as u32
+}
+
 /// Returns the position of an offset in an era.
 #[must_use]
 pub fn position(era: u32, offset: u64) -> u64 {
--- a/crates/balance/src/topic_view.rs
+++ b/crates/balance/src/topic_view.rs
@@ -110,13 +110,6 @@
         applied.collect()
     }
 
-    /// Returns the number of keys with a value that was not written in an era.
-    #[must_use]
-    pub fn count_lost(&self, era: u32) -> usize {
-        let lost = self.records.values().filter(|known| is_lost(known, era));
-        lost.count()
-    }
-
     /// Removes the keys whose values nobody has written again in the era of a position, and returns the changes.
     pub fn remove_lost(&mut self, position: u64) -> Vec<(u64, Change)> {
         let era = era::of(position);
