feat(relay): log which attempts a runner takes along, with their shared parts and progress

The log named neither the runner that ended nor the requests on it, so four hypotheses could not be told apart. attempt_broken lines name runner, shared parts and the time since the first data.

--- a/crates/balance/src/request.rs
+++ b/crates/balance/src/request.rs
@@ -29,11 +29,17 @@
 }
 
 impl Prompt {
-    /// Returns the identifier of the last part that requests of other sessions share, or zero if there is none.
+    /// Returns the parts that requests of other sessions share: all but the last.
+    #[must_use]
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
+    /// Returns the identifier of the last part that requests of other sessions share, or of the only part; zero if there
+    /// is none.
     #[must_use]
     pub fn affinity(&self) -> u64 {
-        let shared = self.parts.len().saturating_sub(2);
-        self.parts.get(shared).map_or(0, |part| part.id)
+        self.shared_parts().last().or(self.parts.first()).map_or(0, |part| part.id)
     }
 
     /// Returns the estimated number of generated tokens: the expected number, or else a third of the maximum.
@@ -51,8 +57,7 @@
     /// Returns the number of tokens in the parts that requests of other sessions share.
     #[must_use]
     pub fn shared(&self) -> u64 {
-        let shared = self.parts.len().saturating_sub(1);
-        self.parts.iter().take(shared).map(|part| part.tokens).sum()
+        self.shared_parts().iter().map(|part| part.tokens).sum()
     }
 }
 
--- a/crates/relay/src/acquire.rs
+++ b/crates/relay/src/acquire.rs
@@ -7,11 +7,15 @@
 use balance::Grant;
 use balance::Key;
 use balance::Outcome;
+use balance::Prompt;
 use balance::Request;
 use balance::Ticket;
 
 use crate::Call;
+use crate::Line;
 use crate::Router;
+use crate::event;
+use crate::forward;
 
 /// The permit to use a granted runner, released when dropped.
 #[derive(Debug)]
@@ -68,12 +72,25 @@
         self.router.core.borrow_mut().record_token_time(now, &self.call.service, each);
     }
 
-    /// Records that the runner broke the connection while it ran the request.
-    pub(crate) fn record_crash(&self) {
+    /// Records that the runner broke the connection while it ran the request, `data_for` after its first data.
+    pub(crate) fn record_crash(&self, data_for: Option<Duration>) {
         let now = self.router.now();
+        self.router.log(self.crash_line(data_for));
         self.router.core.borrow_mut().crash_history.record_crash(now, self.call.digest);
     }
 
+    /// Returns the log line that names the shared parts of the prompt, and for how long data of the answer had come.
+    fn crash_line(&self, data_for: Option<Duration>) -> Line {
+        let parts = self.call.prompt.iter().flat_map(Prompt::shared_parts);
+        let parts: Vec<String> = parts.map(|part| format!("{:x}", part.id)).collect();
+        let data = data_for.map_or_else(
+            || "no data".to_owned(),
+            |data_for| format!("data for {} ms", event::millis(data_for)),
+        );
+        let line = forward::line(&self.call, "attempt_broken").subject(self.grant.id.as_str());
+        line.outcome(format!("{data}, shared parts {}", parts.join(" ")))
+    }
+
     /// Records that the request was answered completely.
     pub(crate) fn record_answer(&self) {
         let now = self.router.now();
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -210,7 +210,7 @@
                 permit.record_not_run();
                 return Err(AttemptError::NotRun);
             }
-            permit.record_crash();
+            permit.record_crash(None);
             permit.update_health(Health::record_unreachable);
             Err(AttemptError::MayHaveRun)
         }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -176,7 +176,7 @@
     fn handle_break(&mut self, reason: &str) -> Result<(), Error> {
         if let Some(source) = self.source.take() {
             if reason == BROKEN {
-                source.permit.record_crash();
+                source.permit.record_crash(self.data_for());
             }
             source.permit.update_health(Health::record_unreachable);
             self.router.pool.borrow_mut().discard(source.permit.grant.runner);
@@ -194,6 +194,11 @@
         Ok(())
     }
 
+    /// Returns the time since the first data of the runner, if there was any.
+    fn data_for(&self) -> Option<Duration> {
+        self.has_data.then(|| self.router.now().saturating_sub(self.first_at))
+    }
+
     fn handle_resumed(&mut self, resumed: Option<(Reply, AttemptHistory)>) -> Result<(), Error> {
         self.resuming = None;
         let Some((reply, history)) = resumed else {
