--- a/crates/fake/src/endpoint.rs
+++ b/crates/fake/src/endpoint.rs
@@ -28,6 +28,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time;
 
@@ -36,6 +38,11 @@
 /// The time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
+/// The time from the head of an answer to the crash of the runner that writes it.
+const CRASH_DELAY: Duration = Duration::from_millis(30);
+/// The time for which a runner that has crashed closes all connections.
+const DOWN_TIME: Duration = Duration::from_millis(300);
+
 /// The start of a runner that its record states, in milliseconds since the Unix epoch.
 pub const FIRST_START_MS: u64 = 1_700_000_000_000;
 
@@ -79,6 +86,9 @@
     fault_mode: FaultMode,
     added_headers: Vec<(&'static str, &'static str)>,
     requests: Vec<RecordedRequest>,
+    /// The prompt part that crashes the runner.
+    crashing_part: Option<&'static str>,
+    crashes: u32,
 }
 
 /// A running fake runner, which stops when it is dropped.
@@ -90,6 +100,14 @@
     _tasks: JoinSet<()>,
 }
 
+/// What the tasks of a runner share.
+#[derive(Debug, Clone)]
+struct Shared {
+    id: String,
+    state: Arc<Mutex<State>>,
+    crashed: Arc<Notify>,
+}
+
 type Body = BoxBody<Bytes, io::Error>;
 
 impl Endpoint {
@@ -102,7 +120,9 @@
         let address = listener.local_addr()?;
         let state = Arc::new(Mutex::new(State::default()));
         let mut tasks = JoinSet::new();
-        tasks.spawn(accept(id.to_owned(), listener, Arc::clone(&state)));
+        let crashed = Arc::new(Notify::new());
+        let shared = Shared { id: id.to_owned(), state: Arc::clone(&state), crashed };
+        tasks.spawn(accept(shared, listener));
         Ok(Self { id: id.to_owned(), address, state, _tasks: tasks })
     }
 
@@ -123,6 +143,19 @@
         lock(&self.state).fault_mode = fault_mode;
     }
 
+    /// Sets the prompt part that crashes the runner when it begins to write an answer on it.
+    ///
+    /// A crash breaks all connections, and new ones are closed for a while.
+    pub fn set_crashing_part(&self, part: &'static str) {
+        lock(&self.state).crashing_part = Some(part);
+    }
+
+    /// Returns the number of crashes so far.
+    #[must_use]
+    pub fn crash_count(&self) -> u32 {
+        lock(&self.state).crashes
+    }
+
     /// Sets headers that all later answers have, whatever their status.
     pub fn set_added_headers(&self, headers: &[(&'static str, &'static str)]) {
         lock(&self.state).added_headers = headers.to_vec();
@@ -168,28 +201,39 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn accept(id: String, listener: TcpListener, state: Arc<Mutex<State>>) {
+async fn accept(shared: Shared, listener: TcpListener) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => {
                 let Ok((stream, _)) = accepted else { continue };
-                let (id, state) = (id.clone(), Arc::clone(&state));
-                let service = service_fn(move |request| {
-                    let (id, state) = (id.clone(), Arc::clone(&state));
-                    async move { answer_with_added_headers(&id, &state, request).await }
-                });
-                connections.spawn(async move {
-                    let connection =
-                        http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-                    drop(connection.await);
-                });
+                connections.spawn(serve(shared.clone(), stream));
             }
             Some(_) = connections.join_next() => (),
+            () = shared.crashed.notified() => {
+                connections.shutdown().await;
+                drop(time::timeout(DOWN_TIME, close_all(&listener)).await);
+            }
         }
     }
 }
 
+/// Closes each connection that is opened.
+async fn close_all(listener: &TcpListener) {
+    loop {
+        drop(listener.accept().await);
+    }
+}
+
+async fn serve(shared: Shared, stream: TcpStream) {
+    let service = service_fn(move |request| {
+        let shared = shared.clone();
+        async move { answer_with_added_headers(&shared, request).await }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    drop(connection.await);
+}
+
 /// The error that makes the server close the connection without an answer.
 #[derive(Debug)]
 struct Closed;
@@ -203,31 +247,29 @@
 impl std::error::Error for Closed {}
 
 async fn answer_with_added_headers(
-    id: &str,
-    state: &Mutex<State>,
+    shared: &Shared,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Closed> {
-    let mut response = answer(id, state, request).await?;
-    for (name, value) in lock(state).added_headers.iter().copied() {
+    let mut response = answer(shared, request).await?;
+    for (name, value) in lock(&shared.state).added_headers.iter().copied() {
         response.headers_mut().insert(name, HeaderValue::from_static(value));
     }
     Ok(response)
 }
 
-async fn answer(
-    id: &str,
-    state: &Mutex<State>,
-    request: Request<Incoming>,
-) -> Result<Response<Body>, Closed> {
+async fn answer(shared: &Shared, request: Request<Incoming>) -> Result<Response<Body>, Closed> {
+    let Shared { id, state, .. } = shared;
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(|_| Closed)?.to_bytes();
     let fault_mode = lock(state).fault_mode;
-    let is_expected = head.headers.get("expect-instance").is_none_or(|expected| expected == id);
+    let is_expected =
+        head.headers.get("expect-instance").is_none_or(|expected| expected == id.as_str());
     let is_executed = is_expected && fault_mode != FaultMode::Busy;
     let line = format!("{} {}", head.method, head.uri);
     let last_event = header(&head.headers, "last-event-id").and_then(|id| id.parse().ok());
     let request_id = header(&head.headers, "request-id").unwrap_or_default().to_owned();
     let is_stream = head.uri.path().contains("/stream/");
+    let crashes = is_expected && has_part(&head.headers, lock(state).crashing_part);
     lock(state).requests.push(RecordedRequest { line, headers: head.headers, body, is_executed });
     if !is_expected {
         return Ok(status(StatusCode::MISDIRECTED_REQUEST, "instance-id", id));
@@ -238,6 +280,7 @@
         FaultMode::Busy => return Ok(status(StatusCode::SERVICE_UNAVAILABLE, "not-executed", "1")),
         FaultMode::Disconnected => return Err(Closed),
         FaultMode::Unresponsive => return pending().await,
+        _ if crashes => Response::new(BodyExt::boxed(StreamBody::new(crash(shared.clone())))),
         FaultMode::InternalError => status(StatusCode::INTERNAL_SERVER_ERROR, "request-id", shown),
         _ if is_stream => {
             let truncated_at = match fault_mode {
@@ -256,6 +299,24 @@
     Ok(response)
 }
 
+/// Returns whether a prompt has a part before its last one.
+fn has_part(headers: &HeaderMap, part: Option<&str>) -> bool {
+    let (Some(part), Some(parts)) = (part, header(headers, "prompt-prefix")) else { return false };
+    let mut ids = parts.split(',').filter_map(|part| Some(part.split_once(':')?.0));
+    ids.next_back();
+    ids.any(|id| id == part)
+}
+
+/// Crashes the runner after a while, without any data.
+fn crash(shared: Shared) -> impl Stream<Item = io::Result<Frame<Bytes>>> + Send + Sync {
+    stream::once(async move {
+        time::sleep(CRASH_DELAY).await;
+        lock(&shared.state).crashes += 1;
+        shared.crashed.notify_one();
+        pending().await
+    })
+}
+
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
 }
