fix(balance,relay): prompt parts that crash runners are quarantined over the whole fleet

Cause: crashes were counted by the whole content of a request, which never recurred, and by each router's count alone; nothing saw what the requests had in common. Class: a failure was counted by the identity of the request rather than by the causes that it may have.

Crashes are now recorded for each possible cause, content and shared parts, with the incarnation of the runner, exchanged idempotently, cleared by answers at any router, and attributed to the likeliest cause. Requests with a quarantined cause are refused at once; single probes by one router at a time release what was mended or sound.

--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -7,6 +7,8 @@
 use indexmap::IndexMap;
 
 use crate::AdaptiveLimit;
+use crate::Admission;
+use crate::Cause;
 use crate::Contention;
 use crate::CrashHistory;
 use crate::Decision;
@@ -56,7 +58,7 @@
     pub registry: Registry,
     /// The recent use of engines by each workspace.
     pub usage: Usage,
-    /// The crashes of runners, by request.
+    /// The crashes of runners, by possible cause.
     pub crash_history: CrashHistory,
     limits: FleetLimits,
     services: IndexMap<Name, ServiceState>,
@@ -124,6 +126,12 @@
         self.service_state(service).budget.take_retry(now, routers)
     }
 
+    /// Decides whether a request with these possible causes of crashes may be sent to a runner.
+    pub fn admit(&mut self, now: Duration, causes: &[Cause]) -> Admission {
+        let FleetLimits { router, peers, .. } = &self.limits;
+        self.crash_history.admit(now, causes, router, peers.as_deref())
+    }
+
     /// Submits a request for a runner.
     pub fn submit(&mut self, now: Duration, request: Request) -> Outcome {
         let has_waiting = !self.service_state(&request.service).queue.is_empty();
@@ -354,14 +362,17 @@
             let reported = runner.prefix_cache.record_sent(prompt, now);
             self.placements.extend(reported.map(|part| (part, key)));
         }
-        let (id, address) = (runner.registration.id.clone(), runner.registration.address);
+        let registration = &runner.registration;
+        let (id, address) = (registration.id.clone(), registration.address);
+        let incarnation = registration.incarnation();
         let is_contended = self.shares.is_contended();
         let work = request.work();
         if let Some(workspace) = &request.workspace {
             self.usage.charge(now, workspace, work, is_contended);
             self.shares.record_use(now, &self.usage, workspace);
         }
-        Grant { runner: key, id, address, source: choice.source, load, work, is_contended }
+        let source = choice.source;
+        Grant { runner: key, id, incarnation, address, source, load, work, is_contended }
     }
 
     fn service(&self, name: &Name) -> Option<&Service> {
--- a/crates/balance/src/decision.rs
+++ b/crates/balance/src/decision.rs
@@ -16,6 +16,8 @@
     pub runner: Key,
     /// The identifier of the runner.
     pub id: Name,
+    /// The digest of its incarnation.
+    pub incarnation: u32,
     /// The address at which it accepts connections.
     pub address: SocketAddr,
     /// The runner from which it fetches the shared parts that it does not hold.
--- a/crates/balance/src/runner.rs
+++ b/crates/balance/src/runner.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use base::Name;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::Health;
 use crate::Load;
@@ -43,6 +44,15 @@
     pub cold_left: Duration,
 }
 
+impl Registration {
+    /// Returns a digest of the identifier and the start, which tells incarnations apart.
+    #[must_use]
+    #[expect(clippy::cast_possible_truncation, reason = "the low half of the hash is the digest")]
+    pub fn incarnation(&self) -> u32 {
+        xxh3_64_with_seed(self.id.as_str().as_bytes(), self.started_ms) as u32
+    }
+}
+
 /// A runner with its state and load.
 #[derive(Debug, Clone)]
 pub struct Runner {
--- a/crates/relay/src/acquire.rs
+++ b/crates/relay/src/acquire.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use balance::Admission;
+use balance::Cause;
 use balance::Decision;
 use balance::Grant;
 use balance::Key;
@@ -13,9 +15,15 @@
 
 use crate::Call;
 use crate::Line;
+use crate::Problem;
+use crate::Refusal;
 use crate::Router;
 use crate::event;
 use crate::forward;
+use crate::forward::AttemptHistory;
+
+/// The time since the first data of an answer from which on a crash of the runner has another cause.
+pub(crate) const SOUND_AFTER: Duration = Duration::from_millis(250);
 
 /// The permit to use a granted runner, released when dropped.
 #[derive(Debug)]
@@ -73,14 +81,25 @@
     }
 
     /// Records that the runner broke the connection while it ran the request, `data_for` after its first data.
-    pub(crate) fn record_crash(&self, data_for: Option<Duration>) {
+    ///
+    /// A request whose answer had been arriving for a while has not crashed the runner.
+    pub(crate) fn record_break(&self, data_for: Option<Duration>) {
+        self.router.log(self.break_line(data_for));
+        if data_for.is_none_or(|data_for| data_for < SOUND_AFTER) {
+            let now = self.router.now();
+            let mut core = self.router.core.borrow_mut();
+            core.crash_history.record_crash(now, self.grant.incarnation, &self.call.causes);
+        }
+    }
+
+    /// Records that the request has not crashed the runner.
+    pub(crate) fn record_sound(&self) {
         let now = self.router.now();
-        self.router.log(self.crash_line(data_for));
-        self.router.core.borrow_mut().crash_history.record_crash(now, self.call.digest);
+        self.router.core.borrow_mut().crash_history.record_answer(now, &self.call.causes);
     }
 
     /// Returns the log line that names the shared parts of the prompt, and for how long data of the answer had come.
-    fn crash_line(&self, data_for: Option<Duration>) -> Line {
+    fn break_line(&self, data_for: Option<Duration>) -> Line {
         let parts = self.call.prompt.iter().flat_map(Prompt::shared_parts);
         let parts: Vec<String> = parts.map(|part| format!("{:x}", part.id)).collect();
         let data = data_for.map_or_else(
@@ -93,8 +112,6 @@
 
     /// Records that the request was answered completely.
     pub(crate) fn record_answer(&self) {
-        let now = self.router.now();
-        self.router.core.borrow_mut().crash_history.record_answer(now, self.call.digest);
         self.update_health(|health, _| health.record_success());
     }
 
@@ -113,15 +130,59 @@
     }
 }
 
+/// The reason why a request gets no runner.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Error {
+    /// The delay after which the caller may retry.
+    pub(crate) retry_after: Duration,
+    pub(crate) reason: Refusal,
+}
+
+impl From<Error> for Problem {
+    fn from(error: Error) -> Self {
+        let Error { retry_after, reason } = error;
+        Self::Refused { retry_after, reason }
+    }
+}
+
+/// Decides whether a request may be sent at all; returns the cause that it probes, if it is a probe.
+///
+/// # Errors
+/// Returns an error if the request holds a quarantined cause.
+pub(crate) fn admit(router: &Router, call: &Call) -> Result<Option<Cause>, Error> {
+    match router.core.borrow_mut().admit(router.now(), &call.causes) {
+        Admission::Admitted => Ok(None),
+        Admission::Probe(cause) => {
+            router.log(forward::line(call, "quarantine_probe").subject(&cause.to_string()));
+            Ok(Some(cause))
+        }
+        Admission::Refused { cause, retry_after } => {
+            Err(Error { retry_after, reason: Refusal::Quarantined(cause) })
+        }
+    }
+}
+
 /// Waits for the grant of a runner.
 ///
 /// # Errors
-/// Returns the delay after which the caller may retry if no runner is free in time.
+/// Returns an error if no runner is free in time, or if the request holds a cause that was quarantined meanwhile.
 pub(crate) async fn acquire(
+    router: &Rc<Router>,
+    call: &Rc<Call>,
+    history: &AttemptHistory,
+) -> Result<Permit, Error> {
+    let permit = wait_for_grant(router, call, &history.avoid).await?;
+    if history.probes.is_none() {
+        admit(router, call)?;
+    }
+    Ok(permit)
+}
+
+async fn wait_for_grant(
     router: &Rc<Router>,
     call: &Rc<Call>,
     avoid: &[Key],
-) -> Result<Permit, Duration> {
+) -> Result<Permit, Error> {
     let now = router.now();
     let outcome = router.core.borrow_mut().submit(now, request(call, avoid));
     let decision = match outcome {
@@ -135,7 +196,7 @@
             grant,
             may_have_run: false,
         }),
-        Decision::Refused { retry_after } => Err(retry_after),
+        Decision::Refused { retry_after } => Err(Error { retry_after, reason: Refusal::NoRunner }),
     }
 }
 
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use balance::Cause;
 use balance::Prompt;
 use balance::Route;
 use base::Name;
@@ -48,8 +49,8 @@
     pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
-    /// The digest of workspace and content, which identifies a request that crashes runners.
-    pub digest: u64,
+    /// What may be the cause if the request crashes its runner.
+    pub causes: Vec<Cause>,
 }
 
 /// One attempt at a call: a single send to a single runner.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use balance::Cause;
 use balance::Health;
 use balance::Key;
 use balance::Kind;
@@ -21,6 +22,7 @@
 use crate::Call;
 use crate::Line;
 use crate::Problem;
+use crate::Refusal;
 use crate::Router;
 use crate::Stream;
 use crate::acquire;
@@ -36,8 +38,6 @@
 const MAX_REJECTIONS: u32 = 3;
 /// Delay after which a caller may retry a request that no runner has run.
 const NOT_RUN_RETRY_AFTER: Duration = Duration::from_millis(400);
-/// Delay after which a caller may retry when its request has crashed several runners.
-const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(30);
 /// Fraction of the time left that an attempt at a safe request may take if another attempt may follow.
 const ATTEMPT_FRACTION: f64 = 0.5;
 
@@ -52,6 +52,8 @@
     pub(crate) rejections: u32,
     /// Runners that are not used again.
     pub(crate) avoid: Vec<Key>,
+    /// The quarantined cause that the request probes.
+    pub(crate) probes: Option<Cause>,
 }
 
 /// A runner's answer whose head has arrived and whose body is not yet read.
@@ -76,17 +78,23 @@
 
 /// Forwards a call and returns its final answer, by its deadline.
 pub async fn forward(router: &Rc<Router>, call: Rc<Call>) -> Answer {
-    if router.core.borrow().crash_history.is_refused(router.now(), call.digest) {
-        router.log(line(&call, "refused").outcome("its runners have crashed"));
-        return Answer::Problem(Problem::Refused { retry_after: SUSPECT_RETRY_AFTER });
-    }
+    let probes = match acquire::admit(router, &call) {
+        Ok(probes) => probes,
+        Err(error) => {
+            let answer = Answer::Problem(error.into());
+            log_answer(router, &call, &answer, 0);
+            return answer;
+        }
+    };
+    let history = AttemptHistory { probes, ..AttemptHistory::default() };
     let may_have_run = Cell::new(false);
     let sends = Cell::new(0);
     let left = call.deadline.saturating_sub(router.now());
-    let answer = match time::timeout(left, attempts(router, &call, &may_have_run, &sends)).await {
+    let attempts = attempts(router, &call, history, &may_have_run, &sends);
+    let answer = match time::timeout(left, attempts).await {
         Ok(answer) => answer,
         Err(_) if may_have_run.get() => Answer::Problem(Problem::Timeout),
-        Err(_) => Answer::Problem(Problem::Refused { retry_after: NOT_RUN_RETRY_AFTER }),
+        Err(_) => refused(NOT_RUN_RETRY_AFTER),
     };
     log_answer(router, &call, &answer, sends.get());
     answer
@@ -95,15 +103,15 @@
 async fn attempts(
     router: &Rc<Router>,
     call: &Rc<Call>,
+    mut history: AttemptHistory,
     may_have_run: &Cell<bool>,
     sends: &Cell<u32>,
 ) -> Answer {
-    let mut history = AttemptHistory::default();
     let mut last = None;
     loop {
-        let permit = match acquire::acquire(router, call, &history.avoid).await {
+        let permit = match acquire::acquire(router, call, &history).await {
             Ok(permit) => permit,
-            Err(retry_after) => return last_answer(&history, last, retry_after),
+            Err(error) => return last_answer(&history, last, Answer::Problem(error.into())),
         };
         history.avoid.push(permit.grant.runner);
         sends.set(sends.get() + 1);
@@ -114,7 +122,7 @@
         }
         if !may_retry(router, call, &history) {
             let pause = router.core.borrow().pause(router.now(), &call.service);
-            return last_answer(&history, last, pause.unwrap_or(NOT_RUN_RETRY_AFTER));
+            return last_answer(&history, last, refused(pause.unwrap_or(NOT_RUN_RETRY_AFTER)));
         }
     }
 }
@@ -148,6 +156,9 @@
         AnswerClass::Final => {
             let (answer, permit) = collect(router, reply).await?;
             permit.record_answer();
+            if answer.status().is_success() {
+                permit.record_sound();
+            }
             Ok(Answer::Complete(answer))
         }
         AnswerClass::Failed => {
@@ -210,7 +221,7 @@
                 permit.record_not_run();
                 return Err(AttemptError::NotRun);
             }
-            permit.record_crash(None);
+            permit.record_break(None);
             permit.update_health(Health::record_unreachable);
             Err(AttemptError::MayHaveRun)
         }
@@ -273,6 +284,9 @@
 
 /// Returns whether another attempt at the call is allowed.
 fn may_retry(router: &Router, call: &Call, history: &AttemptHistory) -> bool {
+    if history.probes.is_some() && history.runs > 0 {
+        return false;
+    }
     if history.rejections >= MAX_REJECTIONS || history.avoid.len() > 2 * MAX_REJECTIONS as usize {
         return false;
     }
@@ -284,18 +298,19 @@
     is_first_send || router.core.borrow_mut().take_retry(router.now(), &call.service)
 }
 
-fn last_answer(
-    history: &AttemptHistory,
-    last: Option<Response<Bytes>>,
-    retry_after: Duration,
-) -> Answer {
+/// Returns the final answer when no further attempt is made; `not_run` is that of a request that has not run.
+fn last_answer(history: &AttemptHistory, last: Option<Response<Bytes>>, not_run: Answer) -> Answer {
     match last {
         Some(answer) => Answer::Complete(answer),
         None if history.runs > 0 => Answer::Problem(Problem::Lost),
-        None => Answer::Problem(Problem::Refused { retry_after }),
+        None => not_run,
     }
 }
 
+const fn refused(retry_after: Duration) -> Answer {
+    Answer::Problem(Problem::Refused { retry_after, reason: Refusal::NoRunner })
+}
+
 /// Returns how long this attempt may wait for the head of its answer; limited only if another attempt may follow.
 fn attempt_limit(router: &Router, call: &Call, history: &AttemptHistory) -> Duration {
     let left = call.deadline.saturating_sub(router.now());
@@ -317,7 +332,7 @@
         if !may_retry(&router, &call, &history) {
             return None;
         }
-        let permit = acquire::acquire(&router, &call, &history.avoid).await.ok()?;
+        let permit = acquire::acquire(&router, &call, &history).await.ok()?;
         history.avoid.push(permit.grant.runner);
         let Ok(reply) =
             send_request(&router, &call, permit, last_event.as_deref(), &mut history).await
@@ -355,7 +370,7 @@
     let (event, outcome) = match answer {
         Answer::Complete(response) => ("answered", response.status().as_u16().to_string()),
         Answer::Stream(_) => ("streaming", String::new()),
-        Answer::Problem(Problem::Refused { .. }) => ("refused", "no runner in time".to_owned()),
+        Answer::Problem(Problem::Refused { reason, .. }) => ("refused", reason.to_string()),
         Answer::Problem(problem) => ("failed", problem.to_string()),
     };
     let took = router.now().saturating_sub(call.arrived);
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -6,6 +6,7 @@
 //! Heartbeats are authenticated with a key that each process creates at its start and publishes with its identity in a
 //! topic of the platform's store, which only the fleet can write.
 
+use balance::Cause;
 use hmac::Hmac;
 use hmac::Mac;
 use serde::Deserialize;
@@ -76,13 +77,33 @@
     pub(crate) running: u32,
 }
 
-/// The number of runner crashes that the sender counted for a request.
+/// The number of runner crashes under a request, as earlier versions report it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Crashes {
-    /// The digest of the request's workspace and content.
-    pub(crate) digest: u64,
-    /// The number of crashes.
-    pub(crate) count: u32,
+pub(crate) struct CrashCount {
+    digest: u64,
+    count: u32,
+}
+
+/// A runner's crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Crash {
+    /// The digest of the runner's incarnation.
+    pub(crate) incarnation: u32,
+    /// The time since the crash, in milliseconds.
+    pub(crate) age_ms: u32,
+}
+
+/// What the sender knows about a possible cause of crashes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct CrashEvidence {
+    /// The possible cause.
+    pub(crate) cause: Cause,
+    /// The crashes of runners under requests that hold it.
+    pub(crate) crashes: Vec<Crash>,
+    /// The time since the last answer to such a request, in milliseconds.
+    pub(crate) answered_ms: Option<u32>,
+    /// Whether the sender has the cause quarantined.
+    pub(crate) is_quarantined: bool,
 }
 
 /// The sender's view of a topic of the store.
@@ -122,8 +143,8 @@
     pub(crate) used: Vec<WorkspaceUse>,
     /// The adaptive limits on the load of engines.
     pub(crate) limits: Vec<ServiceLimits>,
-    /// Requests that crash runners.
-    pub(crate) crashes: Vec<Crashes>,
+    /// Left empty; earlier versions name requests that crash runners here.
+    pub(crate) crash_counts: Vec<CrashCount>,
     /// The views of the topics of the store, in the order of [`crate::Topic`].
     pub(crate) topics: Vec<TopicStatus>,
     /// The number of requests in the last second.
@@ -164,13 +185,16 @@
     pub(crate) used: Vec<WorkspaceUse>,
     /// The aggregator's adaptive limits on the load of engines.
     pub(crate) limits: Vec<ServiceLimits>,
-    /// Requests that crash runners.
-    pub(crate) crashes: Vec<Crashes>,
+    /// Left empty; earlier versions name requests that crash runners here.
+    pub(crate) crash_counts: Vec<CrashCount>,
     /// The routers of the zone.
     pub(crate) members: Vec<MemberReport>,
     /// What workspaces have used and lacked while engines were short.
     #[serde(skip)]
     pub(crate) shortage: Vec<Shortage>,
+    /// What the routers of the zone know about crashes of runners.
+    #[serde(skip)]
+    pub(crate) crash_evidence: Vec<CrashEvidence>,
 }
 
 /// The part of a datagram that routers of earlier versions ignore.
@@ -191,6 +215,9 @@
     /// The eras of the store in which the last changes were read, in the order of the topics.
     #[serde(skip)]
     pub(crate) eras: Vec<u32>,
+    /// What the sender has seen of crashes of runners.
+    #[serde(skip)]
+    pub(crate) crash_evidence: Vec<CrashEvidence>,
 }
 
 /// A runner that has said in an answer that it leaves.
@@ -202,7 +229,7 @@
     pub(crate) started_ms: u64,
 }
 
-/// The last part of a datagram, which earlier versions ignore.
+/// The part of a datagram after the extension, which earlier versions ignore.
 #[derive(Debug, Default, Serialize, Deserialize)]
 struct Supplement {
     /// The shortages of workspaces at the sender.
@@ -215,6 +242,15 @@
     eras: Vec<u32>,
 }
 
+/// The last part of a datagram, which earlier versions ignore.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct CrashReport {
+    /// What the sender has seen.
+    own: Vec<CrashEvidence>,
+    /// What the routers of each zone know, in the order of [`Extension::sums`].
+    by_zone: Vec<Vec<CrashEvidence>>,
+}
+
 /// A received heartbeat, and the newest heartbeat of the receiver that it acknowledges.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Received {
@@ -235,19 +271,30 @@
         leaving: extension.leaving.clone(),
         eras: extension.eras.clone(),
     };
-    postcard::to_extend(&supplement, encoded).ok()
+    let encoded = postcard::to_extend(&supplement, encoded).ok()?;
+    let crash_report = CrashReport {
+        own: extension.crash_evidence.clone(),
+        by_zone: extension.sums.iter().map(|sums| sums.crash_evidence.clone()).collect(),
+    };
+    postcard::to_extend(&crash_report, encoded).ok()
 }
 
-/// Decodes an extension, with the supplement if the sender has one.
+/// Decodes an extension, with the later parts of the datagram if the sender's version has them.
 fn decode_extension(bytes: &[u8]) -> Option<Extension> {
     let (mut extension, rest): (Extension, &[u8]) = postcard::take_from_bytes(bytes).ok()?;
-    let supplement: Supplement = postcard::from_bytes(rest).unwrap_or_default();
+    let (supplement, rest): (Supplement, &[u8]) =
+        postcard::take_from_bytes(rest).unwrap_or_default();
+    let crash_report: CrashReport = postcard::from_bytes(rest).unwrap_or_default();
     extension.shortage = supplement.shortage;
     extension.leaving = supplement.leaving;
     extension.eras = supplement.eras;
+    extension.crash_evidence = crash_report.own;
     for (sums, shortage) in extension.sums.iter_mut().zip(supplement.shortage_by_zone) {
         sums.shortage = shortage;
     }
+    for (sums, crash_evidence) in extension.sums.iter_mut().zip(crash_report.by_zone) {
+        sums.crash_evidence = crash_evidence;
+    }
     Some(extension)
 }
 
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use balance::Distance;
 use balance::Identity;
 use balance::Member;
 use balance::MemberStatus;
@@ -19,6 +20,7 @@
 use crate::Line;
 use crate::Router;
 use crate::Topic;
+use crate::crash_evidence;
 use crate::event;
 use crate::gossip;
 use crate::gossip::Extension;
@@ -125,6 +127,7 @@
 ) {
     let mut extension = extension(router);
     extension.shortage = report::own_shortage(&router.core.borrow(), router.now());
+    extension.crash_evidence = crash_evidence::of_router(router);
     if is_aggregator {
         extension.sums = router.exchange.borrow_mut().take_sums(router.now());
     }
@@ -145,7 +148,6 @@
         placed: Vec::new(),
         used: Vec::new(),
         limits: Vec::new(),
-        crashes: Vec::new(),
         ..heartbeat
     };
     let mut extension = extension(router);
@@ -188,7 +190,7 @@
         loads: report::own_loads(&core),
         used: report::own_use(&core, now),
         limits: report::limits(&core),
-        crashes: report::own_crashes(&core, now),
+        crash_counts: Vec::new(),
         topics: topic_statuses(router),
         requests: router.recent_requests(),
         is_current: !router.is_revocation_unknown(),
@@ -209,6 +211,7 @@
         shortage: Vec::new(),
         leaving: report::leaving(&router.core.borrow()),
         eras: last_changes(router).map(era::of).collect(),
+        crash_evidence: Vec::new(),
     }
 }
 
@@ -256,6 +259,8 @@
     if is_direct(router, &heartbeat.sender) {
         let shortage = extension.as_ref().map_or(&[][..], |extension| &extension.shortage);
         report::apply_heartbeat(router, now, &heartbeat, shortage);
+        let evidence = extension.as_ref().map_or(&[][..], |extension| &extension.crash_evidence);
+        crash_evidence::apply(router, now, now, Distance::Zone, evidence);
     }
     let leaving = extension.iter().flat_map(|extension| &extension.leaving);
     report::apply_leaving(router, &heartbeat.sender, leaving);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 mod answer;
 mod call;
 mod clock;
+mod crash_evidence;
 mod directory;
 mod event;
 mod exchange;
@@ -33,6 +34,7 @@
 
 pub use answer::Answer;
 pub use answer::Problem;
+pub use answer::Refusal;
 pub use call::AnswerClass;
 pub use call::Attempt;
 pub use call::Call;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -40,6 +40,7 @@
     configuration_age: Gauge,
     runners: Gauge,
     routers: Gauge,
+    quarantined: Gauge,
 }
 
 /// The values of the gauges at one moment.
@@ -53,6 +54,8 @@
     pub runners: usize,
     /// The number of other routers that are alive.
     pub routers: usize,
+    /// The number of quarantined causes of crashes.
+    pub quarantined: usize,
 }
 
 impl Default for Metrics {
@@ -63,7 +66,8 @@
             Histogram::new(exponential_buckets(FIRST_BUCKET, BUCKET_FACTOR, BUCKETS))
         });
         let (waiting, configuration_age) = (Gauge::default(), Gauge::default());
-        let (runners, routers) = (Gauge::default(), Gauge::default());
+        let (runners, routers, quarantined) =
+            (Gauge::default(), Gauge::default(), Gauge::default());
         registry.register("events", "Events by name, as in the log", events.clone());
         registry.register("answer_seconds", "Time to the head of an answer", answers.clone());
         registry.register("waiting_requests", "Requests that wait for a runner", waiting.clone());
@@ -71,7 +75,18 @@
         registry.register("configuration_age_ms", age, configuration_age.clone());
         registry.register("known_runners", "Runners that are known", runners.clone());
         registry.register("live_routers", "Other routers that are alive", routers.clone());
-        Self { registry, events, answers, waiting, configuration_age, runners, routers }
+        let help = "Causes of runner crashes that are quarantined";
+        registry.register("quarantined_causes", help, quarantined.clone());
+        Self {
+            registry,
+            events,
+            answers,
+            waiting,
+            configuration_age,
+            runners,
+            routers,
+            quarantined,
+        }
     }
 }
 
@@ -95,6 +110,7 @@
         self.waiting.set(to_i64(gauges.waiting));
         self.runners.set(to_i64(gauges.runners));
         self.routers.set(to_i64(gauges.routers));
+        self.quarantined.set(to_i64(gauges.quarantined));
         let mut output = String::new();
         if let Err(error) = text::encode(&mut output, &self.registry) {
             log::error!("failed to encode the metrics: {error}");
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use balance::Core;
+use balance::Distance;
 use balance::Load;
 use balance::LoadLimits;
 use balance::Member;
@@ -15,8 +16,8 @@
 
 use crate::Line;
 use crate::Router;
+use crate::crash_evidence;
 use crate::exchange;
-use crate::gossip::Crashes;
 use crate::gossip::Digest;
 use crate::gossip::Heartbeat;
 use crate::gossip::LeavingRunner;
@@ -35,7 +36,6 @@
     used: &'a [WorkspaceUse],
     shortage: &'a [Shortage],
     limits: &'a [ServiceLimits],
-    crashes: &'a [Crashes],
     /// The number of routers that report these figures.
     routers: usize,
 }
@@ -95,11 +95,6 @@
     limits.collect()
 }
 
-/// Returns the runner crashes that this router has counted.
-pub(crate) fn own_crashes(core: &Core, now: Duration) -> Vec<Crashes> {
-    crashes(core.crash_history.own_crashes(now))
-}
-
 /// Removes and returns the shared parts that this router has placed since the last call.
 pub(crate) fn take_placements(core: &mut Core) -> Vec<PlacedPart> {
     let placed = core.take_placements();
@@ -113,6 +108,7 @@
 /// Returns the sums over all routers of this router's zone.
 pub(crate) fn zone_sums(router: &Router, incarnation: u64) -> ZoneSums {
     let now = router.now();
+    let crash_evidence = crash_evidence::of_zone(router);
     let core = router.core.borrow();
     let zone_load = |runner: &Runner| {
         let mut load = runner.own_load;
@@ -127,7 +123,8 @@
         used: workspace_use(core.usage.of_routers(now)),
         shortage: shortage(core.usage.of_routers(now)),
         limits: limits(&core),
-        crashes: crashes(core.crash_history.crashes_of_routers(now)),
+        crash_counts: Vec::new(),
+        crash_evidence,
         members: member_reports(router, now, incarnation),
     }
 }
@@ -145,7 +142,6 @@
         used: &heartbeat.used,
         shortage,
         limits: &heartbeat.limits,
-        crashes: &heartbeat.crashes,
         routers: 1,
     };
     let origin = Origin::Router(Name::new(&heartbeat.sender));
@@ -165,11 +161,11 @@
         used: &sums.used,
         shortage: &sums.shortage,
         limits: &sums.limits,
-        crashes: &sums.crashes,
         routers: sums.members.len(),
     };
     let zone = Name::new(&sums.zone);
     figures.apply(&mut router.core.borrow_mut(), &Origin::Zone(zone.clone()), now, at);
+    crash_evidence::apply(router, now, at, Distance::Fleet, &sums.crash_evidence);
     apply_member_reports(router, &zone, at, &sums.members);
 }
 
@@ -178,9 +174,6 @@
     fn apply(&self, core: &mut Core, origin: &Origin, now: Duration, at: Duration) {
         self.apply_loads(core, origin, now, at);
         self.apply_use(core, origin, at);
-        for crashes in self.crashes {
-            core.crash_history.record_peer_crashes(origin, now, crashes.digest, crashes.count);
-        }
         self.apply_limits(core);
     }
 
@@ -265,10 +258,6 @@
     short.collect()
 }
 
-fn crashes(counted: Vec<(u64, u32)>) -> Vec<Crashes> {
-    counted.into_iter().map(|(digest, count)| Crashes { digest, count }).collect()
-}
-
 fn member_reports(router: &Router, now: Duration, incarnation: u64) -> Vec<MemberReport> {
     let own = MemberReport {
         name: Digest::of(router.settings.name.as_str()),
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -348,11 +348,12 @@
     #[must_use]
     pub fn metrics(&self) -> String {
         let now = self.now();
-        let core = self.core.borrow();
+        let mut core = self.core.borrow_mut();
         self.metrics.text(Gauges {
             waiting: core.waiting(),
             configuration_age: self.config_age(),
             runners: core.registry.ids().count(),
+            quarantined: core.crash_history.quarantined(now).len(),
             routers: self.members.borrow().iter().filter(|member| member.is_alive(now)).count(),
         })
     }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -26,6 +26,7 @@
 use crate::Call;
 use crate::Router;
 use crate::acquire::Permit;
+use crate::acquire::SOUND_AFTER;
 use crate::event;
 use crate::forward;
 use crate::forward::AttemptHistory;
@@ -81,6 +82,7 @@
     has_data: bool,
     first_at: Duration,
     events: u32,
+    is_sound: bool,
     check_timer: Pin<Box<Sleep>>,
 }
 
@@ -98,6 +100,7 @@
             runs,
             rejections: 0,
             avoid: vec![reply.permit.grant.runner],
+            probes: None,
         };
         let stream = Self {
             router: Rc::clone(router),
@@ -111,6 +114,7 @@
             has_data: false,
             first_at: Duration::ZERO,
             events: 0,
+            is_sound: false,
             check_timer: Box::pin(time::sleep(CHECK_INTERVAL)),
         };
         (head, stream)
@@ -129,6 +133,7 @@
                 source.permit.record_first_token(took);
             }
         }
+        self.record_sound();
         self.events += sse::count_events(&bytes);
         if self.call.route.kind != Kind::Resumable {
             return Some(bytes);
@@ -151,6 +156,17 @@
         }
     }
 
+    /// Records once that the request has not crashed its runner, when data has been arriving for a while.
+    fn record_sound(&mut self) {
+        if self.is_sound || self.data_for().is_none_or(|data_for| data_for < SOUND_AFTER) {
+            return;
+        }
+        self.is_sound = true;
+        if let Some(source) = &self.source {
+            source.permit.record_sound();
+        }
+    }
+
     /// Handles the end of the runner's answer; returns whether the stream is complete.
     fn handle_end(&mut self) -> bool {
         let Some(mut source) = self.source.take() else { return false };
@@ -166,6 +182,7 @@
                 .record_token_time(took / ((self.events - 1) * self.call.event_tokens.max(1)));
         }
         source.permit.record_answer();
+        source.permit.record_sound();
         let runner = source.permit.grant.runner;
         self.router.pool.borrow_mut().put(runner, source.connection, source.keep_alive);
         self.log("stream_finished", String::new());
@@ -176,7 +193,7 @@
     fn handle_break(&mut self, reason: &str) -> Result<(), Error> {
         if let Some(source) = self.source.take() {
             if reason == BROKEN {
-                source.permit.record_crash(self.data_for());
+                source.permit.record_break(self.data_for());
             }
             source.permit.update_health(Health::record_unreachable);
             self.router.pool.borrow_mut().discard(source.permit.grant.runner);
@@ -208,6 +225,7 @@
         self.history = Some(history);
         self.last_contact = self.router.now();
         self.has_data = false;
+        self.is_sound = false;
         self.source = Some(Source::new(&self.router, reply));
         Ok(())
     }
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -1,10 +1,12 @@
-//! Work at regular intervals: removal of what has expired, and log lines on the load.
+//! Work at regular intervals: removal of what has expired, and log lines on the load and on quarantined causes.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use balance::AdaptiveLimit;
+use balance::Cause;
 use base::Name;
+use indexmap::IndexSet;
 use tokio::time;
 
 use crate::Line;
@@ -17,12 +19,14 @@
 
 /// Removes expired connections, runners and figures and logs the load, until the process ends.
 pub async fn keep_up(router: Rc<Router>) {
+    let mut quarantined = IndexSet::new();
     loop {
         time::sleep(INTERVAL).await;
         let now = router.now();
         router.pool.borrow_mut().remove_expired();
         remove_expired(&router, now);
         end_pauses(&router, now);
+        log_quarantine(&router, now, &mut quarantined);
         log_loads(&router);
         log_contention(&router, now);
     }
@@ -42,6 +46,21 @@
     }
 }
 
+/// Logs which causes of crashes have been quarantined and released since the last call.
+fn log_quarantine(router: &Router, now: Duration, known: &mut IndexSet<Cause>) {
+    let mut core = router.core.borrow_mut();
+    let current = core.crash_history.quarantined(now);
+    for cause in current.difference(known) {
+        let crashes = core.crash_history.evidence(now, *cause).crashes.len();
+        let line = Line::new("cause_quarantined").subject(&cause.to_string());
+        router.log(line.outcome(format!("{crashes} crashes since its last answer")));
+    }
+    for cause in known.difference(&current) {
+        router.log(Line::new("cause_released").subject(&cause.to_string()));
+    }
+    *known = current;
+}
+
 /// Logs the load limits of each service's engines.
 fn log_loads(router: &Router) {
     let core = router.core.borrow();
