fix(balance,platform): a request that only its workspace's share keeps from the engines is refused with 429

Cause: one status for two reasons. The reason is now part of the decision; 503 is left for requests for which there is no runner. Both state when to come back.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -144,6 +144,20 @@
         })
     }
 
+    /// Returns whether any engine that may be used now has room.
+    pub(crate) fn has_usable_room(&self) -> bool {
+        let Some(engine) = self.service.engine else { return false };
+        let limits = self.workspace_limits();
+        let mut serving = self.registry.serving(self.service.name.as_str());
+        serving.any(|(_, runner)| {
+            runner.health.is_usable(self.now)
+                && !runner.is_paused(self.now)
+                && limits.may_run(runner, &engine)
+                && runner.load().backlog < limits.backlog
+                && runner.load().memory < usable_memory(&engine)
+        })
+    }
+
     /// Returns the number of engines by what limits them for requests of the workspace.
     pub(crate) fn engine_room(&self) -> EngineRoom {
         let mut room = EngineRoom::default();
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -18,6 +18,7 @@
 use crate::Load;
 use crate::LoadLimits;
 use crate::Outcome;
+use crate::Refusal;
 use crate::Registry;
 use crate::Request;
 use crate::RetryBudget;
@@ -379,10 +380,22 @@
         self.table.as_ref()?.service(name.as_str())
     }
 
-    fn refusal(&self, now: Duration, request: &Request) -> Decision {
+    fn refusal(&mut self, now: Duration, request: &Request) -> Decision {
         let span = request.target.saturating_sub(request.arrived);
         let pause = self.pause(now, &request.service).unwrap_or_default();
-        Decision::Refused { retry_after: span.max(MIN_RETRY_AFTER).max(pause) }
+        let retry_after = span.max(MIN_RETRY_AFTER).max(pause);
+        let is_over_share = self.is_over_share(now, &request.service, request.workspace.as_ref());
+        let reason = if is_over_share { Refusal::OverShare } else { Refusal::NoRunner };
+        Decision::Refused { retry_after, reason }
+    }
+
+    /// Returns whether only its fair share keeps a workspace from the runners of a service.
+    fn is_over_share(&mut self, now: Duration, service: &Name, workspace: Option<&Name>) -> bool {
+        let Some(workspace) = workspace else { return false };
+        self.shares.update(now, &self.usage);
+        let fair_share = self.shares.fair_share();
+        fair_share.is_competing(self.usage.of(now, workspace))
+            && self.selector(now, service, None).is_some_and(|selector| selector.has_usable_room())
     }
 
     fn service_state(&mut self, service: &Name) -> &mut ServiceState {
--- a/crates/balance/src/decision.rs
+++ b/crates/balance/src/decision.rs
@@ -5,6 +5,7 @@
 
 use base::Name;
 
+use crate::Cause;
 use crate::Key;
 use crate::Load;
 use crate::Ticket;
@@ -30,6 +31,20 @@
     pub(crate) is_contended: bool,
 }
 
+/// The reason why a request is not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+pub enum Refusal {
+    /// No runner was free in time.
+    #[strum(to_string = "no runner in time")]
+    NoRunner,
+    /// There is room, but not for its workspace, which asks for more than its fair share.
+    #[strum(to_string = "its workspace has its share")]
+    OverShare,
+    /// It holds something that crashes runners.
+    #[strum(to_string = "{0} is quarantined")]
+    Quarantined(Cause),
+}
+
 /// The decision on a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Decision {
@@ -39,6 +54,8 @@
     Refused {
         /// The time after which the caller may retry.
         retry_after: Duration,
+        /// Why it is not run.
+        reason: Refusal,
     },
 }
 
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -65,6 +65,7 @@
 pub use decision::Decision;
 pub use decision::Grant;
 pub use decision::Outcome;
+pub use decision::Refusal;
 pub use fair_share::FairShare;
 pub use fleet_limits::FleetLimits;
 pub use health::Health;
--- a/crates/balance/tests/waiting.rs
+++ b/crates/balance/tests/waiting.rs
@@ -6,6 +6,7 @@
 
 use balance::Decision;
 use balance::Outcome;
+use balance::Refusal;
 use base::Name;
 
 use crate::common::core;
@@ -104,3 +105,27 @@
     assert!(core.adopt(newer));
     assert!(!core.adopt(common::table()));
 }
+
+/// Returns why the last of many requests of a workspace was refused.
+fn last_refusal(core: &mut balance::Core, workspace: &str, now: Duration) -> Option<Refusal> {
+    let mut last = None;
+    for number in 0..40 {
+        let sent = now + ms(5 * number);
+        core.submit(sent, request(sent, workspace, number, 2_000));
+    }
+    let due = core.next_wake()? + ms(200);
+    for (_, decision) in core.process_queue(due) {
+        if let Decision::Refused { reason, .. } = decision {
+            last = Some(reason);
+        }
+    }
+    last
+}
+
+#[test]
+fn a_refusal_says_whether_the_share_of_the_workspace_or_a_lack_of_runners_is_the_reason() {
+    let mut busy = core("router-1", 2);
+    assert_eq!(last_refusal(&mut busy, "flood", NOW), Some(Refusal::OverShare));
+    let mut empty = core("router-1", 0);
+    assert_eq!(last_refusal(&mut empty, "flood", NOW), Some(Refusal::NoRunner));
+}
--- a/crates/relay/src/acquire.rs
+++ b/crates/relay/src/acquire.rs
@@ -10,13 +10,13 @@
 use balance::Key;
 use balance::Outcome;
 use balance::Prompt;
+use balance::Refusal;
 use balance::Request;
 use balance::Ticket;
 
 use crate::Call;
 use crate::Line;
 use crate::Problem;
-use crate::Refusal;
 use crate::Router;
 use crate::event;
 use crate::forward;
@@ -196,7 +196,7 @@
             grant,
             may_have_run: false,
         }),
-        Decision::Refused { retry_after } => Err(Error { retry_after, reason: Refusal::NoRunner }),
+        Decision::Refused { retry_after, reason } => Err(Error { retry_after, reason }),
     }
 }
 
@@ -205,7 +205,10 @@
     let mut entry = QueueEntry { router, ticket: Some(ticket) };
     let decision = receiver.await;
     entry.ticket = None;
-    decision.unwrap_or(Decision::Refused { retry_after: Duration::from_secs(1) })
+    decision.unwrap_or(Decision::Refused {
+        retry_after: Duration::from_secs(1),
+        reason: Refusal::NoRunner,
+    })
 }
 
 fn request(call: &Call, avoid: &[Key]) -> Request {
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use balance::Cause;
+use balance::Refusal;
 use bytes::Bytes;
 use http::Response;
 
@@ -19,17 +19,6 @@
     Problem(Problem),
 }
 
-/// The reason why a request was not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
-pub enum Refusal {
-    /// No runner was free in time.
-    #[strum(to_string = "no runner in time")]
-    NoRunner,
-    /// The request holds something that crashes runners.
-    #[strum(to_string = "{0} is quarantined")]
-    Quarantined(Cause),
-}
-
 /// The reason why there is no answer of a runner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,7 +34,6 @@
 
 pub use answer::Answer;
 pub use answer::Problem;
-pub use answer::Refusal;
 pub use call::AnswerClass;
 pub use call::Attempt;
 pub use call::Call;
