fix(relay): a stream that ends inside an event is broken off, whatever its kind

Callers of streams that may not be resumed got an answer that broke off halfway as a complete success: where the answer has neither a length nor chunks, its end is the end of the connection, and only resumed kinds were checked for an incomplete event. Cause: the end of the body was taken for the end of the stream. All kinds now remember the last bytes and end with an error unless they are between two events. The error comes one poll later, so that what has arrived is written first.

Evidence: a_stream_that_ends_inside_an_event_does_not_look_complete failed on /once/stream before and passes; streams that end with their connection, complete, are passed on whole before and after. Stand-ins write such answers without an HTTP library.

--- a/crates/aspenline/tests/common/router.rs
+++ b/crates/aspenline/tests/common/router.rs
@@ -226,6 +226,15 @@
         .await;
     }
 
+    /// Returns the largest amount of memory that the process has had, in KiB.
+    pub(crate) fn peak_memory_kib(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let value = line.and_then(|line| line.split_whitespace().next());
+        value.and_then(|value| value.parse().ok()).expect("a number of KiB")
+    }
+
     /// Sends a signal.
     pub(crate) fn signal(&self, signal: rustix::process::Signal) {
         let id = i32::try_from(self.child.id()).expect("a process id");
--- /dev/null
+++ b/crates/aspenline/tests/platform_endless.rs
@@ -0,0 +1,90 @@
+//! Answers of runners that stall, have no end, or end with their connection, against fakes of the store and the runners.
+
+#[path = "common/router.rs"]
+mod router;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use fake::endpoint::Endpoint;
+use fake::endpoint::FaultMode;
+use fake::endpoint::STREAM_EVENTS;
+use fake::endpoint::event_text;
+use http::StatusCode;
+
+use crate::router::Platform;
+use crate::router::Router;
+use crate::router::configuration;
+use crate::router::request_with_key;
+
+/// Starts a router and runners of which the first one has a fault.
+async fn start(
+    test: &str,
+    service: &str,
+    fault: FaultMode,
+    sound: usize,
+) -> (Platform, Router, Vec<Endpoint>) {
+    let platform = Platform::start(test).await;
+    platform.configure(&configuration(1));
+    let runners = platform.runners(service, 1 + sound).await;
+    runners[0].set_fault_mode(fault);
+    let router = platform.router("router-1").await;
+    router.wait_for_runners(1 + sound).await;
+    (platform, router, runners)
+}
+
+fn complete_stream() -> String {
+    (1..=STREAM_EVENTS).map(event_text).collect()
+}
+
+/// Sends streams until the faulty runner has received one, and returns the answer to that.
+async fn stream_at(runner: &Endpoint, router: &Router, path: &str) -> router::Answer {
+    for number in 0..100 {
+        let answer = router.call(request_with_key("POST", path, &format!("s-{number}"))).await;
+        if !runner.requests().is_empty() {
+            return answer;
+        }
+    }
+    panic!("the runner received no request");
+}
+
+#[tokio::test]
+async fn a_stream_that_ends_with_its_connection_is_passed_on_whole() {
+    for path in ["/stream/x", "/once/stream/x"] {
+        let (_platform, router, runners) =
+            start("unframed", "engines", FaultMode::Unframed, 0).await;
+        let answer = stream_at(&runners[0], &router, path).await;
+        assert_eq!(answer.body, complete_stream(), "{path}");
+        assert!(answer.is_complete, "{path}");
+    }
+}
+
+#[tokio::test]
+async fn a_stream_that_ends_inside_an_event_does_not_look_complete() {
+    let fault = FaultMode::UnframedTruncatedAt(4);
+    for path in ["/stream/x", "/once/stream/x"] {
+        let (_platform, router, runners) = start("inside-event", "engines", fault, 0).await;
+        let answer = stream_at(&runners[0], &router, path).await;
+        assert_eq!(answer.status, StatusCode::OK);
+        assert!(!answer.is_complete, "{path}");
+    }
+}
+
+#[tokio::test]
+async fn a_stream_that_ends_inside_an_event_is_resumed_where_that_is_allowed() {
+    let fault = FaultMode::UnframedTruncatedAt(4);
+    let (_platform, router, runners) = start("inside-event-resumed", "engines", fault, 1).await;
+    let answer = stream_at(&runners[0], &router, "/stream/x").await;
+    assert_eq!(answer.body, complete_stream());
+    assert!(answer.is_complete);
+}
+
+#[tokio::test]
+async fn a_stream_that_stalls_with_a_byte_now_and_then_ends_at_its_deadline() {
+    let (_platform, router, runners) =
+        start("stalled-once", "engines", FaultMode::StalledAt(4), 0).await;
+    let start = Instant::now();
+    let answer = stream_at(&runners[0], &router, "/once/stream/x").await;
+    assert!(!answer.is_complete);
+    assert!(start.elapsed() < Duration::from_millis(3_500), "{:?}", start.elapsed());
+}
--- a/crates/fake/src/endpoint.rs
+++ b/crates/fake/src/endpoint.rs
@@ -1,5 +1,7 @@
 //! A fake runner that follows the published behaviour of the users' platform and can be set to misbehave.
 
+mod raw;
+
 use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
@@ -27,6 +29,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -66,6 +69,18 @@
     Unresponsive,
     /// Answers each request with status 500.
     InternalError,
+    /// Executes each request and sends the head of its answer without an end.
+    EndlessHead,
+    /// Executes each request and sends the body of its answer without an end.
+    EndlessBody,
+    /// Refuses each request and sends a byte of the body now and then, without an end.
+    EndlessRejection,
+    /// Sends streams that end with their connection, complete.
+    Unframed,
+    /// Sends streams that end with their connection, in the middle of the event with this number.
+    UnframedTruncatedAt(u32),
+    /// Sends a byte now and then, without an end, in place of the event with this number.
+    StalledAt(u32),
 }
 
 /// A request that the runner has received.
@@ -225,7 +240,12 @@
     }
 }
 
-async fn serve(shared: Shared, stream: TcpStream) {
+async fn serve(shared: Shared, mut stream: TcpStream) {
+    let fault_mode = lock(&shared.state).fault_mode;
+    if raw::is_needed(fault_mode) {
+        drop(serve_raw(&shared, &mut stream, fault_mode).await);
+        return;
+    }
     let service = service_fn(move |request| {
         let shared = shared.clone();
         async move { answer_with_added_headers(&shared, request).await }
@@ -234,6 +254,21 @@
     drop(connection.await);
 }
 
+/// Answers one request without an HTTP library and closes the connection.
+async fn serve_raw(
+    shared: &Shared,
+    stream: &mut TcpStream,
+    fault_mode: FaultMode,
+) -> io::Result<()> {
+    let head = raw::read_head(stream).await?;
+    let is_executed = fault_mode != FaultMode::EndlessRejection;
+    let (line, headers) = (head.line.clone(), HeaderMap::new());
+    let request = RecordedRequest { line, headers, body: Bytes::new(), is_executed };
+    lock(&shared.state).requests.push(request);
+    raw::answer(stream, &head, fault_mode).await?;
+    stream.shutdown().await
+}
+
 /// The error that makes the server close the connection without an answer.
 #[derive(Debug)]
 struct Closed;
--- a/crates/relay/src/sse.rs
+++ b/crates/relay/src/sse.rs
@@ -1,5 +1,8 @@
 //! The parts of the server-sent events format that forwarding needs: where events end, and their ids.
 
+/// The length of the longest end of an event that is followed by another event.
+const TAIL_BYTES: usize = 3;
+
 /// Returns the length of all complete events at the start of `bytes`.
 pub(crate) fn complete_length(bytes: &[u8]) -> usize {
     let mut end = bytes.len();
@@ -12,6 +15,27 @@
     0
 }
 
+/// The last bytes of a stream, from which it is known whether the stream ends between two events.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Tail {
+    bytes: Vec<u8>,
+}
+
+impl Tail {
+    /// Adds bytes of the stream.
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
+        let newest = &bytes[bytes.len().saturating_sub(TAIL_BYTES)..];
+        self.bytes.extend_from_slice(newest);
+        self.bytes.drain(..self.bytes.len().saturating_sub(TAIL_BYTES));
+    }
+
+    /// Returns whether the stream is empty or ends with a complete event.
+    pub(crate) fn is_between_events(&self) -> bool {
+        let Some((b'\n', before)) = self.bytes.split_last() else { return self.bytes.is_empty() };
+        ends_event(before)
+    }
+}
+
 /// Returns the id of the last event that has one.
 pub(crate) fn last_id(bytes: &[u8]) -> Option<&str> {
     let lines = bytes.rsplit(|byte| *byte == b'\n');
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -77,12 +77,16 @@
     resuming: Option<ResumeFuture>,
     history: Option<AttemptHistory>,
     partial: BytesMut,
+    /// The last bytes of a stream that is passed on as it arrives.
+    tail: sse::Tail,
     last_event: Option<String>,
     last_contact: Duration,
     has_data: bool,
     first_at: Duration,
     events: u32,
     is_sound: bool,
+    /// The error that ends the stream.
+    error: Option<Error>,
     check_timer: Pin<Box<Sleep>>,
 }
 
@@ -110,11 +114,13 @@
             resuming: None,
             history: Some(history),
             partial: BytesMut::new(),
+            tail: sse::Tail::default(),
             last_event: None,
             has_data: false,
             first_at: Duration::ZERO,
             events: 0,
             is_sound: false,
+            error: None,
             check_timer: Box::pin(time::sleep(CHECK_INTERVAL)),
         };
         (head, stream)
@@ -136,6 +142,7 @@
         self.record_sound();
         self.events += sse::count_events(&bytes);
         if self.call.route.kind != Kind::Resumable {
+            self.tail.push(&bytes);
             return Some(bytes);
         }
         let length = if self.partial.is_empty() { sse::complete_length(&bytes) } else { 0 };
@@ -170,7 +177,7 @@
     /// Handles the end of the runner's answer; returns whether the stream is complete.
     fn handle_end(&mut self) -> bool {
         let Some(mut source) = self.source.take() else { return false };
-        if !self.partial.is_empty() {
+        if !self.partial.is_empty() || !self.tail.is_between_events() {
             source.permit.update_health(Health::record_failure);
             return false;
         }
@@ -264,6 +271,15 @@
         self.router.log(line);
     }
 
+    /// Polls for the next bytes, unless the stream has timed out.
+    fn poll_data(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
+        if let Err(error) = self.check_timeouts(context) {
+            self.source = None;
+            return Poll::Ready(Some(Err(error)));
+        }
+        self.poll_source(context)
+    }
+
     fn poll_source(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
         loop {
             if let Some(resuming) = &mut self.resuming {
@@ -310,11 +326,18 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         let stream = self.get_mut();
-        if let Err(error) = stream.check_timeouts(context) {
-            stream.source = None;
+        if let Some(error) = stream.error.take() {
             return Poll::Ready(Some(Err(error)));
         }
-        stream.poll_source(context).map(|next| next.map(|bytes| bytes.map(Frame::data)))
+        match stream.poll_data(context) {
+            Poll::Ready(Some(Err(error))) => {
+                // The connection writes what it holds before it learns of the error, which drops the rest.
+                stream.error = Some(error);
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            polled => polled.map(|next| next.map(|bytes| bytes.map(Frame::data))),
+        }
     }
 }
 
