fix(relay): a stream that stalls with a byte now and then moves to another runner

Callers of streams that may be resumed waited for the deadline while the runner sent a byte now and then: each byte counted as a sign of life. Only complete events, and the first data, count now; a stream that may not be resumed still goes on to its deadline, since it can't go on elsewhere.

--- a/crates/aspenline/tests/platform_endless.rs
+++ b/crates/aspenline/tests/platform_endless.rs
@@ -79,6 +79,15 @@
     assert!(answer.is_complete);
 }
 
+#[tokio::test]
+async fn a_stream_that_stalls_with_a_byte_now_and_then_is_resumed_where_that_is_allowed() {
+    let (_platform, router, runners) =
+        start("stalled", "engines", FaultMode::StalledAt(4), 1).await;
+    let answer = stream_at(&runners[0], &router, "/stream/x").await;
+    assert_eq!(answer.body, complete_stream());
+    assert!(answer.is_complete);
+}
+
 #[tokio::test]
 async fn a_stream_that_stalls_with_a_byte_now_and_then_ends_at_its_deadline() {
     let (_platform, router, runners) =
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -129,10 +129,10 @@
     /// Handles bytes of the runner and returns those that may be passed on.
     fn handle_data(&mut self, bytes: Bytes) -> Option<Bytes> {
         let now = self.router.now();
-        self.last_contact = now;
         if !self.has_data {
             self.has_data = true;
             self.first_at = now;
+            self.last_contact = now;
             self.events = 0;
             if let Some(source) = &mut self.source {
                 let took = now.saturating_sub(source.sent_at);
@@ -143,21 +143,30 @@
         self.events += sse::count_events(&bytes);
         if self.call.route.kind != Kind::Resumable {
             self.tail.push(&bytes);
+            self.last_contact = now;
             return Some(bytes);
         }
-        let length = if self.partial.is_empty() { sse::complete_length(&bytes) } else { 0 };
-        if length == bytes.len() {
-            self.record_last_event(&bytes);
-            return Some(bytes);
+        let events = self.take_events(bytes);
+        if events.is_empty() {
+            return None;
+        }
+        self.record_events(now, &events);
+        Some(events)
+    }
+
+    /// Adds bytes to the incomplete event and returns the events that are complete.
+    fn take_events(&mut self, bytes: Bytes) -> Bytes {
+        if self.partial.is_empty() && sse::complete_length(&bytes) == bytes.len() {
+            return bytes;
         }
         self.partial.extend_from_slice(&bytes);
         let length = sse::complete_length(&self.partial);
-        let events = self.partial.split_to(length).freeze();
-        self.record_last_event(&events);
-        Some(events).filter(|events| !events.is_empty())
+        self.partial.split_to(length).freeze()
     }
 
-    fn record_last_event(&mut self, events: &[u8]) {
+    /// Records complete events; bytes of an incomplete one are no sign that the runner makes progress.
+    fn record_events(&mut self, now: Duration, events: &[u8]) {
+        self.last_contact = now;
         if let Some(id) = sse::last_id(events) {
             self.last_event = Some(id.to_owned());
         }
