fix(relay): the body of a rejection no longer holds the request that goes elsewhere

A runner that turned a request away and then sent a byte of the body now and then held the request until its deadline: the body was read to its end, so that the connection can be used again, before the next attempt. It is read for 20 ms and up to 16 KiB now; else the connection is closed. Evidence: a_rejection_whose_body_has_no_end_does_not_hold_the_request got 503 after 3 s before and gets 200 within a second for 20 requests.

--- a/crates/aspenline/tests/platform_endless.rs
+++ b/crates/aspenline/tests/platform_endless.rs
@@ -15,6 +15,7 @@
 use crate::router::Platform;
 use crate::router::Router;
 use crate::router::configuration;
+use crate::router::get;
 use crate::router::request_with_key;
 
 /// Starts a router and runners of which the first one has a fault.
@@ -97,3 +98,16 @@
     assert!(!answer.is_complete);
     assert!(start.elapsed() < Duration::from_millis(3_500), "{:?}", start.elapsed());
 }
+
+#[tokio::test]
+async fn a_rejection_whose_body_has_no_end_does_not_hold_the_request() {
+    let (_platform, router, runners) =
+        start("endless-rejection", "ledger", FaultMode::EndlessRejection, 1).await;
+    let start = Instant::now();
+    for number in 0..20 {
+        let answer = router.call(get("/unsafe/", &format!("r-{number}"))).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    assert!(!runners[0].requests().is_empty(), "the faulty runner received no request");
+    assert!(start.elapsed() < Duration::from_secs(1), "{:?}", start.elapsed());
+}
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -34,6 +34,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum size of an answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Maximum size of the body of a rejection that is read so that its connection can be used again, in bytes.
+const MAX_REJECTION_BYTES: usize = 16 << 10;
+/// How long the body of a rejection may take for that.
+const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(20);
 /// Maximum number of runners that may reject a request before it is refused.
 const MAX_REJECTIONS: u32 = 3;
 /// Delay after which a caller may retry a request that no runner has run.
@@ -276,7 +280,8 @@
     if !notice::is_paused(router, &reply.permit.grant) {
         reply.permit.update_health(Health::record_failure);
     }
-    if reply.connection.collect(reply.body, MAX_ANSWER_BYTES).await.is_ok() {
+    let reading = reply.connection.collect(reply.body, MAX_REJECTION_BYTES);
+    if let Ok(Ok(_)) = time::timeout(REJECTION_BODY_TIMEOUT, reading).await {
         let stated = (router.protocol.keep_alive)(&reply.head);
         router.pool.borrow_mut().put(runner, reply.connection, stated);
     }
