fix(relay,conn): incomplete answers share a bound on memory, and a large event is searched once

An event that arrives in many pieces was searched from its start with each piece, which kept the thread busy for seconds; only the new end is searched.

--- a/crates/aspenline/tests/platform_endless.rs
+++ b/crates/aspenline/tests/platform_endless.rs
@@ -11,13 +11,18 @@
 use fake::endpoint::STREAM_EVENTS;
 use fake::endpoint::event_text;
 use http::StatusCode;
+use tokio::task::JoinSet;
 
 use crate::router::Platform;
 use crate::router::Router;
+use crate::router::call;
 use crate::router::configuration;
 use crate::router::get;
 use crate::router::request_with_key;
 
+/// The memory of the smallest instance, in KiB.
+const INSTANCE_KIB: u64 = 88 << 10;
+
 /// Starts a router and runners of which the first one has a fault.
 async fn start(
     test: &str,
@@ -111,3 +116,31 @@
     assert!(!runners[0].requests().is_empty(), "the faulty runner received no request");
     assert!(start.elapsed() < Duration::from_secs(1), "{:?}", start.elapsed());
 }
+
+/// Sends many requests at once to a runner whose answers have no end; returns the peak memory of the router in KiB.
+async fn peak_memory(test: &str, service: &str, path: &'static str, fault: FaultMode) -> u64 {
+    let (_platform, router, _runners) = start(test, service, fault, 0).await;
+    let mut calls = JoinSet::new();
+    for number in 0..60 {
+        let request = request_with_key("POST", path, &format!("r-{number}"));
+        calls.spawn(call(router.callers, request));
+    }
+    while let Some(answer) = calls.join_next().await {
+        let answer = answer.expect("no call panics");
+        let is_success = answer.status == StatusCode::OK && answer.is_complete;
+        assert!(!is_success, "an answer without an end became a success");
+    }
+    router.peak_memory_kib()
+}
+
+#[tokio::test]
+async fn many_answers_without_an_end_fit_the_memory_of_the_smallest_instance() {
+    for (test, service, path, fault) in [
+        ("endless-body", "ledger", "/unsafe/", FaultMode::EndlessBody),
+        ("endless-head", "ledger", "/unsafe/", FaultMode::EndlessHead),
+        ("endless-event", "engines", "/stream/x", FaultMode::EndlessBody),
+    ] {
+        let peak = peak_memory(test, service, path, fault).await;
+        assert!(peak < INSTANCE_KIB, "{test}: {peak} KiB");
+    }
+}
--- a/crates/conn/src/connection.rs
+++ b/crates/conn/src/connection.rs
@@ -12,13 +12,12 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::Request;
 use http::Response;
 use http_body::Body;
 use http_body::Frame;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -104,10 +103,34 @@
     /// # Errors
     /// Returns [`Failure::Broken`] if the body is incomplete or larger than `limit`.
     pub async fn collect(&mut self, body: Incoming, limit: usize) -> Result<Bytes, Failure> {
-        let collecting = Limited::new(body, limit).collect();
-        let collected = drive(&mut self.driver, &mut self.closed, collecting).await;
+        let mut left = limit;
+        let reserve = |bytes| {
+            let rest = left.checked_sub(bytes);
+            left = rest.unwrap_or(0);
+            rest.is_some()
+        };
+        self.collect_reserved(body, reserve).await
+    }
+
+    /// Reads a complete body; `reserve` is given the size of each piece and returns whether it may be kept.
+    ///
+    /// # Errors
+    /// Returns [`Failure::Broken`] if the body is incomplete or a piece may not be kept.
+    pub async fn collect_reserved(
+        &mut self,
+        mut body: Incoming,
+        mut reserve: impl FnMut(usize) -> bool,
+    ) -> Result<Bytes, Failure> {
+        let mut collected = BytesMut::new();
+        while let Some(frame) = poll_fn(|context| self.poll_frame(&mut body, context)).await {
+            let Ok(bytes) = frame?.into_data() else { continue };
+            if !reserve(bytes.len()) {
+                return Err(Failure::Broken);
+            }
+            collected.extend_from_slice(&bytes);
+        }
         self.last_used = Instant::now();
-        collected.map(http_body_util::Collected::to_bytes).map_err(|_| Failure::Broken)
+        Ok(collected.freeze())
     }
 
     /// Polls for the next frame of a body.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -32,8 +32,6 @@
 
 /// Timeout for opening a connection to a runner.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Maximum size of an answer that is not a stream, in bytes.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Maximum size of the body of a rejection that is read so that its connection can be used again, in bytes.
 const MAX_REJECTION_BYTES: usize = 16 << 10;
 /// How long the body of a rejection may take for that.
@@ -259,7 +257,8 @@
 /// Reads the entire body of an answer and returns the connection to the pool.
 async fn collect(router: &Router, reply: Reply) -> Result<(Response<Bytes>, Permit), AttemptError> {
     let Reply { permit, mut connection, head, body, .. } = reply;
-    let Ok(body) = connection.collect(body, MAX_ANSWER_BYTES).await else {
+    let mut reservation = router.buffer.reservation();
+    let Ok(body) = connection.collect_reserved(body, |bytes| reservation.add(bytes)).await else {
         permit.update_health(Health::record_failure);
         return Err(AttemptError::MayHaveRun);
     };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod acquire;
 mod answer;
+mod buffer;
 mod call;
 mod clock;
 mod crash_evidence;
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -28,6 +28,7 @@
 use crate::Metrics;
 use crate::RunnerProtocol;
 use crate::Settings;
+use crate::buffer::Buffer;
 use crate::exchange::Exchange;
 use crate::heartbeat;
 use crate::pool::Pool;
@@ -69,6 +70,8 @@
     /// The clock of the process.
     pub clock: Clock,
     pub(crate) pool: RefCell<Pool>,
+    /// The memory for incomplete answers.
+    pub(crate) buffer: Buffer,
     pub(crate) sent_heartbeats: RefCell<SentHeartbeats>,
     pub(crate) exchange: RefCell<Exchange>,
     reaches_store: Cell<bool>,
@@ -99,6 +102,7 @@
             metrics: Metrics::default(),
             clock,
             pool: RefCell::default(),
+            buffer: Buffer::default(),
             sent_heartbeats: RefCell::default(),
             exchange: RefCell::default(),
             reaches_store: Cell::new(true),
--- a/crates/relay/src/sse.rs
+++ b/crates/relay/src/sse.rs
@@ -1,7 +1,7 @@
 //! The parts of the server-sent events format that forwarding needs: where events end, and their ids.
 
 /// The length of the longest end of an event that is followed by another event.
-const TAIL_BYTES: usize = 3;
+pub(crate) const TAIL_BYTES: usize = 3;
 
 /// Returns the length of all complete events at the start of `bytes`.
 pub(crate) fn complete_length(bytes: &[u8]) -> usize {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -27,6 +27,7 @@
 use crate::Router;
 use crate::acquire::Permit;
 use crate::acquire::SOUND_AFTER;
+use crate::buffer::Reservation;
 use crate::event;
 use crate::forward;
 use crate::forward::AttemptHistory;
@@ -77,6 +78,7 @@
     resuming: Option<ResumeFuture>,
     history: Option<AttemptHistory>,
     partial: BytesMut,
+    partial_reservation: Reservation,
     /// The last bytes of a stream that is passed on as it arrives.
     tail: sse::Tail,
     last_event: Option<String>,
@@ -114,6 +116,7 @@
             resuming: None,
             history: Some(history),
             partial: BytesMut::new(),
+            partial_reservation: router.buffer.reservation(),
             tail: sse::Tail::default(),
             last_event: None,
             has_data: false,
@@ -159,9 +162,18 @@
         if self.partial.is_empty() && sse::complete_length(&bytes) == bytes.len() {
             return bytes;
         }
+        // What came before has no complete event, so only an end that reaches into the new bytes can complete one.
+        let searched = self.partial.len().saturating_sub(sse::TAIL_BYTES);
         self.partial.extend_from_slice(&bytes);
-        let length = sse::complete_length(&self.partial);
-        self.partial.split_to(length).freeze()
+        let length = match sse::complete_length(&self.partial[searched..]) {
+            0 => 0,
+            length => searched + length,
+        };
+        let events = self.partial.split_to(length).freeze();
+        if self.partial.is_empty() {
+            self.partial_reservation = self.router.buffer.reservation();
+        }
+        events
     }
 
     /// Records complete events; bytes of an incomplete one are no sign that the runner makes progress.
@@ -289,6 +301,12 @@
         self.poll_source(context)
     }
 
+    /// Returns whether the incomplete event is not too large.
+    fn reserve_partial(&mut self) -> bool {
+        let bytes = self.partial.len();
+        bytes <= MAX_PARTIAL_BYTES && self.partial_reservation.resize(bytes)
+    }
+
     fn poll_source(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
         loop {
             if let Some(resuming) = &mut self.resuming {
@@ -302,9 +320,7 @@
             let result = match std::task::ready!(frame) {
                 Some(Ok(frame)) => match frame.into_data().map(|bytes| self.handle_data(bytes)) {
                     Ok(Some(bytes)) => return Poll::Ready(Some(Ok(bytes))),
-                    _ if self.partial.len() > MAX_PARTIAL_BYTES => {
-                        self.handle_break("event too large")
-                    }
+                    _ if !self.reserve_partial() => self.handle_break("event too large"),
                     _ => continue,
                 },
                 Some(Err(_)) => self.handle_break(BROKEN),
