fix(relay): a planned stop answers requests on connections that were just accepted

Connections that wait in the kernel are reset when the listener closes; they are now accepted first. And the HTTP library closes a connection that has not read anything when it is asked to shut down, so that a request on its way was lost; such a connection now has half a second for its first request.

--- a/crates/aspenline/tests/common/router.rs
+++ b/crates/aspenline/tests/common/router.rs
@@ -292,14 +292,32 @@
     request(method, path, id).header("api-key", API_KEY).body(Full::default()).expect("a request")
 }
 
-/// Sends a request on a new connection.
+/// The reason why a call has no answer.
+#[derive(Debug)]
+pub(crate) enum CallError {
+    /// The router does not accept connections.
+    NotConnected,
+    /// The connection ended without an answer.
+    NoAnswer,
+}
+
+/// Sends a request on a new connection, which must be answered.
 pub(crate) async fn call(address: SocketAddr, request: Request<Full<Bytes>>) -> Answer {
-    let stream = TcpStream::connect(address).await.expect("the router accepts");
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.expect("HTTP");
+    try_call(address, request).await.expect("an answer")
+}
+
+/// Sends a request on a new connection.
+pub(crate) async fn try_call(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<Answer, CallError> {
+    let stream = TcpStream::connect(address).await.map_err(|_| CallError::NotConnected)?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = handshake.map_err(|_| CallError::NoAnswer)?;
     let mut tasks = JoinSet::new();
     tasks.spawn(connection);
     let response = time::timeout(WAIT_TIMEOUT, sender.send_request(request)).await;
-    let response = response.expect("an answer in time").expect("an answer");
+    let response = response.expect("an answer in time").map_err(|_| CallError::NoAnswer)?;
     let (head, mut body) = response.into_parts();
     let mut received = Vec::new();
     let mut is_complete = true;
@@ -312,7 +330,8 @@
             }
         }
     }
-    Answer { status: head.status, headers: head.headers, body: Bytes::from(received), is_complete }
+    let body = Bytes::from(received);
+    Ok(Answer { status: head.status, headers: head.headers, body, is_complete })
 }
 
 /// Waits until a condition returns a value.
--- a/crates/aspenline/tests/platform_operation.rs
+++ b/crates/aspenline/tests/platform_operation.rs
@@ -117,3 +117,35 @@
     assert_eq!(answers.len(), 1_000);
     assert!(router.count("sent") <= 150 * seconds, "{} lines", router.count("sent"));
 }
+
+/// Sends requests on new connections, one after the other, until the router accepts none; returns how many were cut.
+async fn call_until_closed(address: std::net::SocketAddr, caller: usize) -> usize {
+    let mut cut = 0;
+    for number in 0..100_000 {
+        let request = get("/safe/", &format!("r-{caller}-{number}"));
+        match router::try_call(address, request).await {
+            Ok(answer) => cut += usize::from(!answer.is_complete),
+            Err(router::CallError::NotConnected) => break,
+            Err(router::CallError::NoAnswer) => cut += 1,
+        }
+    }
+    cut
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_under_load_cuts_no_request_on_a_connection_that_was_accepted() {
+    let platform = Platform::start("planned-stop").await;
+    platform.configure(&configuration(1));
+    let _ledger = platform.runners("ledger", 4).await;
+    let mut router = platform.router("router-1").await;
+    router.wait_for_runners(4).await;
+    let mut callers = JoinSet::new();
+    for caller in 0..48 {
+        callers.spawn(call_until_closed(router.callers, caller));
+    }
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    router.signal(Signal::TERM);
+    assert_eq!(router.wait_for_exit().await, Some(0));
+    let cut: usize = callers.join_all().await.into_iter().sum();
+    assert_eq!(cut, 0, "requests without a complete answer");
+}
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http::Request;
 use http::Response;
 use http_body::Body;
@@ -29,6 +30,8 @@
 
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// How long a connection that has just been accepted may take to send its first request when the listener stops.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum size of the head of a request, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -94,6 +97,16 @@
                 () = stop.cancelled() => break,
             }
         }
+        // Connections that wait in the kernel would be reset with the listener.
+        while let Some(Ok((stream, _))) = task::unconstrained(self.listener.accept()).now_or_never()
+        {
+            connections.spawn_local(connection(
+                stream,
+                Rc::clone(&handler),
+                self.idle,
+                stop.clone(),
+            ));
+        }
         drop(self.listener);
         while connections.join_next().await.is_some() {}
     }
@@ -111,7 +124,10 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("failed to set TCP_NODELAY on a connection: {error}");
     }
+    let has_request = CancellationToken::new();
+    let requested = has_request.clone();
     let service = service_fn(move |request| {
+        requested.cancel();
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
@@ -123,7 +139,7 @@
     let mut serving = pin!(serving);
     let ended = tokio::select! {
         ended = &mut serving => ended,
-        () = stop.cancelled() => {
+        () = stopped_after_first_request(&stop, &has_request) => {
             serving.as_mut().graceful_shutdown();
             serving.await
         }
@@ -132,3 +148,10 @@
         log::debug!("a connection ended with an error: {error}");
     }
 }
+
+/// Waits until the listener stops and a connection has had its first request, which a shutdown would otherwise drop.
+async fn stopped_after_first_request(stop: &CancellationToken, has_request: &CancellationToken) {
+    stop.cancelled().await;
+    // Without a request in time, there is none to drop.
+    drop(time::timeout(FIRST_REQUEST_TIMEOUT, has_request.cancelled()).await);
+}
