--- a/crates/aspenline/tests/platform_endless.rs
+++ b/crates/aspenline/tests/platform_answers.rs
@@ -1,4 +1,4 @@
-//! Answers of runners that stall, have no end, or end with their connection, against fakes of the store and the runners.
+//! Answers of runners that stall, have no end, end with their connection or come twice, against fakes of the store and the runners.
 
 #[path = "common/router.rs"]
 mod router;
@@ -144,3 +144,29 @@
         assert!(peak < INSTANCE_KIB, "{test}: {peak} KiB");
     }
 }
+
+/// Sends requests to a runner that sends late answers on kept connections; none may get another's or run unsaid.
+async fn assert_late_answers_are_ignored(test: &str, fault: FaultMode) {
+    let (_platform, router, runners) = start(test, "ledger", fault, 0).await;
+    for number in 0..6 {
+        let id = format!("unsafe-{number}");
+        let before = runners[0].execution_count();
+        let answer = router.call(get("/unsafe/", &id)).await;
+        let executions = runners[0].execution_count() - before;
+        match answer.status {
+            StatusCode::OK => assert_eq!((answer.body, executions), (id.into(), 1)),
+            StatusCode::BAD_GATEWAY => assert_eq!(executions, 1),
+            status => assert_eq!((status, executions), (StatusCode::SERVICE_UNAVAILABLE, 0)),
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_late_second_copy_of_an_answer_reaches_no_other_caller() {
+    assert_late_answers_are_ignored("late-copies", FaultMode::LateCopies).await;
+}
+
+#[tokio::test]
+async fn a_late_rejection_of_an_earlier_request_is_not_taken_for_that_of_the_next() {
+    assert_late_answers_are_ignored("late-rejections", FaultMode::LateRejections).await;
+}
--- a/crates/fake/src/endpoint.rs
+++ b/crates/fake/src/endpoint.rs
@@ -75,6 +75,10 @@
     EndlessBody,
     /// Refuses each request and sends a byte of the body now and then, without an end.
     EndlessRejection,
+    /// Sends a second copy of each answer on its connection, when the next request has arrived.
+    LateCopies,
+    /// Sends a rejection of an unnamed earlier request on a kept connection, when the next request has arrived.
+    LateRejections,
     /// Sends streams that end with their connection, complete.
     Unframed,
     /// Sends streams that end with their connection, in the middle of the event with this number.
@@ -260,13 +264,39 @@
     stream: &mut TcpStream,
     fault_mode: FaultMode,
 ) -> io::Result<()> {
+    if matches!(fault_mode, FaultMode::LateCopies | FaultMode::LateRejections) {
+        return serve_with_late_answers(shared, stream, fault_mode).await;
+    }
     let head = raw::read_head(stream).await?;
     let is_executed = fault_mode != FaultMode::EndlessRejection;
+    record_raw(shared, &head, is_executed);
+    raw::answer(stream, &head, fault_mode).await?;
+    stream.shutdown().await
+}
+
+/// Answers requests, each after a late answer to the one before.
+async fn serve_with_late_answers(
+    shared: &Shared,
+    stream: &mut TcpStream,
+    fault_mode: FaultMode,
+) -> io::Result<()> {
+    let mut before = String::new();
+    loop {
+        let head = raw::read_head(stream).await?;
+        record_raw(shared, &head, true);
+        let answer = raw::plain_answer(&head);
+        stream.write_all(format!("{before}{answer}").as_bytes()).await?;
+        before = match fault_mode {
+            FaultMode::LateRejections => raw::UNNAMED_REJECTION.to_owned(),
+            _ => answer,
+        };
+    }
+}
+
+fn record_raw(shared: &Shared, head: &raw::Head, is_executed: bool) {
     let (line, headers) = (head.line.clone(), HeaderMap::new());
     let request = RecordedRequest { line, headers, body: Bytes::new(), is_executed };
     lock(&shared.state).requests.push(request);
-    raw::answer(stream, &head, fault_mode).await?;
-    stream.shutdown().await
 }
 
 /// The error that makes the server close the connection without an answer.
@@ -307,12 +337,14 @@
     let crashes = is_expected && has_part(&head.headers, lock(state).crashing_part);
     lock(state).requests.push(RecordedRequest { line, headers: head.headers, body, is_executed });
     if !is_expected {
-        return Ok(status(StatusCode::MISDIRECTED_REQUEST, "instance-id", id));
+        let mut response = status(StatusCode::MISDIRECTED_REQUEST, "instance-id", id);
+        response.headers_mut().insert("request-id", request_id.parse().expect("a plain id"));
+        return Ok(response);
     }
     let shown =
         if fault_mode == FaultMode::WrongRequestId { "another" } else { request_id.as_str() };
     let mut response = match fault_mode {
-        FaultMode::Busy => return Ok(status(StatusCode::SERVICE_UNAVAILABLE, "not-executed", "1")),
+        FaultMode::Busy => status(StatusCode::SERVICE_UNAVAILABLE, "not-executed", "1"),
         FaultMode::Disconnected => return Err(Closed),
         FaultMode::Unresponsive => return pending().await,
         _ if crashes => Response::new(BodyExt::boxed(StreamBody::new(crash(shared.clone())))),
@@ -328,7 +360,7 @@
     };
     let headers = response.headers_mut();
     headers.insert("request-id", shown.parse().expect("a plain id"));
-    if fault_mode != FaultMode::MissingSeal {
+    if !matches!(fault_mode, FaultMode::MissingSeal | FaultMode::Busy) {
         headers.insert("response-seal", format!("seal-{id}").parse().expect("a plain id"));
     }
     Ok(response)
--- a/crates/fake/src/endpoint/raw.rs
+++ b/crates/fake/src/endpoint/raw.rs
@@ -19,6 +19,10 @@
 /// The maximum size of the head of a request, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// A rejection that does not say of which request.
+pub(super) const UNNAMED_REJECTION: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n";
+
 /// The head of a request.
 pub(super) struct Head {
     /// Method, path and version.
@@ -36,6 +40,8 @@
         FaultMode::EndlessHead
             | FaultMode::EndlessBody
             | FaultMode::EndlessRejection
+            | FaultMode::LateCopies
+            | FaultMode::LateRejections
             | FaultMode::Unframed
             | FaultMode::UnframedTruncatedAt(_)
             | FaultMode::StalledAt(_)
@@ -70,8 +76,11 @@
             write_endlessly(stream).await
         }
         FaultMode::EndlessRejection => {
-            stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\n").await?;
-            stream.write_all(b"content-length: 1000000\r\n\r\n").await?;
+            let text = format!(
+                "HTTP/1.1 503 Service Unavailable\r\nrequest-id: {}\r\nnot-executed: 1\r\ncontent-length: 1000000\r\n\r\n",
+                head.id
+            );
+            stream.write_all(text.as_bytes()).await?;
             stall(stream).await
         }
         FaultMode::EndlessBody => {
@@ -96,6 +105,15 @@
     }
 }
 
+/// Returns a complete answer to a request, whose body is the id of the request.
+pub(super) fn plain_answer(head: &Head) -> String {
+    let Head { id, .. } = head;
+    let length = id.len();
+    format!(
+        "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-seal: seal\r\ncontent-length: {length}\r\n\r\n{id}"
+    )
+}
+
 /// Writes the head of a success that ends with its connection.
 async fn write_success(stream: &mut TcpStream, head: &Head) -> io::Result<()> {
     let id = &head.id;
