fix(relay): a slow stream is cut only for a runner that takes it over; an empty one is no complete stream

Callers of streams that may be resumed lost a sound stream that paused for 1.2 s: the connection to its runner was closed before it was known whether another could take over, and with none free the stream ended. The stream now waits for a permit at another runner while the silent one may still go on, and closes its connection only then.

An answer with neither a length nor chunks whose runner crashed before the first event reached the caller as a complete, empty stream, and counted as proof that the request crashes nothing. Such an end is now a break like any other.

What has arrived of a stream stands in a module of its own (stream::progress), reasons for a break are an enum.

--- a/crates/aspenline/tests/platform_answers.rs
+++ b/crates/aspenline/tests/platform_answers.rs
@@ -19,6 +19,7 @@
 use crate::router::configuration;
 use crate::router::get;
 use crate::router::request_with_key;
+use crate::router::wait_for;
 
 /// The memory of the smallest instance, in KiB.
 const INSTANCE_KIB: u64 = 88 << 10;
@@ -76,6 +77,17 @@
     }
 }
 
+#[tokio::test]
+async fn a_stream_that_ends_with_its_connection_before_any_data_does_not_look_complete() {
+    let fault = FaultMode::UnframedTruncatedAt(0);
+    for path in ["/stream/x", "/once/stream/x"] {
+        let (_platform, router, runners) = start("no-data", "engines", fault, 0).await;
+        let answer = stream_at(&runners[0], &router, path).await;
+        assert!(!answer.is_complete, "{path}");
+        wait_for(|| router.first_line("attempt_broken")).await;
+    }
+}
+
 #[tokio::test]
 async fn a_stream_that_ends_inside_an_event_is_resumed_where_that_is_allowed() {
     let fault = FaultMode::UnframedTruncatedAt(4);
@@ -104,6 +116,17 @@
     assert!(start.elapsed() < Duration::from_millis(3_500), "{:?}", start.elapsed());
 }
 
+#[tokio::test]
+async fn a_slow_stream_is_not_cut_while_no_other_runner_can_resume_it() {
+    for path in ["/stream/x", "/once/stream/x"] {
+        let (_platform, router, runners) =
+            start("slow-stream", "engines", FaultMode::PausedAt(4), 0).await;
+        let answer = stream_at(&runners[0], &router, path).await;
+        assert_eq!(answer.body, complete_stream(), "{path}");
+        assert!(answer.is_complete, "{path}");
+    }
+}
+
 #[tokio::test]
 async fn a_rejection_whose_body_has_no_end_does_not_hold_the_request() {
     let (_platform, router, runners) =
--- a/crates/fake/src/endpoint.rs
+++ b/crates/fake/src/endpoint.rs
@@ -46,6 +46,8 @@
 /// The time for which a runner that has crashed closes all connections.
 const DOWN_TIME: Duration = Duration::from_millis(300);
 
+/// The pause of a runner that is slow but sound.
+pub const PAUSE: Duration = Duration::from_millis(1_700);
 /// The start of a runner that its record states, in milliseconds since the Unix epoch.
 pub const FIRST_START_MS: u64 = 1_700_000_000_000;
 
@@ -81,10 +83,13 @@
     LateRejections,
     /// Sends streams that end with their connection, complete.
     Unframed,
-    /// Sends streams that end with their connection, in the middle of the event with this number.
+    /// Sends streams that end with their connection, in the middle of the event with this number; without any data if
+    /// it is 0.
     UnframedTruncatedAt(u32),
     /// Sends a byte now and then, without an end, in place of the event with this number.
     StalledAt(u32),
+    /// Pauses for [`PAUSE`] before the event with this number, then goes on to the end.
+    PausedAt(u32),
 }
 
 /// A request that the runner has received.
--- a/crates/fake/src/endpoint/raw.rs
+++ b/crates/fake/src/endpoint/raw.rs
@@ -9,6 +9,7 @@
 use tokio::time;
 
 use super::FaultMode;
+use super::PAUSE;
 use super::STREAM_EVENTS;
 use super::event_text;
 
@@ -45,6 +46,7 @@
             | FaultMode::Unframed
             | FaultMode::UnframedTruncatedAt(_)
             | FaultMode::StalledAt(_)
+            | FaultMode::PausedAt(_)
     )
 }
 
@@ -92,11 +94,17 @@
             write_events(stream, head.last_event + 1..event).await?;
             stall(stream).await
         }
+        FaultMode::PausedAt(event) => {
+            write_success(stream, head).await?;
+            write_events(stream, head.last_event + 1..event).await?;
+            time::sleep(PAUSE).await;
+            write_events(stream, event..STREAM_EVENTS + 1).await
+        }
         FaultMode::UnframedTruncatedAt(event) => {
             write_success(stream, head).await?;
             write_events(stream, head.last_event + 1..event).await?;
-            let text = event_text(event);
-            stream.write_all(&text.as_bytes()[..text.len() / 2]).await
+            let half = if event == 0 { 0 } else { event_text(event).len() / 2 };
+            stream.write_all(&event_text(event).as_bytes()[..half]).await
         }
         _ => {
             write_success(stream, head).await?;
--- a/crates/relay/src/buffer.rs
+++ b/crates/relay/src/buffer.rs
@@ -43,6 +43,12 @@
         true
     }
 
+    /// Gives all memory of the answer back.
+    pub(crate) fn release(&mut self) {
+        self.buffer.used.set(self.buffer.used.get() - self.bytes);
+        self.bytes = 0;
+    }
+
     /// Adds bytes to the answer; returns `false` if they are too many.
     pub(crate) fn add(&mut self, bytes: usize) -> bool {
         self.resize(self.bytes + bytes)
@@ -51,6 +57,6 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.buffer.used.set(self.buffer.used.get() - self.bytes);
+        self.release();
     }
 }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -44,7 +44,7 @@
 const ATTEMPT_FRACTION: f64 = 0.5;
 
 /// The history of the attempts at a call.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct AttemptHistory {
     /// Number of attempts that sent the request, whatever their outcome.
     pub(crate) sends: u32,
@@ -325,18 +325,31 @@
     }
 }
 
-/// Resumes a stream at another runner, within the limits on attempts and retries.
+/// Waits for another runner that may resume a stream, within the limits on attempts and retries.
+pub(crate) async fn permit_to_resume(
+    router: &Rc<Router>,
+    call: &Rc<Call>,
+    history: &AttemptHistory,
+) -> Option<Permit> {
+    if !may_retry(router, call, history) {
+        return None;
+    }
+    acquire::acquire(router, call, history).await.ok()
+}
+
+/// Resumes a stream at another runner, first at that of `permit` if there is one.
 pub(crate) async fn resume(
     router: Rc<Router>,
     call: Rc<Call>,
     mut history: AttemptHistory,
     last_event: Option<String>,
+    mut permit: Option<Permit>,
 ) -> Option<(Reply, AttemptHistory)> {
     loop {
-        if !may_retry(&router, &call, &history) {
-            return None;
-        }
-        let permit = acquire::acquire(&router, &call, &history).await.ok()?;
+        let permit = match permit.take() {
+            Some(permit) => permit,
+            None => permit_to_resume(&router, &call, &history).await?,
+        };
         history.avoid.push(permit.grant.runner);
         let Ok(reply) =
             send_request(&router, &call, permit, last_event.as_deref(), &mut history).await
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -3,6 +3,8 @@
 //! A stream that may be resumed is passed on in complete events only, so that another runner can continue after the
 //! last of them. Dropping a stream closes the connection to its runner at once.
 
+mod progress;
+
 use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
@@ -14,8 +16,9 @@
 use balance::Health;
 use balance::Kind;
 use bytes::Bytes;
-use bytes::BytesMut;
 use conn::Connection;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
 use http::response;
 use http_body::Body;
 use http_body::Frame;
@@ -27,12 +30,11 @@
 use crate::Router;
 use crate::acquire::Permit;
 use crate::acquire::SOUND_AFTER;
-use crate::buffer::Reservation;
 use crate::event;
 use crate::forward;
 use crate::forward::AttemptHistory;
 use crate::forward::Reply;
-use crate::sse;
+use crate::stream::progress::Progress;
 
 /// Interval between two checks for the deadline and for unresponsive runners.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -40,12 +42,6 @@
 const DATA_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// How long a runner may send no data before its first event, in latency targets of the route.
 const FIRST_DATA_TIMEOUT_TARGETS: u32 = 3;
-/// Minimum number of events of an answer from which the time per token is measured.
-const MIN_TIMED_EVENTS: u32 = 6;
-/// The reason for a stream whose connection ended before the stream did.
-const BROKEN: &str = "broken";
-/// Maximum size of an incomplete event that is held back, in bytes.
-const MAX_PARTIAL_BYTES: usize = 1 << 20;
 
 /// The reason why a stream ended early.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
@@ -59,13 +55,30 @@
 
 impl std::error::Error for Error {}
 
+/// The reason why the present runner can't go on with a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+enum Break {
+    /// The connection broke.
+    Broken,
+    /// The stream ended before its first event or inside one.
+    UnfinishedEvent,
+    /// An event is too large to be held back.
+    EventTooLarge,
+    /// No event has come for too long.
+    Silent,
+}
+
 type ResumeFuture = Pin<Box<dyn Future<Output = Option<(Reply, AttemptHistory)>>>>;
+type PermitFuture = Pin<Box<dyn Future<Output = Option<Permit>>>>;
 
 /// The connection to the runner that currently sends the events.
 struct Source {
     permit: Permit,
     connection: Connection,
     body: Incoming,
+    /// Whether the head states where the body ends, so that it is complete without the end of the connection.
+    is_framed: bool,
     keep_alive: Option<Duration>,
     sent_at: Duration,
 }
@@ -75,17 +88,11 @@
     router: Rc<Router>,
     call: Rc<Call>,
     source: Option<Source>,
+    /// The wait for another runner while this one is silent.
+    moving: Option<PermitFuture>,
     resuming: Option<ResumeFuture>,
     history: Option<AttemptHistory>,
-    partial: BytesMut,
-    partial_reservation: Reservation,
-    /// The last bytes of a stream that is passed on as it arrives.
-    tail: sse::Tail,
-    last_event: Option<String>,
-    last_contact: Duration,
-    has_data: bool,
-    first_at: Duration,
-    events: u32,
+    progress: Progress,
     is_sound: bool,
     /// The error that ends the stream.
     error: Option<Error>,
@@ -111,17 +118,11 @@
         let stream = Self {
             router: Rc::clone(router),
             call: Rc::clone(call),
-            last_contact: reply.sent_at,
+            progress: Progress::new(reply.sent_at, router.buffer.reservation()),
             source: Some(Source::new(router, reply)),
+            moving: None,
             resuming: None,
             history: Some(history),
-            partial: BytesMut::new(),
-            partial_reservation: router.buffer.reservation(),
-            tail: sse::Tail::default(),
-            last_event: None,
-            has_data: false,
-            first_at: Duration::ZERO,
-            events: 0,
             is_sound: false,
             error: None,
             check_timer: Box::pin(time::sleep(CHECK_INTERVAL)),
@@ -132,61 +133,27 @@
     /// Handles bytes of the runner and returns those that may be passed on.
     fn handle_data(&mut self, bytes: Bytes) -> Option<Bytes> {
         let now = self.router.now();
-        if !self.has_data {
-            self.has_data = true;
-            self.first_at = now;
-            self.last_contact = now;
-            self.events = 0;
-            if let Some(source) = &mut self.source {
-                let took = now.saturating_sub(source.sent_at);
-                source.permit.record_first_token(took);
-            }
+        let is_first = self.progress.record_data(now, &bytes);
+        if let Some(source) = self.source.as_mut().filter(|_| is_first) {
+            let took = now.saturating_sub(source.sent_at);
+            source.permit.record_first_token(took);
         }
-        self.record_sound();
-        self.events += sse::count_events(&bytes);
+        self.record_sound(now);
         if self.call.route.kind != Kind::Resumable {
-            self.tail.push(&bytes);
-            self.last_contact = now;
-            return Some(bytes);
+            return Some(self.progress.pass_on(now, bytes));
         }
-        let events = self.take_events(bytes);
+        let events = self.progress.take_events(now, bytes);
         if events.is_empty() {
             return None;
         }
-        self.record_events(now, &events);
+        self.moving = None;
         Some(events)
     }
 
-    /// Adds bytes to the incomplete event and returns the events that are complete.
-    fn take_events(&mut self, bytes: Bytes) -> Bytes {
-        if self.partial.is_empty() && sse::complete_length(&bytes) == bytes.len() {
-            return bytes;
-        }
-        // What came before has no complete event, so only an end that reaches into the new bytes can complete one.
-        let searched = self.partial.len().saturating_sub(sse::TAIL_BYTES);
-        self.partial.extend_from_slice(&bytes);
-        let length = match sse::complete_length(&self.partial[searched..]) {
-            0 => 0,
-            length => searched + length,
-        };
-        let events = self.partial.split_to(length).freeze();
-        if self.partial.is_empty() {
-            self.partial_reservation = self.router.buffer.reservation();
-        }
-        events
-    }
-
-    /// Records complete events; bytes of an incomplete one are no sign that the runner makes progress.
-    fn record_events(&mut self, now: Duration, events: &[u8]) {
-        self.last_contact = now;
-        if let Some(id) = sse::last_id(events) {
-            self.last_event = Some(id.to_owned());
-        }
-    }
-
     /// Records once that the request has not crashed its runner, when data has been arriving for a while.
-    fn record_sound(&mut self) {
-        if self.is_sound || self.data_for().is_none_or(|data_for| data_for < SOUND_AFTER) {
+    fn record_sound(&mut self, now: Duration) {
+        let data_for = self.progress.data_for(now);
+        if self.is_sound || data_for.is_none_or(|data_for| data_for < SOUND_AFTER) {
             return;
         }
         self.is_sound = true;
@@ -197,17 +164,16 @@
 
     /// Handles the end of the runner's answer; returns whether the stream is complete.
     fn handle_end(&mut self) -> bool {
-        let Some(mut source) = self.source.take() else { return false };
-        if !self.partial.is_empty() || !self.tail.is_between_events() {
-            source.permit.update_health(Health::record_failure);
+        // The end of its connection alone does not tell a complete stream from a runner that has crashed.
+        let is_marked =
+            self.source.as_ref().is_some_and(|source| source.is_framed) || self.progress.has_data();
+        if !is_marked || !self.progress.is_between_events() {
             return false;
         }
+        let Some(mut source) = self.source.take() else { return false };
         source.connection.mark_used();
-        if self.events >= MIN_TIMED_EVENTS {
-            let took = self.last_contact.saturating_sub(self.first_at);
-            source
-                .permit
-                .record_token_time(took / ((self.events - 1) * self.call.event_tokens.max(1)));
+        if let Some(each) = self.progress.token_time(self.call.event_tokens) {
+            source.permit.record_token_time(each);
         }
         source.permit.record_answer();
         source.permit.record_sound();
@@ -218,32 +184,31 @@
     }
 
     /// Handles a runner that broke off or is unresponsive; begins to resume at another runner if that is allowed.
-    fn handle_break(&mut self, reason: &str) -> Result<(), Error> {
+    ///
+    /// `permit` is that for the other runner, if the stream has waited for one.
+    fn handle_break(&mut self, reason: Break, permit: Option<Permit>) -> Result<(), Error> {
+        self.moving = None;
         if let Some(source) = self.source.take() {
-            if reason == BROKEN {
-                source.permit.record_break(self.data_for());
+            if matches!(reason, Break::Broken | Break::UnfinishedEvent) {
+                source.permit.record_break(self.progress.data_for(self.router.now()));
             }
             source.permit.update_health(Health::record_unreachable);
             self.router.pool.borrow_mut().discard(source.permit.grant.runner);
         }
-        self.partial.clear();
+        self.progress.drop_partial();
         let history = self.history.take().filter(|_| self.call.route.kind == Kind::Resumable);
         let Some(history) = history else {
-            self.log("stream_broken", reason.to_owned());
+            self.log("stream_broken", reason.to_string());
             return Err(Error::Broken);
         };
-        self.log("stream_resuming", reason.to_owned());
+        self.log("stream_resuming", reason.to_string());
         let (router, call) = (Rc::clone(&self.router), Rc::clone(&self.call));
-        let last_event = self.last_event.clone();
-        self.resuming = Some(Box::pin(forward::resume(router, call, history, last_event)));
+        let last_event = self.progress.last_event();
+        let resuming = forward::resume(router, call, history, last_event, permit);
+        self.resuming = Some(Box::pin(resuming));
         Ok(())
     }
 
-    /// Returns the time since the first data of the runner, if there was any.
-    fn data_for(&self) -> Option<Duration> {
-        self.has_data.then(|| self.router.now().saturating_sub(self.first_at))
-    }
-
     fn handle_resumed(&mut self, resumed: Option<(Reply, AttemptHistory)>) -> Result<(), Error> {
         self.resuming = None;
         let Some((reply, history)) = resumed else {
@@ -251,8 +216,7 @@
             return Err(Error::Broken);
         };
         self.history = Some(history);
-        self.last_contact = self.router.now();
-        self.has_data = false;
+        self.progress.restart(self.router.now());
         self.is_sound = false;
         self.source = Some(Source::new(&self.router, reply));
         Ok(())
@@ -267,25 +231,52 @@
                 self.log("stream_broken", "timeout".to_owned());
                 return Err(Error::Timeout);
             }
-            let data_timeout = if self.has_data {
-                DATA_TIMEOUT
-            } else {
-                DATA_TIMEOUT.max(self.call.route.target * FIRST_DATA_TIMEOUT_TARGETS)
-            };
-            let is_unresponsive = now > self.last_contact + data_timeout && self.source.is_some();
-            if is_unresponsive && self.may_resume() {
-                self.handle_break("silent")?;
+            if self.is_unresponsive(now) && self.may_resume() {
+                self.begin_move();
             }
         }
         Ok(())
     }
 
+    fn is_unresponsive(&self, now: Duration) -> bool {
+        let timeout = if self.progress.has_data() {
+            DATA_TIMEOUT
+        } else {
+            DATA_TIMEOUT.max(self.call.route.target * FIRST_DATA_TIMEOUT_TARGETS)
+        };
+        self.source.is_some() && self.progress.silent_for(now) > timeout
+    }
+
     fn may_resume(&self) -> bool {
         let has_more =
             self.history.as_ref().is_some_and(|history| history.runs < self.call.route.attempts);
         self.call.route.kind == Kind::Resumable && has_more
     }
 
+    /// Begins to wait for another runner; the silent one may go on meanwhile.
+    fn begin_move(&mut self) {
+        let Some(history) = self.history.clone().filter(|_| self.moving.is_none()) else { return };
+        let (router, call) = (Rc::clone(&self.router), Rc::clone(&self.call));
+        self.moving =
+            Some(Box::pin(
+                async move { forward::permit_to_resume(&router, &call, &history).await },
+            ));
+    }
+
+    /// Moves to another runner once one is free.
+    fn poll_move(&mut self, context: &mut Context<'_>) -> Result<(), Error> {
+        let Some(moving) = &mut self.moving else { return Ok(()) };
+        match moving.as_mut().poll(context) {
+            Poll::Pending => Ok(()),
+            Poll::Ready(Some(permit)) => self.handle_break(Break::Silent, Some(permit)),
+            Poll::Ready(None) => {
+                self.moving = None;
+                self.progress.forgive_silence(self.router.now());
+                Ok(())
+            }
+        }
+    }
+
     fn log(&self, event: &'static str, outcome: String) {
         let mut line = forward::line(&self.call, event).outcome(outcome);
         line.took_ms = Some(event::millis(self.router.now().saturating_sub(self.call.arrived)));
@@ -294,19 +285,14 @@
 
     /// Polls for the next bytes, unless the stream has timed out.
     fn poll_data(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
-        if let Err(error) = self.check_timeouts(context) {
+        let checked = self.check_timeouts(context).and_then(|()| self.poll_move(context));
+        if let Err(error) = checked {
             self.source = None;
             return Poll::Ready(Some(Err(error)));
         }
         self.poll_source(context)
     }
 
-    /// Returns whether the incomplete event is not too large.
-    fn reserve_partial(&mut self) -> bool {
-        let bytes = self.partial.len();
-        bytes <= MAX_PARTIAL_BYTES && self.partial_reservation.resize(bytes)
-    }
-
     fn poll_source(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
         loop {
             if let Some(resuming) = &mut self.resuming {
@@ -320,12 +306,14 @@
             let result = match std::task::ready!(frame) {
                 Some(Ok(frame)) => match frame.into_data().map(|bytes| self.handle_data(bytes)) {
                     Ok(Some(bytes)) => return Poll::Ready(Some(Ok(bytes))),
-                    _ if !self.reserve_partial() => self.handle_break("event too large"),
+                    _ if !self.progress.reserve_partial() => {
+                        self.handle_break(Break::EventTooLarge, None)
+                    }
                     _ => continue,
                 },
-                Some(Err(_)) => self.handle_break(BROKEN),
+                Some(Err(_)) => self.handle_break(Break::Broken, None),
                 None if self.handle_end() => return Poll::Ready(None),
-                None => self.handle_break("unfinished event"),
+                None => self.handle_break(Break::UnfinishedEvent, None),
             };
             if let Err(error) = result {
                 return Poll::Ready(Some(Err(error)));
@@ -337,8 +325,11 @@
 impl Source {
     fn new(router: &Router, reply: Reply) -> Self {
         let keep_alive = (router.protocol.keep_alive)(&reply.head);
+        let headers = &reply.head.headers;
+        let is_framed =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
         let Reply { permit, connection, body, sent_at, .. } = reply;
-        Self { permit, connection, body, keep_alive, sent_at }
+        Self { permit, connection, body, is_framed, keep_alive, sent_at }
     }
 }
 
