--- a/crates/aspenline/src/explain.rs
+++ b/crates/aspenline/src/explain.rs
@@ -6,10 +6,11 @@
 use serde::Deserialize;
 
 /// Events that report the failure of a request or of one of its attempts.
-const FAILURES: [&str; 8] = [
+const FAILURES: [&str; 9] = [
     "rejected_request",
     "connect_failed",
     "send_failed",
+    "attempt_broken",
     "rejected",
     "invalid_answer",
     "stream_broken",
@@ -21,7 +22,7 @@
 /// The interval, in milliseconds, within which failures of other requests count as related.
 const RELATED_WINDOW_MS: u64 = 1_000;
 /// Events that change the state on which a router bases its decisions about any request.
-const STATE_EVENTS: [&str; 9] = [
+const STATE_EVENTS: [&str; 12] = [
     "configuration_adopted",
     "zones_out",
     "load",
@@ -31,6 +32,9 @@
     "runner_resumed",
     "store_lost",
     "store_regained",
+    "store_restored",
+    "cause_quarantined",
+    "cause_released",
 ];
 
 /// A parsed log line.
--- a/crates/aspenline/tests/explain.rs
+++ b/crates/aspenline/tests/explain.rs
@@ -42,6 +42,20 @@
     assert_eq!(result.output.replace("standard input", "-"), expected);
 }
 
+#[test]
+fn a_refusal_for_a_quarantined_cause_shows_what_is_known_of_the_cause() {
+    let lines = r#"
+{"event":"attempt_broken","at_ms":60000,"request":"r-6","subject":"i-1","outcome":"no data, shared parts aa dd"}
+{"event":"cause_quarantined","at_ms":60500,"subject":"part dd","outcome":"3 crashes since its last answer"}
+{"event":"refused","at_ms":61000,"request":"r-7","outcome":"part dd is quarantined"}
+"#;
+    let result = run_with_input(&["explain", "r-7"], lines);
+    assert!(result.output.contains("part dd is quarantined"), "{}", result.output);
+    assert!(result.output.contains("3 crashes since its last answer"), "{}", result.output);
+    let result = run_with_input(&["explain", "r-6"], lines);
+    assert!(result.output.contains("first cause: attempt_broken"), "{}", result.output);
+}
+
 #[test]
 fn lines_are_assigned_to_processes_by_file_or_by_the_words_before_them() {
     let place = directory("explain");
