--- a/crates/balance/src/crash_history.rs
+++ b/crates/balance/src/crash_history.rs
@@ -4,6 +4,8 @@
 //! come at any router. Routers exchange which crashes they have seen under which possible causes, and which of these
 //! causes have been answered since. Requests with a quarantined cause are refused, except for single probes.
 
+mod history;
+
 use std::time::Duration;
 
 use base::Name;
@@ -14,11 +16,14 @@
 use crate::Cause;
 use crate::Crash;
 use crate::Evidence;
+use crate::crash_history::history::History;
 use crate::quarantine;
 use crate::quarantine::Certainty;
 use crate::quarantine::Suspect;
 use crate::rendezvous;
 
+pub use crate::crash_history::history::Distance;
+
 /// The time after which crashes under a cause that is not quarantined no longer count.
 const CRASH_RETENTION: Duration = Duration::from_secs(120);
 /// The time after which a quarantined cause without crashes is forgotten.
@@ -29,8 +34,6 @@
 const MAX_CAUSES: usize = 2_048;
 /// The maximum number of causes whose last answer is kept.
 const MAX_ANSWERS: usize = 8_192;
-/// The maximum number of crashes kept for a cause.
-const MAX_CRASHES: usize = 8;
 /// The maximum number of causes in one report to other routers.
 const MAX_REPORTED: usize = 32;
 /// The interval at which what has expired is removed.
@@ -38,72 +41,6 @@
 /// The time for which each router in turn may probe a cause.
 const PROBE_TURN: Duration = Duration::from_secs(3);
 
-/// How far away a router is that has seen something.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Distance {
-    /// This router itself.
-    Own,
-    /// Another router of the same availability zone.
-    Zone,
-    /// A router of another zone.
-    Fleet,
-}
-
-/// A crash and the nearest router that has seen it.
-#[derive(Debug, Clone, Copy)]
-struct Seen {
-    crash: Crash,
-    distance: Distance,
-}
-
-/// The crashes and answers of one cause.
-#[derive(Debug, Clone, Default)]
-struct History {
-    /// The crashes, oldest first.
-    crashes: Vec<Seen>,
-    /// The last answer at a router of the zone.
-    answered_in_zone: Option<Duration>,
-    /// The last answer at a router of another zone.
-    answered_elsewhere: Option<Duration>,
-    /// Whether another router has the cause quarantined.
-    is_quarantined_elsewhere: bool,
-    /// The time at which this router last let a probe through.
-    probed_at: Option<Duration>,
-}
-
-impl History {
-    /// Adds a crash; returns whether it was new.
-    fn add(&mut self, crash: Crash, distance: Distance) -> bool {
-        let known =
-            self.crashes.iter_mut().find(|seen| seen.crash.incarnation == crash.incarnation);
-        if let Some(seen) = known {
-            seen.distance = seen.distance.min(distance);
-            return false;
-        }
-        let index = self.crashes.partition_point(|seen| seen.crash.at <= crash.at);
-        // The first crash and the newest ones are kept.
-        let is_full = self.crashes.len() >= MAX_CRASHES;
-        if is_full && index == 1 {
-            return false;
-        }
-        self.crashes.insert(index, Seen { crash, distance });
-        if is_full {
-            self.crashes.remove(1);
-        }
-        true
-    }
-
-    fn last_crash(&self) -> Duration {
-        self.crashes.last().map_or(Duration::ZERO, |seen| seen.crash.at)
-    }
-
-    /// Returns the crashes after a time.
-    fn crashes_after(&self, time: Option<Duration>) -> Vec<Crash> {
-        let crashes = self.crashes.iter().map(|seen| seen.crash);
-        crashes.filter(|crash| time.is_none_or(|time| crash.at > time)).collect()
-    }
-}
-
 /// The crashes of runners and the answers, by possible cause.
 #[derive(Debug, Clone, Default)]
 pub struct CrashHistory {
