fix(relay,balance): a request that waited is no probe, and a broken body counts as a crash

A request that was admitted, waited and was checked again before its send could use the fleet's probe of a cause without being limited to one attempt; the second check never probes now. A connection that breaks in the body of an answer that is no stream counts for the causes of its request, as one in a stream does.

--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -133,6 +133,11 @@
         self.crash_history.admit(now, causes, router, peers.as_deref())
     }
 
+    /// Decides whether a request that was admitted may still be sent; it is no probe.
+    pub fn readmit(&mut self, now: Duration, causes: &[Cause]) -> Admission {
+        self.crash_history.admit(now, causes, &self.limits.router, None)
+    }
+
     /// Submits a request for a runner.
     pub fn submit(&mut self, now: Duration, request: Request) -> Outcome {
         let has_waiting = !self.service_state(&request.service).queue.is_empty();
--- a/crates/relay/src/acquire.rs
+++ b/crates/relay/src/acquire.rs
@@ -150,12 +150,18 @@
 /// # Errors
 /// Returns an error if the request holds a quarantined cause.
 pub(crate) fn admit(router: &Router, call: &Call) -> Result<Option<Cause>, Error> {
-    match router.core.borrow_mut().admit(router.now(), &call.causes) {
+    let admission = router.core.borrow_mut().admit(router.now(), &call.causes);
+    let probes = probed_cause(admission)?;
+    if let Some(cause) = probes {
+        router.log(forward::line(call, "quarantine_probe").subject(&cause.to_string()));
+    }
+    Ok(probes)
+}
+
+fn probed_cause(admission: Admission) -> Result<Option<Cause>, Error> {
+    match admission {
         Admission::Admitted => Ok(None),
-        Admission::Probe(cause) => {
-            router.log(forward::line(call, "quarantine_probe").subject(&cause.to_string()));
-            Ok(Some(cause))
-        }
+        Admission::Probe(cause) => Ok(Some(cause)),
         Admission::Refused { cause, retry_after } => {
             Err(Error { retry_after, reason: Refusal::Quarantined(cause) })
         }
@@ -173,7 +179,7 @@
 ) -> Result<Permit, Error> {
     let permit = wait_for_grant(router, call, &history.avoid).await?;
     if history.probes.is_none() {
-        admit(router, call)?;
+        probed_cause(router.core.borrow_mut().readmit(router.now(), &call.causes))?;
     }
     Ok(permit)
 }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -258,7 +258,15 @@
 async fn collect(router: &Router, reply: Reply) -> Result<(Response<Bytes>, Permit), AttemptError> {
     let Reply { permit, mut connection, head, body, .. } = reply;
     let mut reservation = router.buffer.reservation();
-    let Ok(body) = connection.collect_reserved(body, |bytes| reservation.add(bytes)).await else {
+    let mut has_room = true;
+    let reserve = |bytes| {
+        has_room = reservation.add(bytes);
+        has_room
+    };
+    let Ok(body) = connection.collect_reserved(body, reserve).await else {
+        if has_room {
+            permit.record_break(None);
+        }
         permit.update_health(Health::record_failure);
         return Err(AttemptError::MayHaveRun);
     };
