--- a/crates/balance/tests/suspect.rs
+++ b/crates/balance/tests/suspect.rs
@@ -18,7 +18,7 @@
 /// The content of a request.
 const CONTENT: Cause = Cause::Content(7);
 /// A part that crashes runners.
-const DEADLY: Cause = Cause::Part(0xd);
+const CRASHING: Cause = Cause::Part(0xd);
 /// A part that always comes with it.
 const COMPANION: Cause = Cause::Part(0xc);
 
@@ -74,29 +74,29 @@
 fn the_same_crash_seen_by_several_routers_counts_once() {
     let mut history = CrashHistory::default();
     for number in 0..9 {
-        history.record_evidence(at(number), Distance::Zone, &reported(DEADLY, 1, at(number)));
+        history.record_evidence(at(number), Distance::Zone, &reported(CRASHING, 1, at(number)));
     }
-    history.record_crash(at(9), 1, &[DEADLY]);
-    assert!(!is_quarantined(&mut history, at(9), DEADLY));
+    history.record_crash(at(9), 1, &[CRASHING]);
+    assert!(!is_quarantined(&mut history, at(9), CRASHING));
 }
 
 #[test]
 fn runners_that_end_at_the_same_moment_count_once() {
     let mut history = CrashHistory::default();
     for number in 0..9 {
-        history.record_crash(NOW + Duration::from_millis(number.into()), number, &[DEADLY]);
+        history.record_crash(NOW + Duration::from_millis(number.into()), number, &[CRASHING]);
     }
-    assert!(!is_quarantined(&mut history, NOW, DEADLY));
+    assert!(!is_quarantined(&mut history, NOW, CRASHING));
 }
 
 #[test]
 fn an_answer_at_any_router_clears_the_crashes_before_it() {
     for distance in [Distance::Zone, Distance::Fleet] {
         let mut history = CrashHistory::default();
-        record_crashes(&mut history, 0..3, &[DEADLY]);
-        assert!(is_quarantined(&mut history, at(3), DEADLY));
-        history.record_evidence(at(3), distance, &answered(DEADLY, at(3)));
-        assert!(!is_quarantined(&mut history, at(3), DEADLY));
+        record_crashes(&mut history, 0..3, &[CRASHING]);
+        assert!(is_quarantined(&mut history, at(3), CRASHING));
+        history.record_evidence(at(3), distance, &answered(CRASHING, at(3)));
+        assert!(!is_quarantined(&mut history, at(3), CRASHING));
     }
     let mut history = CrashHistory::default();
     record_crashes(&mut history, 0..2, &[CONTENT]);
@@ -108,19 +108,19 @@
 #[test]
 fn a_part_that_was_answered_before_is_quarantined_after_five_crashes() {
     let mut history = CrashHistory::default();
-    history.record_answer(NOW, &[DEADLY]);
-    record_crashes(&mut history, 1..5, &[DEADLY]);
-    assert!(!is_quarantined(&mut history, at(5), DEADLY));
-    record_crashes(&mut history, 5..6, &[DEADLY]);
-    assert!(is_quarantined(&mut history, at(6), DEADLY));
+    history.record_answer(NOW, &[CRASHING]);
+    record_crashes(&mut history, 1..5, &[CRASHING]);
+    assert!(!is_quarantined(&mut history, at(5), CRASHING));
+    record_crashes(&mut history, 5..6, &[CRASHING]);
+    assert!(is_quarantined(&mut history, at(6), CRASHING));
 }
 
 #[test]
 fn a_part_that_was_answered_is_not_blamed_for_crashes_with_one_that_never_was() {
     let mut history = CrashHistory::default();
     history.record_answer(NOW, &[COMPANION]);
-    record_crashes(&mut history, 1..9, &[COMPANION, DEADLY]);
-    assert!(is_quarantined(&mut history, at(9), DEADLY));
+    record_crashes(&mut history, 1..9, &[COMPANION, CRASHING]);
+    assert!(is_quarantined(&mut history, at(9), CRASHING));
     assert!(!is_quarantined(&mut history, at(9), COMPANION));
 }
 
@@ -128,11 +128,11 @@
 fn several_parts_that_crash_runners_are_quarantined_each() {
     let mut history = CrashHistory::default();
     for number in 0..4 {
-        history.record_crash(at(2 * number), 2 * number, &[COMPANION, DEADLY]);
+        history.record_crash(at(2 * number), 2 * number, &[COMPANION, CRASHING]);
         history.record_crash(at(2 * number + 1), 2 * number + 1, &[COMPANION, Cause::Part(0xe)]);
         history.record_answer(at(2 * number + 1), &[COMPANION]);
     }
-    assert!(is_quarantined(&mut history, at(9), DEADLY));
+    assert!(is_quarantined(&mut history, at(9), CRASHING));
     assert!(is_quarantined(&mut history, at(9), Cause::Part(0xe)));
     assert!(!is_quarantined(&mut history, at(9), COMPANION));
 }
@@ -141,14 +141,14 @@
 fn crashes_expire_after_a_while_unless_their_cause_is_quarantined() {
     let mut history = CrashHistory::default();
     let later = NOW + Duration::from_secs(300);
-    record_crashes(&mut history, 0..2, &[DEADLY]);
-    history.record_crash(later, 2, &[DEADLY]);
-    assert!(!is_quarantined(&mut history, later, DEADLY));
+    record_crashes(&mut history, 0..2, &[CRASHING]);
+    history.record_crash(later, 2, &[CRASHING]);
+    assert!(!is_quarantined(&mut history, later, CRASHING));
     let mut history = CrashHistory::default();
-    record_crashes(&mut history, 0..3, &[DEADLY]);
-    assert!(is_quarantined(&mut history, at(3), DEADLY));
-    assert!(is_quarantined(&mut history, later, DEADLY));
-    assert!(!is_quarantined(&mut history, later + Duration::from_secs(100_000), DEADLY));
+    record_crashes(&mut history, 0..3, &[CRASHING]);
+    assert!(is_quarantined(&mut history, at(3), CRASHING));
+    assert!(is_quarantined(&mut history, later, CRASHING));
+    assert!(!is_quarantined(&mut history, later + Duration::from_secs(100_000), CRASHING));
 }
 
 #[test]
@@ -156,12 +156,12 @@
     let (router, peers) = (Name::new("router-1"), Some(&[][..]));
     let mut history = CrashHistory::default();
     history.record_answer(NOW, &[COMPANION]);
-    record_crashes(&mut history, 1..6, &[COMPANION, DEADLY]);
+    record_crashes(&mut history, 1..6, &[COMPANION, CRASHING]);
     let due = at(5) + Duration::from_secs(60);
-    let before = history.admit(due - STEP, &[COMPANION, DEADLY], &router, peers);
+    let before = history.admit(due - STEP, &[COMPANION, CRASHING], &router, peers);
     assert!(matches!(before, Admission::Refused { .. }), "{before:?}");
-    let admission = history.admit(due, &[COMPANION, DEADLY], &router, peers);
-    assert_eq!(admission, Admission::Probe(DEADLY));
+    let admission = history.admit(due, &[COMPANION, CRASHING], &router, peers);
+    assert_eq!(admission, Admission::Probe(CRASHING));
 }
 
 #[test]
@@ -169,7 +169,7 @@
     let routers: Vec<Name> = (0..9).map(|number| Name::new(&format!("router-{number}"))).collect();
     let mut histories = vec![CrashHistory::default(); routers.len()];
     for history in &mut histories {
-        record_crashes(history, 0..6, &[DEADLY]);
+        record_crashes(history, 0..6, &[CRASHING]);
     }
     let mut probes = Vec::new();
     let mut incarnation = 100;
@@ -178,14 +178,14 @@
         let mut crashed = false;
         for (own, router) in routers.iter().enumerate() {
             let peers: Vec<Name> = routers.iter().filter(|peer| *peer != router).cloned().collect();
-            let admission = histories[own].admit(now, &[CONTENT, DEADLY], router, Some(&peers));
-            crashed |= admission == Admission::Probe(DEADLY);
+            let admission = histories[own].admit(now, &[CONTENT, CRASHING], router, Some(&peers));
+            crashed |= admission == Admission::Probe(CRASHING);
         }
         if crashed {
             incarnation += 1;
             probes.push(now - at(5));
             for history in &mut histories {
-                history.record_crash(now, incarnation, &[DEADLY]);
+                history.record_crash(now, incarnation, &[CRASHING]);
             }
         }
     }
@@ -199,26 +199,26 @@
 fn a_quarantined_part_is_admitted_again_once_a_probe_is_answered() {
     let (router, peers) = (Name::new("router-1"), Some(&[][..]));
     let mut history = CrashHistory::default();
-    record_crashes(&mut history, 0..3, &[DEADLY]);
+    record_crashes(&mut history, 0..3, &[CRASHING]);
     let now = at(2) + Duration::from_secs(60);
     assert!(matches!(
-        history.admit(now - STEP, &[DEADLY], &router, peers),
+        history.admit(now - STEP, &[CRASHING], &router, peers),
         Admission::Refused { .. }
     ));
-    assert!(matches!(history.admit(now, &[DEADLY], &router, None), Admission::Refused { .. }));
-    assert_eq!(history.admit(now, &[DEADLY], &router, peers), Admission::Probe(DEADLY));
-    assert!(matches!(history.admit(now, &[DEADLY], &router, peers), Admission::Refused { .. }));
-    history.record_answer(now + STEP, &[DEADLY]);
-    assert_eq!(history.admit(now + STEP, &[DEADLY], &router, peers), Admission::Admitted);
+    assert!(matches!(history.admit(now, &[CRASHING], &router, None), Admission::Refused { .. }));
+    assert_eq!(history.admit(now, &[CRASHING], &router, peers), Admission::Probe(CRASHING));
+    assert!(matches!(history.admit(now, &[CRASHING], &router, peers), Admission::Refused { .. }));
+    history.record_answer(now + STEP, &[CRASHING]);
+    assert_eq!(history.admit(now + STEP, &[CRASHING], &router, peers), Admission::Admitted);
 }
 
 #[test]
 fn a_request_with_two_quarantined_causes_is_no_probe() {
     let mut history = CrashHistory::default();
-    record_crashes(&mut history, 0..3, &[COMPANION, DEADLY]);
+    record_crashes(&mut history, 0..3, &[COMPANION, CRASHING]);
     let now = NOW + Duration::from_secs(60);
     let (router, peers) = (Name::new("router-1"), Some(&[][..]));
-    let both = history.admit(now, &[COMPANION, DEADLY], &router, peers);
+    let both = history.admit(now, &[COMPANION, CRASHING], &router, peers);
     assert!(matches!(both, Admission::Refused { .. }), "{both:?}");
     let one = history.admit(now, &[COMPANION], &router, peers);
     assert_eq!(one, Admission::Probe(COMPANION));
@@ -228,27 +228,27 @@
 fn a_router_that_has_just_started_learns_of_quarantined_causes_from_any_other() {
     let mut known = CrashHistory::default();
     for number in 0..5 {
-        let crash = reported(DEADLY, number, at(number));
+        let crash = reported(CRASHING, number, at(number));
         known.record_evidence(at(number), Distance::Fleet, &crash);
     }
-    assert!(is_quarantined(&mut known, at(5), DEADLY));
+    assert!(is_quarantined(&mut known, at(5), CRASHING));
     let now = at(5) + Duration::from_secs(600);
     let mut started = CrashHistory::default();
     for evidence in known.own_evidence(now) {
         started.record_evidence(now, Distance::Zone, &evidence);
     }
-    assert!(is_quarantined(&mut started, now, DEADLY));
+    assert!(is_quarantined(&mut started, now, CRASHING));
 }
 
 #[test]
 fn the_number_of_recorded_causes_and_of_reported_ones_stays_bounded() {
     let mut history = CrashHistory::default();
-    record_crashes(&mut history, 0..3, &[DEADLY]);
+    record_crashes(&mut history, 0..3, &[CRASHING]);
     for digest in 0..20_000 {
         history.record_crash(at(3), 3, &[Cause::Content(digest)]);
     }
     assert!(history.own_evidence(at(3)).len() <= 32);
-    assert!(is_quarantined(&mut history, at(3), DEADLY));
+    assert!(is_quarantined(&mut history, at(3), CRASHING));
     record_crashes(&mut history, 4..6, &[Cause::Content(19_999)]);
     assert!(is_quarantined(&mut history, at(6), Cause::Content(19_999)));
 }
