feat(relay,platform): log from where and how late a router knows of a runner's state

Cause: in a play where a request reaches a runner that leaves, no log told from where a router had the runner's state, how old its view was, whom it had asked in place of the store, or that reads went on failing. No decision is changed.

--- a/crates/relay/src/records.rs
+++ b/crates/relay/src/records.rs
@@ -11,6 +11,7 @@
 
 use balance::Identity;
 use balance::Record;
+use base::Name;
 use bytes::Bytes;
 use conn::Connection;
 use http::Request;
@@ -72,6 +73,8 @@
 /// Records that were fetched from another router.
 #[derive(Debug)]
 pub struct Fetched {
+    /// The name of the other router.
+    pub router: Name,
     /// The newest records of all keys that have changed.
     pub records: Vec<Record>,
     /// The position after all records of the topic that the other router has read.
@@ -82,6 +85,7 @@
 
 /// A router from which records are fetched.
 struct Source {
+    name: Name,
     address: SocketAddr,
     key: String,
     reaches_store: bool,
@@ -116,7 +120,7 @@
     topic: Topic,
     from: u64,
 ) -> Option<Fetched> {
-    let Source { address, key, reaches_store } = source(router, topic, from)?;
+    let Source { name, address, key, reaches_store } = source(router, topic, from)?;
     let nonce = rand::random();
     let query = Query {
         sender: identity.name.to_string(),
@@ -129,6 +133,7 @@
     let answer = time::timeout(FETCH_TIMEOUT, exchange(address, body)).await.ok().flatten()?;
     let page: Page = gossip::open_message(&answer, |_| Some(key))?;
     (page.nonce == nonce).then(|| Fetched {
+        router: name,
         records: page.records.into_iter().map(record).collect(),
         position: page.position,
         reaches_store,
@@ -152,6 +157,7 @@
     let chosen = if near.is_empty() { candidates } else { near };
     let member = *chosen.choose(&mut rand::rng())?;
     Some(Source {
+        name: member.identity.name.clone(),
         address: member.identity.records?,
         key: member.identity.key.clone(),
         reaches_store: member.status.reaches_store,
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -270,6 +270,13 @@
         self.with_read_schedule(Topic::Operator, |schedule| schedule.age(now))
     }
 
+    /// Returns the maximum age of what is known about the runners' registrations; `None` if it is unknown.
+    #[must_use]
+    pub(crate) fn runners_age(&self) -> Option<Duration> {
+        let now = self.now();
+        self.with_read_schedule(Topic::Runners, |schedule| schedule.age(now))
+    }
+
     /// Returns whether keys may have been revoked in the store for too long without this router knowing.
     #[must_use]
     pub fn is_revocation_unknown(&self) -> bool {
