test(balance,aspenline): routers that had lost the store know in time that a runner leaves (red)

What callers see: requests to a runner that leaves, later than 2 s after the store has accepted its report.

--- a/crates/aspenline/tests/common/router.rs
+++ b/crates/aspenline/tests/common/router.rs
@@ -210,6 +210,13 @@
         lines.iter().rfind(|line| line.contains(&wanted)).cloned()
     }
 
+    /// Returns all log lines of an event.
+    pub(crate) fn lines_of(&self, event: &str) -> Vec<String> {
+        let wanted = format!("\"event\":\"{event}\"");
+        let lines = self.lines.lock().expect("no reader panics");
+        lines.iter().filter(|line| line.contains(&wanted)).cloned().collect()
+    }
+
     /// Returns the number of log lines of an event.
     pub(crate) fn count(&self, event: &str) -> usize {
         let wanted = format!("\"event\":\"{event}\"");
--- /dev/null
+++ b/crates/aspenline/tests/platform_leaving.rs
@@ -0,0 +1,160 @@
+//! Runners that leave while routers have lost and regained the store, against fakes of the store and the runners.
+
+#[path = "common/router.rs"]
+mod router;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use fake::endpoint::Endpoint;
+use fake::store::Entrance;
+use fake::store::FaultMode;
+use tokio::time;
+
+use crate::router::Platform;
+use crate::router::Router;
+use crate::router::configuration;
+use crate::router::get;
+use crate::router::wait_for;
+
+/// The time after the store has accepted that a runner leaves from which on it gets no more requests.
+const LEAVING_BOUND: Duration = Duration::from_secs(2);
+/// The time after a fault from which on that bound holds.
+const CONTACT: Duration = Duration::from_secs(3);
+/// The interval between two changes of runners that are not used.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(100);
+/// The interval between two requests to each router.
+const CALL_INTERVAL: Duration = Duration::from_millis(20);
+/// The interval between two runners that leave.
+const LEAVING_INTERVAL: Duration = Duration::from_millis(700);
+
+/// A zone with a router that the store serves all the time and others that reach it through an entrance, beside two
+/// zones with one router each.
+struct Zones {
+    platform: Platform,
+    entrance: Entrance,
+    served: Router,
+    turned_away: Vec<Router>,
+    _others: Vec<Router>,
+}
+
+impl Zones {
+    async fn start(test: &str, turned_away: usize, runners: usize) -> (Self, Vec<Endpoint>) {
+        let platform = Platform::start(test).await;
+        platform.configure(&configuration(1));
+        let runners = platform.runners("ledger", runners).await;
+        let entrance = platform.store.open_entrance().await.expect("an entrance");
+        let served = platform.router("served").await;
+        let others = vec![
+            platform.router_in("other-1", "middle").await,
+            platform.router_in("other-2", "south").await,
+        ];
+        let mut routers = Vec::new();
+        for number in 1..=turned_away {
+            let name = format!("turned-away-{number}");
+            let mut settings = platform.settings(&name);
+            settings["store"] = entrance.address().to_string().into();
+            routers.push(platform.router_with(&name, &settings).await);
+        }
+        for router in &routers {
+            router.wait_for_runners(runners.len()).await;
+            wait_for(|| (router.count("router_alive") > 0).then_some(())).await;
+        }
+        let zones = Self { platform, entrance, served, turned_away: routers, _others: others };
+        (zones, runners)
+    }
+
+    /// Changes a runner of a service that gets no requests.
+    fn change(&self, number: u64) {
+        let record = serde_json::json!({
+            "service": "unused", "address": "127.0.0.1:9", "zone": "north", "version": "v1", "slots": 1,
+            "state": "ready", "cold_left_ms": 0, "seq": 1, "born": number,
+        });
+        let key = format!("unused-{}", number % 8);
+        self.platform.store.put("keyed.servers", &key, record.to_string().as_bytes());
+    }
+
+    /// Turns the routers away until each has failed to read the runners' topic, then lets them in again; changes go on for
+    /// the time after which all bounds hold again.
+    async fn turn_away_and_let_in(&self) {
+        self.entrance.set_fault_mode(FaultMode::Unavailable);
+        let mut number = 0;
+        let lost = |router: &Router| {
+            let last = router.lines_of("store_lost");
+            last.iter().any(|line| line.contains("keyed.servers"))
+        };
+        let start = Instant::now();
+        while !self.turned_away.iter().all(lost) {
+            assert!(start.elapsed() < router::WAIT_TIMEOUT, "not all routers have lost the store");
+            number += 1;
+            self.change(number);
+            time::sleep(CHANGE_INTERVAL).await;
+        }
+        self.entrance.set_fault_mode(FaultMode::Normal);
+        let start = Instant::now();
+        while start.elapsed() < CONTACT {
+            number += 1;
+            self.change(number);
+            time::sleep(CHANGE_INTERVAL).await;
+        }
+    }
+
+    fn routers(&self) -> impl Iterator<Item = &Router> {
+        std::iter::once(&self.served).chain(&self.turned_away)
+    }
+}
+
+/// Returns the paths of the requests that a runner has received.
+fn received(runner: &Endpoint) -> Vec<String> {
+    let requests = runner.requests().into_iter();
+    requests.map(|request| request.line).collect()
+}
+
+#[tokio::test]
+async fn a_router_that_the_store_serves_again_reads_it_while_changes_go_on() {
+    let (zones, _runners) = Zones::start("served-again", 2, 1).await;
+    zones.turn_away_and_let_in().await;
+    for router in &zones.turned_away {
+        let regained = router.lines_of("store_regained");
+        assert!(regained.iter().any(|line| line.contains("keyed.servers")), "{regained:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_runner_that_leaves_gets_nothing_after_two_seconds_from_routers_that_had_lost_the_store()
+{
+    let (zones, runners) = Zones::start("leaving-after-loss", 6, 8).await;
+    zones.turn_away_and_let_in().await;
+    let (leaving, _staying) = runners.split_at(6);
+    let mut left_at = Vec::new();
+    let mut late = Vec::new();
+    let start = Instant::now();
+    let mut number = 1_000;
+    let mut changed_at = start;
+    while start.elapsed() < LEAVING_INTERVAL * 6 + 2 * LEAVING_BOUND {
+        if left_at.len() < leaving.len()
+            && start.elapsed() >= LEAVING_INTERVAL * (left_at.len() as u32)
+        {
+            zones.platform.list_runner(&leaving[left_at.len()], "ledger", "draining", 2);
+            left_at.push(Instant::now());
+        }
+        if changed_at.elapsed() >= CHANGE_INTERVAL {
+            changed_at = Instant::now();
+            number += 1;
+            zones.change(number);
+        }
+        let before: Vec<usize> = leaving.iter().map(|runner| received(runner).len()).collect();
+        let sent_at = Instant::now();
+        for (index, router) in zones.routers().enumerate() {
+            router.call(get("/safe/", &format!("{number}-{index}"))).await;
+        }
+        for (index, left_at) in left_at.iter().enumerate() {
+            let more = received(&leaving[index]).len() - before[index];
+            if more > 0 && sent_at.duration_since(*left_at) > LEAVING_BOUND {
+                late.push((index, sent_at.duration_since(*left_at), more));
+            }
+        }
+        time::sleep(CALL_INTERVAL).await;
+    }
+    assert!(late.is_empty(), "requests later than {LEAVING_BOUND:?}: {late:?}");
+}
--- /dev/null
+++ b/crates/balance/tests/leaving.rs
@@ -0,0 +1,338 @@
+//! How late the routers of a zone know that a runner leaves: replays of their decisions over time.
+
+mod common;
+
+use std::time::Duration;
+
+use balance::Candidate;
+use balance::Identity;
+use balance::MemberStatus;
+use balance::Members;
+use balance::ReadSchedule;
+use balance::Registry;
+use balance::StoreContact;
+use base::Name;
+
+use crate::common::ms;
+use crate::common::registration;
+
+const RUNNER: &str = "engine-1";
+/// The numbers of routers of a zone.
+const SMALL_ZONE: usize = 4;
+const LARGE_ZONE: usize = 10;
+/// The number of zones, each with readers of its own.
+const ZONES: usize = 3;
+/// The interval between two reads of a reader.
+const READ_INTERVAL: Duration = ms(600);
+/// The interval between two heartbeats.
+const PERIOD: Duration = ms(50);
+/// How long the store and other routers take to answer.
+const ANSWER_TIME: Duration = ms(5);
+/// How long a router waits for the records of another one that does not answer.
+const FETCH_TIMEOUT: Duration = ms(500);
+/// The time after the store has accepted that a runner leaves from which on it gets no more requests.
+const LEAVING_BOUND: Duration = ms(2_000);
+/// The time at which the store accepts that the runner leaves.
+const LEFT_AT: Duration = ms(4_000);
+/// The time that a request which has been given a runner may take until it reaches it.
+const DELIVERY_TIME: Duration = ms(250);
+const STEP: Duration = ms(5);
+
+/// Random numbers of a replay.
+struct Random(u64);
+
+impl Random {
+    const fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mixed = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed ^ (mixed >> 31)
+    }
+
+    fn below(&mut self, limit: Duration) -> Duration {
+        ms(self.next() % limit.as_millis() as u64)
+    }
+
+    fn index(&mut self, count: usize) -> usize {
+        (self.next() % count as u64) as usize
+    }
+}
+
+/// The records that the store has accepted: when, and whether it is the one of the leaving runner.
+struct Store {
+    records: Vec<(Duration, bool)>,
+}
+
+impl Store {
+    /// Returns a store that accepts a change of some runner every `interval`.
+    fn new(interval: Duration) -> Self {
+        let times = (1..).map(|number| interval * number);
+        let times: Vec<_> = times.take_while(|at| *at < 2 * LEFT_AT).collect();
+        let mut records: Vec<_> = times.into_iter().map(|at| (at, false)).collect();
+        records.push((LEFT_AT, true));
+        records.sort_unstable();
+        Self { records }
+    }
+
+    fn end(&self, now: Duration) -> u64 {
+        self.records.iter().filter(|(at, _)| *at <= now).count() as u64
+    }
+
+    /// Returns whether the record of the leaving runner is one of the first `position`.
+    fn is_leaving_before(&self, position: u64) -> bool {
+        self.records.iter().take(position as usize).any(|(_, is_leaving)| *is_leaving)
+    }
+}
+
+/// Where a read goes to.
+#[derive(Clone, Copy)]
+enum Source {
+    Store,
+    Router(usize),
+}
+
+/// A read that has begun.
+struct Read {
+    source: Source,
+    started_at: Duration,
+    done_at: Duration,
+}
+
+struct Node {
+    name: String,
+    schedule: ReadSchedule,
+    contact: StoreContact,
+    members: Members,
+    registry: Registry,
+    read: Option<Read>,
+    next_heartbeat: Duration,
+    sequence: u64,
+    frozen_from: Duration,
+    known_at: Option<Duration>,
+}
+
+impl Node {
+    fn new(number: usize, routers: usize, random: &mut Random) -> Self {
+        let mut members = Members::default();
+        for other in (0..routers).filter(|other| *other != number) {
+            members.put(identity(other));
+        }
+        let mut registry = Registry::default();
+        registry.put(Duration::ZERO, &registration(RUNNER));
+        let mut schedule = ReadSchedule::default();
+        schedule.begin_read(random.below(READ_INTERVAL));
+        Self {
+            name: name(number),
+            schedule,
+            contact: StoreContact::default(),
+            members,
+            registry,
+            read: None,
+            next_heartbeat: random.below(PERIOD),
+            sequence: 0,
+            frozen_from: Duration::MAX,
+            known_at: None,
+        }
+    }
+
+    fn is_frozen(&self, now: Duration) -> bool {
+        now >= self.frozen_from
+    }
+
+    fn is_reader(&self, now: Duration) -> bool {
+        let candidate = |name| Candidate { name, reaches_store: true };
+        let alive = self.members.iter().filter(|member| member.is_alive(now));
+        let others = alive.map(|member| candidate(member.identity.name.as_str()));
+        balance::is_reader(1, candidate(&self.name), others, ZONES)
+    }
+
+    /// Begins a read if one is due.
+    fn begin_read(&mut self, now: Duration, random: &mut Random) {
+        let is_reader = self.is_reader(now);
+        if self.read.is_some() || now < self.schedule.next_read(is_reader, READ_INTERVAL, PERIOD) {
+            return;
+        }
+        self.schedule.begin_read(now);
+        let source = self.source(now, random).map_or(Source::Store, Source::Router);
+        self.read = Some(Read { source, started_at: now, done_at: now + ANSWER_TIME });
+    }
+
+    fn source(&self, now: Duration, random: &mut Random) -> Option<usize> {
+        if !self.contact.prefers_router() || !self.schedule.is_behind() {
+            return None;
+        }
+        let (zone, from) = (Name::new("north"), self.schedule.position());
+        let member = balance::source(&self.members, now, &zone, 0, from, random.index(usize::MAX))?;
+        member.identity.name.as_str().strip_prefix("router-")?.parse().ok()
+    }
+
+    fn apply(&mut self, now: Duration, store: &Store, read: &Read, position: u64) {
+        let is_current = matches!(read.source, Source::Store);
+        if is_current {
+            self.contact.record_success();
+        }
+        let position = position.max(self.schedule.position());
+        let changed = (position > self.schedule.last_change()).then_some(position);
+        self.schedule.record_read(read.started_at, position, changed, is_current);
+        if store.is_leaving_before(position) {
+            let mut leaving = registration(RUNNER);
+            (leaving.is_draining, leaving.sequence) = (true, 2);
+            self.registry.put(now, &leaving);
+        }
+    }
+
+    fn record_knowledge(&mut self, now: Duration) {
+        let key = self.registry.find(RUNNER).expect("the runner is known");
+        let runner = self.registry.get(key).expect("the runner is known");
+        if runner.registration.is_draining && self.known_at.is_none() {
+            self.known_at = Some(now);
+        }
+    }
+}
+
+fn name(number: usize) -> String {
+    format!("router-{number}")
+}
+
+fn identity(number: usize) -> Identity {
+    Identity {
+        name: Name::new(&name(number)),
+        incarnation: 1,
+        peers: "127.0.0.1:1".parse().expect("an address"),
+        callers: "127.0.0.1:2".parse().expect("an address"),
+        share_milli: 250,
+        key: String::new(),
+        zone: Some(Name::new("north")),
+        records: Some("127.0.0.1:3".parse().expect("an address")),
+    }
+}
+
+/// What a heartbeat says.
+struct Heartbeat {
+    sender: usize,
+    sequence: u64,
+    last_change: u64,
+    as_of: Option<Duration>,
+}
+
+fn heartbeat(node: &mut Node, sender: usize, now: Duration) -> Heartbeat {
+    node.next_heartbeat = now + PERIOD;
+    node.sequence += 1;
+    let age = node.schedule.age(now);
+    Heartbeat {
+        sender,
+        sequence: node.sequence,
+        last_change: node.schedule.last_change(),
+        as_of: age.map(|age| now - age),
+    }
+}
+
+fn receive(node: &mut Node, now: Duration, heartbeat: &Heartbeat) {
+    let sender = name(heartbeat.sender);
+    let status = MemberStatus { reaches_store: true, ..MemberStatus::default() };
+    node.members.record_heartbeat(now, &sender, heartbeat.sequence, status);
+    node.members.record_last_changes(&sender, vec![heartbeat.last_change]);
+    node.schedule.record_report(heartbeat.last_change, heartbeat.as_of);
+}
+
+/// Ends the reads that are done, and asks the store instead of a router that has not answered.
+fn finish_reads(nodes: &mut [Node], now: Duration, store: &Store) {
+    for index in 0..nodes.len() {
+        let Some(read) = nodes[index].read.take_if(|read| now >= read.done_at) else { continue };
+        let frozen = match read.source {
+            Source::Router(other) => nodes[other].is_frozen(now),
+            Source::Store => false,
+        };
+        if frozen && now < read.started_at + FETCH_TIMEOUT {
+            let done_at = read.started_at + FETCH_TIMEOUT;
+            nodes[index].read = Some(Read { done_at, ..read });
+        } else if frozen {
+            let read = Read { source: Source::Store, started_at: now, done_at: now + ANSWER_TIME };
+            nodes[index].read = Some(read);
+        } else {
+            let position = match read.source {
+                Source::Store => store.end(read.started_at),
+                Source::Router(other) => nodes[other].schedule.position(),
+            };
+            nodes[index].apply(now, store, &read, position);
+        }
+    }
+}
+
+/// What a replay has beside the leaving runner.
+#[derive(Clone, Copy)]
+struct Faults {
+    /// The number of routers whose last read of the store had failed, though it serves them again.
+    lost: usize,
+    /// Whether a router freezes at about the time at which the runner leaves.
+    freezes_one: bool,
+}
+
+/// Replays a zone and returns how late the last router that was not frozen knew that the runner leaves.
+fn replay(seed: u64, routers: usize, faults: Faults) -> Duration {
+    let mut random = Random(seed);
+    let interval = ms(40) + random.below(ms(400));
+    let store = Store::new(interval);
+    let numbers = 0..routers;
+    let mut nodes: Vec<Node> =
+        numbers.map(|number| Node::new(number, routers, &mut random)).collect();
+    for node in nodes.iter_mut().take(faults.lost) {
+        node.contact.record_failure();
+    }
+    if faults.freezes_one {
+        let frozen = random.index(routers);
+        nodes[frozen].frozen_from = LEFT_AT - ms(500) + random.below(ms(2_000));
+    }
+    let mut now = Duration::ZERO;
+    while now < LEFT_AT + 2 * LEAVING_BOUND {
+        now += STEP;
+        finish_reads(&mut nodes, now, &store);
+        send_heartbeats(&mut nodes, now);
+        for node in nodes.iter_mut().filter(|node| !node.is_frozen(now)) {
+            node.begin_read(now, &mut random);
+            node.record_knowledge(now);
+        }
+    }
+    let running = nodes.iter().filter(|node| !node.is_frozen(now));
+    let known = running.map(|node| node.known_at.map_or(Duration::MAX, |at| at - LEFT_AT));
+    known.max().unwrap_or_default()
+}
+
+fn send_heartbeats(nodes: &mut [Node], now: Duration) {
+    for sender in 0..nodes.len() {
+        if nodes[sender].is_frozen(now) || now < nodes[sender].next_heartbeat {
+            continue;
+        }
+        let heartbeat = heartbeat(&mut nodes[sender], sender, now);
+        let others = nodes.iter_mut().enumerate().filter(|(other, _)| *other != sender);
+        others.for_each(|(_, node)| receive(node, now, &heartbeat));
+    }
+}
+
+/// Asserts that in many replays each router knows early enough that no request reaches the runner too late.
+fn assert_known_in_time(routers: usize, faults: Faults) {
+    let replays = (0..200).map(|seed| (replay(seed, routers, faults), seed));
+    let (late, seed) = replays.max().unwrap_or_default();
+    assert!(late < LEAVING_BOUND - DELIVERY_TIME, "{late:?} with seed {seed}");
+}
+
+#[test]
+fn all_routers_know_in_time_that_a_runner_leaves() {
+    for routers in [SMALL_ZONE, LARGE_ZONE] {
+        assert_known_in_time(routers, Faults { lost: 0, freezes_one: false });
+        assert_known_in_time(routers, Faults { lost: 0, freezes_one: true });
+    }
+}
+
+#[test]
+fn routers_that_had_lost_the_store_know_in_time_that_a_runner_leaves() {
+    for routers in [SMALL_ZONE, LARGE_ZONE] {
+        assert_known_in_time(routers, Faults { lost: routers - 1, freezes_one: false });
+    }
+}
+
+#[test]
+fn routers_that_had_lost_the_store_know_in_time_that_a_runner_leaves_while_another_is_frozen() {
+    for routers in [SMALL_ZONE, LARGE_ZONE] {
+        assert_known_in_time(routers, Faults { lost: routers - 1, freezes_one: true });
+    }
+}
--- a/crates/relay/src/records.rs
+++ b/crates/relay/src/records.rs
@@ -22,7 +22,6 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
-use rand::seq::IndexedRandom;
 use serde::Deserialize;
 use serde::Serialize;
 use strum::IntoEnumIterator;
@@ -140,22 +139,18 @@
     })
 }
 
-/// Returns a router that has read the topic beyond `from`; routers of the own zone come first.
+/// Returns a router that has read the topic beyond `from`.
 fn source(router: &Router, topic: Topic, from: u64) -> Option<Source> {
-    let now = router.now();
     let members = router.members.borrow();
-    let has_read = |member: &&balance::Member| {
-        let changed = member.last_changes.get(topic as usize);
-        member.is_alive(now) && changed.is_some_and(|changed| *changed > from)
-    };
-    let candidates: Vec<_> = members.iter().filter(has_read).collect();
-    let near: Vec<_> = candidates
-        .iter()
-        .copied()
-        .filter(|member| member.identity.zone.as_ref() == Some(&router.settings.zone))
-        .collect();
-    let chosen = if near.is_empty() { candidates } else { near };
-    let member = *chosen.choose(&mut rand::rng())?;
+    let (now, zone) = (router.now(), &router.settings.zone);
+    let member = balance::source(
+        &members,
+        now,
+        zone,
+        topic as usize,
+        from,
+        rand::random_range(..usize::MAX),
+    )?;
     Some(Source {
         name: member.identity.name.clone(),
         address: member.identity.records?,
