fix(platform,balance): a router reads the store again once it serves it, also while changes go on

Cause: a router whose last read of a topic had failed asked other routers first, and asked the store only when nobody had news. Change: being lost ends by itself. After a fetch the store is tried again when its delay is over, or at once if it has answered another call of this router.

--- a/crates/balance/src/read_source.rs
+++ b/crates/balance/src/read_source.rs
@@ -13,6 +13,8 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct StoreContact {
     failures: u32,
+    /// The time from which on the store is tried again after a failure.
+    retry_at: Duration,
 }
 
 impl StoreContact {
@@ -23,9 +25,10 @@
         was_lost
     }
 
-    /// Records that a read has failed.
-    pub const fn record_failure(&mut self) {
+    /// Records that a read has failed; the store is tried again after `delay`.
+    pub fn record_failure(&mut self, now: Duration, delay: Duration) {
         self.failures += 1;
+        self.retry_at = now + delay;
     }
 
     /// Returns the number of successive reads that have failed.
@@ -40,10 +43,13 @@
         self.failures > 0
     }
 
-    /// Returns whether records are fetched from another router, if one has newer ones, before the store is read.
+    /// Returns whether the store is to be read, even if another router has given newer records.
+    ///
+    /// After a failure it is tried again after its delay, or as soon as it has answered another call of this router, as
+    /// `reaches_store` tells, so that nobody goes on to depend on other routers once the store serves it.
     #[must_use]
-    pub const fn prefers_router(&self) -> bool {
-        self.is_lost()
+    pub fn is_due(&self, now: Duration, reaches_store: bool) -> bool {
+        !self.is_lost() || reaches_store || now >= self.retry_at
     }
 }
 
--- a/crates/balance/tests/watch.rs
+++ b/crates/balance/tests/watch.rs
@@ -4,6 +4,7 @@
 
 use balance::Candidate;
 use balance::ReadSchedule;
+use balance::StoreContact;
 use balance::is_reader;
 use balance::unshared_retry_delay;
 
@@ -138,3 +139,15 @@
     assert!(unshared_retry_delay(9, true) > unshared_retry_delay(9, false));
     assert_eq!(unshared_retry_delay(1, true), unshared_retry_delay(1, false));
 }
+
+#[test]
+fn a_store_that_was_lost_is_due_after_its_delay_or_once_it_has_answered_another_call() {
+    let mut contact = StoreContact::default();
+    assert!(contact.is_due(NOW, false));
+    contact.record_failure(NOW, READ_INTERVAL);
+    assert!(!contact.is_due(NOW, false));
+    assert!(contact.is_due(NOW, true));
+    assert!(contact.is_due(NOW + READ_INTERVAL, false));
+    assert!(contact.record_success());
+    assert!(contact.is_due(NOW, false));
+}
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -184,7 +184,8 @@
     }
 
     /// Returns whether the last call to the store succeeded.
-    pub(crate) fn reaches_store(&self) -> bool {
+    #[must_use]
+    pub fn reaches_store(&self) -> bool {
         self.reaches_store.get()
     }
 
