fix(balance,relay): routers tell each other of all runners that leave, and of removed registrations

Cause: that a runner leaves was known to a router only from its own read or fetch, by a chain of reads without a stated bound, except for what a runner says in an answer; that list found known runners only. A runner serves 2 s after its report. Change: heartbeats carry all runners known to leave, whatever the source, and registrations removed in the last 5 s, with the position of the removal, so that a later registration counts again. Both are remembered for 10 s for runners that are not known yet. What heartbeats tell need not be read: a report of leaving alone is no change for the positions of others any more.

--- a/crates/aspenline/tests/platform_leaving.rs
+++ b/crates/aspenline/tests/platform_leaving.rs
@@ -120,6 +120,30 @@
     }
 }
 
+#[tokio::test]
+async fn a_router_that_the_store_does_not_answer_is_told_by_others_that_runners_leave() {
+    let (zones, runners) = Zones::start("told-leaving", 1, 3).await;
+    let router = &zones.turned_away[0];
+    zones.entrance.set_fault_mode(FaultMode::Unresponsive);
+    zones.platform.list_runner(&runners[0], "ledger", "draining", 2);
+    zones.platform.store.remove("keyed.servers", runners[1].id());
+    let left_at = Instant::now();
+    let told = |event: &str, id: &str| {
+        let lines = router.lines_of(event);
+        lines.iter().any(|line| line.contains(id) && line.contains("told by"))
+    };
+    wait_for(|| {
+        let is_told = told("runner_leaving", runners[0].id()) && told("runner", runners[1].id());
+        is_told.then_some(())
+    })
+    .await;
+    assert!(left_at.elapsed() < LEAVING_BOUND, "{:?}", left_at.elapsed());
+    for number in 0..6 {
+        router.call(get("/safe/", &format!("after-{number}"))).await;
+    }
+    assert_eq!(runners[2].execution_count(), 6);
+}
+
 #[tokio::test]
 async fn a_runner_that_leaves_gets_nothing_after_two_seconds_from_routers_that_had_lost_the_store()
 {
--- a/crates/balance/src/registry.rs
+++ b/crates/balance/src/registry.rs
@@ -7,9 +7,12 @@
 use indexmap::IndexSet;
 use slotmap::SlotMap;
 
+use crate::Departures;
 use crate::Key;
 use crate::Registration;
+use crate::Removal;
 use crate::Runner;
+use crate::Start;
 
 /// The time that a registration which expired while the store was unreachable may take to be renewed.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -17,6 +20,9 @@
 /// The shortest extension of a known cold period that counts as a change.
 const MIN_COLD_EXTENSION: Duration = Duration::from_millis(300);
 
+/// Maximum number of runners that leave of which other routers are told.
+const MAX_LEAVING: usize = 256;
+
 /// The runners, and the zones that are out of service.
 #[derive(Debug, Clone, Default)]
 pub struct Registry {
@@ -25,13 +31,36 @@
     zones_out: IndexSet<Name>,
     is_store_unreachable: bool,
     renewal_until: Duration,
-    expired: IndexMap<Name, Duration>,
+    expired: IndexMap<Name, Expired>,
+    departures: Departures,
+}
+
+/// A registration that has expired while the store was unreachable.
+#[derive(Debug, Clone, Copy)]
+struct Expired {
+    /// The time at which the runner is given up.
+    due: Duration,
+    /// The position of the record that has removed it.
+    position: u64,
 }
 
 impl Registry {
-    /// Records a registration; a new incarnation of a known identifier replaces the old one.
-    pub fn put(&mut self, now: Duration, registration: &Registration) -> Key {
+    /// Records a registration, unless it is older than what is known; a new incarnation of a known identifier replaces the
+    /// old one.
+    pub fn put(&mut self, now: Duration, registration: &Registration) -> Option<Key> {
+        let start = registration.start();
+        if self.departures.is_removed(start, registration.position) {
+            return None;
+        }
         self.expired.swap_remove(&registration.id);
+        let key = self.put_newer(now, registration);
+        if self.departures.is_leaving(start) {
+            self.runners[key].record_leaving();
+        }
+        Some(key)
+    }
+
+    fn put_newer(&mut self, now: Duration, registration: &Registration) -> Key {
         if let Some(key) = self.ids.get(&registration.id).copied() {
             let runner = &mut self.runners[key];
             let known = &runner.registration;
@@ -74,16 +103,72 @@
         })
     }
 
-    /// Records that the registration of a runner is no longer in the store.
+    /// Returns whether a registration reports only that a known runner leaves, of which [`Registry::leaving`] tells the
+    /// other routers.
+    #[must_use]
+    pub fn is_told_by_heartbeats(&self, now: Duration, registration: &Registration) -> bool {
+        let known = self.find(registration.id.as_str()).and_then(|key| self.get(key));
+        let Some(known) = known.map(|runner| &runner.registration) else { return false };
+        let as_leaving = Registration { is_draining: known.is_draining, ..registration.clone() };
+        self.leaving().count() < MAX_LEAVING && !self.is_change(now, &as_leaving)
+    }
+
+    /// Records that the registration of a runner is no longer in the store, by the record at a position.
     ///
     /// Registrations expire while the store is unreachable and are renewed afterwards, so such a runner stays known for
     /// a while.
-    pub fn expire(&mut self, now: Duration, id: &Name) {
+    pub fn expire(&mut self, now: Duration, id: &Name, position: u64) {
         if self.is_store_unreachable || now < self.renewal_until {
-            self.expired.insert(id.clone(), self.renewal_until.max(now));
+            let due = self.renewal_until.max(now);
+            self.expired.insert(id.clone(), Expired { due, position });
         } else {
-            self.remove(id);
+            self.remove_at(now, id, position);
+        }
+    }
+
+    /// Removes a runner whose registration was removed by the record at a position, of which others are told.
+    fn remove_at(&mut self, now: Duration, id: &Name, position: u64) {
+        if let Some(runner) = self.find(id.as_str()).and_then(|key| self.runners.get(key)) {
+            let start = runner.registration.start();
+            self.departures.record_removal(now, Removal { start, position, at: now });
+        }
+        self.remove(id);
+    }
+
+    /// Returns the known runners that leave, of which other routers are told.
+    pub fn leaving(&self) -> impl Iterator<Item = Start> {
+        let leaving = self.runners.values().filter(|runner| runner.registration.is_draining);
+        leaving.take(MAX_LEAVING).map(|runner| runner.registration.start())
+    }
+
+    /// Returns the removals of which other routers are told.
+    pub fn removals(&self, now: Duration) -> impl Iterator<Item = &Removal> {
+        self.departures.told_removals(now)
+    }
+
+    /// Records that a runner leaves, whether it is known or not; returns its identifier if that is new.
+    pub fn record_leaving(&mut self, now: Duration, start: Start) -> Option<Name> {
+        if !self.departures.record_leaving(now, start) {
+            return None;
+        }
+        let runner = self.runners.values_mut().find(|known| known.registration.start() == start)?;
+        runner.record_leaving().then(|| runner.registration.id.clone())
+    }
+
+    /// Records a removal that another router has reported; returns the identifier of the runner if it is removed by this.
+    pub fn record_removal(&mut self, now: Duration, removal: Removal) -> Option<Name> {
+        if !self.departures.record_removal(now, removal) {
+            return None;
+        }
+        let mut known = self.runners.values().map(|runner| &runner.registration);
+        let removed = known.find(|known| known.start() == removal.start)?;
+        if removed.position >= removal.position {
+            return None;
         }
+        let id = removed.id.clone();
+        self.expired.swap_remove(&id);
+        self.remove(&id);
+        Some(id)
     }
 
     /// Records that the store does not answer.
@@ -96,8 +181,8 @@
         if self.is_store_unreachable {
             self.is_store_unreachable = false;
             self.renewal_until = now + RENEWAL_TIMEOUT;
-            for due in self.expired.values_mut() {
-                *due = now + RENEWAL_TIMEOUT;
+            for expired in self.expired.values_mut() {
+                expired.due = now + RENEWAL_TIMEOUT;
             }
         }
     }
@@ -107,14 +192,16 @@
         for runner in self.runners.values_mut() {
             runner.peer_loads.remove_expired(now);
         }
+        self.departures.remove_expired(now);
         if self.is_store_unreachable {
             return;
         }
-        let due = self.expired.iter().filter(|(_, due)| now >= **due);
-        let gone: Vec<Name> = due.map(|(id, _)| id.clone()).collect();
-        for id in gone {
+        let due = self.expired.iter().filter(|(_, expired)| now >= expired.due);
+        let gone: Vec<(Name, u64)> =
+            due.map(|(id, expired)| (id.clone(), expired.position)).collect();
+        for (id, position) in gone {
             self.expired.swap_remove(&id);
-            self.remove(&id);
+            self.remove_at(now, &id, position);
         }
     }
 
--- a/crates/balance/src/runner.rs
+++ b/crates/balance/src/runner.rs
@@ -10,6 +10,7 @@
 use crate::Load;
 use crate::PeerLoads;
 use crate::PrefixCache;
+use crate::Start;
 use crate::Window;
 use crate::room_part::RecentLoad;
 
@@ -28,6 +29,8 @@
     pub id: Name,
     /// The start of this incarnation, in milliseconds since the Unix epoch.
     pub started_ms: u64,
+    /// The position of its record in the store's topic.
+    pub position: u64,
     /// The sequence number, which increases with each registration of this incarnation.
     pub sequence: u64,
     /// The service to which the runner belongs.
@@ -45,6 +48,12 @@
 }
 
 impl Registration {
+    /// Returns the name that routers give this start of the runner to each other.
+    #[must_use]
+    pub fn start(&self) -> Start {
+        Start::new(self.id.as_str(), self.started_ms)
+    }
+
     /// Returns a digest of the identifier and the start, which tells incarnations apart.
     #[must_use]
     #[expect(clippy::cast_possible_truncation, reason = "the low half of the hash is the digest")]
@@ -62,8 +71,6 @@
     pub cold_until: Duration,
     /// The circuit breaker, based on the results of requests.
     pub health: Health,
-    /// Whether it has said in an answer that it leaves; it then counts as draining for the rest of this incarnation.
-    pub is_leaving: bool,
     /// The time until which it wants no requests of this router.
     pub(crate) paused_until: Option<Duration>,
     /// The prompt parts that it is assumed to hold.
@@ -86,7 +93,6 @@
             registration,
             cold_until: Duration::ZERO,
             health: Health::default(),
-            is_leaving: false,
             paused_until: None,
             prefix_cache: PrefixCache::default(),
             own_load: Load::default(),
@@ -111,10 +117,9 @@
         }
     }
 
-    /// Records that the runner has said in an answer that it leaves; returns `false` if that was known.
-    pub const fn record_leaving(&mut self) -> bool {
-        let is_new = !self.is_leaving;
-        self.is_leaving = true;
+    /// Records that the runner leaves; returns `false` if that was known.
+    pub(crate) const fn record_leaving(&mut self) -> bool {
+        let is_new = !self.registration.is_draining;
         self.registration.is_draining = true;
         is_new
     }
--- a/crates/balance/tests/common/mod.rs
+++ b/crates/balance/tests/common/mod.rs
@@ -35,6 +35,7 @@
     Registration {
         id: Name::new(id),
         started_ms: 1,
+        position: 0,
         sequence: 1,
         service: Name::new(SERVICE),
         address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number.unwrap_or_default())),
--- /dev/null
+++ b/crates/relay/src/departure_report.rs
@@ -0,0 +1,49 @@
+//! What routers tell each other about runners that leave.
+
+use std::time::Duration;
+
+use balance::Removal;
+
+use crate::Line;
+use crate::Router;
+use crate::exchange::age_ms;
+use crate::gossip::Extension;
+use crate::gossip::RemovedRunner;
+
+/// Returns the removals of runners of which other routers are told.
+pub(crate) fn removals(router: &Router) -> Vec<RemovedRunner> {
+    let now = router.now();
+    let core = router.core.borrow();
+    let removals = core.registry.removals(now).map(|removal| RemovedRunner {
+        start: removal.start,
+        position: removal.position,
+        age_ms: age_ms(now, removal.at),
+    });
+    removals.collect()
+}
+
+/// Records the departures of which another router tells.
+pub(crate) fn apply(router: &Router, sender: &str, extension: &Extension) {
+    let now = router.now();
+    for start in &extension.leaving {
+        let leaving = router.core.borrow_mut().registry.record_leaving(now, *start);
+        if let Some(id) = leaving {
+            let line = Line::new("runner_leaving").subject(id.as_str());
+            router.log(line.outcome(format!("told by {sender}")));
+        }
+    }
+    for removed in &extension.removals {
+        let removal = decode(now, removed);
+        let removed = router.core.borrow_mut().registry.record_removal(now, removal);
+        if let Some(id) = removed {
+            let line = Line::new("runner").subject(id.as_str());
+            router.log(line.outcome(format!("entry removed, told by {sender}")));
+        }
+    }
+}
+
+fn decode(now: Duration, removed: &RemovedRunner) -> Removal {
+    let age = Duration::from_millis(u64::from(removed.age_ms));
+    let RemovedRunner { start, position, .. } = *removed;
+    Removal { start, position, at: now.saturating_sub(age) }
+}
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -21,6 +21,7 @@
 use crate::Router;
 use crate::Topic;
 use crate::crash_evidence;
+use crate::departure_report;
 use crate::event;
 use crate::gossip;
 use crate::gossip::Extension;
@@ -209,7 +210,8 @@
         reaches_store: router.reaches_store(),
         sums: Vec::new(),
         shortage: Vec::new(),
-        leaving: report::leaving(&router.core.borrow()),
+        leaving: router.core.borrow().registry.leaving().collect(),
+        removals: departure_report::removals(router),
         eras: last_changes(router).map(era::of).collect(),
         crash_evidence: Vec::new(),
     }
@@ -262,8 +264,9 @@
         let evidence = extension.as_ref().map_or(&[][..], |extension| &extension.crash_evidence);
         crash_evidence::apply(router, now, now, Distance::Zone, evidence);
     }
-    let leaving = extension.iter().flat_map(|extension| &extension.leaving);
-    report::apply_leaving(router, &heartbeat.sender, leaving);
+    if let Some(extension) = &extension {
+        departure_report::apply(router, &heartbeat.sender, extension);
+    }
     for sums in extension.iter().flat_map(|extension| &extension.sums) {
         report::apply_sums(router, now, sums);
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 mod call;
 mod clock;
 mod crash_evidence;
+mod departure_report;
 mod directory;
 mod event;
 mod exchange;
--- a/crates/relay/src/notice.rs
+++ b/crates/relay/src/notice.rs
@@ -49,8 +49,9 @@
 
 fn record_leaving(router: &Router, grant: &Grant) {
     let mut core = router.core.borrow_mut();
-    let runner = core.registry.get_mut(grant.runner);
-    let is_new = runner.is_some_and(balance::Runner::record_leaving);
+    let start = core.registry.get(grant.runner).map(|runner| runner.registration.start());
+    let now = router.now();
+    let is_new = start.is_some_and(|start| core.registry.record_leaving(now, start).is_some());
     drop(core);
     if is_new {
         router.pool.borrow_mut().discard(grant.runner);
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -14,13 +14,11 @@
 use base::Name;
 use indexmap::IndexMap;
 
-use crate::Line;
 use crate::Router;
 use crate::crash_evidence;
 use crate::exchange;
 use crate::gossip::Digest;
 use crate::gossip::Heartbeat;
-use crate::gossip::LeavingRunner;
 use crate::gossip::MemberReport;
 use crate::gossip::PlacedPart;
 use crate::gossip::RunnerLoad;
@@ -55,37 +53,6 @@
     shortage(core.usage.own(now))
 }
 
-/// Returns the runners that have said in an answer, to any router, that they leave.
-pub(crate) fn leaving(core: &Core) -> Vec<LeavingRunner> {
-    let leaving = core.registry.iter().filter(|(_, runner)| runner.is_leaving);
-    leaving.map(|(_, runner)| identify(runner)).collect()
-}
-
-/// Records the runners of which another router knows that they leave.
-pub(crate) fn apply_leaving<'a>(
-    router: &Router,
-    sender: &str,
-    reported: impl Iterator<Item = &'a LeavingRunner>,
-) {
-    for reported in reported {
-        let mut core = router.core.borrow_mut();
-        let runner = core.registry.iter_mut().find(|runner| identify(runner) == *reported);
-        let Some(runner) = runner.filter(|runner| !runner.is_leaving) else { continue };
-        runner.record_leaving();
-        let line = Line::new("runner_leaving").subject(runner.registration.id.as_str());
-        drop(core);
-        router.log(line.outcome(format!("told by {sender}")));
-    }
-}
-
-fn identify(runner: &Runner) -> LeavingRunner {
-    let registration = &runner.registration;
-    LeavingRunner {
-        runner: Digest::of(registration.id.as_str()),
-        started_ms: registration.started_ms,
-    }
-}
-
 /// Returns the adaptive limits of this router.
 pub(crate) fn limits(core: &Core) -> Vec<ServiceLimits> {
     let limits = core.service_loads().map(|(service, adaptive_limit, _)| {
