fix(balance,relay): what heartbeats tell of departures is not read again, and fetches ask who has read what was reported

Cause: a router read a topic for changes that it had been told already. Change: heartbeats state the position after the last change that they don't tell themselves; a router that has heard them without a gap of 5 s reads up to there only. Among routers to fetch from, those that have read all that was reported come first.

--- a/crates/balance/src/departure.rs
+++ b/crates/balance/src/departure.rs
@@ -27,13 +27,13 @@
 use crate::rendezvous;
 
 /// How long other routers are told of a removal.
-const TOLD_FOR: Duration = Duration::from_secs(5);
+pub(crate) const TOLD_FOR: Duration = Duration::from_secs(5);
 /// How long a departure is remembered; longer, so that routers don't tell each other of it without an end.
 const REMEMBERED_FOR: Duration = Duration::from_secs(10);
 /// Maximum number of departures of each kind that are remembered.
 const MAX_REMEMBERED: usize = 1_024;
 /// Maximum number of removals that other routers are told of at one time.
-const MAX_TOLD: usize = 128;
+pub(crate) const MAX_TOLD: usize = 128;
 
 /// One start of a runner, by which routers name it to each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/balance/src/read_schedule.rs
+++ b/crates/balance/src/read_schedule.rs
@@ -8,6 +8,7 @@
 
 use std::time::Duration;
 
+use crate::departure::TOLD_FOR;
 use crate::rendezvous;
 
 /// The minimum number of routers that poll a topic, over all zones.
@@ -26,43 +27,97 @@
 /// The longest delay after failed reads of any other router, since peers report a change once the store is back.
 const MAX_LONG_DELAY: Duration = Duration::from_secs(3);
 
+/// The positions after the last changes of a topic.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// The position after the last change.
+    pub last: u64,
+    /// The position after the last change that other routers have to read, as heartbeats don't tell it themselves.
+    pub last_untold: u64,
+}
+
+impl Changes {
+    /// Returns the positions after a change that heartbeats don't tell.
+    #[must_use]
+    pub const fn untold(position: u64) -> Self {
+        Self { last: position, last_untold: position }
+    }
+
+    /// Returns the positions after a change that heartbeats tell themselves.
+    #[must_use]
+    pub const fn told(position: u64) -> Self {
+        Self { last: position, last_untold: 0 }
+    }
+
+    /// Records further changes.
+    pub fn record(&mut self, other: Self) {
+        self.last = self.last.max(other.last);
+        self.last_untold = self.last_untold.max(other.last_untold);
+    }
+}
+
+/// What another router reports about a topic.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Report {
+    /// The changes that it has read.
+    pub changes: Changes,
+    /// The time as of which it knows that there are no others.
+    pub as_of: Option<Duration>,
+    /// Whether its heartbeats tell changes themselves.
+    pub tells: bool,
+}
+
 /// The knowledge of a router about a topic, and the schedule of its reads.
 #[derive(Debug, Clone, Default)]
 pub struct ReadSchedule {
     position: u64,
-    last_change: u64,
+    changes: Changes,
     reported: u64,
+    /// The time as of which there is no change that this router has not read or been told.
     as_of: Option<Duration>,
+    /// The same for changes that heartbeats tell, whatever else has changed.
+    told_as_of: Option<Duration>,
     last_try: Duration,
 }
 
 impl ReadSchedule {
     /// Records a read that began at `started`.
     ///
-    /// `position` is the position after the last record that was read, and `changed` the one after the last record that
+    /// `position` is the position after the last record that was read, and `changes` those after the last records that
     /// made a change. `is_current` states whether the topic held nothing newer.
     pub fn record_read(
         &mut self,
         started: Duration,
         position: u64,
-        changed: Option<u64>,
+        changes: Changes,
         is_current: bool,
     ) {
         self.position = position;
-        self.last_change = self.last_change.max(changed.unwrap_or_default());
+        self.changes.record(changes);
         if is_current {
             self.confirm(started);
         }
     }
 
-    /// Records the report of another router: the position after the last change, and the time as of which that is
-    /// known.
-    pub fn record_report(&mut self, changed: u64, as_of: Option<Duration>) {
-        if changed > self.position {
-            self.reported = self.reported.max(changed);
+    /// Records the report of another router.
+    pub fn record_report(&mut self, report: &Report) {
+        let Report { changes, as_of, .. } = *report;
+        let has_heard_all = self.has_heard_all(report);
+        let to_read = if has_heard_all { changes.last_untold } else { changes.last };
+        if to_read > self.position {
+            self.reported = self.reported.max(to_read);
         } else if let Some(as_of) = as_of {
             self.confirm(as_of);
         }
+        if has_heard_all {
+            self.told_as_of = self.told_as_of.max(as_of);
+        }
+    }
+
+    /// Returns whether heartbeats have told this router all that they tell, since others repeat it only for a time.
+    fn has_heard_all(&self, report: &Report) -> bool {
+        let Some(told_as_of) = self.told_as_of else { return false };
+        report.tells && report.as_of.is_none_or(|as_of| as_of < told_as_of + TOLD_FOR)
     }
 
     /// Records that a read begins.
@@ -76,10 +131,10 @@
         self.position
     }
 
-    /// Returns the position after the last change.
+    /// Returns the positions after the last changes.
     #[must_use]
-    pub const fn last_change(&self) -> u64 {
-        self.last_change
+    pub const fn changes(&self) -> Changes {
+        self.changes
     }
 
     /// Returns the position after the last change that was reported and not read at that time.
@@ -100,6 +155,12 @@
         self.as_of.map(|as_of| now.saturating_sub(as_of))
     }
 
+    /// Returns the age of what heartbeats tell by themselves, or `None` before the first read.
+    #[must_use]
+    pub fn told_age(&self, now: Duration) -> Option<Duration> {
+        self.told_as_of.map(|as_of| now.saturating_sub(as_of))
+    }
+
     /// Returns the time of the next read.
     ///
     /// A reader reads again after `interval`; routers send a heartbeat every `period`.
@@ -126,7 +187,8 @@
     }
 
     fn confirm(&mut self, as_of: Duration) {
-        self.as_of = Some(self.as_of.map_or(as_of, |known| known.max(as_of)));
+        self.as_of = self.as_of.max(Some(as_of));
+        self.told_as_of = self.told_as_of.max(Some(as_of));
     }
 }
 
--- a/crates/balance/src/read_source.rs
+++ b/crates/balance/src/read_source.rs
@@ -53,7 +53,8 @@
     }
 }
 
-/// Returns a router that has read a topic beyond `from`; routers of the own zone come first.
+/// Returns a router that has read a topic beyond `from`: one that has read all that was reported, if there is one, and of
+/// the own zone rather than another.
 ///
 /// Among several, the random number `salt` decides.
 #[must_use]
@@ -63,18 +64,18 @@
     zone: &Name,
     topic: usize,
     from: u64,
+    reported: u64,
     salt: usize,
 ) -> Option<&'a Member> {
-    let has_read = |member: &&Member| {
-        let changed = member.last_changes.get(topic);
-        member.is_alive(now) && changed.is_some_and(|changed| *changed > from)
-    };
-    let candidates: Vec<_> = members.iter().filter(has_read).collect();
-    let near: Vec<_> = candidates
-        .iter()
-        .copied()
-        .filter(|member| member.identity.zone.as_ref() == Some(zone))
+    let alive = members.iter().filter(|member| member.is_alive(now));
+    let candidates: Vec<((bool, bool), &Member)> = alive
+        .filter_map(|member| {
+            let read = *member.last_changes.get(topic)?;
+            let is_near = member.identity.zone.as_ref() == Some(zone);
+            (read > from).then_some(((read >= reported, is_near), member))
+        })
         .collect();
-    let chosen = if near.is_empty() { candidates } else { near };
-    chosen.get(salt % chosen.len().max(1)).copied()
+    let best = candidates.iter().map(|(rank, _)| *rank).max()?;
+    let chosen: Vec<_> = candidates.iter().filter(|(rank, _)| *rank == best).collect();
+    chosen.get(salt % chosen.len()).map(|(_, member)| *member)
 }
--- a/crates/balance/src/registry.rs
+++ b/crates/balance/src/registry.rs
@@ -13,6 +13,7 @@
 use crate::Removal;
 use crate::Runner;
 use crate::Start;
+use crate::departure::MAX_TOLD;
 
 /// The time that a registration which expired while the store was unreachable may take to be renewed.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -116,23 +117,24 @@
     /// Records that the registration of a runner is no longer in the store, by the record at a position.
     ///
     /// Registrations expire while the store is unreachable and are renewed afterwards, so such a runner stays known for
-    /// a while.
-    pub fn expire(&mut self, now: Duration, id: &Name, position: u64) {
+    /// a while. Returns whether it is removed at once and [`Registry::removals`] tells other routers of it.
+    pub fn expire(&mut self, now: Duration, id: &Name, position: u64) -> bool {
         if self.is_store_unreachable || now < self.renewal_until {
             let due = self.renewal_until.max(now);
             self.expired.insert(id.clone(), Expired { due, position });
-        } else {
-            self.remove_at(now, id, position);
+            return false;
         }
+        let has_room = self.departures.told_removals(now).count() < MAX_TOLD;
+        self.remove_at(now, id, position) && has_room
     }
 
-    /// Removes a runner whose registration was removed by the record at a position, of which others are told.
-    fn remove_at(&mut self, now: Duration, id: &Name, position: u64) {
-        if let Some(runner) = self.find(id.as_str()).and_then(|key| self.runners.get(key)) {
-            let start = runner.registration.start();
-            self.departures.record_removal(now, Removal { start, position, at: now });
-        }
+    /// Removes a runner whose registration was removed by the record at a position, of which others are told; returns
+    /// whether it was known.
+    fn remove_at(&mut self, now: Duration, id: &Name, position: u64) -> bool {
+        let runner = self.find(id.as_str()).and_then(|key| self.runners.get(key));
+        let Some(start) = runner.map(|runner| runner.registration.start()) else { return false };
         self.remove(id);
+        self.departures.record_removal(now, Removal { start, position, at: now })
     }
 
     /// Returns the known runners that leave, of which other routers are told.
--- a/crates/balance/tests/leaving.rs
+++ b/crates/balance/tests/leaving.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use balance::Candidate;
+use balance::Changes;
 use balance::Identity;
 use balance::MemberStatus;
 use balance::Members;
@@ -12,6 +13,7 @@
 use balance::Registration;
 use balance::Registry;
 use balance::Removal;
+use balance::Report;
 use balance::Start;
 use balance::StoreContact;
 use base::Name;
@@ -176,7 +178,9 @@
             return None;
         }
         let (zone, from) = (Name::new("north"), self.schedule.position());
-        let member = balance::source(&self.members, now, &zone, 0, from, random.index(usize::MAX))?;
+        let reported = self.schedule.reported();
+        let salt = random.index(usize::MAX);
+        let member = balance::source(&self.members, now, &zone, 0, from, reported, salt)?;
         member.identity.name.as_str().strip_prefix("router-")?.parse().ok()
     }
 
@@ -186,8 +190,8 @@
             self.contact.record_success();
         }
         let position = position.max(self.schedule.position());
-        let changed = (position > self.schedule.last_change()).then_some(position);
-        self.schedule.record_read(read.started_at, position, changed, is_current);
+        let changes = Changes::untold(position);
+        self.schedule.record_read(read.started_at, position, changes, is_current);
         match (store.left_before(position), store.departure) {
             (Some(left), Departure::Removed) => {
                 self.registry.expire(now, &Name::new(RUNNER), left);
@@ -229,8 +233,7 @@
 struct Heartbeat {
     sender: usize,
     sequence: u64,
-    last_change: u64,
-    as_of: Option<Duration>,
+    report: Report,
     leaving: Vec<Start>,
     removals: Vec<Removal>,
 }
@@ -242,8 +245,11 @@
     Heartbeat {
         sender,
         sequence: node.sequence,
-        last_change: node.schedule.last_change(),
-        as_of: age.map(|age| now - age),
+        report: Report {
+            changes: node.schedule.changes(),
+            as_of: age.map(|age| now - age),
+            tells: true,
+        },
         leaving: node.registry.leaving().collect(),
         removals: node.registry.removals(now).copied().collect(),
     }
@@ -253,8 +259,8 @@
     let sender = name(heartbeat.sender);
     let status = MemberStatus { reaches_store: true, ..MemberStatus::default() };
     node.members.record_heartbeat(now, &sender, heartbeat.sequence, status);
-    node.members.record_last_changes(&sender, vec![heartbeat.last_change]);
-    node.schedule.record_report(heartbeat.last_change, heartbeat.as_of);
+    node.members.record_last_changes(&sender, vec![heartbeat.report.changes.last]);
+    node.schedule.record_report(&heartbeat.report);
     for start in &heartbeat.leaving {
         node.registry.record_leaving(now, *start);
     }
--- a/crates/balance/tests/registry.rs
+++ b/crates/balance/tests/registry.rs
@@ -93,3 +93,16 @@
     assert_eq!(serving(&registry), 2);
     assert!(registry.iter().all(|(_, runner)| runner.is_cold(NOW + ms(3_000))));
 }
+
+#[test]
+fn others_are_told_of_a_removal_only_once_the_runner_is_given_up() {
+    let mut registry = registry(2);
+    registry.store_lost();
+    assert!(!registry.expire(NOW, &Name::new("engine-0"), 7));
+    assert_eq!(registry.removals(NOW).count(), 0);
+    registry.store_regained(NOW + ms(100));
+    registry.remove_expired(NOW + ms(3_000));
+    assert_eq!(registry.removals(NOW + ms(3_000)).count(), 1);
+    assert!(registry.expire(NOW + ms(9_000), &Name::new("engine-1"), 9));
+    assert!(!registry.expire(NOW + ms(9_000), &Name::new("engine-2"), 9), "it is not known");
+}
--- a/crates/balance/tests/watch.rs
+++ b/crates/balance/tests/watch.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use balance::Candidate;
+use balance::Changes;
 use balance::ReadSchedule;
+use balance::Report;
 use balance::StoreContact;
 use balance::is_reader;
 use balance::unshared_retry_delay;
@@ -12,10 +14,15 @@
 const READ_INTERVAL: Duration = Duration::from_millis(600);
 const PERIOD: Duration = Duration::from_millis(100);
 
+/// Returns the report of a router whose heartbeats tell no changes.
+const fn report(changed: u64, as_of: Option<Duration>) -> Report {
+    Report { changes: Changes::untold(changed), as_of, tells: false }
+}
+
 fn read_at(now: Duration, position: u64) -> ReadSchedule {
     let mut schedule = ReadSchedule::default();
     schedule.begin_read(now);
-    schedule.record_read(now, position, None, true);
+    schedule.record_read(now, position, Changes::default(), true);
     schedule
 }
 
@@ -52,14 +59,14 @@
 #[test]
 fn a_router_reads_at_once_when_a_change_is_reported() {
     let mut schedule = read_at(NOW, 10);
-    schedule.record_report(10, None);
+    schedule.record_report(&report(10, None));
     assert!(!schedule.is_behind());
-    schedule.record_report(11, Some(NOW));
+    schedule.record_report(&report(11, Some(NOW)));
     assert!(schedule.is_behind());
     assert_eq!(schedule.next_read(false, READ_INTERVAL, PERIOD), NOW + READ_INTERVAL);
-    schedule.record_read(NOW, 12, Some(11), true);
+    schedule.record_read(NOW, 12, Changes::untold(11), true);
     assert!(!schedule.is_behind());
-    assert_eq!(schedule.last_change(), 11);
+    assert_eq!(schedule.changes().last, 11);
 }
 
 #[test]
@@ -68,7 +75,7 @@
     // This covers 45 seconds: reads that each router makes by itself add up over the fleet, so they must be rare.
     for step in 1..150 {
         let now = NOW + Duration::from_millis(300 * step);
-        schedule.record_report(9, Some(now));
+        schedule.record_report(&report(9, Some(now)));
         assert!(schedule.next_read(false, READ_INTERVAL, PERIOD) > now);
     }
 }
@@ -77,7 +84,7 @@
 fn a_router_eventually_reads_by_itself_whatever_is_reported() {
     let mut schedule = read_at(NOW, 10);
     let later = NOW + Duration::from_secs(61);
-    schedule.record_report(9, Some(later));
+    schedule.record_report(&report(9, Some(later)));
     assert!(schedule.next_read(false, READ_INTERVAL, PERIOD) <= later);
 }
 
@@ -91,7 +98,7 @@
 fn a_report_of_an_unread_change_confirms_nothing() {
     let mut schedule = read_at(NOW, 10);
     let later = NOW + Duration::from_secs(9);
-    schedule.record_report(11, Some(later));
+    schedule.record_report(&report(11, Some(later)));
     assert_eq!(schedule.age(later), Some(Duration::from_secs(9)));
 }
 
@@ -104,7 +111,7 @@
         let reported_at = NOW + step * period;
         let as_of = reported_at.saturating_sub(reader_age + period);
         assert!(schedule.next_read(false, READ_INTERVAL, period) > reported_at);
-        schedule.record_report(9, Some(as_of));
+        schedule.record_report(&report(9, Some(as_of)));
     }
 }
 
@@ -129,7 +136,7 @@
         "the readers detect soon that the store is reachable again"
     );
     let mut behind = read_at(NOW, 10);
-    behind.record_report(11, None);
+    behind.record_report(&report(11, None));
     assert_eq!(tries(&behind, false), tries(&schedule, true), "a reported change is read soon");
 }
 
@@ -151,3 +158,25 @@
     assert!(contact.record_success());
     assert!(contact.is_due(NOW, false));
 }
+
+#[test]
+fn a_change_that_heartbeats_tell_is_not_read_unless_they_were_not_heard_for_long() {
+    let mut schedule = read_at(NOW, 10);
+    let told = |as_of| Report { changes: Changes::told(11), as_of: Some(as_of), tells: true };
+    schedule.record_report(&told(NOW + READ_INTERVAL));
+    assert!(!schedule.is_behind());
+    assert_eq!(schedule.age(NOW + READ_INTERVAL), Some(Duration::ZERO));
+    schedule.record_report(&told(NOW + Duration::from_secs(20)));
+    assert!(schedule.is_behind(), "what was told meanwhile is not repeated any more");
+}
+
+#[test]
+fn what_heartbeats_tell_is_confirmed_while_another_change_waits_to_be_read() {
+    let mut schedule = read_at(NOW, 10);
+    let later = NOW + READ_INTERVAL;
+    let report = Report { changes: Changes::untold(11), as_of: Some(later), tells: true };
+    schedule.record_report(&report);
+    assert!(schedule.is_behind());
+    assert_eq!(schedule.told_age(later), Some(Duration::ZERO));
+    assert_eq!(schedule.age(later), Some(READ_INTERVAL));
+}
--- a/crates/relay/src/departure_report.rs
+++ b/crates/relay/src/departure_report.rs
@@ -6,20 +6,23 @@
 
 use crate::Line;
 use crate::Router;
+use crate::Topic;
 use crate::exchange::age_ms;
+use crate::gossip::Departures;
 use crate::gossip::Extension;
 use crate::gossip::RemovedRunner;
 
-/// Returns the removals of runners of which other routers are told.
-pub(crate) fn removals(router: &Router) -> Vec<RemovedRunner> {
+/// Returns the departures of which other routers are told, beside the runners that leave.
+pub(crate) fn of_router(router: &Router) -> Departures {
     let now = router.now();
+    let changes = router.with_read_schedule(Topic::Runners, |schedule| schedule.changes());
     let core = router.core.borrow();
     let removals = core.registry.removals(now).map(|removal| RemovedRunner {
         start: removal.start,
         position: removal.position,
         age_ms: age_ms(now, removal.at),
     });
-    removals.collect()
+    Departures { last_untold: changes.last_untold, removals: removals.collect() }
 }
 
 /// Records the departures of which another router tells.
@@ -32,7 +35,8 @@
             router.log(line.outcome(format!("told by {sender}")));
         }
     }
-    for removed in &extension.removals {
+    let removals = extension.departures.iter().flat_map(|departures| &departures.removals);
+    for removed in removals {
         let removal = decode(now, removed);
         let removed = router.core.borrow_mut().registry.record_removal(now, removal);
         if let Some(id) = removed {
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -211,9 +211,9 @@
     /// The runners that are known to leave.
     #[serde(skip)]
     pub(crate) leaving: Vec<Start>,
-    /// The runners whose registrations were removed from the store lately.
+    /// Further departures; `None` if the sender has an earlier version, which does not tell all of them.
     #[serde(skip)]
-    pub(crate) removals: Vec<RemovedRunner>,
+    pub(crate) departures: Option<Departures>,
     /// The eras of the store in which the last changes were read, in the order of the topics.
     #[serde(skip)]
     pub(crate) eras: Vec<u32>,
@@ -222,6 +222,16 @@
     pub(crate) crash_evidence: Vec<CrashEvidence>,
 }
 
+/// The departures of runners that [`Extension::leaving`] does not name; the last part of a datagram, which earlier versions
+/// ignore.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Departures {
+    /// The position after the last change of runners that is no departure.
+    pub(crate) last_untold: u64,
+    /// The runners whose registrations were removed from the store lately.
+    pub(crate) removals: Vec<RemovedRunner>,
+}
+
 /// A runner whose registration was removed from the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct RemovedRunner {
@@ -281,7 +291,10 @@
         by_zone: extension.sums.iter().map(|sums| sums.crash_evidence.clone()).collect(),
     };
     let encoded = postcard::to_extend(&crash_report, encoded).ok()?;
-    postcard::to_extend(&extension.removals, encoded).ok()
+    match &extension.departures {
+        Some(departures) => postcard::to_extend(departures, encoded).ok(),
+        None => Some(encoded),
+    }
 }
 
 /// Decodes an extension, with the later parts of the datagram if the sender's version has them.
@@ -291,7 +304,7 @@
         postcard::take_from_bytes(rest).unwrap_or_default();
     let (crash_report, rest): (CrashReport, &[u8]) =
         postcard::take_from_bytes(rest).unwrap_or_default();
-    extension.removals = postcard::from_bytes(rest).unwrap_or_default();
+    extension.departures = postcard::from_bytes(rest).ok();
     extension.shortage = supplement.shortage;
     extension.leaving = supplement.leaving;
     extension.eras = supplement.eras;
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -8,10 +8,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use balance::Changes;
 use balance::Distance;
 use balance::Identity;
 use balance::Member;
 use balance::MemberStatus;
+use balance::Report;
 use balance::era;
 use strum::IntoEnumIterator;
 use tokio::net::UdpSocket;
@@ -211,7 +213,7 @@
         sums: Vec::new(),
         shortage: Vec::new(),
         leaving: router.core.borrow().registry.leaving().collect(),
-        removals: departure_report::removals(router),
+        departures: Some(departure_report::of_router(router)),
         eras: last_changes(router).map(era::of).collect(),
         crash_evidence: Vec::new(),
     }
@@ -221,7 +223,7 @@
     let now = router.now();
     let schedules = router.read_schedules.borrow();
     let statuses = schedules.iter().map(|schedule| TopicStatus {
-        last_change: era::offset(schedule.last_change()),
+        last_change: era::offset(schedule.changes().last),
         age_ms: schedule.age(now).map(event::millis),
     });
     statuses.collect()
@@ -230,7 +232,7 @@
 /// Returns the positions after the last changes that this router has read, by topic.
 fn last_changes(router: &Router) -> impl Iterator<Item = u64> {
     let schedules = router.read_schedules.borrow();
-    let positions: Vec<u64> = schedules.iter().map(balance::ReadSchedule::last_change).collect();
+    let positions: Vec<u64> = schedules.iter().map(|schedule| schedule.changes().last).collect();
     positions.into_iter()
 }
 
@@ -270,8 +272,7 @@
     for sums in extension.iter().flat_map(|extension| &extension.sums) {
         report::apply_sums(router, now, sums);
     }
-    let eras = extension.as_ref().map_or(&[][..], |extension| &extension.eras);
-    record_topics(router, &heartbeat, eras, acknowledged);
+    record_topics(router, &heartbeat, extension.as_ref(), acknowledged);
     router.wake_queue();
 }
 
@@ -316,7 +317,13 @@
 
 /// Records another router's view of the store's topics; one that states no eras has an earlier version, and is taken to
 /// be in the era of this router.
-fn record_topics(router: &Router, heartbeat: &Heartbeat, eras: &[u32], acknowledged: u64) {
+fn record_topics(
+    router: &Router,
+    heartbeat: &Heartbeat,
+    extension: Option<&Extension>,
+    acknowledged: u64,
+) {
+    let eras = extension.map_or(&[][..], |extension| &extension.eras);
     let own_eras = last_changes(router).map(era::of);
     let eras = eras.iter().copied().map(Some).chain(iter::repeat(None)).zip(own_eras);
     let statuses = heartbeat.topics.iter().zip(eras);
@@ -329,7 +336,12 @@
         let age = status.age_ms.map(Duration::from_millis);
         let as_of =
             age.and_then(|age| router.sent_heartbeats.borrow().known_as_of(acknowledged, age));
-        router.record_topic_report(topic, last_change, as_of);
+        let departures = extension.and_then(|extension| extension.departures.as_ref());
+        let last_untold = departures.filter(|_| topic == Topic::Runners);
+        let last_untold = last_untold.map(|departures| departures.last_untold);
+        let changes =
+            Changes { last: last_change, last_untold: last_untold.unwrap_or(last_change) };
+        router.record_topic_report(topic, &Report { changes, as_of, tells: last_untold.is_some() });
     }
     router.members.borrow_mut().record_last_changes(&heartbeat.sender, last_changes);
 }
--- a/crates/relay/src/records.rs
+++ b/crates/relay/src/records.rs
@@ -143,14 +143,9 @@
 fn source(router: &Router, topic: Topic, from: u64) -> Option<Source> {
     let members = router.members.borrow();
     let (now, zone) = (router.now(), &router.settings.zone);
-    let member = balance::source(
-        &members,
-        now,
-        zone,
-        topic as usize,
-        from,
-        rand::random_range(..usize::MAX),
-    )?;
+    let reported = router.with_read_schedule(topic, |schedule| schedule.reported());
+    let salt = rand::random_range(..usize::MAX);
+    let member = balance::source(&members, now, zone, topic as usize, from, reported, salt)?;
     Some(Source {
         name: member.identity.name.clone(),
         address: member.identity.records?,
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -12,6 +12,7 @@
 use balance::Grant;
 use balance::Members;
 use balance::ReadSchedule;
+use balance::Report;
 use balance::Ticket;
 use balance::TopicView;
 use balance::Window;
@@ -153,11 +154,11 @@
     }
 
     /// Records another router's view of a topic.
-    pub(crate) fn record_topic_report(&self, topic: Topic, changed: u64, as_of: Option<Duration>) {
+    pub(crate) fn record_topic_report(&self, topic: Topic, report: &Report) {
         let mut schedules = self.read_schedules.borrow_mut();
         let schedule = &mut schedules[topic as usize];
         let was_behind = schedule.is_behind();
-        schedule.record_report(changed, as_of);
+        schedule.record_report(report);
         if schedule.is_behind() && !was_behind {
             self.topic_reports[topic as usize].notify_one();
         }
@@ -271,11 +272,11 @@
         self.with_read_schedule(Topic::Operator, |schedule| schedule.age(now))
     }
 
-    /// Returns the maximum age of what is known about the runners' registrations; `None` if it is unknown.
+    /// Returns the maximum age of what is known about runners that leave; `None` if it is unknown.
     #[must_use]
     pub(crate) fn runners_age(&self) -> Option<Duration> {
         let now = self.now();
-        self.with_read_schedule(Topic::Runners, |schedule| schedule.age(now))
+        self.with_read_schedule(Topic::Runners, |schedule| schedule.told_age(now))
     }
 
     /// Returns whether keys may have been revoked in the store for too long without this router knowing.
