fix(balance,relay): no request is sent on an old view of which runners leave

A router that was suspended, or whose readers failed together, sent requests to runners that had left meanwhile. Cause: nothing compared the age of what a router believes with how long a leaving runner serves. Change: a request is granted a runner only if all departures are known as of drain_ms less the connection timeout ago (new setting bounds.leaving_ms), or a read of the store has failed since this process last woke, so that nothing newer can be known. Else it waits in the queue for the read that is due.

--- a/crates/aspenline/tests/common/router.rs
+++ b/crates/aspenline/tests/common/router.rs
@@ -146,7 +146,8 @@
             "peers": "127.0.0.1:0", "store": self.store.address().to_string(),
             "share": 1.0, "grace_s": 4.0,
             "bounds": { "cold_factor": 1.5, "cold_constant": 5, "retry_ratio": 0.2,
-                        "retry_constant": 50, "retry_window_s": 10, "revocation_ms": 1_500 },
+                        "retry_constant": 50, "retry_window_s": 10, "revocation_ms": 1_500,
+                        "leaving_ms": 2_000 },
         })
     }
 
--- a/crates/aspenline/tests/platform_leaving.rs
+++ b/crates/aspenline/tests/platform_leaving.rs
@@ -9,6 +9,9 @@
 use fake::endpoint::Endpoint;
 use fake::store::Entrance;
 use fake::store::FaultMode;
+use http::StatusCode;
+use rustix::process::Signal;
+use tokio::task::JoinSet;
 use tokio::time;
 
 use crate::router::Platform;
@@ -144,6 +147,35 @@
     assert_eq!(runners[2].execution_count(), 6);
 }
 
+#[tokio::test]
+async fn a_router_that_was_frozen_sends_nothing_to_runners_that_left_meanwhile() {
+    let platform = Platform::start("frozen").await;
+    platform.configure(&configuration(1));
+    let runners = platform.runners("ledger", 4).await;
+    let router = platform.router("router-1").await;
+    router.wait_for_runners(4).await;
+    router.call(get("/safe/", "before")).await;
+    router.signal(Signal::STOP);
+    for runner in &runners[1..] {
+        platform.list_runner(runner, "ledger", "draining", 2);
+    }
+    let before: Vec<usize> = runners.iter().map(|runner| received(runner).len()).collect();
+    let mut calls = JoinSet::new();
+    for number in 0..12 {
+        let callers = router.callers;
+        calls.spawn(router::call(callers, get("/safe/", &format!("during-{number}"))));
+    }
+    time::sleep(LEAVING_BOUND + Duration::from_millis(100)).await;
+    platform.store.set_fault_mode(FaultMode::Slow);
+    router.signal(Signal::CONT);
+    while let Some(answer) = calls.join_next().await {
+        assert_eq!(answer.expect("no call panics").status, StatusCode::OK);
+    }
+    for (runner, before) in runners.iter().zip(before).skip(1) {
+        assert_eq!(received(runner).len(), before, "{}", runner.id());
+    }
+}
+
 #[tokio::test]
 async fn a_runner_that_leaves_gets_nothing_after_two_seconds_from_routers_that_had_lost_the_store()
 {
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -308,7 +308,23 @@
         }
     }
 
+    /// Returns whether what is known about runners that leave is recent enough to send requests.
+    #[must_use]
+    pub fn knows_departures(&self, now: Duration) -> bool {
+        let max_age = self.limits.max_departures_age;
+        max_age.is_none_or(|max_age| self.registry.is_current(now, max_age))
+    }
+
+    /// Returns whether a request may still be sent to a runner that it was granted.
+    #[must_use]
+    pub fn may_send(&self, now: Duration, grant: &Grant) -> bool {
+        self.knows_departures(now) && self.registry.is_serving(grant.runner)
+    }
+
     fn grant(&mut self, now: Duration, request: &Request) -> Option<Grant> {
+        if !self.knows_departures(now) {
+            return None;
+        }
         let choice = {
             let selector = self.selector(now, &request.service, request.workspace.as_ref())?;
             selector.choose(request)?
--- a/crates/balance/src/departure.rs
+++ b/crates/balance/src/departure.rs
@@ -63,6 +63,13 @@
     pub at: Duration,
 }
 
+impl Removal {
+    /// Returns whether it is recent enough to be remembered.
+    pub(crate) fn is_remembered(&self, now: Duration) -> bool {
+        now < self.at + REMEMBERED_FOR
+    }
+}
+
 /// The departures that a router remembers, of runners that it may know or not.
 #[derive(Debug, Clone, Default)]
 pub struct Departures {
@@ -87,8 +94,7 @@
     pub fn record_removal(&mut self, now: Duration, removal: Removal) -> bool {
         let known = self.removals.get(&removal.start);
         let is_new = known.is_none_or(|known| known.position < removal.position);
-        let is_recent = now < removal.at + REMEMBERED_FOR;
-        if !is_new || !is_recent || self.removals.len() >= MAX_REMEMBERED {
+        if !is_new || !removal.is_remembered(now) || self.removals.len() >= MAX_REMEMBERED {
             return false;
         }
         self.removals.insert(removal.start, removal);
@@ -117,6 +123,6 @@
     /// Forgets the departures that all routers know by now.
     pub fn remove_expired(&mut self, now: Duration) {
         self.leaving.retain(|_, at| now < *at + REMEMBERED_FOR);
-        self.removals.retain(|_, removal| now < removal.at + REMEMBERED_FOR);
+        self.removals.retain(|_, removal| removal.is_remembered(now));
     }
 }
--- a/crates/balance/src/fleet_limits.rs
+++ b/crates/balance/src/fleet_limits.rs
@@ -23,4 +23,6 @@
     pub retry_ratio: f64,
     /// Additional retries in a window, over all routers.
     pub retry_constant: f64,
+    /// The maximum age of what is known about runners that leave for a request to be sent; `None` for no limit.
+    pub max_departures_age: Option<Duration>,
 }
--- a/crates/balance/src/read_schedule.rs
+++ b/crates/balance/src/read_schedule.rs
@@ -56,6 +56,17 @@
     }
 }
 
+/// How much of a topic a read has returned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Extent {
+    /// The records that another router had.
+    Some,
+    /// The newest record of each key, in pages that need not be of the same time.
+    Newest,
+    /// All records up to the end of the topic.
+    All,
+}
+
 /// What another router reports about a topic.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Report {
@@ -84,18 +95,20 @@
     /// Records a read that began at `started`.
     ///
     /// `position` is the position after the last record that was read, and `changes` those after the last records that
-    /// made a change. `is_current` states whether the topic held nothing newer.
+    /// made a change.
     pub fn record_read(
         &mut self,
         started: Duration,
         position: u64,
         changes: Changes,
-        is_current: bool,
+        extent: Extent,
     ) {
         self.position = position;
         self.changes.record(changes);
-        if is_current {
-            self.confirm(started);
+        match extent {
+            Extent::All => self.confirm(started),
+            Extent::Newest => self.told_as_of = self.told_as_of.max(Some(started)),
+            Extent::Some => (),
         }
     }
 
@@ -155,6 +168,12 @@
         self.as_of.map(|as_of| now.saturating_sub(as_of))
     }
 
+    /// Returns the time as of which all is known that heartbeats tell by themselves, or `None` before the first read.
+    #[must_use]
+    pub const fn told_as_of(&self) -> Option<Duration> {
+        self.told_as_of
+    }
+
     /// Returns the age of what heartbeats tell by themselves, or `None` before the first read.
     #[must_use]
     pub fn told_age(&self, now: Duration) -> Option<Duration> {
--- a/crates/balance/src/registry.rs
+++ b/crates/balance/src/registry.rs
@@ -14,6 +14,7 @@
 use crate::Runner;
 use crate::Start;
 use crate::departure::MAX_TOLD;
+use crate::freshness::Freshness;
 
 /// The time that a registration which expired while the store was unreachable may take to be renewed.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -31,9 +32,12 @@
     ids: IndexMap<Name, Key>,
     zones_out: IndexSet<Name>,
     is_store_unreachable: bool,
+    freshness: Freshness,
     renewal_until: Duration,
     expired: IndexMap<Name, Expired>,
     departures: Departures,
+    /// The runners that were removed since other routers told so, until their removals are forgotten.
+    removed_by_report: IndexMap<Name, Removal>,
 }
 
 /// A registration that has expired while the store was unreachable.
@@ -128,11 +132,12 @@
         self.remove_at(now, id, position) && has_room
     }
 
-    /// Removes a runner whose registration was removed by the record at a position, of which others are told; returns
-    /// whether it was known.
+    /// Removes a runner whose registration was removed by the record at a position; returns whether others are told.
     fn remove_at(&mut self, now: Duration, id: &Name, position: u64) -> bool {
         let runner = self.find(id.as_str()).and_then(|key| self.runners.get(key));
-        let Some(start) = runner.map(|runner| runner.registration.start()) else { return false };
+        let Some(start) = runner.map(|runner| runner.registration.start()) else {
+            return self.removed_by_report.get(id).is_some_and(|known| known.position == position);
+        };
         self.remove(id);
         self.departures.record_removal(now, Removal { start, position, at: now })
     }
@@ -170,16 +175,37 @@
         let id = removed.id.clone();
         self.expired.swap_remove(&id);
         self.remove(&id);
+        self.removed_by_report.insert(id.clone(), removal);
         Some(id)
     }
 
-    /// Records that the store does not answer.
-    pub const fn store_lost(&mut self) {
+    /// Records the time as of which all departures of runners are known, from the store or from other routers.
+    pub fn confirm(&mut self, as_of: Option<Duration>) {
+        self.freshness.confirm(as_of);
+    }
+
+    /// Returns whether what is known of departures is recent enough to send requests.
+    ///
+    /// It is not older than `max_age`, or the store does not answer this router, so that nothing newer can be known.
+    #[must_use]
+    pub fn is_current(&self, now: Duration, max_age: Duration) -> bool {
+        self.freshness.is_current(now, max_age)
+    }
+
+    /// Records that the process runs, so that it is noticed when it was suspended.
+    pub fn record_running(&mut self, now: Duration) {
+        self.freshness.record_running(now);
+    }
+
+    /// Records that a read of the store that began at `started` has failed.
+    pub fn store_lost(&mut self, started: Duration) {
         self.is_store_unreachable = true;
+        self.freshness.record_failed_read(started);
     }
 
     /// Records that the store answers again.
     pub fn store_regained(&mut self, now: Duration) {
+        self.freshness.record_answer();
         if self.is_store_unreachable {
             self.is_store_unreachable = false;
             self.renewal_until = now + RENEWAL_TIMEOUT;
@@ -195,6 +221,7 @@
             runner.peer_loads.remove_expired(now);
         }
         self.departures.remove_expired(now);
+        self.removed_by_report.retain(|_, removal| removal.is_remembered(now));
         if self.is_store_unreachable {
             return;
         }
@@ -266,14 +293,23 @@
         let uses_expired = self.has_mostly_expired(service);
         let all = self.runners.iter();
         let own = all.filter(move |(_, runner)| runner.registration.service.as_str() == service);
-        own.filter(move |(_, runner)| {
-            let is_listed = uses_expired || !self.expired.contains_key(&runner.registration.id);
-            is_listed
-                && !runner.registration.is_draining
-                && !self.is_zone_out(&runner.registration.zone)
+        own.filter(move |(_, runner)| self.may_serve(&runner.registration, uses_expired))
+    }
+
+    /// Returns whether a runner may still be sent requests.
+    #[must_use]
+    pub fn is_serving(&self, key: Key) -> bool {
+        let registration = self.get(key).map(|runner| &runner.registration);
+        registration.is_some_and(|registration| {
+            self.may_serve(registration, self.has_mostly_expired(registration.service.as_str()))
         })
     }
 
+    fn may_serve(&self, registration: &Registration, uses_expired: bool) -> bool {
+        let is_listed = uses_expired || !self.expired.contains_key(&registration.id);
+        is_listed && !registration.is_draining && !self.is_zone_out(&registration.zone)
+    }
+
     /// Returns the time at which the first runner of a service wants requests of this router again, if none does now.
     #[must_use]
     pub fn resumes_at(&self, now: Duration, service: &str) -> Option<Duration> {
--- a/crates/balance/tests/common/mod.rs
+++ b/crates/balance/tests/common/mod.rs
@@ -56,6 +56,7 @@
         retry_window: Duration::from_secs(10),
         retry_ratio: 0.2,
         retry_constant: 58.0,
+        max_departures_age: Some(ms(1_750)),
     }
 }
 
--- a/crates/balance/tests/leaving.rs
+++ b/crates/balance/tests/leaving.rs
@@ -6,9 +6,12 @@
 
 use balance::Candidate;
 use balance::Changes;
+use balance::Decision;
+use balance::Extent;
 use balance::Identity;
 use balance::MemberStatus;
 use balance::Members;
+use balance::Outcome;
 use balance::ReadSchedule;
 use balance::Registration;
 use balance::Registry;
@@ -185,13 +188,16 @@
     }
 
     fn apply(&mut self, now: Duration, store: &Store, read: &Read, position: u64) {
-        let is_current = matches!(read.source, Source::Store);
-        if is_current {
+        let extent = match read.source {
+            Source::Store => Extent::All,
+            Source::Router(_) => Extent::Some,
+        };
+        if extent == Extent::All {
             self.contact.record_success();
         }
         let position = position.max(self.schedule.position());
         let changes = Changes::untold(position);
-        self.schedule.record_read(read.started_at, position, changes, is_current);
+        self.schedule.record_read(read.started_at, position, changes, extent);
         match (store.left_before(position), store.departure) {
             (Some(left), Departure::Removed) => {
                 self.registry.expire(now, &Name::new(RUNNER), left);
@@ -431,3 +437,57 @@
     registry.put(ms(3), &Registration { is_draining: true, sequence: 2, ..ready });
     assert_eq!(registry.leaving().count(), 1);
 }
+
+#[test]
+fn a_removal_that_was_told_is_told_on_once_it_is_read() {
+    let mut registry = Registry::default();
+    registry.put(ms(1), &registration(RUNNER));
+    let removal = Removal { start: registration(RUNNER).start(), position: 6, at: ms(2) };
+    registry.record_removal(ms(2), removal);
+    assert!(registry.expire(ms(3), &Name::new(RUNNER), 6));
+    assert!(!registry.expire(ms(4), &Name::new(RUNNER), 9), "another removal, that nobody tells");
+}
+
+#[test]
+fn a_view_of_departures_is_current_while_it_is_recent_or_nothing_newer_can_be_known() {
+    let mut core = common::core("router-1", 2);
+    let limit = ms(1_750);
+    core.registry.confirm(Some(ms(1_000)));
+    assert!(core.knows_departures(ms(1_000) + limit));
+    let late = ms(1_001) + limit;
+    assert!(!core.knows_departures(late));
+    let outcome = core.submit(late, common::request(late, "wall", 1, 100));
+    assert!(matches!(outcome, Outcome::Queued(_)), "it waits");
+    core.registry.confirm(Some(late));
+    let decided = core.process_queue(late);
+    let grant = match &decided[..] {
+        [(_, Decision::Granted(grant))] => grant.clone(),
+        other => panic!("not granted: {other:?}"),
+    };
+    assert!(core.may_send(late, &grant));
+    assert!(!core.may_send(late + limit + ms(1), &grant), "the view is old when it is to be sent");
+    core.registry.store_lost(late);
+    assert!(core.may_send(late + limit + ms(1), &grant), "nobody knows more");
+    let start = core.registry.get(grant.runner).expect("known").registration.start();
+    core.registry.record_leaving(late, start);
+    assert!(!core.may_send(late, &grant), "the runner leaves");
+}
+
+#[test]
+fn a_process_that_was_suspended_does_not_take_the_store_for_lost() {
+    let mut registry = Registry::default();
+    let limit = ms(1_750);
+    registry.confirm(Some(ms(1_000)));
+    registry.record_running(ms(1_000));
+    registry.store_lost(ms(1_100));
+    registry.record_running(ms(1_200));
+    assert!(registry.is_current(ms(2_000), limit));
+    let woken = ms(5_000);
+    assert!(!registry.is_current(woken, limit), "before it is noticed");
+    registry.record_running(woken);
+    assert!(!registry.is_current(woken, limit), "after it is noticed");
+    registry.store_lost(ms(1_300));
+    assert!(!registry.is_current(woken, limit), "that read began before");
+    registry.store_lost(woken);
+    assert!(registry.is_current(woken, limit), "the store is lost now");
+}
--- a/crates/balance/tests/registry.rs
+++ b/crates/balance/tests/registry.rs
@@ -29,7 +29,7 @@
 #[test]
 fn a_runner_whose_registration_alone_is_missing_after_an_outage_is_no_longer_used() {
     let mut registry = registry(6);
-    registry.store_lost();
+    registry.store_lost(NOW);
     registry.store_regained(NOW);
     registry.expire(NOW + ms(100), &Name::new("engine-0"), 9);
     assert_eq!(serving(&registry), 5);
@@ -38,7 +38,7 @@
 #[test]
 fn runners_whose_registrations_expire_together_in_an_outage_are_used_until_renewal_is_overdue() {
     let mut registry = registry(6);
-    registry.store_lost();
+    registry.store_lost(NOW);
     for number in 0..6 {
         registry.expire(NOW, &Name::new(&format!("engine-{number}")), number);
     }
@@ -97,7 +97,7 @@
 #[test]
 fn others_are_told_of_a_removal_only_once_the_runner_is_given_up() {
     let mut registry = registry(2);
-    registry.store_lost();
+    registry.store_lost(NOW);
     assert!(!registry.expire(NOW, &Name::new("engine-0"), 7));
     assert_eq!(registry.removals(NOW).count(), 0);
     registry.store_regained(NOW + ms(100));
--- a/crates/balance/tests/watch.rs
+++ b/crates/balance/tests/watch.rs
@@ -4,6 +4,7 @@
 
 use balance::Candidate;
 use balance::Changes;
+use balance::Extent;
 use balance::ReadSchedule;
 use balance::Report;
 use balance::StoreContact;
@@ -22,7 +23,7 @@
 fn read_at(now: Duration, position: u64) -> ReadSchedule {
     let mut schedule = ReadSchedule::default();
     schedule.begin_read(now);
-    schedule.record_read(now, position, Changes::default(), true);
+    schedule.record_read(now, position, Changes::default(), Extent::All);
     schedule
 }
 
@@ -64,7 +65,7 @@
     schedule.record_report(&report(11, Some(NOW)));
     assert!(schedule.is_behind());
     assert_eq!(schedule.next_read(false, READ_INTERVAL, PERIOD), NOW + READ_INTERVAL);
-    schedule.record_read(NOW, 12, Changes::untold(11), true);
+    schedule.record_read(NOW, 12, Changes::untold(11), Extent::All);
     assert!(!schedule.is_behind());
     assert_eq!(schedule.changes().last, 11);
 }
--- a/crates/fake/src/store.rs
+++ b/crates/fake/src/store.rs
@@ -33,6 +33,9 @@
 /// The interval at which a waiting read checks for new records.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// How long a slow store takes to begin with an answer.
+pub const SLOW_DELAY: Duration = Duration::from_millis(300);
+
 /// How the store misbehaves.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum FaultMode {
@@ -43,6 +46,8 @@
     Unavailable,
     /// Never answers.
     Unresponsive,
+    /// Answers each call after [`SLOW_DELAY`].
+    Slow,
 }
 
 /// One topic, with a single partition.
@@ -261,6 +266,7 @@
         FaultMode::Normal => (),
         FaultMode::Unavailable => return status(StatusCode::SERVICE_UNAVAILABLE),
         FaultMode::Unresponsive => return pending().await,
+        FaultMode::Slow => time::sleep(SLOW_DELAY).await,
     }
     let query = Query::parse(request.uri().query().unwrap_or_default());
     match request.uri().path() {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -31,7 +31,7 @@
 use crate::notice;
 
 /// Timeout for opening a connection to a runner.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum size of the body of a rejection that is read so that its connection can be used again, in bytes.
 const MAX_REJECTION_BYTES: usize = 16 << 10;
 /// How long the body of a rejection may take for that.
@@ -198,6 +198,11 @@
         None => connect(router, call, &permit).await?,
     };
     let now = router.now();
+    if !router.core.borrow().may_send(now, &permit.grant) {
+        let line = line(call, "grant_withdrawn").subject(permit.grant.id.as_str());
+        router.log(line.outcome("the runner may have left"));
+        return Err(AttemptError::NotRun);
+    }
     let time_left = call.deadline.saturating_sub(now);
     let attempt =
         Attempt { runner: &permit.grant.id, source: permit.grant.source, time_left, last_event };
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -72,6 +72,7 @@
         let now = router.now();
         router.sent_heartbeats.borrow_mut().record_sent(now, sequence);
         router.core.borrow_mut().set_report_interval(REPORT_PERIODS * period(router));
+        router.core.borrow_mut().registry.record_running(now);
         let is_aggregator = update_aggregation(router, now);
         let heartbeat = heartbeat(router, identity, sequence);
         router.exchange.borrow_mut().record_placed(&heartbeat.placed);
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use balance::Candidate;
+use balance::Changes;
 use balance::Core;
 use balance::Decision;
+use balance::Extent;
 use balance::FleetLimits;
 use balance::Grant;
 use balance::Members;
@@ -31,6 +33,7 @@
 use crate::Settings;
 use crate::buffer::Buffer;
 use crate::exchange::Exchange;
+use crate::forward;
 use crate::heartbeat;
 use crate::pool::Pool;
 use crate::sent_heartbeats::SentHeartbeats;
@@ -162,6 +165,31 @@
         if schedule.is_behind() && !was_behind {
             self.topic_reports[topic as usize].notify_one();
         }
+        drop(schedules);
+        self.confirm_departures(topic);
+    }
+
+    /// Records a read of a topic that began at `started`, as [`ReadSchedule::record_read`] does.
+    pub fn record_read(
+        &self,
+        topic: Topic,
+        started: Duration,
+        position: u64,
+        changes: Changes,
+        extent: Extent,
+    ) {
+        self.with_read_schedule(topic, |schedule| {
+            schedule.record_read(started, position, changes, extent);
+        });
+        self.confirm_departures(topic);
+    }
+
+    /// Tells the decisions as of when the departures of runners are known.
+    fn confirm_departures(&self, topic: Topic) {
+        if topic == Topic::Runners {
+            let as_of = self.with_read_schedule(topic, |schedule| schedule.told_as_of());
+            self.core.borrow_mut().registry.confirm(as_of);
+        }
     }
 
     /// Returns the records of a topic that this router has read.
@@ -390,5 +418,8 @@
         retry_window: Duration::from_secs_f64(bounds.retry_window_s),
         retry_ratio: bounds.retry_ratio,
         retry_constant: bounds.retry_constant,
+        max_departures_age: settings
+            .leaving()
+            .map(|serving| serving.saturating_sub(forward::CONNECT_TIMEOUT)),
     }
 }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -74,6 +74,9 @@
     pub retry_window_s: f64,
     /// How long a key may still be served after it was revoked, in milliseconds; `None` for no limit.
     pub revocation_ms: Option<u64>,
+    /// How long a runner still serves after it has reported that it leaves, in milliseconds; `None` if that is unknown.
+    #[serde(default)]
+    pub leaving_ms: Option<u64>,
 }
 
 impl Settings {
@@ -105,6 +108,12 @@
         self.bounds.revocation_ms.map(Duration::from_millis)
     }
 
+    /// Returns how long a runner still serves after it has reported that it leaves, if that is known.
+    #[must_use]
+    pub fn leaving(&self) -> Option<Duration> {
+        self.bounds.leaving_ms.map(Duration::from_millis)
+    }
+
     fn check(&self) -> Result<(), Report<Error>> {
         let bounds = &self.bounds;
         let numbers = [
