--- a/crates/balance/src/read_source.rs
+++ b/crates/balance/src/read_source.rs
@@ -9,6 +9,9 @@
 use crate::Member;
 use crate::Members;
 
+/// The shortest time between two tries of a store that does not serve a router which gets its records from others.
+const RELYING_DELAY: Duration = Duration::from_secs(2);
+
 /// Whether the store serves this router's reads of a topic.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct StoreContact {
@@ -31,6 +34,11 @@
         self.retry_at = now + delay;
     }
 
+    /// Records that another router has given what the store did not; the store is tried again later than otherwise.
+    pub fn rely_on_router(&mut self, now: Duration) {
+        self.retry_at = self.retry_at.max(now + RELYING_DELAY);
+    }
+
     /// Returns the number of successive reads that have failed.
     #[must_use]
     pub const fn failures(&self) -> u32 {
