fix(balance): entries that were removed while others read the store are not used again

Cause: a router whose own last read had failed took each removed registration for one that had lapsed in an outage, and used all runners of a service again when over half were gone. Each fetch from another router beside a failing store began the 2.5 s anew. Change: an outage is that no router has heard from the store for a second, as far as this one knows; the time for renewal begins once, when it ends (balance::Freshness). Evidence: runners_that_left_while_only_this_router_was_turned_away_are_not_used_again and the_time_for_renewal_does_not_begin_anew_while_other_routers_go_on_to_read_the_store fail with the old condition, pass now. Two tests of outages state the times of loss and return, which the new condition needs; what they assert is unchanged.

--- a/crates/balance/src/registry.rs
+++ b/crates/balance/src/registry.rs
@@ -16,9 +16,6 @@
 use crate::departure::MAX_TOLD;
 use crate::freshness::Freshness;
 
-/// The time that a registration which expired while the store was unreachable may take to be renewed.
-const RENEWAL_TIMEOUT: Duration = Duration::from_millis(2_500);
-
 /// The shortest extension of a known cold period that counts as a change.
 const MIN_COLD_EXTENSION: Duration = Duration::from_millis(300);
 
@@ -31,9 +28,7 @@
     runners: SlotMap<Key, Runner>,
     ids: IndexMap<Name, Key>,
     zones_out: IndexSet<Name>,
-    is_store_unreachable: bool,
     freshness: Freshness,
-    renewal_until: Duration,
     expired: IndexMap<Name, Expired>,
     departures: Departures,
     /// The runners that were removed since other routers told so, until their removals are forgotten.
@@ -123,8 +118,9 @@
     /// Registrations expire while the store is unreachable and are renewed afterwards, so such a runner stays known for
     /// a while. Returns whether it is removed at once and [`Registry::removals`] tells other routers of it.
     pub fn expire(&mut self, now: Duration, id: &Name, position: u64) -> bool {
-        if self.is_store_unreachable || now < self.renewal_until {
-            let due = self.renewal_until.max(now);
+        let renewal_until = self.freshness.renewal_until();
+        if self.freshness.is_outage(now) || now < renewal_until {
+            let due = renewal_until.max(now);
             self.expired.insert(id.clone(), Expired { due, position });
             return false;
         }
@@ -180,8 +176,11 @@
     }
 
     /// Records the time as of which all departures of runners are known, from the store or from other routers.
-    pub fn confirm(&mut self, as_of: Option<Duration>) {
-        self.freshness.confirm(as_of);
+    pub fn confirm(&mut self, as_of: Duration) {
+        if self.freshness.confirm(as_of) {
+            let due = self.freshness.renewal_until();
+            self.expired.values_mut().for_each(|expired| expired.due = due);
+        }
     }
 
     /// Returns whether what is known of departures is recent enough to send requests.
@@ -199,20 +198,12 @@
 
     /// Records that a read of the store that began at `started` has failed.
     pub fn store_lost(&mut self, started: Duration) {
-        self.is_store_unreachable = true;
         self.freshness.record_failed_read(started);
     }
 
-    /// Records that the store answers again.
-    pub fn store_regained(&mut self, now: Duration) {
+    /// Records that the store answers this router again, or another one that has told what it read.
+    pub const fn store_regained(&mut self) {
         self.freshness.record_answer();
-        if self.is_store_unreachable {
-            self.is_store_unreachable = false;
-            self.renewal_until = now + RENEWAL_TIMEOUT;
-            for expired in self.expired.values_mut() {
-                expired.due = now + RENEWAL_TIMEOUT;
-            }
-        }
     }
 
     /// Removes the runners whose registrations were not renewed in time, and reported figures that have expired.
@@ -222,7 +213,7 @@
         }
         self.departures.remove_expired(now);
         self.removed_by_report.retain(|_, removal| removal.is_remembered(now));
-        if self.is_store_unreachable {
+        if self.freshness.is_outage(now) {
             return;
         }
         let due = self.expired.iter().filter(|(_, expired)| now >= expired.due);
--- a/crates/balance/tests/leaving.rs
+++ b/crates/balance/tests/leaving.rs
@@ -452,13 +452,13 @@
 fn a_view_of_departures_is_current_while_it_is_recent_or_nothing_newer_can_be_known() {
     let mut core = common::core("router-1", 2);
     let limit = ms(1_750);
-    core.registry.confirm(Some(ms(1_000)));
+    core.registry.confirm(ms(1_000));
     assert!(core.knows_departures(ms(1_000) + limit));
     let late = ms(1_001) + limit;
     assert!(!core.knows_departures(late));
     let outcome = core.submit(late, common::request(late, "wall", 1, 100));
     assert!(matches!(outcome, Outcome::Queued(_)), "it waits");
-    core.registry.confirm(Some(late));
+    core.registry.confirm(late);
     let decided = core.process_queue(late);
     let grant = match &decided[..] {
         [(_, Decision::Granted(grant))] => grant.clone(),
@@ -477,7 +477,7 @@
 fn a_process_that_was_suspended_does_not_take_the_store_for_lost() {
     let mut registry = Registry::default();
     let limit = ms(1_750);
-    registry.confirm(Some(ms(1_000)));
+    registry.confirm(ms(1_000));
     registry.record_running(ms(1_000));
     registry.store_lost(ms(1_100));
     registry.record_running(ms(1_200));
--- a/crates/balance/tests/registry.rs
+++ b/crates/balance/tests/registry.rs
@@ -22,27 +22,33 @@
     registry
 }
 
+/// Returns a registry of runners while the store answers nobody.
+fn registry_in_outage(runners: usize) -> Registry {
+    let mut registry = registry(runners);
+    registry.confirm(NOW - ms(2_000));
+    registry.store_lost(NOW - ms(1_500));
+    registry
+}
+
 fn serving(registry: &Registry) -> usize {
     registry.serving(SERVICE).count()
 }
 
 #[test]
 fn a_runner_whose_registration_alone_is_missing_after_an_outage_is_no_longer_used() {
-    let mut registry = registry(6);
-    registry.store_lost(NOW);
-    registry.store_regained(NOW);
+    let mut registry = registry_in_outage(6);
+    registry.confirm(NOW);
     registry.expire(NOW + ms(100), &Name::new("engine-0"), 9);
     assert_eq!(serving(&registry), 5);
 }
 
 #[test]
 fn runners_whose_registrations_expire_together_in_an_outage_are_used_until_renewal_is_overdue() {
-    let mut registry = registry(6);
-    registry.store_lost(NOW);
+    let mut registry = registry_in_outage(6);
     for number in 0..6 {
         registry.expire(NOW, &Name::new(&format!("engine-{number}")), number);
     }
-    registry.store_regained(NOW + ms(1_000));
+    registry.confirm(NOW + ms(1_000));
     assert_eq!(serving(&registry), 6);
     registry.put(NOW + ms(2_000), &registration("engine-3"));
     registry.remove_expired(NOW + ms(4_000));
@@ -96,13 +102,41 @@
 
 #[test]
 fn others_are_told_of_a_removal_only_once_the_runner_is_given_up() {
-    let mut registry = registry(2);
-    registry.store_lost(NOW);
+    let mut registry = registry_in_outage(2);
     assert!(!registry.expire(NOW, &Name::new("engine-0"), 7));
     assert_eq!(registry.removals(NOW).count(), 0);
-    registry.store_regained(NOW + ms(100));
+    registry.confirm(NOW + ms(100));
     registry.remove_expired(NOW + ms(3_000));
     assert_eq!(registry.removals(NOW + ms(3_000)).count(), 1);
     assert!(registry.expire(NOW + ms(9_000), &Name::new("engine-1"), 9));
     assert!(!registry.expire(NOW + ms(9_000), &Name::new("engine-2"), 9), "it is not known");
 }
+
+#[test]
+fn runners_that_left_while_only_this_router_was_turned_away_are_not_used_again() {
+    let mut registry = registry(3);
+    registry.confirm(NOW);
+    registry.store_lost(NOW + ms(100));
+    // Other routers confirm what they read of the store.
+    registry.confirm(NOW + ms(600));
+    registry.store_lost(NOW + ms(700));
+    registry.confirm(NOW + ms(1_200));
+    for number in 0..2 {
+        registry.expire(NOW + ms(1_300), &Name::new(&format!("engine-{number}")), number);
+    }
+    assert_eq!(serving(&registry), 1);
+}
+
+#[test]
+fn the_time_for_renewal_does_not_begin_anew_while_other_routers_go_on_to_read_the_store() {
+    let mut registry = registry_in_outage(3);
+    registry.confirm(NOW);
+    for late in (200..2_400).step_by(200) {
+        registry.store_lost(NOW + ms(late));
+        registry.confirm(NOW + ms(late + 100));
+    }
+    for number in 0..2 {
+        registry.expire(NOW + ms(2_600), &Name::new(&format!("engine-{number}")), number);
+    }
+    assert_eq!(serving(&registry), 1);
+}
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -188,7 +188,9 @@
     fn confirm_departures(&self, topic: Topic) {
         if topic == Topic::Runners {
             let as_of = self.with_read_schedule(topic, |schedule| schedule.told_as_of());
-            self.core.borrow_mut().registry.confirm(as_of);
+            if let Some(as_of) = as_of {
+                self.core.borrow_mut().registry.confirm(as_of);
+            }
         }
     }
 
