fix(balance): a runner that starts again on a clock that was set back replaces its earlier start

Such a runner's records were ignored, also that it leaves, until its entry was removed. Cause: of two starts under one id the one with the later time of day was kept. The store's order of records tells which is newer. Change: within an era of the store a later record with an earlier start replaces the known one, unless that one leaves; over eras the start decides, as a restored copy may hold earlier ones.

--- a/crates/balance/src/registry.rs
+++ b/crates/balance/src/registry.rs
@@ -14,6 +14,7 @@
 use crate::Runner;
 use crate::Start;
 use crate::departure::MAX_TOLD;
+use crate::era;
 use crate::freshness::Freshness;
 
 /// The shortest extension of a known cold period that counts as a change.
@@ -71,7 +72,7 @@
                 }
                 return key;
             }
-            if known.started_ms > registration.started_ms {
+            if known.started_ms > registration.started_ms && !is_restart(known, registration) {
                 return key;
             }
             self.remove(&registration.id);
@@ -336,3 +337,12 @@
         expired * 2 > all
     }
 }
+
+/// Returns whether a registration with an earlier start is that of a later one, on a clock that was set back.
+///
+/// The order of the records in the store tells, but not over its eras; and a runner that leaves is not taken for another.
+const fn is_restart(known: &Registration, registration: &Registration) -> bool {
+    registration.position > known.position
+        && era::of(registration.position) == era::of(known.position)
+        && !known.is_draining
+}
--- a/crates/balance/tests/registry.rs
+++ b/crates/balance/tests/registry.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use balance::Registry;
+use balance::era;
 use base::Name;
 use indexmap::IndexSet;
 
@@ -140,3 +141,19 @@
     }
     assert_eq!(serving(&registry), 1);
 }
+
+#[test]
+fn a_runner_that_starts_again_on_a_clock_that_was_set_back_replaces_its_earlier_start() {
+    let mut registry = registry(1);
+    let mut later = registration("engine-0");
+    (later.started_ms, later.position) = (9, 4);
+    registry.put(NOW, &later);
+    let mut restarted = registration("engine-0");
+    (restarted.started_ms, restarted.position, restarted.is_draining) = (5, 6, true);
+    registry.put(NOW, &restarted);
+    assert_eq!(serving(&registry), 0, "it has started again and leaves");
+    let mut restored = registration("engine-0");
+    (restored.started_ms, restored.position) = (3, era::position(1, 0));
+    registry.put(NOW, &restored);
+    assert_eq!(serving(&registry), 0, "a restored store may have records of earlier starts");
+}
