fix(balance,platform): a runner whose newest record can't be read is not used until a later one can

Cause: an unreadable record left the runner as it was, ready, though the platform says that such an entry names no runner to use. Change: the runner is set aside until a readable record, and the others are told to read the topic.

--- a/crates/balance/src/registry.rs
+++ b/crates/balance/src/registry.rs
@@ -34,6 +34,8 @@
     departures: Departures,
     /// The runners that were removed since other routers told so, until their removals are forgotten.
     removed_by_report: IndexMap<Name, Removal>,
+    /// The runners whose newest records can't be read.
+    unreadable: IndexSet<Name>,
 }
 
 /// A registration that has expired while the store was unreachable.
@@ -54,6 +56,7 @@
             return None;
         }
         self.expired.swap_remove(&registration.id);
+        self.unreadable.swap_remove(&registration.id);
         let key = self.put_newer(now, registration);
         if self.departures.is_leaving(start) {
             self.runners[key].record_leaving();
@@ -82,8 +85,15 @@
         key
     }
 
+    /// Records that the newest record of a runner can't be read, so that it is not used until a later one can; returns
+    /// whether that is new.
+    pub fn record_unreadable(&mut self, id: &Name) -> bool {
+        self.ids.contains_key(id) && self.unreadable.insert(id.clone())
+    }
+
     /// Removes a runner that has left.
     pub fn remove(&mut self, id: &Name) {
+        self.unreadable.swap_remove(id);
         if let Some(key) = self.ids.swap_remove(id) {
             self.runners.remove(key);
         }
@@ -101,6 +111,7 @@
                 || known.address != registration.address
                 || (is_colder && registration.cold_left > Duration::ZERO)
                 || self.expired.contains_key(&registration.id)
+                || self.unreadable.contains(&registration.id)
         })
     }
 
@@ -299,7 +310,11 @@
 
     fn may_serve(&self, registration: &Registration, uses_expired: bool) -> bool {
         let is_listed = uses_expired || !self.expired.contains_key(&registration.id);
-        is_listed && !registration.is_draining && !self.is_zone_out(&registration.zone)
+        let is_readable = !self.unreadable.contains(&registration.id);
+        is_listed
+            && is_readable
+            && !registration.is_draining
+            && !self.is_zone_out(&registration.zone)
     }
 
     /// Returns the time at which the first runner of a service wants requests of this router again, if none does now.
--- a/crates/balance/tests/registry.rs
+++ b/crates/balance/tests/registry.rs
@@ -157,3 +157,17 @@
     registry.put(NOW, &restored);
     assert_eq!(serving(&registry), 0, "a restored store may have records of earlier starts");
 }
+
+#[test]
+fn a_runner_whose_newest_record_can_not_be_read_is_not_used_until_a_later_one_can() {
+    let mut registry = registry(2);
+    let id = Name::new("engine-0");
+    assert!(registry.record_unreadable(&id));
+    assert!(!registry.record_unreadable(&id), "it is known");
+    assert!(!registry.record_unreadable(&Name::new("engine-7")), "no such runner");
+    assert_eq!(serving(&registry), 1);
+    let readable = registration("engine-0");
+    assert!(registry.is_change(NOW, &readable), "others have to read it");
+    registry.put(NOW, &readable);
+    assert_eq!(serving(&registry), 2);
+}
