perf(platform): routers that are no readers fetch changes of runners from those that have read them

What was told, and that those are asked who have read all that was reported, makes a fetch as good as a read; asking others is now the usual way for this topic, and the way after a loss is no other one. The test of a store that serves a router again made it lose the store by a change that it now fetches; the store answers nobody for a moment instead.

--- a/crates/aspenline/tests/platform_leaving.rs
+++ b/crates/aspenline/tests/platform_leaving.rs
@@ -24,6 +24,8 @@
 const LEAVING_BOUND: Duration = Duration::from_secs(2);
 /// The time after a fault from which on that bound holds.
 const CONTACT: Duration = Duration::from_secs(3);
+/// The time for which the store serves only some routers.
+const TURNED_AWAY: Duration = Duration::from_secs(1);
 /// The interval between two changes of runners that are not used.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(100);
 /// The interval between two requests to each router.
@@ -77,9 +79,10 @@
         self.platform.store.put("keyed.servers", &key, record.to_string().as_bytes());
     }
 
-    /// Turns the routers away until each has failed to read the runners' topic, then lets them in again; changes go on for
-    /// the time after which all bounds hold again.
+    /// Lets the store answer nobody until each router has failed to read the runners' topic, then not those that are turned
+    /// away, and then all; changes go on for the time after which all bounds hold again.
     async fn turn_away_and_let_in(&self) {
+        self.platform.store.set_fault_mode(FaultMode::Unavailable);
         self.entrance.set_fault_mode(FaultMode::Unavailable);
         let mut number = 0;
         let lost = |router: &Router| {
@@ -89,15 +92,20 @@
         let start = Instant::now();
         while !self.turned_away.iter().all(lost) {
             assert!(start.elapsed() < router::WAIT_TIMEOUT, "not all routers have lost the store");
-            number += 1;
-            self.change(number);
-            time::sleep(CHANGE_INTERVAL).await;
+            self.change_for(CHANGE_INTERVAL, &mut number).await;
         }
+        self.platform.store.set_fault_mode(FaultMode::Normal);
+        self.change_for(TURNED_AWAY, &mut number).await;
         self.entrance.set_fault_mode(FaultMode::Normal);
+        self.change_for(CONTACT, &mut number).await;
+    }
+
+    /// Changes runners of a service that gets no requests, for a time.
+    async fn change_for(&self, length: Duration, number: &mut u64) {
         let start = Instant::now();
-        while start.elapsed() < CONTACT {
-            number += 1;
-            self.change(number);
+        while start.elapsed() < length {
+            *number += 1;
+            self.change(*number);
             time::sleep(CHANGE_INTERVAL).await;
         }
     }
--- a/crates/balance/tests/leaving.rs
+++ b/crates/balance/tests/leaving.rs
@@ -177,7 +177,8 @@
     }
 
     fn source(&self, now: Duration, random: &mut Random) -> Option<usize> {
-        if !self.contact.is_lost() || !self.schedule.is_behind() {
+        let asks_router = self.contact.is_lost() || !self.is_reader(now);
+        if !asks_router || !self.schedule.is_behind() {
             return None;
         }
         let (zone, from) = (Name::new("north"), self.schedule.position());
