--- a/crates/aspenline/src/explain.rs
+++ b/crates/aspenline/src/explain.rs
@@ -22,12 +22,13 @@
 /// The interval, in milliseconds, within which failures of other requests count as related.
 const RELATED_WINDOW_MS: u64 = 1_000;
 /// Events that change the state on which a router bases its decisions about any request.
-const STATE_EVENTS: [&str; 12] = [
+const STATE_EVENTS: [&str; 13] = [
     "configuration_adopted",
     "zones_out",
     "load",
     "contention",
     "runner_leaving",
+    "read_failed",
     "runner_paused",
     "runner_resumed",
     "store_lost",
--- a/crates/balance/tests/aggregation.rs
+++ b/crates/balance/tests/aggregation.rs
@@ -5,9 +5,14 @@
 
 use balance::Aggregation;
 use balance::Identity;
+use balance::Load;
 use balance::Member;
 use balance::MemberStatus;
 use balance::Members;
+use balance::Origin;
+use balance::PeerLoads;
+use balance::Usage;
+use balance::Work;
 use balance::ranks_first;
 use balance::targets;
 use base::Name;
@@ -174,3 +179,24 @@
     assert!(member.is_alive(NOW + ms(2_400)) && !member.is_alive(NOW + ms(2_500)));
     assert!(!member.was_heard_within(NOW, ms(1_000)));
 }
+
+/// Guards against a hand-over between two aggregators that both act for a moment.
+#[test]
+fn sums_of_two_routers_that_act_for_the_same_zone_count_once() {
+    let zone = Origin::Zone(Name::new("south"));
+    let wall = Name::new("wall");
+    let load = Load { running: 4, backlog: 900, memory: 5_000 };
+    let work = Work { used: 700, ..Work::default() };
+    let mut loads = PeerLoads::default();
+    let mut usage = Usage::default();
+    for step in 0..20 {
+        for sender in [0, 20] {
+            let at = NOW + ms(50 * step + sender);
+            loads.put(&zone, at, load);
+            usage.put(&zone, at, [(wall.clone(), work)].into());
+        }
+    }
+    assert_eq!(loads.sum(), load);
+    let used = usage.of(NOW + ms(970), &wall).used;
+    assert!(used <= work.used, "{used}");
+}
--- a/crates/relay/src/acquire.rs
+++ b/crates/relay/src/acquire.rs
@@ -192,7 +192,7 @@
     let now = router.now();
     if !router.core.borrow().knows_departures(now) {
         let mut line = forward::line(call, "departures_unknown");
-        line.runners_age_ms = router.runners_age().map(event::millis);
+        line.departures_age_ms = router.departures_age().map(event::millis);
         router.log(line);
     }
     let outcome = router.core.borrow_mut().submit(now, request(call, avoid));
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -40,9 +40,9 @@
     /// The age of the state that the decision is based on, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub age_ms: Option<u64>,
-    /// The age of what is known about the runners' registrations, in milliseconds.
+    /// The age of what is known about runners that leave, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub runners_age_ms: Option<u64>,
+    pub departures_age_ms: Option<u64>,
     /// The duration, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub took_ms: Option<u64>,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -240,7 +240,7 @@
     let source = attempt.source.map(|source| format!("shared parts from {source}"));
     let line = line_with_route(call, "sent").subject(attempt.runner.as_str());
     let mut line = line.outcome(source.unwrap_or_default());
-    line.runners_age_ms = router.runners_age().map(event::millis);
+    line.departures_age_ms = router.departures_age().map(event::millis);
     match router.config_age() {
         Some(age) => line.age(age),
         None => line,
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -38,6 +38,7 @@
     answers: Family<Kind, Histogram>,
     waiting: Gauge,
     configuration_age: Gauge,
+    departures_age: Gauge,
     runners: Gauge,
     routers: Gauge,
     quarantined: Gauge,
@@ -50,6 +51,8 @@
     pub waiting: usize,
     /// The maximum age of the configuration in force; `None` if unknown.
     pub configuration_age: Option<Duration>,
+    /// The maximum age of what is known about runners that leave; `None` if unknown.
+    pub departures_age: Option<Duration>,
     /// The number of known runners.
     pub runners: usize,
     /// The number of other routers that are alive.
@@ -65,7 +68,8 @@
         let answers = Family::<Kind, Histogram>::new_with_constructor(|| {
             Histogram::new(exponential_buckets(FIRST_BUCKET, BUCKET_FACTOR, BUCKETS))
         });
-        let (waiting, configuration_age) = (Gauge::default(), Gauge::default());
+        let (waiting, configuration_age, departures_age) =
+            (Gauge::default(), Gauge::default(), Gauge::default());
         let (runners, routers, quarantined) =
             (Gauge::default(), Gauge::default(), Gauge::default());
         registry.register("events", "Events by name, as in the log", events.clone());
@@ -73,6 +77,8 @@
         registry.register("waiting_requests", "Requests that wait for a runner", waiting.clone());
         let age = "Age of the configuration in milliseconds, -1 if unknown";
         registry.register("configuration_age_ms", age, configuration_age.clone());
+        let age = "Age of what is known about leaving runners in milliseconds, -1 if unknown";
+        registry.register("departures_age_ms", age, departures_age.clone());
         registry.register("known_runners", "Runners that are known", runners.clone());
         registry.register("live_routers", "Other routers that are alive", routers.clone());
         let help = "Causes of runner crashes that are quarantined";
@@ -83,6 +89,7 @@
             answers,
             waiting,
             configuration_age,
+            departures_age,
             runners,
             routers,
             quarantined,
@@ -105,8 +112,8 @@
     /// Returns all metrics as text.
     #[must_use]
     pub fn text(&self, gauges: Gauges) -> String {
-        let age = gauges.configuration_age.map_or(-1, |age| to_i64(age.as_millis()));
-        self.configuration_age.set(age);
+        self.configuration_age.set(age_ms(gauges.configuration_age));
+        self.departures_age.set(age_ms(gauges.departures_age));
         self.waiting.set(to_i64(gauges.waiting));
         self.runners.set(to_i64(gauges.runners));
         self.routers.set(to_i64(gauges.routers));
@@ -122,3 +129,8 @@
 fn to_i64<T: TryInto<i64>>(value: T) -> i64 {
     value.try_into().unwrap_or(i64::MAX)
 }
+
+/// Returns an age in milliseconds, or -1 if it is unknown.
+fn age_ms(age: Option<Duration>) -> i64 {
+    age.map_or(-1, |age| to_i64(age.as_millis()))
+}
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -304,7 +304,7 @@
 
     /// Returns the maximum age of what is known about runners that leave; `None` if it is unknown.
     #[must_use]
-    pub(crate) fn runners_age(&self) -> Option<Duration> {
+    pub(crate) fn departures_age(&self) -> Option<Duration> {
         let now = self.now();
         self.with_read_schedule(Topic::Runners, |schedule| schedule.told_age(now))
     }
@@ -395,6 +395,7 @@
         self.metrics.text(Gauges {
             waiting: core.waiting(),
             configuration_age: self.config_age(),
+            departures_age: self.departures_age(),
             runners: core.registry.ids().count(),
             quarantined: core.crash_history.quarantined(now).len(),
             routers: self.members.borrow().iter().filter(|member| member.is_alive(now)).count(),
