--- a/crates/aspenline/tests/platform_era.rs
+++ b/crates/aspenline/tests/platform_era.rs
@@ -184,3 +184,29 @@
     assert_eq!(started.count("store_restored"), 0);
     assert_eq!(runners[0].execution_count(), 4);
 }
+
+#[tokio::test]
+async fn a_router_that_hears_of_an_era_in_a_rejection_fetches_what_others_read_of_it_later() {
+    let platform = Platform::start("era-rejected").await;
+    platform.configure(&configuration(1));
+    let _runners = platform.runners("engines", 1).await;
+    let entrance = platform.store.open_entrance().await.expect("an entrance");
+    let served = platform.router("served").await;
+    let mut settings = platform.settings("rejected");
+    settings["store"] = entrance.address().to_string().into();
+    let rejected = platform.router_with("rejected", &settings).await;
+    for router in [&served, &rejected] {
+        router.wait_for_runners(1).await;
+        wait_for(|| (router.count("router_alive") >= 1).then_some(())).await;
+    }
+    let backup = platform.store.back_up();
+    served.signal(Signal::STOP);
+    entrance.set_fault_mode(fake::store::FaultMode::Unavailable);
+    platform.store.restore(&backup);
+    wait_for(|| (rejected.count("store_lost") >= 2).then_some(())).await;
+    // The rejections state the new era, in which no router has read the store yet.
+    time::sleep(Duration::from_millis(1_500)).await;
+    platform.configure(&configuration(2));
+    served.signal(Signal::CONT);
+    wait_for(|| (rejected.count("configuration_adopted") == 2).then_some(())).await;
+}
