--- a/crates/balance/src/read_schedule.rs
+++ b/crates/balance/src/read_schedule.rs
@@ -60,7 +60,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Extent {
     /// The records that another router had.
-    Some,
+    Partial,
     /// The newest record of each key, in pages that need not be of the same time.
     Newest,
     /// All records up to the end of the topic.
@@ -108,7 +108,7 @@
         match extent {
             Extent::All => self.confirm(started),
             Extent::Newest => self.told_as_of = self.told_as_of.max(Some(started)),
-            Extent::Some => (),
+            Extent::Partial => (),
         }
     }
 
--- a/crates/balance/tests/leaving.rs
+++ b/crates/balance/tests/leaving.rs
@@ -191,7 +191,7 @@
     fn apply(&mut self, now: Duration, store: &Store, read: &Read, position: u64) {
         let extent = match read.source {
             Source::Store => Extent::All,
-            Source::Router(_) => Extent::Some,
+            Source::Router(_) => Extent::Partial,
         };
         if extent == Extent::All {
             self.contact.record_success();
--- a/crates/relay/src/departure_report.rs
+++ b/crates/relay/src/departure_report.rs
@@ -8,12 +8,12 @@
 use crate::Router;
 use crate::Topic;
 use crate::exchange::age_ms;
-use crate::gossip::Departures;
+use crate::gossip::DepartureReport;
 use crate::gossip::Extension;
 use crate::gossip::RemovedRunner;
 
 /// Returns the departures of which other routers are told, beside the runners that leave.
-pub(crate) fn of_router(router: &Router) -> Departures {
+pub(crate) fn of_router(router: &Router) -> DepartureReport {
     let now = router.now();
     let changes = router.with_read_schedule(Topic::Runners, |schedule| schedule.changes());
     let core = router.core.borrow();
@@ -22,7 +22,7 @@
         position: removal.position,
         age_ms: age_ms(now, removal.at),
     });
-    Departures { last_untold: changes.last_untold, removals: removals.collect() }
+    DepartureReport { last_untold: changes.last_untold, removals: removals.collect() }
 }
 
 /// Records the departures of which another router tells.
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -213,7 +213,7 @@
     pub(crate) leaving: Vec<Start>,
     /// Further departures; `None` if the sender has an earlier version, which does not tell all of them.
     #[serde(skip)]
-    pub(crate) departures: Option<Departures>,
+    pub(crate) departures: Option<DepartureReport>,
     /// The eras of the store in which the last changes were read, in the order of the topics.
     #[serde(skip)]
     pub(crate) eras: Vec<u32>,
@@ -225,7 +225,7 @@
 /// The departures of runners that [`Extension::leaving`] does not name; the last part of a datagram, which earlier versions
 /// ignore.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Departures {
+pub(crate) struct DepartureReport {
     /// The position after the last change of runners that is no departure.
     pub(crate) last_untold: u64,
     /// The runners whose registrations were removed from the store lately.
