fix(relay): a removal that was told holds in a later era of the store that lists the runner

Cause: what the store has lost is kept by the view of the topic, which told removals did not enter. Change: a told removal is entered in the view like its record. The memory of removed runners in Registry has no use then and goes; its test is replaced by one of the view that asserts the same, that the record read later is no change and another removal is one. Evidence: a_runner_whose_removal_was_only_told_stays_away_in_an_era_of_the_store_that_lists_it failed without it, passes.

--- a/crates/aspenline/tests/platform_era.rs
+++ b/crates/aspenline/tests/platform_era.rs
@@ -210,3 +210,34 @@
     served.signal(Signal::CONT);
     wait_for(|| (rejected.count("configuration_adopted") == 2).then_some(())).await;
 }
+
+#[tokio::test]
+async fn a_runner_whose_removal_was_only_told_stays_away_in_an_era_of_the_store_that_lists_it() {
+    let platform = Platform::start("era-told").await;
+    platform.configure(&configuration(1));
+    let runners = platform.runners("ledger", 2).await;
+    let entrance = platform.store.open_entrance().await.expect("an entrance");
+    let served = platform.router("served").await;
+    let mut settings = platform.settings("told");
+    settings["store"] = entrance.address().to_string().into();
+    let told = platform.router_with("told", &settings).await;
+    told.wait_for_runners(2).await;
+    wait_for(|| (told.count("router_alive") >= 1).then_some(())).await;
+    let backup = platform.store.back_up();
+    entrance.set_fault_mode(fake::store::FaultMode::Unresponsive);
+    platform.store.remove("keyed.servers", runners[0].id());
+    wait_for(|| told.last("runner").filter(|line| line.contains("told by"))).await;
+    served.signal(Signal::STOP);
+    platform.store.restore(&backup);
+    entrance.set_fault_mode(fake::store::FaultMode::Normal);
+    wait_for(|| {
+        let restored = told.lines_of("store_restored");
+        restored.iter().any(|line| line.contains("keyed.servers")).then_some(())
+    })
+    .await;
+    for number in 0..6 {
+        told.call(get("/safe/", &format!("after-{number}"))).await;
+    }
+    assert_eq!(runners[0].execution_count(), 0);
+    assert_eq!(runners[1].execution_count(), 6);
+}
--- a/crates/balance/src/registry.rs
+++ b/crates/balance/src/registry.rs
@@ -12,7 +12,6 @@
 use crate::Departures;
 use crate::Key;
 use crate::Registration;
-use crate::Removal;
 use crate::Runner;
 use crate::era;
 use crate::freshness::Freshness;
@@ -29,8 +28,6 @@
     freshness: Freshness,
     expired: IndexMap<Name, Expired>,
     departures: Departures,
-    /// The runners that were removed since other routers told so, until their removals are forgotten.
-    removed_by_report: IndexMap<Name, Removal>,
     /// The runners whose newest records can't be read.
     unreadable: IndexSet<Name>,
 }
--- a/crates/balance/src/registry/departures.rs
+++ b/crates/balance/src/registry/departures.rs
@@ -43,9 +43,7 @@
     /// Removes a runner whose registration was removed by the record at a position; returns whether others are told.
     fn remove_at(&mut self, now: Duration, id: &Name, position: u64) -> bool {
         let runner = self.find(id.as_str()).and_then(|key| self.runners.get(key));
-        let Some(start) = runner.map(|runner| runner.registration.start()) else {
-            return self.removed_by_report.get(id).is_some_and(|known| known.position == position);
-        };
+        let Some(start) = runner.map(|runner| runner.registration.start()) else { return false };
         self.remove(id);
         self.departures.record_removal(now, Removal { start, position, at: now })
     }
@@ -83,7 +81,6 @@
         let id = removed.id.clone();
         self.expired.swap_remove(&id);
         self.remove(&id);
-        self.removed_by_report.insert(id.clone(), removal);
         Some(id)
     }
 
@@ -124,7 +121,6 @@
             runner.peer_loads.remove_expired(now);
         }
         self.departures.remove_expired(now);
-        self.removed_by_report.retain(|_, removal| removal.is_remembered(now));
         if self.freshness.is_outage(now) {
             return;
         }
--- a/crates/balance/tests/leaving.rs
+++ b/crates/balance/tests/leaving.rs
@@ -13,12 +13,14 @@
 use balance::Members;
 use balance::Outcome;
 use balance::ReadSchedule;
+use balance::Record;
 use balance::Registration;
 use balance::Registry;
 use balance::Removal;
 use balance::Report;
 use balance::Start;
 use balance::StoreContact;
+use balance::TopicView;
 use base::Name;
 
 use crate::common::SERVICE;
@@ -440,13 +442,14 @@
 }
 
 #[test]
-fn a_removal_that_was_told_is_told_on_once_it_is_read() {
-    let mut registry = Registry::default();
-    registry.put(ms(1), &registration(RUNNER));
-    let removal = Removal { start: registration(RUNNER).start(), position: 6, at: ms(2) };
-    registry.record_removal(ms(2), removal);
-    assert!(registry.expire(ms(3), &Name::new(RUNNER), 6));
-    assert!(!registry.expire(ms(4), &Name::new(RUNNER), 9), "another removal, that nobody tells");
+fn a_removal_that_was_told_is_no_change_once_it_is_read() {
+    let record = |offset, value| Record { offset, key: RUNNER.to_owned(), value };
+    let mut view = TopicView::default();
+    view.apply(record(4, Some(b"ready".to_vec())));
+    assert!(view.apply(record(6, None)).is_some(), "as told");
+    assert_eq!(view.apply(record(6, None)), None, "as read");
+    assert!(view.apply(record(9, Some(b"ready".to_vec()))).is_some(), "it registers again");
+    assert!(view.apply(record(11, None)).is_some(), "another removal, that nobody tells");
 }
 
 #[test]
--- a/crates/relay/src/departure_report.rs
+++ b/crates/relay/src/departure_report.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use balance::Record;
 use balance::Removal;
 
 use crate::Line;
@@ -40,12 +41,19 @@
         let removal = decode(now, removed);
         let removed = router.core.borrow_mut().registry.record_removal(now, removal);
         if let Some(id) = removed {
+            record_in_view(router, id.as_str(), removal.position);
             let line = Line::new("runner").subject(id.as_str());
             router.log(line.outcome(format!("entry removed, told by {sender}")));
         }
     }
 }
 
+/// Records a removal as if its record had been read, so that the runner stays removed in a later era of the store.
+fn record_in_view(router: &Router, id: &str, position: u64) {
+    let record = Record { offset: position, key: id.to_owned(), value: None };
+    router.view(Topic::Runners).borrow_mut().apply(record);
+}
+
 fn decode(now: Duration, removed: &RemovedRunner) -> Removal {
     let age = Duration::from_millis(u64::from(removed.age_ms));
     let RemovedRunner { start, position, .. } = *removed;
