--- a/crates/aspenline/tests/check.rs
+++ b/crates/aspenline/tests/check.rs
@@ -99,6 +99,8 @@
         ("{{bounds.budget_window_s|json}}", "10"),
         ("{{#bounds.strict_revoke}}{{bounds.revoke_ms|json}}{{/bounds.strict_revoke}}", "5000"),
         ("{{^bounds.strict_revoke}}null{{/bounds.strict_revoke}}", ""),
+        ("{{#bounds.drain_ms}}{{bounds.drain_ms|json}}{{/bounds.drain_ms}}", "2000"),
+        ("{{^bounds.drain_ms}}null{{/bounds.drain_ms}}", ""),
     ] {
         assert!(text.contains(name), "{name} is not in the template");
         text = text.replace(name, value);
