--- a/crates/aspenline/tests/platform_leaving.rs
+++ b/crates/aspenline/tests/platform_leaving.rs
@@ -25,7 +25,7 @@
 /// The time after a fault from which on that bound holds.
 const CONTACT: Duration = Duration::from_secs(3);
 /// The time for which the store serves only some routers.
-const TURNED_AWAY: Duration = Duration::from_secs(1);
+const REJECTED_FOR: Duration = Duration::from_secs(1);
 /// The interval between two changes of runners that are not used.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(100);
 /// The interval between two requests to each router.
@@ -39,12 +39,12 @@
     platform: Platform,
     entrance: Entrance,
     served: Router,
-    turned_away: Vec<Router>,
+    rejected: Vec<Router>,
     _others: Vec<Router>,
 }
 
 impl Zones {
-    async fn start(test: &str, turned_away: usize, runners: usize) -> (Self, Vec<Endpoint>) {
+    async fn start(test: &str, rejected: usize, runners: usize) -> (Self, Vec<Endpoint>) {
         let platform = Platform::start(test).await;
         platform.configure(&configuration(1));
         let runners = platform.runners("ledger", runners).await;
@@ -55,8 +55,8 @@
             platform.router_in("other-2", "south").await,
         ];
         let mut routers = Vec::new();
-        for number in 1..=turned_away {
-            let name = format!("turned-away-{number}");
+        for number in 1..=rejected {
+            let name = format!("rejected-{number}");
             let mut settings = platform.settings(&name);
             settings["store"] = entrance.address().to_string().into();
             routers.push(platform.router_with(&name, &settings).await);
@@ -65,7 +65,7 @@
             router.wait_for_runners(runners.len()).await;
             wait_for(|| (router.count("router_alive") > 0).then_some(())).await;
         }
-        let zones = Self { platform, entrance, served, turned_away: routers, _others: others };
+        let zones = Self { platform, entrance, served, rejected: routers, _others: others };
         (zones, runners)
     }
 
@@ -79,9 +79,9 @@
         self.platform.store.put("keyed.servers", &key, record.to_string().as_bytes());
     }
 
-    /// Lets the store answer nobody until each router has failed to read the runners' topic, then not those that are turned
+    /// Lets the store answer nobody until each router has failed to read the runners' topic, then not those that are
     /// away, and then all; changes go on for the time after which all bounds hold again.
-    async fn turn_away_and_let_in(&self) {
+    async fn reject_and_serve_again(&self) {
         self.platform.store.set_fault_mode(FaultMode::Unavailable);
         self.entrance.set_fault_mode(FaultMode::Unavailable);
         let mut number = 0;
@@ -90,12 +90,12 @@
             last.iter().any(|line| line.contains("keyed.servers"))
         };
         let start = Instant::now();
-        while !self.turned_away.iter().all(lost) {
+        while !self.rejected.iter().all(lost) {
             assert!(start.elapsed() < router::WAIT_TIMEOUT, "not all routers have lost the store");
             self.change_for(CHANGE_INTERVAL, &mut number).await;
         }
         self.platform.store.set_fault_mode(FaultMode::Normal);
-        self.change_for(TURNED_AWAY, &mut number).await;
+        self.change_for(REJECTED_FOR, &mut number).await;
         self.entrance.set_fault_mode(FaultMode::Normal);
         self.change_for(CONTACT, &mut number).await;
     }
@@ -111,7 +111,7 @@
     }
 
     fn routers(&self) -> impl Iterator<Item = &Router> {
-        std::iter::once(&self.served).chain(&self.turned_away)
+        std::iter::once(&self.served).chain(&self.rejected)
     }
 }
 
@@ -124,8 +124,8 @@
 #[tokio::test]
 async fn a_router_that_the_store_serves_again_reads_it_while_changes_go_on() {
     let (zones, _runners) = Zones::start("served-again", 2, 1).await;
-    zones.turn_away_and_let_in().await;
-    for router in &zones.turned_away {
+    zones.reject_and_serve_again().await;
+    for router in &zones.rejected {
         let regained = router.lines_of("store_regained");
         assert!(regained.iter().any(|line| line.contains("keyed.servers")), "{regained:?}");
     }
@@ -134,7 +134,7 @@
 #[tokio::test]
 async fn a_router_that_the_store_does_not_answer_is_told_by_others_that_runners_leave() {
     let (zones, runners) = Zones::start("told-leaving", 1, 3).await;
-    let router = &zones.turned_away[0];
+    let router = &zones.rejected[0];
     zones.entrance.set_fault_mode(FaultMode::Unresponsive);
     zones.platform.list_runner(&runners[0], "ledger", "draining", 2);
     zones.platform.store.remove("keyed.servers", runners[1].id());
@@ -188,7 +188,7 @@
 async fn a_runner_that_leaves_gets_nothing_after_two_seconds_from_routers_that_had_lost_the_store()
 {
     let (zones, runners) = Zones::start("leaving-after-loss", 6, 8).await;
-    zones.turn_away_and_let_in().await;
+    zones.reject_and_serve_again().await;
     let (leaving, _staying) = runners.split_at(6);
     let mut left_at = Vec::new();
     let mut late = Vec::new();
--- a/crates/balance/tests/leaving.rs
+++ b/crates/balance/tests/leaving.rs
@@ -305,7 +305,7 @@
 /// What a replay has beside the leaving runner.
 #[derive(Clone, Copy)]
 struct Faults {
-    /// The number of routers that the store turns away.
+    /// The number of routers that the store rejects.
     lost: usize,
     /// Whether a router freezes at about the time at which the runner leaves.
     freezes_one: bool,
--- a/crates/balance/tests/registry.rs
+++ b/crates/balance/tests/registry.rs
@@ -114,7 +114,7 @@
 }
 
 #[test]
-fn runners_that_left_while_only_this_router_was_turned_away_are_not_used_again() {
+fn runners_that_left_while_only_this_router_was_rejected_are_not_used_again() {
     let mut registry = registry(3);
     registry.confirm(NOW);
     registry.store_lost(NOW + ms(100));
