feat(balance,relay): log lines that tell a workspace's share from a router's part of free room

These lines count engines under the limits that its share has lowered, and leave out RoomPart, so neither they nor the refusals say which of the two keeps it from the engines.

The contention line now names the part of free room, and counts for the waiting request that expires first the engines that would take it by the full limits, by the lowered ones, by the part and by both, beside the mean fill of the engines, the interval of reports and the ages of the figures in use. A refusal names the limit that kept the request from the engines when it was refused. Decisions, and the salts of choices, are as before; the answer to the caller is too.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -13,10 +13,12 @@
 use crate::AdaptiveLimit;
 use crate::ColdLimit;
 use crate::Engine;
+use crate::EngineFill;
 use crate::EngineRoom;
 use crate::FleetLimits;
 use crate::Key;
 use crate::Kind;
+use crate::Openings;
 use crate::Prompt;
 use crate::Registry;
 use crate::Request;
@@ -52,6 +54,7 @@
 const PLAIN_SURPLUS_DIVISOR: u32 = 3;
 
 /// The state on which the choice of a runner depends.
+#[derive(Clone, Copy)]
 pub(crate) struct Selector<'a> {
     /// The runners.
     pub(crate) registry: &'a Registry,
@@ -179,6 +182,44 @@
         room
     }
 
+    /// Returns the number of engines that would take a request, by the limits that are applied.
+    pub(crate) fn openings(&self, request: &Request) -> Openings {
+        let without_share = Self { fraction: 1.0, ..*self };
+        let full = Self { room_part: None, ..without_share };
+        let share = Self { room_part: None, ..*self };
+        Openings {
+            full: full.count_openings(request),
+            share: share.count_openings(request),
+            part: without_share.count_openings(request),
+            both: self.count_openings(request),
+        }
+    }
+
+    fn count_openings(&self, request: &Request) -> u32 {
+        let serving = self.registry.serving(request.service.as_str());
+        let usable = serving.filter(|(key, runner)| self.is_usable(*key, runner, request));
+        let open = usable.filter(|(_, runner)| {
+            let missing = missing_tokens(runner, request, self.now);
+            self.has_capacity(runner, request, missing)
+        });
+        u32::try_from(open.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the mean fill of the engines.
+    pub(crate) fn engine_fill(&self) -> EngineFill {
+        let Some(engine) = self.service.engine else { return EngineFill::default() };
+        let limits = self.adaptive_limit.limits();
+        let (mut fill, mut count) = (EngineFill::default(), 0.0);
+        for (_, runner) in self.registry.serving(self.service.name.as_str()) {
+            let running = limits.running.min(runner.registration.slots).min(engine.slots);
+            fill.running += f64::from(runner.load().running) / f64::from(running.max(1));
+            fill.backlog += runner.load().backlog as f64 / limits.backlog.max(1) as f64;
+            count += 1.0;
+        }
+        let count = f64::max(count, 1.0);
+        EngineFill { running: fill.running / count, backlog: fill.backlog / count }
+    }
+
     fn workspace_limits(&self) -> WorkspaceLimits {
         let limits = self.adaptive_limit.limits();
         WorkspaceLimits {
--- a/crates/balance/src/contention.rs
+++ b/crates/balance/src/contention.rs
@@ -1,6 +1,7 @@
 //! What keeps the waiting requests of a workspace from the engines.
 
 use std::fmt;
+use std::time::Duration;
 
 use base::Name;
 
@@ -19,8 +20,69 @@
     pub fair_share: u64,
     /// The fraction of an engine's limits that it may fill.
     pub allowed_fraction: f64,
+    /// The part of the engines' free room that this router may use for it; `None` if it may use all.
+    pub room_part: Option<f64>,
     /// The engines, by what limits them for this workspace.
     pub engines: EngineRoom,
+    /// The engines that would take its next waiting request.
+    pub openings: Openings,
+    /// The mean fill of the engines.
+    pub fill: EngineFill,
+    /// The time after which other routers are taken to know of a grant.
+    pub report_interval: Duration,
+    /// The ages of the figures of other routers of this zone.
+    pub router_ages: Option<ReportAges>,
+    /// The ages of the sums of other zones.
+    pub zone_ages: Option<ReportAges>,
+}
+
+/// What kept a request from the engines when it was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Limit {
+    /// No engine has room.
+    Engines,
+    /// The limits of engines, which are lowered by the share of its workspace.
+    Share,
+    /// The part of free room that its router may use.
+    RoomPart,
+    /// The lowered limits and the part of free room, each by itself or only together.
+    ShareAndRoomPart,
+    /// It is not known which runners leave.
+    Departures,
+    /// None of these: it was not examined, or waited for a runner with a lower cost.
+    Order,
+}
+
+/// The number of engines that would take one request, by the limits that are applied.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Openings {
+    /// Engines under their full limits.
+    pub full: u32,
+    /// Engines under the limits for the workspace.
+    pub share: u32,
+    /// Engines under their full limits of which the router's part of free room is not used up.
+    pub part: u32,
+    /// Engines under the limits for the workspace of which the router's part of free room is not used up.
+    pub both: u32,
+}
+
+/// The mean fill of the engines that are in service, relative to their limits.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct EngineFill {
+    /// Running requests.
+    pub running: f64,
+    /// Waiting prompt tokens.
+    pub backlog: f64,
+}
+
+/// The ages of reported figures.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReportAges {
+    /// The age of the newest report.
+    pub newest: Duration,
+    /// The age of the oldest report.
+    pub oldest: Duration,
 }
 
 /// The number of engines with and without room for the requests of a workspace.
@@ -36,14 +98,66 @@
     pub at_memory_limit: u32,
 }
 
+impl Openings {
+    /// Returns what keeps a request from the engines.
+    pub(crate) const fn limit(self) -> Limit {
+        match self {
+            Self { full: 0, .. } => Limit::Engines,
+            Self { both: 1.., .. } => Limit::Order,
+            Self { share: 0, part: 1.., .. } => Limit::Share,
+            Self { share: 1.., part: 0, .. } => Limit::RoomPart,
+            Self { .. } => Limit::ShareAndRoomPart,
+        }
+    }
+}
+
 impl fmt::Display for Contention {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { waiting, work, fair_share, allowed_fraction, engines, .. } = self;
+        let Self { waiting, work, fair_share, allowed_fraction, engines, openings, fill, .. } =
+            self;
         let Work { used, contended, unmet } = work;
         write!(formatter, "waiting {waiting}, used {used} tokens, {contended} of them ")?;
         write!(formatter, "when engines were short, lacked {unmet}, ")?;
         write!(formatter, "fair share {fair_share}, ")?;
-        write!(formatter, "may fill {allowed_fraction:.2} of an engine; {engines}")
+        write!(formatter, "may fill {allowed_fraction:.2} of an engine; {engines}; ")?;
+        match self.room_part {
+            Some(part) => write!(formatter, "may use {part:.5} of free room; ")?,
+            None => write!(formatter, "may use all free room; ")?,
+        }
+        write!(formatter, "{openings}; {fill}; ")?;
+        write!(formatter, "report interval {} ms", self.report_interval.as_millis())?;
+        if let Some(ages) = self.router_ages {
+            write!(formatter, ", routers {ages}")?;
+        }
+        if let Some(ages) = self.zone_ages {
+            write!(formatter, ", zones {ages}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Openings {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { full, share, part, both } = self;
+        write!(
+            formatter,
+            "engines for one request: {full} by full limits, {share} by its share, "
+        )?;
+        write!(formatter, "{part} by the part of room, {both} by both")
+    }
+}
+
+impl fmt::Display for EngineFill {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { running, backlog } = self;
+        write!(formatter, "mean fill: running {running:.2}, backlog {backlog:.2}")
+    }
+}
+
+impl fmt::Display for ReportAges {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { newest, oldest } = self;
+        write!(formatter, "reported {} to {} ms ago", newest.as_millis(), oldest.as_millis())
     }
 }
 
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -15,6 +15,7 @@
 use crate::FleetLimits;
 use crate::Grant;
 use crate::Key;
+use crate::Limit;
 use crate::Load;
 use crate::LoadLimits;
 use crate::Outcome;
@@ -210,15 +211,32 @@
     pub fn contention(&mut self, now: Duration, service: &Name) -> Vec<Contention> {
         self.shares.update(now, &self.usage);
         let fair_share = self.shares.fair_share().tokens();
+        let report_interval = self.shares.report_interval;
+        let router_ages = self.usage.report_ages(now, true);
+        let zone_ages = self.usage.report_ages(now, false);
         let counts = self.service_state(service).queue.by_workspace();
-        let mut counts: Vec<(Name, usize)> =
-            counts.into_iter().map(|(name, count)| (name.clone(), count)).collect();
-        counts.sort_by_key(|(_, count)| Reverse(*count));
-        let states = counts.into_iter().filter_map(|(workspace, waiting)| {
-            let selector = self.selector(now, service, Some(&workspace))?;
-            let (engines, allowed_fraction) = (selector.engine_room(), selector.fraction);
+        let counts = counts.into_iter();
+        let mut counts: Vec<(Name, usize, Request)> = counts
+            .map(|(name, (count, first))| (name.clone(), count, first.request.clone()))
+            .collect();
+        counts.sort_by_key(|(_, count, _)| Reverse(*count));
+        let states = counts.into_iter().filter_map(|(workspace, waiting, first)| {
             let work = self.usage.of(now, &workspace);
-            Some(Contention { workspace, waiting, work, fair_share, allowed_fraction, engines })
+            let selector = self.selector(now, service, Some(&workspace))?;
+            Some(Contention {
+                waiting,
+                work,
+                fair_share,
+                allowed_fraction: selector.fraction,
+                room_part: selector.room_part.map(|part| part.part()),
+                engines: selector.engine_room(),
+                openings: selector.openings(&first),
+                fill: selector.engine_fill(),
+                report_interval,
+                router_ages,
+                zone_ages,
+                workspace,
+            })
         });
         states.collect()
     }
@@ -346,10 +364,20 @@
         self.shares.update(now, &self.usage);
         self.service_state(service);
         self.tickets += 1;
+        self.current_selector(now, service, workspace)
+    }
+
+    /// Returns the state on which the last choice of a runner depended.
+    fn current_selector(
+        &self,
+        now: Duration,
+        service: &Name,
+        workspace: Option<&Name>,
+    ) -> Option<Selector<'_>> {
         Some(Selector {
             registry: &self.registry,
             service: self.service(service)?,
-            adaptive_limit: &self.services[service].adaptive_limit,
+            adaptive_limit: &self.services.get(service)?.adaptive_limit,
             fraction: self.shares.allowed_fraction(now, &self.usage, workspace),
             room_part: self.shares.room_part(now, &self.usage, &self.limits.router, workspace),
             fleet_limits: &self.limits,
@@ -407,7 +435,17 @@
         let retry_after = span.max(MIN_RETRY_AFTER).max(pause);
         let is_over_share = self.is_over_share(now, &request.service, request.workspace.as_ref());
         let reason = if is_over_share { Refusal::OverShare } else { Refusal::NoRunner };
-        Decision::Refused { retry_after, reason }
+        let limit = self.refusing_limit(now, request);
+        Decision::Refused { retry_after, reason, limit }
+    }
+
+    /// Returns what keeps a request from the engines, without effect on later decisions.
+    fn refusing_limit(&self, now: Duration, request: &Request) -> Limit {
+        if !self.knows_departures(now) {
+            return Limit::Departures;
+        }
+        let selector = self.current_selector(now, &request.service, request.workspace.as_ref());
+        selector.map_or(Limit::Engines, |selector| selector.openings(request).limit())
     }
 
     /// Returns whether only its fair share keeps a workspace from the runners of a service.
--- a/crates/balance/src/decision.rs
+++ b/crates/balance/src/decision.rs
@@ -7,6 +7,7 @@
 
 use crate::Cause;
 use crate::Key;
+use crate::Limit;
 use crate::Load;
 use crate::Ticket;
 
@@ -56,6 +57,8 @@
         retry_after: Duration,
         /// Why it is not run.
         reason: Refusal,
+        /// What kept it from the engines, for the log.
+        limit: Limit,
     },
 }
 
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -90,12 +90,16 @@
         self.waiting.get(&ticket)
     }
 
-    /// Returns the number of waiting requests of each workspace.
-    pub(crate) fn by_workspace(&self) -> IndexMap<&Name, usize> {
-        let mut counts = IndexMap::new();
+    /// Returns the number of waiting requests of each workspace, and the one of them that expires first.
+    pub(crate) fn by_workspace(&self) -> IndexMap<&Name, (usize, &Waiting)> {
+        let mut counts: IndexMap<&Name, (usize, &Waiting)> = IndexMap::new();
         for waiting in self.waiting.values() {
             if let Some(workspace) = &waiting.request.workspace {
-                *counts.entry(workspace).or_default() += 1;
+                let (count, first) = counts.entry(workspace).or_insert((0, waiting));
+                *count += 1;
+                if waiting.expires_at < first.expires_at {
+                    *first = waiting;
+                }
             }
         }
         counts
--- a/crates/balance/src/room_part.rs
+++ b/crates/balance/src/room_part.rs
@@ -52,6 +52,11 @@
         Self { interval, part, seed: rendezvous::weight(interval, router.as_str()) }
     }
 
+    /// Returns the part of the free room.
+    pub(crate) const fn part(&self) -> f64 {
+        self.part
+    }
+
     /// Returns the load that this router has placed on an engine in the interval.
     pub(crate) fn recent_load(&self, runner: &Runner) -> Load {
         runner.recent_load.in_interval(self.interval)
--- a/crates/balance/src/usage.rs
+++ b/crates/balance/src/usage.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 
 use crate::Origin;
+use crate::ReportAges;
 
 /// The time after which past work has half of its weight.
 const HALF_LIFE: Duration = Duration::from_millis(700);
@@ -179,6 +180,15 @@
         self.own.iter().map(move |(name, own)| (name, own.value(now)))
     }
 
+    /// Returns the ages of the figures of other routers, or of the sums of other zones; `None` if there are none.
+    #[must_use]
+    pub fn report_ages(&self, now: Duration, of_routers: bool) -> Option<ReportAges> {
+        let reports = self.reported.iter().filter(|(origin, _)| origin.is_router() == of_routers);
+        let ages = reports.map(|(_, (at, _))| now.saturating_sub(*at));
+        let newest = ages.clone().min()?;
+        Some(ReportAges { newest, oldest: ages.max().unwrap_or(newest) })
+    }
+
     fn own_work(&self, now: Duration, workspace: &Name) -> Work {
         self.own.get(workspace).map_or_else(Work::default, |own| own.value(now))
     }
--- a/crates/balance/tests/waiting.rs
+++ b/crates/balance/tests/waiting.rs
@@ -5,8 +5,11 @@
 use std::time::Duration;
 
 use balance::Decision;
+use balance::Limit;
+use balance::Origin;
 use balance::Outcome;
 use balance::Refusal;
+use balance::Work;
 use base::Name;
 
 use crate::common::core;
@@ -129,3 +132,27 @@
     let mut empty = core("router-1", 0);
     assert_eq!(last_refusal(&mut empty, "flood", NOW), Some(Refusal::NoRunner));
 }
+
+/// Returns what kept a request of a workspace from the engines until it was refused; other routers have reported work.
+fn refusing_limit(engines: usize, workspace: &str, reported: &[(&str, Work)]) -> Option<Limit> {
+    let mut core = core("router-1", engines);
+    let works = reported.iter().map(|(name, work)| (Name::new(name), *work)).collect();
+    core.usage.put(&Origin::Router(Name::new("router-2")), NOW, works);
+    let outcome = core.submit(NOW, request(NOW, workspace, 0, 2_000));
+    assert!(matches!(outcome, Outcome::Queued(_)));
+    let due = core.next_wake()?;
+    let decided = core.process_queue(due);
+    decided.into_iter().find_map(|(_, decision)| match decision {
+        Decision::Refused { limit, .. } => Some(limit),
+        Decision::Granted(_) => None,
+    })
+}
+
+#[test]
+fn a_refusal_names_the_limit_that_kept_the_request_from_the_engines() {
+    assert_eq!(refusing_limit(0, "flood", &[]), Some(Limit::Engines));
+    let short = Work { used: 0, contended: 0, unmet: 90_000_000 };
+    let other = Work { used: 1_000, contended: 1_000, unmet: 90_000_000 };
+    let reported = [("flood", short), ("other", other)];
+    assert_eq!(refusing_limit(1, "flood", &reported), Some(Limit::RoomPart));
+}
--- a/crates/relay/src/acquire.rs
+++ b/crates/relay/src/acquire.rs
@@ -8,6 +8,7 @@
 use balance::Decision;
 use balance::Grant;
 use balance::Key;
+use balance::Limit;
 use balance::Outcome;
 use balance::Prompt;
 use balance::Refusal;
@@ -136,12 +137,14 @@
     /// The delay after which the caller may retry.
     pub(crate) retry_after: Duration,
     pub(crate) reason: Refusal,
+    /// What kept it from the engines, for the log.
+    pub(crate) limit: Option<Limit>,
 }
 
 impl From<Error> for Problem {
     fn from(error: Error) -> Self {
-        let Error { retry_after, reason } = error;
-        Self::Refused { retry_after, reason }
+        let Error { retry_after, reason, limit } = error;
+        Self::Refused { retry_after, reason, limit }
     }
 }
 
@@ -163,7 +166,7 @@
         Admission::Admitted => Ok(None),
         Admission::Probe(cause) => Ok(Some(cause)),
         Admission::Refused { cause, retry_after } => {
-            Err(Error { retry_after, reason: Refusal::Quarantined(cause) })
+            Err(Error { retry_after, reason: Refusal::Quarantined(cause), limit: None })
         }
     }
 }
@@ -207,7 +210,9 @@
             grant,
             may_have_run: false,
         }),
-        Decision::Refused { retry_after, reason } => Err(Error { retry_after, reason }),
+        Decision::Refused { retry_after, reason, limit } => {
+            Err(Error { retry_after, reason, limit: Some(limit) })
+        }
     }
 }
 
@@ -219,6 +224,7 @@
     decision.unwrap_or(Decision::Refused {
         retry_after: Duration::from_secs(1),
         reason: Refusal::NoRunner,
+        limit: Limit::Order,
     })
 }
 
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use balance::Limit;
 use balance::Refusal;
 use bytes::Bytes;
 use http::Response;
@@ -29,6 +30,8 @@
         retry_after: Duration,
         /// Why it was not run.
         reason: Refusal,
+        /// What kept it from the engines when it was refused, for the log.
+        limit: Option<Limit>,
     },
     /// The request may have run, and its answer is lost.
     Lost,
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -52,6 +52,9 @@
     /// The outcome.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub outcome: Option<String>,
+    /// What kept a refused request from the engines.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub limit: Option<String>,
     /// Number of lines of this event that were dropped during the previous second in which it occurred.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub left_out: Option<u32>,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -326,7 +326,7 @@
 }
 
 const fn refused(retry_after: Duration) -> Answer {
-    Answer::Problem(Problem::Refused { retry_after, reason: Refusal::NoRunner })
+    Answer::Problem(Problem::Refused { retry_after, reason: Refusal::NoRunner, limit: None })
 }
 
 /// Returns how long this attempt may wait for the head of its answer; limited only if another attempt may follow.
@@ -411,5 +411,8 @@
     let mut line = line_with_route(call, event).outcome(outcome);
     line.took_ms = Some(event::millis(took));
     line.sends = Some(sends);
+    if let Answer::Problem(Problem::Refused { limit, .. }) = answer {
+        line.limit = limit.map(|limit| limit.to_string());
+    }
     router.log(line);
 }
