test(aspenline): ports that refuse connections stay reserved during the test

Cause: `closed_port()` bound a port and closed it at once, so any later bind to port 0 could get the same port before the command connected. Its listener then received the order: a fake router of another test refuses it (exit code 1), and one that is just ending drops the connection (exit code 4, empty output, as seen). An order that may have been received is rightly not sent to the next router. The router that `a_live_router_that_does_not_answer_is_reported` dropped had the same fault, as had one test each in front, plat and rig.

The checks are the same, but for one that is stricter: the order that goes to the next router must print nothing on standard error, and its text is shown if the test fails.

--- a/crates/aspenline/tests/operators.rs
+++ b/crates/aspenline/tests/operators.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use std::fs;
-use std::net::TcpListener;
+use std::net::SocketAddr;
 
 use base::Event;
 use base::EventKind;
@@ -18,6 +18,7 @@
 use common::text;
 use serde_json::Value;
 use serde_json::json;
+use tokio::net::TcpSocket;
 
 const CONFIGURATION: &str =
     concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/configuration.example.json");
@@ -30,10 +31,12 @@
     run(&[arguments, &["--router", &address]].concat())
 }
 
-/// Returns an address at which no process listens.
-fn closed_port() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("the listener has an address").to_string()
+/// Reserves a port at which connections are refused: as long as the socket lives, no other process gets it.
+fn closed_port() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port is free");
+    let address = socket.local_addr().expect("the socket has an address");
+    (socket, address)
 }
 
 fn event(millis: u64, process: &str, kind: EventKind, request: Option<RequestId>) -> Event {
@@ -51,20 +54,26 @@
 /// Starts two fake routers with the given events, which list each other and a dead router as members.
 fn start_pair(first: &[Event], second: &[Event]) -> [FakeRouter; 2] {
     let routers = [FakeRouter::start(), FakeRouter::start()];
-    let members = json!([
-        { "name": "r1", "zone": "a", "state": "alive", "callers": routers[0].address },
-        { "name": "r2", "zone": "b", "state": "alive", "callers": routers[1].address },
-        { "name": "r3", "zone": "b", "state": "dead", "callers": null },
-    ]);
+    let addresses = [routers[0].address, routers[1].address];
     for (router, (name, events)) in routers.iter().zip([("r1", first), ("r2", second)]) {
-        let status = json!({ "router": name, "members": members });
-        router.reply("GET /operator/status", 200, &status.to_string());
-        let events = serde_json::to_string(events).expect("events are JSON");
-        router.reply("GET /operator/timeline", 200, &events);
+        reply_as_member(router, name, addresses, events);
     }
     routers
 }
 
+/// Configures the answers of a router that lists two live members at the addresses and a dead one.
+fn reply_as_member(router: &FakeRouter, name: &str, addresses: [SocketAddr; 2], events: &[Event]) {
+    let members = json!([
+        { "name": "r1", "zone": "a", "state": "alive", "callers": addresses[0] },
+        { "name": "r2", "zone": "b", "state": "alive", "callers": addresses[1] },
+        { "name": "r3", "zone": "b", "state": "dead", "callers": null },
+    ]);
+    let status = json!({ "router": name, "members": members });
+    router.reply("GET /operator/status", 200, &status.to_string());
+    let events = serde_json::to_string(events).expect("events are JSON");
+    router.reply("GET /operator/timeline", 200, &events);
+}
+
 #[test]
 fn status_prints_the_fields_that_it_knows() {
     let router = FakeRouter::start();
@@ -151,8 +160,10 @@
 
 #[test]
 fn a_live_router_that_does_not_answer_is_reported() {
-    let [first, second] = start_pair(&[event(1, "r1", EventKind::Log, None)], &[]);
-    drop(second);
+    let (_reserved, unreachable) = closed_port();
+    let first = FakeRouter::start();
+    let events = [event(1, "r1", EventKind::Log, None)];
+    reply_as_member(&first, "r1", [first.address, unreachable], &events);
     let result = run_against(&first, &["timeline"]);
     assert_eq!(result.code, Some(1));
     assert_eq!(result.output.lines().count(), 2);
@@ -163,8 +174,11 @@
 fn an_order_is_sent_to_the_next_router_when_one_is_unreachable() {
     let router = FakeRouter::start();
     router.reply("POST /operator/placement", 200, r#"{"counter":5}"#);
-    let result = run_against(&router, &["zone", "out", "north-1", "--router", &closed_port()]);
-    assert_eq!((result.code, result.output.as_str()), (Some(0), "zone north-1 is out (order 5)\n"));
+    let (_reserved, unreachable) = closed_port();
+    let unreachable = unreachable.to_string();
+    let result = run_against(&router, &["zone", "out", "north-1", "--router", &unreachable]);
+    let output = "zone north-1 is out (order 5)\n".to_owned();
+    assert_eq!(result, CommandResult { code: Some(0), output, error: String::new() });
     let result = run_against(&router, &["instance", "back", "r1", "--json"]);
     assert_eq!((result.code, result.output.as_str()), (Some(0), "{\n  \"counter\": 5\n}\n"));
     let orders = [
@@ -235,7 +249,8 @@
 
 #[test]
 fn a_command_fails_without_a_reachable_router_or_a_valid_token() {
-    let result = run(&["status", "--router", &closed_port()]);
+    let (_reserved, unreachable) = closed_port();
+    let result = run(&["status", "--router", &unreachable.to_string()]);
     assert_eq!(result.code, Some(4));
     assert!(
         result.error.starts_with("aspenline: no router answers: 127.0.0.1:"),
--- a/crates/front/tests/order_runner.rs
+++ b/crates/front/tests/order_runner.rs
@@ -1,5 +1,6 @@
 //! Orders on real connections: the request that the runner receives, and the outcome of each answer.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -9,6 +10,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 
 fn command() -> Command {
     Command { order: "load-model".to_owned(), name: "oak@1".to_owned(), fence: 7 }
@@ -66,8 +68,9 @@
 
 #[tokio::test]
 async fn an_order_to_an_unreachable_runner_is_not_sent() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = listener.local_addr().expect("an address");
-    drop(listener);
+    // A socket that is bound and does not listen refuses connections and keeps its port from other tests.
+    let reserved = TcpSocket::new_v4().expect("a socket");
+    reserved.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+    let address = reserved.local_addr().expect("an address");
     assert_eq!(send_command(address, &command(), soon()).await, Outcome::NotSent);
 }
--- a/crates/plat/tests/log.rs
+++ b/crates/plat/tests/log.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use base::Verdict;
@@ -9,6 +10,7 @@
 use plat::Log;
 use plat::Span;
 use support::Server;
+use tokio::net::TcpSocket;
 
 const NO_WAIT: Duration = Duration::ZERO;
 
@@ -46,9 +48,10 @@
     let lost = log.append("claims", "one").await;
     assert_eq!(lost, Err(Error::Lost));
     assert_eq!(server.bodies(), vec!["one"]);
-    let unused = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = unused.local_addr().expect("an address");
-    drop(unused);
+    // A socket that is bound and does not listen refuses connections and keeps its port from other tests.
+    let reserved = TcpSocket::new_v4().expect("a socket");
+    reserved.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port");
+    let address = reserved.local_addr().expect("an address");
     assert_eq!(Log::new(address).append("claims", "two").await, Err(Error::Unreachable));
 }
 
--- a/crates/rig/tests/answer.rs
+++ b/crates/rig/tests/answer.rs
@@ -14,6 +14,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 
 const PROMPT: &str = "a matte van";
 
@@ -109,8 +110,10 @@
 async fn a_caller_goes_to_the_next_router_only_if_it_cannot_connect() {
     let directory = RunDirectory::new().expect("a directory");
     let service = FakeProcess::start(&directory, "orders-1", &["service"]).expect("started");
-    let closed =
-        TcpListener::bind("127.0.0.1:0").await.expect("bound").local_addr().expect("bound");
+    // A socket that is bound and does not listen refuses connections and keeps its port from other tests.
+    let reserved = TcpSocket::new_v4().expect("a socket");
+    reserved.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bound");
+    let closed = reserved.local_addr().expect("bound");
     let caller = Caller::new("crag-token", &[closed, service.address()]);
     let call = Call::non_idempotent("orders", "orders", "x");
     assert!(caller.call(&call).await.is_success());
