test(balance): floods at 45 routers with reports up to one second old (red)

The parts of fairness.rs that both files need are in tests/common/floods.rs; its tests, bounds and seeds are as they were.

--- a/crates/balance/tests/common/fleet.rs
+++ b/crates/balance/tests/common/fleet.rs
@@ -1,12 +1,15 @@
 //! Routers that share engines and report to each other with a delay.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use balance::Core;
 use balance::Decision;
 use balance::Grant;
+use balance::Load;
 use balance::Origin;
 use balance::Outcome;
+use balance::Refusal;
 use balance::Request;
 use balance::Work;
 use base::Name;
@@ -28,13 +31,44 @@
     ends_at: Duration,
 }
 
+/// A request that was refused.
+pub(crate) struct Refused {
+    pub(crate) at: Duration,
+    pub(crate) workspace: Name,
+    pub(crate) reason: Refusal,
+    /// The number of requests that all engines ran.
+    pub(crate) running: usize,
+}
+
+/// The figures that one router or all routers of a zone report.
+#[derive(Clone, Default)]
+struct Figures {
+    loads: IndexMap<Name, Load>,
+    works: IndexMap<Name, Work>,
+}
+
+/// Zones of routers, which report the sums of their figures to each other later than routers of one zone do.
+struct Zones {
+    count: usize,
+    /// The number of intervals of reports that sums take.
+    delay: usize,
+    /// The sums of each zone that are on their way, the oldest first, with the time at which they were made.
+    sums: VecDeque<(Duration, Vec<Figures>)>,
+}
+
 /// Routers that share engines and report to each other at a fixed interval.
 pub(crate) struct Fleet {
     pub(crate) cores: Vec<Core>,
     /// The number of requests granted, by workspace and whole second.
     pub(crate) granted: IndexMap<(Name, u64), u64>,
+    /// The number of requests submitted, by workspace and whole second.
+    asked: IndexMap<(Name, u64), u64>,
     /// A router whose reports get lost from one time to another.
     pub(crate) silent: Option<(usize, Duration, Duration)>,
+    /// The requests refused.
+    pub(crate) refused: Vec<Refused>,
+    engines: usize,
+    zones: Option<Zones>,
     run: Duration,
     interval: Duration,
     running: Vec<Running>,
@@ -44,17 +78,15 @@
 impl Fleet {
     /// Creates routers whose requests run for a given time, and which report at a given interval.
     pub(crate) fn new(routers: usize, engines: usize, run: Duration, interval: Duration) -> Self {
-        let names: Vec<Name> = (0..routers).map(|n| Name::new(&format!("router-{n}"))).collect();
-        let cores = names.iter().map(|name| {
-            let mut core = core(name.as_str(), engines);
-            core.set_report_interval(interval);
-            core.set_peers(names.iter().filter(|other| *other != name).cloned().collect());
-            core
-        });
+        let cores = (0..routers).map(|router| new_core(router, routers, engines, interval));
         Self {
             cores: cores.collect(),
             granted: IndexMap::new(),
+            asked: IndexMap::new(),
             silent: None,
+            refused: Vec::new(),
+            engines,
+            zones: None,
             run,
             interval,
             running: Vec::new(),
@@ -62,9 +94,33 @@
         }
     }
 
+    /// Divides the routers among zones, which know each other's sums after a number of intervals of reports.
+    pub(crate) fn divide(&mut self, count: usize, delay: usize) {
+        self.zones = Some(Zones { count, delay, sums: VecDeque::new() });
+    }
+
+    /// Starts a router again: it knows the names of the others and the runners, and its requests are lost.
+    pub(crate) fn restart(&mut self, router: usize) {
+        self.cores[router] = new_core(router, self.cores.len(), self.engines, self.interval);
+        self.running.retain(|running| running.router != router);
+        self.waiting.retain(|(waiting_at, _), _| *waiting_at != router);
+    }
+
+    /// Returns the limit on running requests of all engines, as known to a router.
+    pub(crate) fn running_limit(&self, router: usize) -> u64 {
+        let limits = self.cores[router].service_loads().map(|(_, limit, _)| limit.limits().running);
+        limits.map(u64::from).sum::<u64>() * self.engines as u64
+    }
+
+    /// Returns the number of requests of a router that engines run.
+    pub(crate) fn running_of(&self, router: usize) -> u64 {
+        self.running.iter().filter(|running| running.router == router).count() as u64
+    }
+
     /// Submits a request at a router.
     pub(crate) fn submit(&mut self, now: Duration, router: usize, request: Request) {
         let workspace = request.workspace.clone().expect("a request has a workspace");
+        *self.asked.entry((workspace.clone(), now.as_secs())).or_default() += 1;
         match self.cores[router].submit(now, request) {
             Outcome::Queued(ticket) => {
                 self.waiting.insert((router, ticket), workspace);
@@ -75,8 +131,22 @@
 
     /// Returns the number of requests of a workspace that were granted from one second to another.
     pub(crate) fn granted_between(&self, workspace: &str, from: u64, to: u64) -> u64 {
-        let name = Name::new(workspace);
-        (from..to).filter_map(|second| self.granted.get(&(name.clone(), second))).sum()
+        count(&self.granted, from, to, |name| name.as_str() == workspace)
+    }
+
+    /// Returns the number of requests of a workspace that were submitted from one second to another.
+    pub(crate) fn asked_between(&self, workspace: &str, from: u64, to: u64) -> u64 {
+        count(&self.asked, from, to, |name| name.as_str() == workspace)
+    }
+
+    /// Returns the number of requests that were granted from one second to another.
+    pub(crate) fn all_granted_between(&self, from: u64, to: u64) -> u64 {
+        count(&self.granted, from, to, |_| true)
+    }
+
+    /// Returns the number of requests that were submitted from one second to another.
+    pub(crate) fn all_asked_between(&self, from: u64, to: u64) -> u64 {
+        count(&self.asked, from, to, |_| true)
     }
 
     /// Ends requests, decides waiting ones and exchanges reports, in steps of 10 ms.
@@ -118,7 +188,14 @@
     }
 
     fn record(&mut self, now: Duration, router: usize, decision: Decision, workspace: &Name) {
-        let Decision::Granted(grant) = decision else { return };
+        let grant = match decision {
+            Decision::Granted(grant) => grant,
+            Decision::Refused { reason, .. } => {
+                let (workspace, running) = (workspace.clone(), self.running.len());
+                self.refused.push(Refused { at: now, workspace, reason, running });
+                return;
+            }
+        };
         *self.granted.entry((workspace.clone(), now.as_secs())).or_default() += 1;
         self.running.push(Running {
             router,
@@ -130,30 +207,92 @@
     }
 
     fn exchange(&mut self, now: Duration) {
+        let zone_count = self.zones.as_ref().map_or(1, |zones| zones.count);
+        let mut sums = vec![Figures::default(); zone_count];
         for from in 0..self.cores.len() {
             let is_silent = |(router, start, end)| router == from && (start..end).contains(&now);
             if self.silent.is_some_and(is_silent) {
                 continue;
             }
-            let sender = Origin::Router(Name::new(&format!("router-{from}")));
-            let loads: Vec<_> = self.cores[from]
-                .registry
-                .iter()
-                .map(|(_, runner)| (runner.registration.id.clone(), runner.own_load))
-                .collect();
-            let works: IndexMap<Name, Work> =
-                self.cores[from].usage.own(now).map(|(name, work)| (name.clone(), work)).collect();
+            let sender = Origin::Router(router_name(from));
+            let figures = Figures::of(&self.cores[from], now);
             for (to, core) in self.cores.iter_mut().enumerate() {
-                if to == from {
-                    continue;
+                if to != from && to % zone_count == from % zone_count {
+                    figures.apply(core, &sender, now);
                 }
-                for (id, load) in &loads {
-                    let key = core.registry.find(id.as_str()).expect("known");
-                    let runner = core.registry.get_mut(key).expect("known");
-                    runner.peer_loads.put(&sender, now, *load);
+            }
+            sums[from % zone_count].add(figures);
+        }
+        let Some(zones) = &mut self.zones else { return };
+        zones.sums.push_back((now, sums));
+        if zones.sums.len() <= zones.delay {
+            return;
+        }
+        let Some((at, sums)) = zones.sums.pop_front() else { return };
+        for (zone, figures) in sums.iter().enumerate() {
+            let sender = Origin::Zone(Name::new(&format!("zone-{zone}")));
+            for (to, core) in self.cores.iter_mut().enumerate() {
+                if to % zone_count != zone {
+                    figures.apply(core, &sender, at);
                 }
-                core.usage.put(&sender, now, works.clone());
             }
         }
     }
 }
+
+impl Figures {
+    /// Returns the figures of one router.
+    fn of(core: &Core, now: Duration) -> Self {
+        let runners = core.registry.iter();
+        let loads =
+            runners.map(|(_, runner)| (runner.registration.id.clone(), runner.own_load)).collect();
+        let works = core.usage.own(now).map(|(name, work)| (name.clone(), work)).collect();
+        Self { loads, works }
+    }
+
+    fn add(&mut self, other: Self) {
+        for (id, load) in other.loads {
+            self.loads.entry(id).or_default().add(load);
+        }
+        for (name, work) in other.works {
+            let sum = self.works.entry(name).or_default();
+            sum.used += work.used;
+            sum.contended += work.contended;
+            sum.unmet += work.unmet;
+        }
+    }
+
+    /// Records the figures of an origin, which were made at `at`, at a router.
+    fn apply(&self, core: &mut Core, origin: &Origin, at: Duration) {
+        for (id, load) in &self.loads {
+            let key = core.registry.find(id.as_str()).expect("known");
+            let runner = core.registry.get_mut(key).expect("known");
+            runner.peer_loads.put(origin, at, *load);
+        }
+        core.usage.put(origin, at, self.works.clone());
+    }
+}
+
+/// Returns the number of requests of some workspaces in the seconds from one to another.
+fn count(
+    counts: &IndexMap<(Name, u64), u64>,
+    from: u64,
+    to: u64,
+    is_counted: impl Fn(&Name) -> bool,
+) -> u64 {
+    let counted =
+        counts.iter().filter(|((name, second), _)| is_counted(name) && (from..to).contains(second));
+    counted.map(|(_, count)| count).sum()
+}
+
+fn router_name(router: usize) -> Name {
+    Name::new(&format!("router-{router}"))
+}
+
+/// Creates the state of a router that knows the names of the others and the engines.
+fn new_core(router: usize, routers: usize, engines: usize, interval: Duration) -> Core {
+    let mut core = core(router_name(router).as_str(), engines);
+    core.set_report_interval(interval);
+    core.set_peers((0..routers).filter(|other| *other != router).map(router_name).collect());
+    core
+}
--- a/crates/balance/tests/common/mod.rs
+++ b/crates/balance/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses some of these items")]
 
 pub(crate) mod fleet;
+pub(crate) mod floods;
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/balance/tests/fairness.rs
+++ b/crates/balance/tests/fairness.rs
@@ -12,19 +12,16 @@
 use proptest::test_runner::RngSeed;
 
 use crate::common::fleet::Fleet;
+use crate::common::floods::END;
+use crate::common::floods::FLOOD;
+use crate::common::floods::Floods;
+use crate::common::floods::Load;
+use crate::common::floods::RUN;
+use crate::common::floods::WINDOW;
+use crate::common::floods::extremes;
+use crate::common::floods::play;
 use crate::common::ms;
-use crate::common::request;
-
-/// The second in which the load begins.
-const START: u64 = 100;
-/// The second in which the floods begin.
-const FLOOD: u64 = START + 4;
-/// The second in which the load ends.
-const END: u64 = FLOOD + 12;
-/// The length of the windows in which shares are compared, in seconds.
-const WINDOW: u64 = 6;
-/// The time for which a request runs.
-const RUN: Duration = Duration::from_millis(1_500);
+
 /// The requests of the workspace that does not flood, in a window.
 const SMALL_REQUESTS: u64 = 10 * WINDOW;
 /// The number of routers.
@@ -33,9 +30,6 @@
 /// The time for which the reports of a router get lost.
 const SILENCE: Duration = Duration::from_millis(1_500);
 
-/// The routers of the callers of each workspace that floods.
-type Floods<'a> = &'a [Vec<usize>];
-
 fn floods() -> Vec<Vec<usize>> {
     vec![vec![0], vec![1, 2], vec![3, 4, 5, 6, 7, 8]]
 }
@@ -44,45 +38,6 @@
     Work { used, contended: used, unmet }
 }
 
-fn name(flood: usize) -> String {
-    format!("flood-{flood}")
-}
-
-/// Plays floods, the first of which has used most of the engines before, when they were idle.
-fn play(fleet: &mut Fleet, floods: Floods) {
-    for step in 0..(END - START) * 100 {
-        let now = Duration::from_secs(START) + ms(10 * step);
-        let is_flooded = now >= Duration::from_secs(FLOOD);
-        fleet.step(now);
-        if is_flooded {
-            fleet.record_slow_tokens(now);
-        }
-        for (index, routers) in floods.iter().enumerate() {
-            let requests = match (is_flooded, index) {
-                (true, _) => 4,
-                (false, 0) => 1,
-                (false, _) => u64::from(step % 5 == 0),
-            };
-            for request_number in 0..requests {
-                let router = routers[(step + request_number) as usize % routers.len()];
-                let part = 1_000 * (index as u64 + 1) + step % 40;
-                fleet.submit(now, router, request(now, &name(index), part, 2_000));
-            }
-        }
-        if step % 10 == 0 {
-            let router = (step / 10) as usize % ROUTERS;
-            fleet.submit(now, router, request(now, "small", 9, 2_000));
-        }
-    }
-}
-
-/// Returns the smallest and the largest number of requests of a flood that were granted in a window.
-fn extremes(fleet: &Fleet, floods: Floods, from: u64) -> (u64, u64) {
-    let granted =
-        || (0..floods.len()).map(|flood| fleet.granted_between(&name(flood), from, from + WINDOW));
-    (granted().min().unwrap_or(0), granted().max().unwrap_or(0))
-}
-
 /// Asserts that no flood is granted less than half of what another one is, in any window that begins in the flood.
 fn assert_fair(fleet: &Fleet, floods: Floods) {
     for from in FLOOD..=END - WINDOW {
@@ -106,7 +61,7 @@
 #[test]
 fn use_of_idle_engines_does_not_count_against_a_workspace_when_others_flood_later() {
     let mut fleet = Fleet::new(ROUTERS, 6, RUN, ms(100));
-    play(&mut fleet, &floods());
+    play(&mut fleet, &floods(), Load::default());
     assert_fair(&fleet, &floods());
 }
 
@@ -115,7 +70,7 @@
 fn floods_at_many_routers_leave_room_for_others_whatever_the_interval_of_reports() {
     for interval in [ms(50), ms(100), ms(300)] {
         let mut fleet = Fleet::new(ROUTERS, 6, RUN, interval);
-        play(&mut fleet, &floods());
+        play(&mut fleet, &floods(), Load::default());
         assert_fair(&fleet, &floods());
         assert_small_is_served(&fleet);
     }
@@ -134,7 +89,7 @@
         let mut fleet = Fleet::new(ROUTERS, 6, RUN, ms(10 * interval));
         let from = Duration::from_secs(FLOOD + silent_from);
         fleet.silent = Some((silent, from, from + SILENCE));
-        play(&mut fleet, &floods);
+        play(&mut fleet, &floods, Load::default());
         assert_fair(&fleet, &floods);
     }
 }
