fix(balance): places at engines are leased to routers from the start, by what workspaces are owed

Cause: a decision about something that all routers spend was based on figures beyond the condition under which they hold. - Until somebody was known to compete, each router used all free room that it saw, and so did all others: the first interval of a flood, a fresh start and lost reports all look so. - Afterwards, a workspace that lacked work could use a router's part of an engine's room once in an interval of reports (0.6 s on the large site), which the engine had worked off in 0.13 s. Being short kept it short, and others had no part at all. - The sum of what was granted was taken for the capacity, so idle engines lowered the fair share.

Change: the places of all engines of a service are divided among the routers at any time; a part follows what workspaces are owed (max-min share of an estimated capacity, more if behind, less if ahead) and how much of it is asked for here, as of the oldest report in use; what was not heard of stays with those who were not heard. Free places are offered again by what workspaces lack of what they are owed. What is granted in the interval before a shortage is known counts as use of short engines. The half-life of the sums is 1.5 s in place of 0.7, so that what was granted ahead is made up for within six seconds.

From a review of the diff: places are offered again whenever somebody lacks work, not only beyond a share; a router whose lease is used up examines no engines for further requests; requests at engines that may not be used don't use up a lease.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -13,7 +13,6 @@
 use crate::AdaptiveLimit;
 use crate::ColdLimit;
 use crate::Engine;
-use crate::EngineFill;
 use crate::EngineRoom;
 use crate::FleetLimits;
 use crate::Key;
@@ -24,8 +23,9 @@
 use crate::Request;
 use crate::Runner;
 use crate::Service;
+use crate::lease::Lease;
+use crate::lease::Places;
 use crate::rendezvous;
-use crate::room_part::RoomPart;
 
 /// The prompt tokens that delay a first token as much as one running request does.
 const RUNNING_TOKENS: u64 = 48;
@@ -64,8 +64,8 @@
     pub(crate) adaptive_limit: &'a AdaptiveLimit,
     /// The fraction of these limits that the workspace may fill.
     pub(crate) fraction: f64,
-    /// The part of free room that this router may use for the workspace; `None` if it may use all.
-    pub(crate) room_part: Option<RoomPart>,
+    /// The places at the engines of the service that this router may use.
+    pub(crate) lease: Lease,
     /// The limits that hold over all routers, with the names of this router and its peers.
     pub(crate) fleet_limits: &'a FleetLimits,
     /// The current time.
@@ -97,19 +97,14 @@
 }
 
 impl WorkspaceLimits {
-    /// Returns whether the number of running requests allows one more at a runner.
-    fn may_run(&self, runner: &Runner, engine: &Engine) -> bool {
-        let limit = self.running.min(runner.registration.slots).min(engine.slots);
-        runner.load().running < limit
+    /// Returns the number of requests that may run at a runner.
+    fn running_at(&self, runner: &Runner, engine: &Engine) -> u32 {
+        self.running.min(runner.registration.slots).min(engine.slots)
     }
 
-    /// Returns how many requests with `missing` tokens to process had room at a runner at the start of the interval of
-    /// a part.
-    fn fitting(&self, runner: &Runner, part: RoomPart, missing: u64) -> f64 {
-        let (load, recent) = (runner.load(), part.recent_load(runner));
-        let running = (self.running + recent.running).saturating_sub(load.running);
-        let backlog = (self.backlog + recent.backlog).saturating_sub(load.backlog);
-        f64::from(running).min(backlog as f64 / missing.max(1) as f64)
+    /// Returns whether the number of running requests allows one more at a runner.
+    fn may_run(&self, runner: &Runner, engine: &Engine) -> bool {
+        runner.load().running < self.running_at(runner, engine)
     }
 }
 
@@ -120,13 +115,19 @@
         if !serving().any(|(_, runner)| self.may_have_capacity(runner, request)) {
             return None;
         }
+        let places = self.places();
+        let is_leased = |missing| places.is_none_or(|places| self.lease.allows(&places, missing));
+        if !is_leased(0) {
+            return None;
+        }
         let ranks = self.ranks(request);
         let usable = serving().filter(|(key, runner)| self.is_usable(*key, runner, request));
         let candidates = usable.map(|(key, runner)| {
             let missing = missing_tokens(runner, request, self.now);
             let rank = ranks.iter().position(|ranked| *ranked == key);
             let cost = self.cost(runner, request, missing, rank);
-            Candidate { key, cost, has_capacity: self.has_capacity(runner, request, missing) }
+            let has_capacity = self.has_capacity(runner, request, missing) && is_leased(missing);
+            Candidate { key, cost, has_capacity }
         });
         let may_wait = self.now < request.arrived + max_preferred_wait(request);
         let candidates = candidates.filter(|candidate| candidate.has_capacity || may_wait);
@@ -142,9 +143,10 @@
         let Some(engine) = self.service.engine else { return true };
         let limits = self.workspace_limits();
         let mut serving = self.registry.serving(self.service.name.as_str());
-        serving.any(|(_, runner)| {
-            limits.may_run(runner, &engine) && runner.load().backlog <= limits.backlog
-        })
+        self.is_leased()
+            && serving.any(|(_, runner)| {
+                limits.may_run(runner, &engine) && runner.load().backlog <= limits.backlog
+            })
     }
 
     /// Returns whether any engine that may be used now has room.
@@ -182,16 +184,13 @@
         room
     }
 
-    /// Returns the number of engines that would take a request, by the limits that are applied.
+    /// Returns the number of engines that would take a request, and whether this router may place it.
     pub(crate) fn openings(&self, request: &Request) -> Openings {
-        let without_share = Self { fraction: 1.0, ..*self };
-        let full = Self { room_part: None, ..without_share };
-        let share = Self { room_part: None, ..*self };
+        let full = Self { fraction: 1.0, ..*self };
         Openings {
             full: full.count_openings(request),
-            share: share.count_openings(request),
-            part: without_share.count_openings(request),
-            both: self.count_openings(request),
+            share: self.count_openings(request),
+            is_leased: self.is_leased(),
         }
     }
 
@@ -205,19 +204,27 @@
         u32::try_from(open.count()).unwrap_or(u32::MAX)
     }
 
-    /// Returns the mean fill of the engines.
-    pub(crate) fn engine_fill(&self) -> EngineFill {
-        let Some(engine) = self.service.engine else { return EngineFill::default() };
-        let limits = self.adaptive_limit.limits();
-        let (mut fill, mut count) = (EngineFill::default(), 0.0);
-        for (_, runner) in self.registry.serving(self.service.name.as_str()) {
-            let running = limits.running.min(runner.registration.slots).min(engine.slots);
-            fill.running += f64::from(runner.load().running) / f64::from(running.max(1));
-            fill.backlog += runner.load().backlog as f64 / limits.backlog.max(1) as f64;
-            count += 1.0;
+    /// Returns whether the lease of this router allows another request of the workspace.
+    fn is_leased(&self) -> bool {
+        self.places().is_none_or(|places| self.lease.allows(&places, 0))
+    }
+
+    /// Returns the places for the workspace at the engines that may be used; `None` if these are no engines.
+    pub(crate) fn places(&self) -> Option<Places> {
+        let engine = self.service.engine?;
+        let limits = self.workspace_limits();
+        let mut places = Places::default();
+        let serving = self.registry.serving(self.service.name.as_str());
+        let usable = serving
+            .filter(|(_, runner)| runner.health.is_usable(self.now) && !runner.is_paused(self.now));
+        for (_, runner) in usable {
+            let load = runner.load();
+            let all = f64::from(limits.running_at(runner, &engine));
+            places.own.add(runner.own_load);
+            places.running.add(all, f64::from(load.running));
+            places.backlog.add(limits.backlog as f64, load.backlog as f64);
         }
-        let count = f64::max(count, 1.0);
-        EngineFill { running: fill.running / count, backlog: fill.backlog / count }
+        Some(places)
     }
 
     fn workspace_limits(&self) -> WorkspaceLimits {
@@ -327,9 +334,6 @@
         limits.may_run(runner, &engine)
             && (has_memory || load.running == 0)
             && load.backlog + missing <= limits.backlog
-            && self
-                .room_part
-                .is_none_or(|part| part.allows(runner, limits.fitting(runner, part, missing)))
     }
 
     fn cost(&self, runner: &Runner, request: &Request, missing: u64, rank: Option<usize>) -> u64 {
@@ -359,7 +363,7 @@
 }
 
 /// Returns the tokens of an engine's memory that requests may fill.
-const fn usable_memory(engine: &Engine) -> u64 {
+pub(crate) const fn usable_memory(engine: &Engine) -> u64 {
     (engine.memory as f64 * MEMORY_FRACTION) as u64
 }
 
--- a/crates/balance/src/contention.rs
+++ b/crates/balance/src/contention.rs
@@ -5,6 +5,7 @@
 
 use base::Name;
 
+use crate::EngineFill;
 use crate::Work;
 
 /// The waiting requests of a workspace, and the limits that hold for it.
@@ -20,14 +21,14 @@
     pub fair_share: u64,
     /// The fraction of an engine's limits that it may fill.
     pub allowed_fraction: f64,
-    /// The part of the engines' free room that this router may use for it; `None` if it may use all.
-    pub room_part: Option<f64>,
+    /// The places at engines that this router has in use and may use for it; `None` for a service without engines.
+    pub places: Option<LeasedPlaces>,
     /// The engines, by what limits them for this workspace.
     pub engines: EngineRoom,
     /// The engines that would take its next waiting request.
     pub openings: Openings,
     /// The mean fill of the engines.
-    pub fill: EngineFill,
+    pub fill: Option<EngineFill>,
     /// The time after which other routers are taken to know of a grant.
     pub report_interval: Duration,
     /// The ages of the figures of other routers of this zone.
@@ -44,10 +45,8 @@
     Engines,
     /// The limits of engines, which are lowered by the share of its workspace.
     Share,
-    /// The part of free room that its router may use.
-    RoomPart,
-    /// The lowered limits and the part of free room, each by itself or only together.
-    ShareAndRoomPart,
+    /// The places at engines that its router may use.
+    Lease,
     /// It is not known which runners leave.
     Departures,
     /// None of these: it was not examined, or waited for a runner with a lower cost.
@@ -61,19 +60,17 @@
     pub full: u32,
     /// Engines under the limits for the workspace.
     pub share: u32,
-    /// Engines under their full limits of which the router's part of free room is not used up.
-    pub part: u32,
-    /// Engines under the limits for the workspace of which the router's part of free room is not used up.
-    pub both: u32,
+    /// Whether the router may place the request.
+    pub is_leased: bool,
 }
 
-/// The mean fill of the engines that are in service, relative to their limits.
+/// The places at engines that a router has in use and may use.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct EngineFill {
-    /// Running requests.
-    pub running: f64,
-    /// Waiting prompt tokens.
-    pub backlog: f64,
+pub struct LeasedPlaces {
+    /// Places in use.
+    pub own: u32,
+    /// Places that may be used.
+    pub leased: f64,
 }
 
 /// The ages of reported figures.
@@ -103,28 +100,28 @@
     pub(crate) const fn limit(self) -> Limit {
         match self {
             Self { full: 0, .. } => Limit::Engines,
-            Self { both: 1.., .. } => Limit::Order,
-            Self { share: 0, part: 1.., .. } => Limit::Share,
-            Self { share: 1.., part: 0, .. } => Limit::RoomPart,
-            Self { .. } => Limit::ShareAndRoomPart,
+            Self { share: 0, .. } => Limit::Share,
+            Self { is_leased: false, .. } => Limit::Lease,
+            Self { .. } => Limit::Order,
         }
     }
 }
 
 impl fmt::Display for Contention {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { waiting, work, fair_share, allowed_fraction, engines, openings, fill, .. } =
-            self;
+        let Self { waiting, work, fair_share, allowed_fraction, engines, openings, .. } = self;
         let Work { used, contended, unmet } = work;
         write!(formatter, "waiting {waiting}, used {used} tokens, {contended} of them ")?;
         write!(formatter, "when engines were short, lacked {unmet}, ")?;
         write!(formatter, "fair share {fair_share}, ")?;
         write!(formatter, "may fill {allowed_fraction:.2} of an engine; {engines}; ")?;
-        match self.room_part {
-            Some(part) => write!(formatter, "may use {part:.5} of free room; ")?,
-            None => write!(formatter, "may use all free room; ")?,
+        if let Some(LeasedPlaces { own, leased }) = self.places {
+            write!(formatter, "uses {own} of {leased:.1} places; ")?;
+        }
+        write!(formatter, "{openings}; ")?;
+        if let Some(fill) = self.fill {
+            write!(formatter, "{fill}; ")?;
         }
-        write!(formatter, "{openings}; {fill}; ")?;
         write!(formatter, "report interval {} ms", self.report_interval.as_millis())?;
         if let Some(ages) = self.router_ages {
             write!(formatter, ", routers {ages}")?;
@@ -138,19 +135,8 @@
 
 impl fmt::Display for Openings {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { full, share, part, both } = self;
-        write!(
-            formatter,
-            "engines for one request: {full} by full limits, {share} by its share, "
-        )?;
-        write!(formatter, "{part} by the part of room, {both} by both")
-    }
-}
-
-impl fmt::Display for EngineFill {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { running, backlog } = self;
-        write!(formatter, "mean fill: running {running:.2}, backlog {backlog:.2}")
+        let Self { full, share, .. } = self;
+        write!(formatter, "engines for one request: {full} by full limits, {share} by its share")
     }
 }
 
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -12,6 +12,7 @@
 use crate::Contention;
 use crate::CrashHistory;
 use crate::Decision;
+use crate::EngineFill;
 use crate::FleetLimits;
 use crate::Grant;
 use crate::Key;
@@ -32,6 +33,7 @@
 use crate::choice::Selector;
 use crate::queue::Queue;
 use crate::queue::Waiting;
+use crate::shares::Conditions;
 use crate::shares::Shares;
 
 /// The fraction of its target time for which a request waits for a runner.
@@ -209,8 +211,9 @@
 
     /// Returns what keeps the waiting requests of a service from the engines, most waiting requests first.
     pub fn contention(&mut self, now: Duration, service: &Name) -> Vec<Contention> {
-        self.shares.update(now, &self.usage);
+        self.update_shares(now);
         let fair_share = self.shares.fair_share().tokens();
+        let fill = self.engine_fill(now, service);
         let report_interval = self.shares.report_interval;
         let router_ages = self.usage.report_ages(now, true);
         let zone_ages = self.usage.report_ages(now, false);
@@ -228,10 +231,10 @@
                 work,
                 fair_share,
                 allowed_fraction: selector.fraction,
-                room_part: selector.room_part.map(|part| part.part()),
+                places: selector.places().map(|places| selector.lease.of(&places)),
                 engines: selector.engine_room(),
                 openings: selector.openings(&first),
-                fill: selector.engine_fill(),
+                fill,
                 report_interval,
                 router_ages,
                 zone_ages,
@@ -361,7 +364,7 @@
         service: &Name,
         workspace: Option<&Name>,
     ) -> Option<Selector<'_>> {
-        self.shares.update(now, &self.usage);
+        self.update_shares(now);
         self.service_state(service);
         self.tickets += 1;
         self.current_selector(now, service, workspace)
@@ -379,7 +382,7 @@
             service: self.service(service)?,
             adaptive_limit: &self.services.get(service)?.adaptive_limit,
             fraction: self.shares.allowed_fraction(now, &self.usage, workspace),
-            room_part: self.shares.room_part(now, &self.usage, &self.limits.router, workspace),
+            lease: self.shares.lease(now, &self.limits.router),
             fleet_limits: &self.limits,
             now,
             salt: self.tickets,
@@ -407,7 +410,6 @@
             runner.cold_sent.add(now, 1);
         }
         runner.own_load.add(load);
-        self.shares.record_load(now, runner, load);
         if let Some(prompt) = &request.prompt {
             let reported = runner.prefix_cache.record_sent(prompt, now);
             self.placements.extend(reported.map(|part| (part, key)));
@@ -425,6 +427,24 @@
         Grant { runner: key, id, incarnation, address, source, load, work, is_contended }
     }
 
+    /// Computes the shares in the engines again if they are due.
+    fn update_shares(&mut self, now: Duration) {
+        if !self.shares.is_due(now) {
+            return;
+        }
+        let fills = self.services.keys().filter_map(|name| self.engine_fill(now, name));
+        // Shares are those of all services together, so the fullest one decides.
+        let fill = fills.map(|fill| fill.nearest).reduce(f64::max);
+        let routers = self.limits.peers.as_ref().map(|peers| peers.len() + 1);
+        let conditions = Conditions { fill: fill.unwrap_or(1.0), routers };
+        self.shares.update(now, &mut self.usage, conditions);
+    }
+
+    fn engine_fill(&self, now: Duration, service: &Name) -> Option<EngineFill> {
+        let limits = self.services.get(service)?.adaptive_limit.limits();
+        EngineFill::of(now, &self.registry, self.service(service)?, limits)
+    }
+
     fn service(&self, name: &Name) -> Option<&Service> {
         self.table.as_ref()?.service(name.as_str())
     }
@@ -451,7 +471,7 @@
     /// Returns whether only its fair share keeps a workspace from the runners of a service.
     fn is_over_share(&mut self, now: Duration, service: &Name, workspace: Option<&Name>) -> bool {
         let Some(workspace) = workspace else { return false };
-        self.shares.update(now, &self.usage);
+        self.update_shares(now);
         let fair_share = self.shares.fair_share();
         fair_share.is_competing(self.usage.of(now, workspace))
             && self.selector(now, service, None).is_some_and(|selector| selector.has_usable_room())
--- a/crates/balance/src/runner.rs
+++ b/crates/balance/src/runner.rs
@@ -12,7 +12,6 @@
 use crate::PrefixCache;
 use crate::Start;
 use crate::Window;
-use crate::room_part::RecentLoad;
 
 slotmap::new_key_type! {
     /// The key of a runner in the registry.
@@ -77,8 +76,6 @@
     pub prefix_cache: PrefixCache,
     /// The load that this router has placed on it.
     pub own_load: Load,
-    /// The load that this router has placed on it in the current interval of reports.
-    pub(crate) recent_load: RecentLoad,
     /// The load that other routers have placed on it.
     pub peer_loads: PeerLoads,
     /// The requests that were sent while it was cold.
@@ -96,7 +93,6 @@
             paused_until: None,
             prefix_cache: PrefixCache::default(),
             own_load: Load::default(),
-            recent_load: RecentLoad::default(),
             peer_loads: PeerLoads::default(),
             cold_sent: Window::new(COLD_WINDOW),
         };
--- a/crates/balance/src/shares.rs
+++ b/crates/balance/src/shares.rs
@@ -5,25 +5,38 @@
 use base::Name;
 
 use crate::FairShare;
-use crate::Load;
-use crate::Runner;
 use crate::Usage;
-use crate::room_part;
-use crate::room_part::RoomPart;
+use crate::Work;
+use crate::lease::Lease;
+use crate::lease::Part;
 
 /// The interval at which shares are computed again.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(50);
 /// The interval of reports to other routers until it is known.
 const DEFAULT_REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// The smallest fill from which a capacity is estimated.
+const MIN_FILL: f64 = 0.1;
+/// The fraction of places that is divided evenly among routers, whatever they are asked for.
+const EVEN_FRACTION: f64 = 0.1;
 
-/// The shares of workspaces, and of this router.
+/// The state of the engines and of the fleet on which shares depend.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Conditions {
+    /// The mean fraction of the engines' limits that is in use.
+    pub(crate) fill: f64,
+    /// The number of routers, heard or not; `None` if it is unknown.
+    pub(crate) routers: Option<usize>,
+}
+
+/// The shares of workspaces, and the part of this router.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Shares {
     /// The time until which the shares are used.
     until: Duration,
     fair_share: FairShare,
-    /// The part of this router in the requests of competing workspaces; `None` if none competes.
-    part: Option<f64>,
+    /// Whether some workspace competes with others.
+    is_contended: bool,
+    part: Part,
     /// The time after which other routers know of a grant.
     pub(crate) report_interval: Duration,
 }
@@ -33,23 +46,32 @@
         Self {
             until: Duration::ZERO,
             fair_share: FairShare::default(),
-            part: None,
+            is_contended: false,
+            part: Part::default(),
             report_interval: DEFAULT_REPORT_INTERVAL,
         }
     }
 }
 
 impl Shares {
-    /// Computes the shares again if they are due.
-    pub(crate) fn update(&mut self, now: Duration, usage: &Usage) {
-        if now < self.until {
-            return;
-        }
-        let fair_share = FairShare::of(usage.all(now).map(|(_, all)| all));
-        let competing = usage.all(now).filter(|(_, all)| fair_share.is_competing(*all));
+    /// Returns whether the shares are to be computed again.
+    pub(crate) fn is_due(&self, now: Duration) -> bool {
+        now >= self.until
+    }
+
+    /// Computes the shares again.
+    pub(crate) fn update(&mut self, now: Duration, usage: &mut Usage, conditions: Conditions) {
         self.until = now + UPDATE_INTERVAL;
-        self.fair_share = fair_share;
-        self.part = room_part::part(competing);
+        let works: Vec<Work> = usage.all(now).collect();
+        self.fair_share = FairShare::of(capacity(&works, conditions.fill), &works);
+        let was_contended = self.is_contended;
+        self.is_contended = works.iter().any(|work| self.fair_share.is_competing(*work));
+        if self.is_contended && !was_contended {
+            // Nobody could know of the shortage before the reports of the last interval.
+            usage.count_as_contended(now, self.report_interval);
+        }
+        usage.record_own(now);
+        self.part = part(usage, conditions);
     }
 
     /// Returns the fair share of a workspace.
@@ -59,7 +81,7 @@
 
     /// Returns whether some workspace lacks work that it would be granted if engines were idle.
     pub(crate) const fn is_contended(&self) -> bool {
-        self.part.is_some()
+        self.is_contended
     }
 
     /// Returns the fraction of an engine's limits that a workspace may fill.
@@ -72,22 +94,15 @@
         workspace.map_or(1.0, |name| self.fair_share.allowed_fraction(usage.of(now, name)))
     }
 
-    /// Returns the part of free room that a router uses for requests of a workspace; `None` if it may use all.
-    pub(crate) fn room_part(
-        &self,
-        now: Duration,
-        usage: &Usage,
-        router: &Name,
-        workspace: Option<&Name>,
-    ) -> Option<RoomPart> {
-        let work = usage.of(now, workspace?);
-        let part = self.part.filter(|_| self.fair_share.is_competing(work))?;
-        Some(RoomPart::new(router, now, self.report_interval, part))
-    }
-
-    /// Records that load was placed on a runner.
-    pub(crate) fn record_load(&self, now: Duration, runner: &mut Runner, load: Load) {
-        runner.recent_load.add(room_part::interval(now, self.report_interval), load);
+    /// Returns the lease of a router.
+    pub(crate) fn lease(&self, now: Duration, router: &Name) -> Lease {
+        let interval = now.as_millis() / self.report_interval.as_millis().max(1);
+        Lease::new(
+            router,
+            u64::try_from(interval).unwrap_or(u64::MAX),
+            self.part,
+            self.is_contended,
+        )
     }
 
     /// Records that a workspace has used more; its share may be outdated if it has exceeded it.
@@ -97,3 +112,47 @@
         }
     }
 }
+
+/// Returns the work that engines could be granted if they were full, in tokens.
+fn capacity(works: &[Work], fill: f64) -> u64 {
+    let used: u64 = works.iter().map(|work| work.used).sum();
+    (used as f64 / fill.max(MIN_FILL)) as u64
+}
+
+/// Returns the part of this router: of what each workspace is owed, as much as it is asked for here. What nobody is owed
+/// is divided evenly, and what is owed at routers that were not heard stays with them.
+fn part(usage: &Usage, conditions: Conditions) -> Part {
+    let Some(routers) = conditions.routers else { return Part::default() };
+    let even = 1.0 / routers as f64;
+    if routers > 1 && usage.heard_routers() == 0 {
+        return Part { fraction: even, offered: 0.0 };
+    }
+    let heard = ((usage.heard_routers() + 1) as f64 * even).min(1.0);
+    let works: Vec<(Work, Work)> = usage.as_of_reports().collect();
+    let all: Vec<Work> = works.iter().map(|(_, all)| *all).collect();
+    let capacity = capacity(&all, conditions.fill);
+    let fair_share = FairShare::of(capacity, &all);
+    let owed: f64 = all.iter().map(|all| fair_share.owed(*all)).sum();
+    let owed_here: f64 = works
+        .iter()
+        .filter(|(_, all)| all.demand() > 0)
+        .map(|(own, all)| fair_share.owed(*all) * own.demand() as f64 / all.demand() as f64)
+        .sum();
+    let whole = (capacity as f64).max(owed).max(1.0);
+    let asked = heard * owed_here / whole + even * (1.0 - owed / whole);
+    Part {
+        fraction: EVEN_FRACTION * even + (1.0 - EVEN_FRACTION) * asked,
+        offered: heard * part_of_lacking(fair_share, &works),
+    }
+}
+
+/// Returns the part of this router in what workspaces lack of what they are owed.
+fn part_of_lacking(fair_share: FairShare, works: &[(Work, Work)]) -> f64 {
+    let (mut here, mut sum) = (0.0, 0.0);
+    for (own, all) in works.iter().filter(|(_, all)| all.is_short()) {
+        let lacking = fair_share.owed(*all).min(all.unmet as f64);
+        here += lacking * own.unmet as f64 / all.unmet as f64;
+        sum += lacking;
+    }
+    if sum > 0.0 { here / sum } else { 0.0 }
+}
--- a/crates/balance/src/usage.rs
+++ b/crates/balance/src/usage.rs
@@ -1,5 +1,6 @@
 //! The recent work of each workspace, over all routers: what its requests have asked for and what they were granted.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use base::Name;
@@ -9,9 +10,13 @@
 use crate::ReportAges;
 
 /// The time after which past work has half of its weight.
-const HALF_LIFE: Duration = Duration::from_millis(700);
+const HALF_LIFE: Duration = Duration::from_millis(1_500);
 /// The time after which reported figures expire.
 const EXPIRY: Duration = Duration::from_millis(1_500);
+/// The part of its demand that a workspace must lack to count as short.
+const MIN_UNMET_FRACTION: f64 = 0.1;
+/// The interval at which the work at this router is recorded.
+const RECORD_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Recent work of a workspace, in tokens, as sums with exponential decay.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -31,6 +36,12 @@
         self.used + self.unmet
     }
 
+    /// Returns whether a workspace lacks a considerable part of what it asks for.
+    #[must_use]
+    pub fn is_short(self) -> bool {
+        self.unmet as f64 > MIN_UNMET_FRACTION * self.demand() as f64
+    }
+
     const fn plus(self, other: Self) -> Self {
         Self {
             used: self.used + other.used,
@@ -63,13 +74,28 @@
     demand: Decay,
 }
 
-/// Reported work by workspace, with the time of the report.
-type Report = (Duration, IndexMap<Name, Work>);
+/// The work that an origin has reported.
+#[derive(Debug, Clone)]
+struct Report {
+    at: Duration,
+    /// The number of routers at which it was done.
+    routers: usize,
+    works: IndexMap<Name, Work>,
+}
+
+/// The work at this router at an earlier time.
+#[derive(Debug, Clone)]
+struct Record {
+    at: Duration,
+    works: IndexMap<Name, Work>,
+}
 
 /// The recent work of each workspace.
 #[derive(Debug, Clone, Default)]
 pub struct Usage {
     own: IndexMap<Name, OwnWork>,
+    /// The work at this router within the time after which reports expire, oldest first.
+    records: VecDeque<Record>,
     reported: IndexMap<Origin, Report>,
     /// The sums of the reported figures, which each decision needs.
     reported_sums: IndexMap<Name, Work>,
@@ -124,20 +150,26 @@
         }
     }
 
-    /// Records the work at other routers, by workspace, which an origin reported at `at`.
-    pub fn put(&mut self, origin: &Origin, at: Duration, works: IndexMap<Name, Work>) {
+    /// Records the work at a number of other routers, by workspace, which an origin reported at `at`.
+    pub fn put(
+        &mut self,
+        origin: &Origin,
+        at: Duration,
+        routers: usize,
+        works: IndexMap<Name, Work>,
+    ) {
         for (workspace, work) in &works {
             let sum = self.reported_sums.entry(workspace.clone()).or_default();
             *sum = sum.plus(*work);
         }
-        let previous = self.reported.insert(origin.clone(), (at, works));
+        let previous = self.reported.insert(origin.clone(), Report { at, routers, works });
         self.subtract(previous);
     }
 
     /// Removes reported figures that have expired.
     pub fn remove_expired(&mut self, now: Duration) {
         let is_expired = |at: Duration| now >= at + EXPIRY;
-        let origins = self.reported.iter().filter(|(_, (at, _))| is_expired(*at));
+        let origins = self.reported.iter().filter(|(_, report)| is_expired(report.at));
         let expired: Vec<Origin> = origins.map(|(origin, _)| origin.clone()).collect();
         for origin in expired {
             let removed = self.reported.swap_remove(&origin);
@@ -146,7 +178,7 @@
     }
 
     fn subtract(&mut self, removed: Option<Report>) {
-        for (workspace, work) in removed.into_iter().flat_map(|(_, works)| works) {
+        for (workspace, work) in removed.into_iter().flat_map(|report| report.works) {
             if let Some(sum) = self.reported_sums.get_mut(&workspace) {
                 *sum = sum.saturating_sub(work);
             }
@@ -160,14 +192,56 @@
         reported.plus(self.own_work(now, workspace))
     }
 
-    /// Returns the recent work of each workspace at this router and over all routers.
-    pub fn all(&self, now: Duration) -> impl Iterator<Item = (Work, Work)> {
+    /// Returns the recent work of each workspace over all routers.
+    pub fn all(&self, now: Duration) -> impl Iterator<Item = Work> {
+        self.workspaces().into_iter().map(move |name| self.of(now, name))
+    }
+
+    /// Records the work at this router, unless that has just been done.
+    pub(crate) fn record_own(&mut self, now: Duration) {
+        if self.records.back().is_some_and(|record| now < record.at + RECORD_INTERVAL) {
+            return;
+        }
+        let works = self.own(now).map(|(name, work)| (name.clone(), work)).collect();
+        self.records.push_back(Record { at: now, works });
+        while self.records.get(1).is_some_and(|record| record.at + EXPIRY <= now) {
+            self.records.pop_front();
+        }
+    }
+
+    /// Returns the recorded work at this router at a time, or else the oldest.
+    fn record_at(&self, time: Duration) -> Option<&Record> {
+        self.records.iter().rev().find(|record| record.at <= time).or(self.records.front())
+    }
+
+    /// Returns the work of each workspace at this router and over all routers, both as of the oldest report.
+    ///
+    /// Work here that the others can't have reported theirs beside would make this router's part too large.
+    pub(crate) fn as_of_reports(&self) -> impl Iterator<Item = (Work, Work)> {
+        let oldest = self.reported.values().map(|report| report.at).min();
+        let record = self.record_at(oldest.unwrap_or(Duration::MAX));
         self.workspaces().into_iter().map(move |name| {
-            let own = self.own_work(now, name);
+            let own = record.and_then(|record| record.works.get(name)).copied().unwrap_or_default();
             (own, own.plus(self.reported_sums.get(name).copied().unwrap_or_default()))
         })
     }
 
+    /// Returns the number of other routers whose work is known.
+    pub(crate) fn heard_routers(&self) -> usize {
+        self.reported.values().map(|report| report.routers).sum()
+    }
+
+    /// Counts what this router has granted within an interval as granted while some workspace lacked work.
+    pub(crate) fn count_as_contended(&mut self, now: Duration, interval: Duration) {
+        let Some(record) = self.record_at(now.saturating_sub(interval)).cloned() else { return };
+        for (name, own) in &mut self.own {
+            let used = record.works.get(name).map_or(0.0, |work| work.used as f64);
+            let earlier = Decay { at: record.at, sum: used };
+            let recent = own.used.value(now) - earlier.value(now) - own.contended.value(now);
+            own.contended.add(now, recent.max(0.0));
+        }
+    }
+
     /// Returns the recent work at this router and those that report their own, by workspace, for a report to other zones.
     pub fn of_routers(&self, now: Duration) -> impl Iterator<Item = (&Name, Work)> {
         self.workspaces()
@@ -184,7 +258,7 @@
     #[must_use]
     pub fn report_ages(&self, now: Duration, of_routers: bool) -> Option<ReportAges> {
         let reports = self.reported.iter().filter(|(origin, _)| origin.is_router() == of_routers);
-        let ages = reports.map(|(_, (at, _))| now.saturating_sub(*at));
+        let ages = reports.map(|(_, report)| now.saturating_sub(report.at));
         let newest = ages.clone().min()?;
         Some(ReportAges { newest, oldest: ages.max().unwrap_or(newest) })
     }
@@ -195,7 +269,7 @@
 
     fn work_of_routers(&self, workspace: &Name) -> Work {
         let routers = self.reported.iter().filter(|(origin, _)| origin.is_router());
-        let works = routers.filter_map(|(_, (_, works))| works.get(workspace));
+        let works = routers.filter_map(|(_, report)| report.works.get(workspace));
         works.fold(Work::default(), |sum, work| sum.plus(*work))
     }
 
--- a/crates/balance/tests/aggregation.rs
+++ b/crates/balance/tests/aggregation.rs
@@ -193,7 +193,7 @@
         for sender in [0, 20] {
             let at = NOW + ms(50 * step + sender);
             loads.put(&zone, at, load);
-            usage.put(&zone, at, [(wall.clone(), work)].into());
+            usage.put(&zone, at, 2, [(wall.clone(), work)].into());
         }
     }
     assert_eq!(loads.sum(), load);
--- a/crates/balance/tests/common/fleet.rs
+++ b/crates/balance/tests/common/fleet.rs
@@ -43,6 +43,8 @@
 /// The figures that one router or all routers of a zone report.
 #[derive(Clone, Default)]
 struct Figures {
+    /// The number of routers.
+    routers: usize,
     loads: IndexMap<Name, Load>,
     works: IndexMap<Name, Work>,
 }
@@ -247,10 +249,11 @@
         let loads =
             runners.map(|(_, runner)| (runner.registration.id.clone(), runner.own_load)).collect();
         let works = core.usage.own(now).map(|(name, work)| (name.clone(), work)).collect();
-        Self { loads, works }
+        Self { routers: 1, loads, works }
     }
 
     fn add(&mut self, other: Self) {
+        self.routers += other.routers;
         for (id, load) in other.loads {
             self.loads.entry(id).or_default().add(load);
         }
@@ -269,7 +272,7 @@
             let runner = core.registry.get_mut(key).expect("known");
             runner.peer_loads.put(origin, at, *load);
         }
-        core.usage.put(origin, at, self.works.clone());
+        core.usage.put(origin, at, self.routers, self.works.clone());
     }
 }
 
--- a/crates/balance/tests/fairness.rs
+++ b/crates/balance/tests/fairness.rs
@@ -97,15 +97,15 @@
 #[test]
 fn a_fair_share_is_what_is_left_by_those_that_ask_for_less_divided_evenly() {
     let short = [contended(10, 0), contended(50, 500), contended(20, 100), contended(20, 900)];
-    assert_eq!(FairShare::of(short.into_iter()).tokens(), 30);
+    assert_eq!(FairShare::of(100, &short).tokens(), 30);
     let idle = [contended(10, 0), contended(50, 0)];
-    assert_eq!(FairShare::of(idle.into_iter()).tokens(), 50);
-    assert_eq!(FairShare::of(std::iter::empty()).tokens(), 0);
+    assert_eq!(FairShare::of(60, &idle).tokens(), 50);
+    assert_eq!(FairShare::of(0, &[]).tokens(), 0);
 }
 
 #[test]
 fn a_workspace_may_fill_less_of_an_engine_the_more_it_was_granted_but_never_nothing() {
-    let share = FairShare::of([contended(100, 400), contended(100, 400)].into_iter());
+    let share = FairShare::of(200, &[contended(100, 400), contended(100, 400)]);
     let fractions =
         [0, 50, 100, 150, 10_000].map(|used| share.allowed_fraction(contended(used, 400)));
     assert!(fractions.is_sorted_by(|more, less| more >= less), "{fractions:?}");
@@ -114,7 +114,7 @@
 
 #[test]
 fn use_of_idle_engines_counts_up_to_the_fair_share_only() {
-    let share = FairShare::of([contended(100, 400), contended(100, 400)].into_iter());
+    let share = FairShare::of(200, &[contended(100, 400), contended(100, 400)]);
     let idle = |used| share.allowed_fraction(Work { used, contended: 0, unmet: 0 });
     assert_eq!(idle(900), share.allowed_fraction(contended(100, 0)));
     assert_eq!(idle(60), share.allowed_fraction(contended(60, 0)));
--- a/crates/balance/tests/waiting.rs
+++ b/crates/balance/tests/waiting.rs
@@ -6,10 +6,8 @@
 
 use balance::Decision;
 use balance::Limit;
-use balance::Origin;
 use balance::Outcome;
 use balance::Refusal;
-use balance::Work;
 use base::Name;
 
 use crate::common::core;
@@ -133,13 +131,14 @@
     assert_eq!(last_refusal(&mut empty, "flood", NOW), Some(Refusal::NoRunner));
 }
 
-/// Returns what kept a request of a workspace from the engines until it was refused; other routers have reported work.
-fn refusing_limit(engines: usize, workspace: &str, reported: &[(&str, Work)]) -> Option<Limit> {
+/// Returns what kept requests of a workspace from the engines until the first was refused, at a router that shares them with
+/// a number of others.
+fn refusing_limit(engines: usize, others: usize) -> Option<Limit> {
     let mut core = core("router-1", engines);
-    let works = reported.iter().map(|(name, work)| (Name::new(name), *work)).collect();
-    core.usage.put(&Origin::Router(Name::new("router-2")), NOW, works);
-    let outcome = core.submit(NOW, request(NOW, workspace, 0, 2_000));
-    assert!(matches!(outcome, Outcome::Queued(_)));
+    core.set_peers((0..others).map(|other| Name::new(&format!("other-{other}"))).collect());
+    for _ in 0..4 {
+        core.submit(NOW, request(NOW, "flood", 0, 2_000));
+    }
     let due = core.next_wake()?;
     let decided = core.process_queue(due);
     decided.into_iter().find_map(|(_, decision)| match decision {
@@ -150,9 +149,6 @@
 
 #[test]
 fn a_refusal_names_the_limit_that_kept_the_request_from_the_engines() {
-    assert_eq!(refusing_limit(0, "flood", &[]), Some(Limit::Engines));
-    let short = Work { used: 0, contended: 0, unmet: 90_000_000 };
-    let other = Work { used: 1_000, contended: 1_000, unmet: 90_000_000 };
-    let reported = [("flood", short), ("other", other)];
-    assert_eq!(refusing_limit(1, "flood", &reported), Some(Limit::RoomPart));
+    assert_eq!(refusing_limit(0, 0), Some(Limit::Engines));
+    assert_eq!(refusing_limit(1, 500), Some(Limit::Lease));
 }
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -177,7 +177,7 @@
             Some((name.clone(), work))
         });
         let works = works.collect();
-        core.usage.put(origin, at, works);
+        core.usage.put(origin, at, self.routers, works);
     }
 
     fn apply_limits(&self, core: &mut Core) {
