fix(relay): a request whose caller left before its connection was accepted reaches no runner

Cause: tokio takes an accepted socket for readable without an event. The first read takes the request and leaves the end of the stream behind it unread, and tokio reads on only after the next event, which also says that the caller has closed. Until then a request that is granted at once and finds a kept connection to its runner is sent. Each accepted connection is now registered again, so that its first read follows its first event; hyper then reads the end of the stream before the handler goes on, and drops the request.

Not changed: a caller that closes only its sending side counts as one that left. If a router is suspended between taking an event and reading the connection, it can still send that request.

--- a/crates/aspenline/tests/common/router.rs
+++ b/crates/aspenline/tests/common/router.rs
@@ -250,6 +250,27 @@
         rustix::process::kill_process(id, signal).expect("the process runs");
     }
 
+    /// Suspends the process, and waits until it has stopped.
+    pub(crate) async fn suspend(&self) {
+        self.signal(rustix::process::Signal::STOP);
+        wait_for(|| {
+            let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+            status.expect("the process exists").contains("State:\tT").then_some(())
+        })
+        .await;
+    }
+
+    /// Sets the maximum number of file descriptors of the process; without a value, that of the test applies.
+    pub(crate) fn limit_descriptors(&self, limit: Option<u64>) {
+        let own = rustix::process::getrlimit(rustix::process::Resource::Nofile);
+        let current = limit.or(own.current);
+        let limits = rustix::process::Rlimit { current, maximum: own.maximum };
+        let id = i32::try_from(self.child.id()).expect("a process id");
+        let id = rustix::process::Pid::from_raw(id);
+        rustix::process::prlimit(id, rustix::process::Resource::Nofile, limits)
+            .expect("the process runs");
+    }
+
     /// Waits until the process exits, and returns its exit code.
     pub(crate) async fn wait_for_exit(&mut self) -> Option<i32> {
         let start = Instant::now();
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -121,6 +121,13 @@
     B: Body<Data = Bytes> + 'static,
     B::Error: Into<Box<dyn StdError + Send + Sync>>,
 {
+    let stream = match register_anew(stream) {
+        Ok(stream) => stream,
+        Err(error) => {
+            log::warn!("failed to register a connection: {error}");
+            return;
+        }
+    };
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("failed to set TCP_NODELAY on a connection: {error}");
     }
@@ -149,6 +156,14 @@
     }
 }
 
+/// Registers an accepted connection again, so that it is read only after its first event.
+///
+/// That event also says whether the caller has closed the connection. Without it, the request of a caller that left
+/// while its connection waited to be accepted would be passed on.
+fn register_anew(stream: TcpStream) -> io::Result<TcpStream> {
+    TcpStream::from_std(stream.into_std()?)
+}
+
 /// Waits until the listener stops and a connection has had its first request, which a shutdown would otherwise drop.
 async fn stopped_after_first_request(stop: &CancellationToken, has_request: &CancellationToken) {
     stop.cancelled().await;
