--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -1,6 +1,8 @@
 //! The state of a router and its decisions on each request.
 
-use std::cmp::Reverse;
+mod conditions;
+mod refusal;
+
 use std::time::Duration;
 
 use base::Name;
@@ -9,18 +11,14 @@
 use crate::AdaptiveLimit;
 use crate::Admission;
 use crate::Cause;
-use crate::Contention;
 use crate::CrashHistory;
 use crate::Decision;
-use crate::EngineFill;
 use crate::FleetLimits;
 use crate::Grant;
 use crate::Key;
-use crate::Limit;
 use crate::Load;
 use crate::LoadLimits;
 use crate::Outcome;
-use crate::Refusal;
 use crate::Registry;
 use crate::Request;
 use crate::RetryBudget;
@@ -33,7 +31,6 @@
 use crate::choice::Selector;
 use crate::queue::Queue;
 use crate::queue::Waiting;
-use crate::shares::Conditions;
 use crate::shares::Shares;
 
 /// The fraction of its target time for which a request waits for a runner.
@@ -42,8 +39,6 @@
 const MAX_PLACEMENTS: usize = 48;
 /// The maximum number of waiting requests of a service that are examined in one run of its queue.
 const MAX_EXAMINED: usize = 24;
-/// The shortest retry delay that a refused caller is given.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// The state of one service.
 #[derive(Debug, Clone)]
@@ -209,41 +204,6 @@
         self.services.iter().map(|(name, state)| (name, &state.adaptive_limit, state.queue.len()))
     }
 
-    /// Returns what keeps the waiting requests of a service from the engines, most waiting requests first.
-    pub fn contention(&mut self, now: Duration, service: &Name) -> Vec<Contention> {
-        self.update_shares(now);
-        let fair_share = self.shares.fair_share().tokens();
-        let fill = self.engine_fill(now, service);
-        let report_interval = self.shares.report_interval;
-        let router_ages = self.usage.report_ages(now, true);
-        let zone_ages = self.usage.report_ages(now, false);
-        let counts = self.service_state(service).queue.by_workspace();
-        let counts = counts.into_iter();
-        let mut counts: Vec<(Name, usize, Request)> = counts
-            .map(|(name, (count, first))| (name.clone(), count, first.request.clone()))
-            .collect();
-        counts.sort_by_key(|(_, count, _)| Reverse(*count));
-        let states = counts.into_iter().filter_map(|(workspace, waiting, first)| {
-            let work = self.usage.of(now, &workspace);
-            let selector = self.selector(now, service, Some(&workspace))?;
-            Some(Contention {
-                waiting,
-                work,
-                fair_share,
-                allowed_fraction: selector.fraction,
-                places: selector.places().map(|places| selector.lease.of(&places)),
-                engines: selector.engine_room(),
-                openings: selector.openings(&first),
-                fill,
-                report_interval,
-                router_ages,
-                zone_ages,
-                workspace,
-            })
-        });
-        states.collect()
-    }
-
     /// Records the limits on the load of one engine that a number of other routers have derived.
     pub fn record_peer_limits(&mut self, service: &Name, other: LoadLimits, routers: usize) {
         let peers = self.limits.peers.as_ref().map_or(0, Vec::len);
@@ -422,57 +382,10 @@
         Grant { runner: key, id, incarnation, address, source, load, payer, work, is_contended }
     }
 
-    /// Computes the shares in the engines again if they are due.
-    fn update_shares(&mut self, now: Duration) {
-        if !self.shares.is_due(now) {
-            return;
-        }
-        self.usage.remove_expired(now);
-        let fills = self.services.keys().filter_map(|name| self.engine_fill(now, name));
-        // Shares are those of all services together, so the fullest one decides.
-        let fill = fills.map(|fill| fill.nearest).reduce(f64::max);
-        let routers = self.limits.peers.as_ref().map(|peers| peers.len() + 1);
-        let conditions = Conditions { fill: fill.unwrap_or(1.0), routers };
-        self.shares.update(now, &mut self.usage, conditions);
-    }
-
-    fn engine_fill(&self, now: Duration, service: &Name) -> Option<EngineFill> {
-        let limits = self.services.get(service)?.adaptive_limit.limits();
-        EngineFill::of(now, &self.registry, self.service(service)?, limits)
-    }
-
     fn service(&self, name: &Name) -> Option<&Service> {
         self.table.as_ref()?.service(name.as_str())
     }
 
-    fn refusal(&mut self, now: Duration, request: &Request) -> Decision {
-        let span = request.target.saturating_sub(request.arrived);
-        let pause = self.pause(now, &request.service).unwrap_or_default();
-        let retry_after = span.max(MIN_RETRY_AFTER).max(pause);
-        let is_over_share = self.is_over_share(now, &request.service, request.workspace.as_ref());
-        let reason = if is_over_share { Refusal::OverShare } else { Refusal::NoRunner };
-        let limit = self.refusing_limit(now, request);
-        Decision::Refused { retry_after, reason, limit }
-    }
-
-    /// Returns what keeps a request from the engines, without effect on later decisions.
-    fn refusing_limit(&self, now: Duration, request: &Request) -> Limit {
-        if !self.knows_departures(now) {
-            return Limit::Departures;
-        }
-        let selector = self.current_selector(now, &request.service, request.workspace.as_ref());
-        selector.map_or(Limit::Engines, |selector| selector.openings(request).limit())
-    }
-
-    /// Returns whether only its fair share keeps a workspace from the runners of a service.
-    fn is_over_share(&mut self, now: Duration, service: &Name, workspace: Option<&Name>) -> bool {
-        let Some(workspace) = workspace else { return false };
-        self.update_shares(now);
-        let fair_share = self.shares.fair_share();
-        fair_share.is_competing(self.usage.of(now, workspace))
-            && self.selector(now, service, None).is_some_and(|selector| selector.has_usable_room())
-    }
-
     fn service_state(&mut self, service: &Name) -> &mut ServiceState {
         if !self.services.contains_key(service) {
             let limits = &self.limits;
--- /dev/null
+++ b/crates/balance/src/core/conditions.rs
@@ -0,0 +1,31 @@
+//! The state of the engines and of the fleet from which shares are computed.
+
+use std::time::Duration;
+
+use base::Name;
+
+use super::Core;
+use crate::EngineFill;
+use crate::shares::Conditions;
+
+impl Core {
+    /// Computes the shares in the engines again if they are due.
+    pub(super) fn update_shares(&mut self, now: Duration) {
+        if !self.shares.is_due(now) {
+            return;
+        }
+        self.usage.remove_expired(now);
+        let fills = self.services.keys().filter_map(|name| self.engine_fill(now, name));
+        // Shares are those of all services together, so the fullest one decides.
+        let fill = fills.map(|fill| fill.nearest).reduce(f64::max);
+        let routers = self.limits.peers.as_ref().map(|peers| peers.len() + 1);
+        let conditions = Conditions { fill: fill.unwrap_or(1.0), routers };
+        self.shares.update(now, &mut self.usage, conditions);
+    }
+
+    /// Returns how full the engines of a service are; `None` if there are none.
+    pub(super) fn engine_fill(&self, now: Duration, service: &Name) -> Option<EngineFill> {
+        let limits = self.services.get(service)?.adaptive_limit.limits();
+        EngineFill::of(now, &self.registry, self.service(service)?, limits)
+    }
+}
--- a/crates/balance/src/shares.rs
+++ b/crates/balance/src/shares.rs
@@ -22,7 +22,7 @@
 /// The state of the engines and of the fleet on which shares depend.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Conditions {
-    /// The mean fraction of the engines' limits that is in use.
+    /// The fraction of the engines' limits that is in use, in the mean over the engines of the fullest service.
     pub(crate) fill: f64,
     /// The number of routers, heard or not; `None` if it is unknown.
     pub(crate) routers: Option<usize>,
--- a/crates/balance/src/usage.rs
+++ b/crates/balance/src/usage.rs
@@ -216,7 +216,7 @@
 
     /// Returns the work of each workspace at this router and over all routers, both as of the oldest report.
     ///
-    /// Work here that the others can't have reported theirs beside would make this router's part too large.
+    /// Newer work here, beside older work elsewhere, would make this router's part too large when load rises everywhere.
     pub(crate) fn as_of_reports(&self) -> impl Iterator<Item = (Work, Work)> {
         let oldest = self.reported.values().map(|report| report.at).min();
         let record = self.record_at(oldest.unwrap_or(Duration::MAX));
