fix(balance): a router whose requests hold places for long is leased more of them

Cause: what workspaces are owed is counted in tokens, places are leased in requests. seny560, whose requests run long for few tokens, used 149 of 103 leased places for 160,000 tokens at a fair share of 248,000, and got fewer places still as it fell behind.

Change: a router's part is weighted by how long its requests hold a place for the same work, relative to those of all, from a decaying sum of the time for which it had places in use. When load rises everywhere the figure stays below one, so that the first interval keeps its bound.

Tried before: both figures as sums with exponential decay (the first interval at 45 routers granted 1,962 of 1,536); no router below one (a small workspace got 44 of 60).

--- a/crates/balance/src/core/conditions.rs
+++ b/crates/balance/src/core/conditions.rs
@@ -6,6 +6,8 @@
 
 use super::Core;
 use crate::EngineFill;
+use crate::Load;
+use crate::Runner;
 use crate::shares::Conditions;
 
 impl Core {
@@ -19,10 +21,25 @@
         // Shares are those of all services together, so the fullest one decides.
         let fill = fills.map(|fill| fill.nearest).reduce(f64::max);
         let routers = self.limits.peers.as_ref().map(|peers| peers.len() + 1);
-        let conditions = Conditions { fill: fill.unwrap_or(1.0), routers };
+        let (mut own, mut all) = (Load::default(), Load::default());
+        for (_, runner) in self.registry.iter().filter(|(_, runner)| self.is_engine(runner)) {
+            own.add(runner.own_load);
+            all.add(runner.load());
+        }
+        let conditions = Conditions {
+            fill: fill.unwrap_or(1.0),
+            routers,
+            own_running: own.running,
+            all_running: all.running,
+        };
         self.shares.update(now, &mut self.usage, conditions);
     }
 
+    fn is_engine(&self, runner: &Runner) -> bool {
+        let service = self.service(&runner.registration.service);
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
     /// Returns how full the engines of a service are; `None` if there are none.
     pub(super) fn engine_fill(&self, now: Duration, service: &Name) -> Option<EngineFill> {
         let limits = self.services.get(service)?.adaptive_limit.limits();
--- a/crates/balance/src/shares.rs
+++ b/crates/balance/src/shares.rs
@@ -9,11 +9,17 @@
 use crate::Work;
 use crate::lease::Lease;
 use crate::lease::Part;
+use crate::usage;
+use crate::usage::Decay;
 
 /// The interval at which shares are computed again.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(50);
 /// The interval of reports to other routers until it is known.
 const DEFAULT_REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// The shortest time for which requests of a router are taken to hold a place, relative to those of all.
+const MIN_RELATIVE_DURATION: f64 = 0.5;
+/// The longest time for which requests of a router are taken to hold a place, relative to those of all.
+const MAX_RELATIVE_DURATION: f64 = 8.0;
 /// The smallest fill from which a capacity is estimated.
 const MIN_FILL: f64 = 0.1;
 /// The fraction of places that is divided evenly among routers, whatever they are asked for.
@@ -26,6 +32,10 @@
     pub(crate) fill: f64,
     /// The number of routers, heard or not; `None` if it is unknown.
     pub(crate) routers: Option<usize>,
+    /// The requests that this router has running at engines.
+    pub(crate) own_running: u32,
+    /// The requests that all routers have running at engines.
+    pub(crate) all_running: u32,
 }
 
 /// The shares of workspaces, and the part of this router.
@@ -37,10 +47,44 @@
     /// Whether some workspace competes with others.
     is_contended: bool,
     part: Part,
+    place_time: PlaceTime,
     /// The time after which other routers know of a grant.
     pub(crate) report_interval: Duration,
 }
 
+/// How long this router had places at engines in use of late, in seconds, as a sum with exponential decay.
+#[derive(Debug, Clone, Copy, Default)]
+struct PlaceTime {
+    at: Duration,
+    sum: Decay,
+}
+
+impl PlaceTime {
+    /// Adds the time since the last call, for which a number of requests was running.
+    fn add(&mut self, now: Duration, running: u32) {
+        let time = now.saturating_sub(self.at).as_secs_f64();
+        self.at = now;
+        self.sum.add(now, time * f64::from(running));
+    }
+
+    /// Returns how long requests of this router hold a place for the same work, relative to those of all routers.
+    ///
+    /// When load rises, the figure for the others is too high at first, so that no router takes its own requests for longer
+    /// ones.
+    fn relative_duration(&self, now: Duration, usage: &Usage, conditions: Conditions) -> f64 {
+        let own_used: u64 = usage.own(now).map(|(_, work)| work.used).sum();
+        let all_used: u64 = usage.all(now).map(|work| work.used).sum();
+        let own_time = self.sum.value(now);
+        let others_running = conditions.all_running.saturating_sub(conditions.own_running);
+        let all_time = own_time + f64::from(others_running) * usage::decay_time().as_secs_f64();
+        let relative = (own_time / own_used as f64) / (all_time / all_used as f64);
+        if !relative.is_normal() {
+            return 1.0;
+        }
+        relative.clamp(MIN_RELATIVE_DURATION, MAX_RELATIVE_DURATION)
+    }
+}
+
 impl Default for Shares {
     fn default() -> Self {
         Self {
@@ -48,6 +92,7 @@
             fair_share: FairShare::default(),
             is_contended: false,
             part: Part::default(),
+            place_time: PlaceTime::default(),
             report_interval: DEFAULT_REPORT_INTERVAL,
         }
     }
@@ -71,7 +116,9 @@
             usage.count_as_contended(now, self.report_interval);
         }
         usage.record_own(now);
-        self.part = part(usage, conditions);
+        self.place_time.add(now, conditions.own_running);
+        let duration = self.place_time.relative_duration(now, usage, conditions);
+        self.part = part(usage, conditions, duration);
     }
 
     /// Returns the fair share of a workspace.
@@ -121,7 +168,9 @@
 
 /// Returns the part of this router: of what each workspace is owed, as much as it is asked for here. What nobody is owed
 /// is divided evenly, and what is owed at routers that were not heard stays with them.
-fn part(usage: &Usage, conditions: Conditions) -> Part {
+///
+/// `duration` is the time for which requests of this router hold a place, relative to those of all.
+fn part(usage: &Usage, conditions: Conditions, duration: f64) -> Part {
     let Some(routers) = conditions.routers else { return Part::default() };
     let even = 1.0 / routers as f64;
     if routers > 1 && usage.heard_routers() == 0 {
@@ -139,9 +188,9 @@
         .map(|(own, all)| fair_share.owed(*all) * own.demand() as f64 / all.demand() as f64)
         .sum();
     let whole = (capacity as f64).max(owed).max(1.0);
-    let asked = heard * owed_here / whole + even * (1.0 - owed / whole);
+    let asked = heard * duration * owed_here / whole + even * (1.0 - owed / whole);
     Part {
-        fraction: EVEN_FRACTION * even + (1.0 - EVEN_FRACTION) * asked,
+        fraction: EVEN_FRACTION * even + (1.0 - EVEN_FRACTION) * asked.min(1.0),
         offered: heard * part_of_lacking(fair_share, &works),
     }
 }
--- a/crates/balance/src/usage.rs
+++ b/crates/balance/src/usage.rs
@@ -61,7 +61,7 @@
 
 /// A sum with exponential decay.
 #[derive(Debug, Clone, Copy, Default)]
-struct Decay {
+pub(crate) struct Decay {
     at: Duration,
     sum: f64,
 }
@@ -101,13 +101,18 @@
     reported_sums: IndexMap<Name, Work>,
 }
 
+/// Returns the time in which a constant amount adds up to its sum with exponential decay.
+pub(crate) fn decay_time() -> Duration {
+    HALF_LIFE.div_f64(std::f64::consts::LN_2)
+}
+
 impl Decay {
-    fn value(self, now: Duration) -> f64 {
+    pub(crate) fn value(self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.at);
         self.sum * (-(age.as_secs_f64() / HALF_LIFE.as_secs_f64())).exp2()
     }
 
-    fn add(&mut self, now: Duration, amount: f64) {
+    pub(crate) fn add(&mut self, now: Duration, amount: f64) {
         self.sum = (self.value(now) + amount).max(0.0);
         self.at = now;
     }
--- a/crates/balance/tests/common/fleet.rs
+++ b/crates/balance/tests/common/fleet.rs
@@ -64,6 +64,8 @@
     pub(crate) granted: IndexMap<(Name, u64), u64>,
     /// The number of requests submitted, by workspace and whole second.
     asked: IndexMap<(Name, u64), u64>,
+    /// A workspace whose requests run for another time than those of the others.
+    pub(crate) long: Option<(Name, Duration)>,
     /// A router whose reports get lost from one time to another.
     pub(crate) silent: Option<(usize, Duration, Duration)>,
     /// The requests refused.
@@ -84,6 +86,7 @@
             cores: cores.collect(),
             granted: IndexMap::new(),
             asked: IndexMap::new(),
+            long: None,
             silent: None,
             refused: Vec::new(),
             engines,
@@ -198,11 +201,13 @@
             }
         };
         *self.granted.entry((workspace.clone(), now.as_secs())).or_default() += 1;
+        let long = self.long.as_ref().filter(|(long, _)| long == workspace);
+        let run = long.map_or(self.run, |(_, run)| *run);
         self.running.push(Running {
             router,
             grant,
             first_token: Some(now + FIRST_TOKEN),
-            ends_at: now + self.run,
+            ends_at: now + run,
         });
     }
 
--- a/crates/balance/tests/shares_at_scale.rs
+++ b/crates/balance/tests/shares_at_scale.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use balance::Refusal;
+use base::Name;
 
 use crate::common::fleet::Fleet;
 use crate::common::floods::END;
@@ -278,3 +279,16 @@
         over_share().count()
     );
 }
+
+/// Guards against too few places for a workspace at one router whose requests run four times as long as the others'.
+#[test]
+fn a_flood_of_requests_that_run_long_gets_like_one_of_short_ones() {
+    let floods = [(0..SMALL.routers).collect(), vec![1]];
+    let mut fleet = Fleet::new(SMALL.routers, SMALL.engines, RUN / 2, ms(100));
+    fleet.long = Some((Name::new(&name(1)), RUN * 2));
+    play(&mut fleet, &floods, Load { start: FLOOD - 2, ..Load::default() });
+    for from in FLOOD..=END - WINDOW {
+        let (least, most) = extremes(&fleet, &floods, from);
+        assert!(least * 2 >= most, "from {from} s on: least {least}, most {most}");
+    }
+}
