feat(balance,relay): refusals tell the lease of places from that of prompt tokens, and are counted by limit

What callers saw: nothing changes. The log gave one word, order, for a request that was not examined, that waited for a runner with a lower cost, and (read in the code) for one whose router had used its part of the waiting prompt tokens. Now lease-backlog, preference and unexamined. A counter by limit, since log lines are bounded; contention lines name the routers heard of those that are published.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -187,19 +187,24 @@
     /// Returns the number of engines that would take a request, and whether this router may place it.
     pub(crate) fn openings(&self, request: &Request) -> Openings {
         let full = Self { fraction: 1.0, ..*self };
+        let places = self.places();
+        let is_leased = |missing| places.is_none_or(|places| self.lease.allows(&places, missing));
         Openings {
-            full: full.count_openings(request),
-            share: self.count_openings(request),
-            is_leased: self.is_leased(),
+            full: full.count_openings(request, |_| true),
+            share: self.count_openings(request, |_| true),
+            leased: self.count_openings(request, is_leased),
+            is_leased: is_leased(0),
+            is_placeable: self.choose(request).is_some(),
         }
     }
 
-    fn count_openings(&self, request: &Request) -> u32 {
+    /// Returns the number of engines that have capacity for a request, and at which so many tokens may be missing.
+    fn count_openings(&self, request: &Request, may_miss: impl Fn(u64) -> bool) -> u32 {
         let serving = self.registry.serving(request.service.as_str());
         let usable = serving.filter(|(key, runner)| self.is_usable(*key, runner, request));
         let open = usable.filter(|(_, runner)| {
             let missing = missing_tokens(runner, request, self.now);
-            self.has_capacity(runner, request, missing)
+            self.has_capacity(runner, request, missing) && may_miss(missing)
         });
         u32::try_from(open.count()).unwrap_or(u32::MAX)
     }
--- a/crates/balance/src/contention.rs
+++ b/crates/balance/src/contention.rs
@@ -29,6 +29,10 @@
     pub openings: Openings,
     /// The mean fill of the engines.
     pub fill: Option<EngineFill>,
+    /// The other routers whose figures are known.
+    pub heard_routers: usize,
+    /// The other routers that are published; `None` if they are unknown.
+    pub published_routers: Option<usize>,
     /// The time after which other routers are taken to know of a grant.
     pub report_interval: Duration,
     /// The ages of the figures of other routers of this zone.
@@ -47,10 +51,14 @@
     Share,
     /// The places at engines that its router may use.
     Lease,
+    /// The waiting prompt tokens that its router may place at engines.
+    LeaseBacklog,
     /// It is not known which runners leave.
     Departures,
-    /// None of these: it was not examined, or waited for a runner with a lower cost.
-    Order,
+    /// It waited for a runner with a lower cost.
+    Preference,
+    /// None of these: other requests that wait at its router were examined before it.
+    Unexamined,
 }
 
 /// The number of engines that would take one request, by the limits that are applied.
@@ -60,8 +68,12 @@
     pub full: u32,
     /// Engines under the limits for the workspace.
     pub share: u32,
-    /// Whether the router may place the request.
+    /// Those of them at which the router may place the prompt.
+    pub leased: u32,
+    /// Whether the router may place a request without a prompt.
     pub is_leased: bool,
+    /// Whether the router would place the request now.
+    pub is_placeable: bool,
 }
 
 /// The places at engines that a router has in use and may use.
@@ -102,7 +114,9 @@
             Self { full: 0, .. } => Limit::Engines,
             Self { share: 0, .. } => Limit::Share,
             Self { is_leased: false, .. } => Limit::Lease,
-            Self { .. } => Limit::Order,
+            Self { leased: 0, .. } => Limit::LeaseBacklog,
+            Self { is_placeable: false, .. } => Limit::Preference,
+            Self { .. } => Limit::Unexamined,
         }
     }
 }
@@ -122,7 +136,11 @@
         if let Some(fill) = self.fill {
             write!(formatter, "{fill}; ")?;
         }
-        write!(formatter, "report interval {} ms", self.report_interval.as_millis())?;
+        write!(formatter, "heard {} ", self.heard_routers)?;
+        if let Some(published) = self.published_routers {
+            write!(formatter, "of {published} ")?;
+        }
+        write!(formatter, "routers; report interval {} ms", self.report_interval.as_millis())?;
         if let Some(ages) = self.router_ages {
             write!(formatter, ", routers {ages}")?;
         }
@@ -135,8 +153,12 @@
 
 impl fmt::Display for Openings {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { full, share, .. } = self;
-        write!(formatter, "engines for one request: {full} by full limits, {share} by its share")
+        let Self { full, share, leased, .. } = self;
+        write!(
+            formatter,
+            "engines for one request: {full} by full limits, {share} by its share, "
+        )?;
+        write!(formatter, "{leased} by the lease")
     }
 }
 
--- a/crates/balance/src/core/refusal.rs
+++ b/crates/balance/src/core/refusal.rs
@@ -22,6 +22,8 @@
         let fair_share = self.shares.fair_share().tokens();
         let fill = self.engine_fill(now, service);
         let report_interval = self.shares.report_interval;
+        let heard_routers = self.usage.heard_routers();
+        let published_routers = self.limits.peers.as_ref().map(Vec::len);
         let router_ages = self.usage.report_ages(now, true);
         let zone_ages = self.usage.report_ages(now, false);
         let counts = self.service_state(service).queue.by_workspace();
@@ -42,6 +44,8 @@
                 engines: selector.engine_room(),
                 openings: selector.openings(&first),
                 fill,
+                heard_routers,
+                published_routers,
                 report_interval,
                 router_ages,
                 zone_ages,
--- a/crates/relay/src/acquire.rs
+++ b/crates/relay/src/acquire.rs
@@ -224,7 +224,7 @@
     decision.unwrap_or(Decision::Refused {
         retry_after: Duration::from_secs(1),
         reason: Refusal::NoRunner,
-        limit: Limit::Order,
+        limit: Limit::Unexamined,
     })
 }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -412,6 +412,7 @@
     line.took_ms = Some(event::millis(took));
     line.sends = Some(sends);
     if let Answer::Problem(Problem::Refused { limit, .. }) = answer {
+        router.metrics.count_refusal(*limit);
         line.limit = limit.map(|limit| limit.to_string());
     }
     router.log(line);
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use balance::Limit;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
@@ -24,6 +25,12 @@
     event: &'static str,
 }
 
+/// The label of a counter per limit that kept refused requests from the engines.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct RefusingLimit {
+    limit: String,
+}
+
 /// The label of a histogram per kind of route.
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct Kind {
@@ -35,6 +42,7 @@
 pub struct Metrics {
     registry: Registry,
     events: Family<Event, Counter>,
+    refusals: Family<RefusingLimit, Counter>,
     answers: Family<Kind, Histogram>,
     waiting: Gauge,
     configuration_age: Gauge,
@@ -65,6 +73,7 @@
     fn default() -> Self {
         let mut registry = Registry::with_prefix("aspenline");
         let events = Family::<Event, Counter>::default();
+        let refusals = Family::<RefusingLimit, Counter>::default();
         let answers = Family::<Kind, Histogram>::new_with_constructor(|| {
             Histogram::new(exponential_buckets(FIRST_BUCKET, BUCKET_FACTOR, BUCKETS))
         });
@@ -73,6 +82,8 @@
         let (runners, routers, quarantined) =
             (Gauge::default(), Gauge::default(), Gauge::default());
         registry.register("events", "Events by name, as in the log", events.clone());
+        let help = "Refused requests by what kept them from the engines, as in the log";
+        registry.register("refusals", help, refusals.clone());
         registry.register("answer_seconds", "Time to the head of an answer", answers.clone());
         registry.register("waiting_requests", "Requests that wait for a runner", waiting.clone());
         let age = "Age of the configuration in milliseconds, -1 if unknown";
@@ -86,6 +97,7 @@
         Self {
             registry,
             events,
+            refusals,
             answers,
             waiting,
             configuration_age,
@@ -103,6 +115,12 @@
         self.events.get_or_create(&Event { event }).inc();
     }
 
+    /// Counts a refused request by what kept it from the engines; `None` if it was no limit.
+    pub fn count_refusal(&self, limit: Option<Limit>) {
+        let limit = limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+        self.refusals.get_or_create(&RefusingLimit { limit }).inc();
+    }
+
     /// Records the time to the head of an answer.
     pub fn record_answer(&self, kind: balance::Kind, took: Duration) {
         let kind = Kind { kind: kind.to_string() };
