--- a/crates/balance/tests/common/fleet.rs
+++ b/crates/balance/tests/common/fleet.rs
@@ -14,6 +14,7 @@
 use balance::Work;
 use base::Name;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use super::SERVICE;
 use super::TARGET;
@@ -37,6 +38,8 @@
     pub(crate) reason: Refusal,
     /// The number of requests that all engines ran.
     pub(crate) running: usize,
+    /// The fraction of the places at all engines that were free.
+    pub(crate) free: f64,
 }
 
 /// The figures that one router or all routers of a zone report.
@@ -70,6 +73,10 @@
     pub(crate) silent: Option<(usize, Duration, Duration)>,
     /// The requests refused.
     pub(crate) refused: Vec<Refused>,
+    /// The largest number of requests beyond their limits that engines ran at one time, with that time.
+    pub(crate) overrun: (u64, Duration),
+    /// The routers whose processes have ended.
+    dead: IndexSet<usize>,
     engines: usize,
     zones: Option<Zones>,
     run: Duration,
@@ -89,6 +96,8 @@
             long: None,
             silent: None,
             refused: Vec::new(),
+            overrun: (0, Duration::ZERO),
+            dead: IndexSet::new(),
             engines,
             zones: None,
             run,
@@ -103,8 +112,16 @@
         self.zones = Some(Zones { count, delay, sums: VecDeque::new() });
     }
 
+    /// Ends the process of a router; its requests are lost.
+    pub(crate) fn kill(&mut self, router: usize) {
+        self.dead.insert(router);
+        self.running.retain(|running| running.router != router);
+        self.waiting.retain(|(waiting_at, _), _| *waiting_at != router);
+    }
+
     /// Starts a router again: it knows the names of the others and the runners, and its requests are lost.
     pub(crate) fn restart(&mut self, router: usize) {
+        self.dead.swap_remove(&router);
         self.cores[router] = new_core(router, self.cores.len(), self.engines, self.interval);
         self.running.retain(|running| running.router != router);
         self.waiting.retain(|(waiting_at, _), _| *waiting_at != router);
@@ -121,8 +138,32 @@
         self.running.iter().filter(|running| running.router == router).count() as u64
     }
 
+    /// Returns the number of requests beyond their limits that engines run.
+    fn overrun_now(&self) -> u64 {
+        let limit = self.running_limit(0) / self.engines as u64;
+        let mut running: IndexMap<&Name, u64> = IndexMap::new();
+        for request in &self.running {
+            *running.entry(&request.grant.id).or_default() += 1;
+        }
+        running.values().map(|running| running.saturating_sub(limit)).sum()
+    }
+
+    /// Returns the fraction of the places at all engines that are free.
+    fn free(&self) -> f64 {
+        let limit = self.running_limit(0) as f64;
+        (1.0 - self.running.len() as f64 / limit).max(0.0)
+    }
+
+    /// Returns the number of requests that were refused from one time to another while more than a fraction of the places
+    /// at engines was free.
+    pub(crate) fn refused_beside_free(&self, from: Duration, to: Duration, free: f64) -> usize {
+        let refused = self.refused.iter().filter(|refused| (from..to).contains(&refused.at));
+        refused.filter(|refused| refused.free > free).count()
+    }
+
     /// Submits a request at a router.
     pub(crate) fn submit(&mut self, now: Duration, router: usize, request: Request) {
+        assert!(!self.dead.contains(&router), "router {router} has ended");
         let workspace = request.workspace.clone().expect("a request has a workspace");
         *self.asked.entry((workspace.clone(), now.as_secs())).or_default() += 1;
         match self.cores[router].submit(now, request) {
@@ -157,7 +198,8 @@
     pub(crate) fn step(&mut self, now: Duration) {
         self.advance_requests(now);
         // The router with the lowest number runs last, after the others have used the free capacity.
-        for router in (0..self.cores.len()).rev() {
+        let alive = (0..self.cores.len()).rev().filter(|router| !self.dead.contains(router));
+        for router in alive.collect::<Vec<usize>>() {
             for (ticket, decision) in self.cores[router].process_queue(now) {
                 let workspace = self.waiting.swap_remove(&(router, ticket)).expect("waiting");
                 self.record(now, router, decision, &workspace);
@@ -166,6 +208,10 @@
         if now.as_millis().is_multiple_of(self.interval.as_millis()) {
             self.exchange(now);
         }
+        let overrun = self.overrun_now();
+        if overrun > self.overrun.0 {
+            self.overrun = (overrun, now);
+        }
     }
 
     /// Lets all routers measure tokens that take far too long.
@@ -196,7 +242,8 @@
             Decision::Granted(grant) => grant,
             Decision::Refused { reason, .. } => {
                 let (workspace, running) = (workspace.clone(), self.running.len());
-                self.refused.push(Refused { at: now, workspace, reason, running });
+                let free = self.free();
+                self.refused.push(Refused { at: now, workspace, reason, running, free });
                 return;
             }
         };
@@ -216,7 +263,7 @@
         let mut sums = vec![Figures::default(); zone_count];
         for from in 0..self.cores.len() {
             let is_silent = |(router, start, end)| router == from && (start..end).contains(&now);
-            if self.silent.is_some_and(is_silent) {
+            if self.dead.contains(&from) || self.silent.is_some_and(is_silent) {
                 continue;
             }
             let sender = Origin::Router(router_name(from));
