fix(relay): sums of another zone are passed on by whichever router receives them

Cause: a zone that has lost its aggregator tries the routers of the other zone in turn, one each 250 ms, and only the aggregator of that zone passed sums on, so with 59 routers in a zone it took many tries to find it. Now the first router that is reached passes them on in its next heartbeat. No datagram more; sums that were heard from the own zone are not passed on again.

No test of its own: aggregators that are killed together are not in a process test.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -22,7 +22,8 @@
     /// The time at which they were made.
     at: Duration,
     sums: ZoneSums,
-    is_forwarded: bool,
+    /// Whether they are to be passed on to the routers of this zone.
+    is_new: bool,
 }
 
 /// The state of the exchange with other zones.
@@ -59,7 +60,15 @@
     }
 
     /// Records the sums of another zone; returns the time at which they were made if they are newer than the known ones.
-    pub(crate) fn record_sums(&mut self, now: Duration, sums: &ZoneSums) -> Option<Duration> {
+    ///
+    /// Those that came from that zone are passed on by this router, whether it is the aggregator or not, since a zone that
+    /// has lost its aggregator does not know the next one of this zone.
+    pub(crate) fn record_sums(
+        &mut self,
+        now: Duration,
+        sums: &ZoneSums,
+        is_first_hand: bool,
+    ) -> Option<Duration> {
         let at = now.saturating_sub(Duration::from_millis(u64::from(sums.age_ms)));
         let zone = Name::new(&sums.zone);
         let known = self.received.get(&zone);
@@ -67,19 +76,19 @@
             return None;
         }
         let mut sums = sums.clone();
-        if let Some(known) = known.filter(|known| !known.is_forwarded) {
+        if let Some(known) = known.filter(|known| known.is_new) {
             sums.placed.extend(known.sums.placed.iter().cloned());
             sums.placed.truncate(MAX_PLACED);
         }
-        self.received.insert(zone, Received { at, sums, is_forwarded: false });
+        self.received.insert(zone, Received { at, sums, is_new: is_first_hand });
         Some(at)
     }
 
-    /// Returns the sums that were received since the last call, with their age.
+    /// Returns the sums that were received from other zones since the last call, with their age.
     pub(crate) fn take_sums(&mut self, now: Duration) -> Vec<ZoneSums> {
-        let new = self.received.values_mut().filter(|received| !received.is_forwarded);
+        let new = self.received.values_mut().filter(|received| received.is_new);
         let taken = new.map(|received| {
-            received.is_forwarded = true;
+            received.is_new = false;
             ZoneSums { age_ms: age_ms(now, received.at), ..received.sums.clone() }
         });
         taken.collect()
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -1,7 +1,7 @@
 //! Sending and receiving of heartbeats.
 //!
 //! A router sends heartbeats to the routers of its own availability zone. The aggregator of the zone also sends the sums
-//! over the zone to the aggregators of the other zones, and passes the sums of the other zones on to its own.
+//! over the zone to the aggregators of the other zones. A router that receives sums of another zone passes them on to its own.
 
 use std::iter;
 use std::net::SocketAddr;
@@ -76,7 +76,7 @@
         let is_aggregator = update_aggregation(router, now);
         let heartbeat = heartbeat(router, identity, sequence);
         router.exchange.borrow_mut().record_placed(&heartbeat.placed);
-        send_to_zone(router, identity, socket, &heartbeat, is_aggregator);
+        send_to_zone(router, identity, socket, &heartbeat);
         if is_aggregator && router.exchange.borrow_mut().begin_sums(now) {
             send_to_other_zones(router, identity, socket, heartbeat);
         }
@@ -127,14 +127,11 @@
     identity: &Identity,
     socket: &UdpSocket,
     heartbeat: &Heartbeat,
-    is_aggregator: bool,
 ) {
     let mut extension = extension(router);
     extension.shortage = report::own_shortage(&router.core.borrow(), router.now());
     extension.crash_evidence = crash_evidence::of_router(router);
-    if is_aggregator {
-        extension.sums = router.exchange.borrow_mut().take_sums(router.now());
-    }
+    extension.sums = router.exchange.borrow_mut().take_sums(router.now());
     let members = router.members.borrow();
     let receivers = members.direct(&router.settings.zone).map(Receiver::of);
     send(identity, socket, heartbeat, &extension, receivers);
@@ -271,7 +268,7 @@
         departure_report::apply(router, &heartbeat.sender, extension);
     }
     for sums in extension.iter().flat_map(|extension| &extension.sums) {
-        report::apply_sums(router, now, sums);
+        report::apply_sums(router, now, sums, !is_direct(router, &heartbeat.sender));
     }
     record_topics(router, &heartbeat, extension.as_ref(), acknowledged);
     router.wake_queue();
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -116,12 +116,13 @@
     router.exchange.borrow_mut().record_placed(&heartbeat.placed);
 }
 
-/// Applies the sums of another zone, unless newer ones are known.
-pub(crate) fn apply_sums(router: &Router, now: Duration, sums: &ZoneSums) {
+/// Applies the sums of another zone, unless newer ones are known; `is_first_hand` tells whether they came from there.
+pub(crate) fn apply_sums(router: &Router, now: Duration, sums: &ZoneSums, is_first_hand: bool) {
     if sums.zone == router.settings.zone.as_str() {
         return;
     }
-    let Some(at) = router.exchange.borrow_mut().record_sums(now, sums) else { return };
+    let recorded = router.exchange.borrow_mut().record_sums(now, sums, is_first_hand);
+    let Some(at) = recorded else { return };
     let figures = Figures {
         loads: &sums.loads,
         placed: &sums.placed,
