--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -17,6 +17,7 @@
 use crate::FleetLimits;
 use crate::Key;
 use crate::Kind;
+use crate::Limit;
 use crate::Openings;
 use crate::Prompt;
 use crate::Registry;
@@ -66,6 +67,8 @@
     pub(crate) fraction: f64,
     /// The places at the engines of the service that this router may use.
     pub(crate) lease: Lease,
+    /// Whether a request may be placed beyond it.
+    pub(crate) is_beyond_lease: bool,
     /// The limits that hold over all routers, with the names of this router and its peers.
     pub(crate) fleet_limits: &'a FleetLimits,
     /// The current time.
@@ -109,15 +112,18 @@
 }
 
 impl Selector<'_> {
+    /// Returns the selector for a request that may be placed beyond the lease, if `is_beyond`.
+    pub(crate) const fn beyond_lease(self, is_beyond: bool) -> Self {
+        Self { is_beyond_lease: is_beyond, ..self }
+    }
+
     /// Chooses the runner with the lowest cost, or `None` if it has no capacity and the request may still wait for it.
     pub(crate) fn choose(&self, request: &Request) -> Option<Choice> {
         let serving = || self.registry.serving(request.service.as_str());
         if !serving().any(|(_, runner)| self.may_have_capacity(runner, request)) {
             return None;
         }
-        let places = self.places();
-        let is_leased = |missing| places.is_none_or(|places| self.lease.allows(&places, missing));
-        if !is_leased(0) {
+        if self.lease_limit().is_some() {
             return None;
         }
         let ranks = self.ranks(request);
@@ -126,7 +132,7 @@
             let missing = missing_tokens(runner, request, self.now);
             let rank = ranks.iter().position(|ranked| *ranked == key);
             let cost = self.cost(runner, request, missing, rank);
-            let has_capacity = self.has_capacity(runner, request, missing) && is_leased(missing);
+            let has_capacity = self.has_capacity(runner, request, missing);
             Candidate { key, cost, has_capacity }
         });
         let may_wait = self.now < request.arrived + max_preferred_wait(request);
@@ -143,7 +149,7 @@
         let Some(engine) = self.service.engine else { return true };
         let limits = self.workspace_limits();
         let mut serving = self.registry.serving(self.service.name.as_str());
-        self.is_leased()
+        self.lease_limit().is_none()
             && serving.any(|(_, runner)| {
                 limits.may_run(runner, &engine) && runner.load().backlog <= limits.backlog
             })
@@ -187,31 +193,28 @@
     /// Returns the number of engines that would take a request, and whether this router may place it.
     pub(crate) fn openings(&self, request: &Request) -> Openings {
         let full = Self { fraction: 1.0, ..*self };
-        let places = self.places();
-        let is_leased = |missing| places.is_none_or(|places| self.lease.allows(&places, missing));
         Openings {
-            full: full.count_openings(request, |_| true),
-            share: self.count_openings(request, |_| true),
-            leased: self.count_openings(request, is_leased),
-            is_leased: is_leased(0),
+            full: full.count_openings(request),
+            share: self.count_openings(request),
+            lease_limit: self.lease_limit(),
             is_placeable: self.choose(request).is_some(),
         }
     }
 
-    /// Returns the number of engines that have capacity for a request, and at which so many tokens may be missing.
-    fn count_openings(&self, request: &Request, may_miss: impl Fn(u64) -> bool) -> u32 {
+    fn count_openings(&self, request: &Request) -> u32 {
         let serving = self.registry.serving(request.service.as_str());
         let usable = serving.filter(|(key, runner)| self.is_usable(*key, runner, request));
         let open = usable.filter(|(_, runner)| {
             let missing = missing_tokens(runner, request, self.now);
-            self.has_capacity(runner, request, missing) && may_miss(missing)
+            self.has_capacity(runner, request, missing)
         });
         u32::try_from(open.count()).unwrap_or(u32::MAX)
     }
 
-    /// Returns whether the lease of this router allows another request of the workspace.
-    fn is_leased(&self) -> bool {
-        self.places().is_none_or(|places| self.lease.allows(&places, 0))
+    /// Returns what the lease of this router lacks for another request of the workspace; `None` if it allows one.
+    fn lease_limit(&self) -> Option<Limit> {
+        let places = self.places().filter(|_| !self.is_beyond_lease)?;
+        self.lease.limit(&places)
     }
 
     /// Returns the places for the workspace at the engines that may be used; `None` if these are no engines.
@@ -223,11 +226,9 @@
         let usable = serving
             .filter(|(_, runner)| runner.health.is_usable(self.now) && !runner.is_paused(self.now));
         for (_, runner) in usable {
-            let load = runner.load();
-            let all = f64::from(limits.running_at(runner, &engine));
             places.own.add(runner.own_load);
-            places.running.add(all, f64::from(load.running));
-            places.backlog.add(limits.backlog as f64, load.backlog as f64);
+            places.running += f64::from(limits.running_at(runner, &engine));
+            places.backlog += limits.backlog as f64;
         }
         Some(places)
     }
--- a/crates/balance/src/contention.rs
+++ b/crates/balance/src/contention.rs
@@ -68,10 +68,8 @@
     pub full: u32,
     /// Engines under the limits for the workspace.
     pub share: u32,
-    /// Those of them at which the router may place the prompt.
-    pub leased: u32,
-    /// Whether the router may place a request without a prompt.
-    pub is_leased: bool,
+    /// What the lease of the router lacks; `None` if it allows the request.
+    pub lease_limit: Option<Limit>,
     /// Whether the router would place the request now.
     pub is_placeable: bool,
 }
@@ -83,6 +81,10 @@
     pub own: u32,
     /// Places that may be used.
     pub leased: f64,
+    /// What is borrowed from other routers; it is part of the places that may be used.
+    pub borrowed: u32,
+    /// What is lent to other routers; it is no part of them.
+    pub lent: u32,
 }
 
 /// The ages of reported figures.
@@ -113,8 +115,7 @@
         match self {
             Self { full: 0, .. } => Limit::Engines,
             Self { share: 0, .. } => Limit::Share,
-            Self { is_leased: false, .. } => Limit::Lease,
-            Self { leased: 0, .. } => Limit::LeaseBacklog,
+            Self { lease_limit: Some(limit), .. } => limit,
             Self { is_placeable: false, .. } => Limit::Preference,
             Self { .. } => Limit::Unexamined,
         }
@@ -129,8 +130,9 @@
         write!(formatter, "when engines were short, lacked {unmet}, ")?;
         write!(formatter, "fair share {fair_share}, ")?;
         write!(formatter, "may fill {allowed_fraction:.2} of an engine; {engines}; ")?;
-        if let Some(LeasedPlaces { own, leased }) = self.places {
-            write!(formatter, "uses {own} of {leased:.1} places; ")?;
+        if let Some(LeasedPlaces { own, leased, borrowed, lent }) = self.places {
+            write!(formatter, "uses {own} of {leased:.1} places, ")?;
+            write!(formatter, "borrowed {borrowed}, lent {lent}; ")?;
         }
         write!(formatter, "{openings}; ")?;
         if let Some(fill) = self.fill {
@@ -153,12 +155,12 @@
 
 impl fmt::Display for Openings {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { full, share, leased, .. } = self;
-        write!(
-            formatter,
-            "engines for one request: {full} by full limits, {share} by its share, "
-        )?;
-        write!(formatter, "{leased} by the lease")
+        let Self { full, share, lease_limit, .. } = self;
+        write!(formatter, "engines for one request: {full} by full limits, {share} by its share")?;
+        match lease_limit {
+            Some(limit) => write!(formatter, ", none by the limit {limit}"),
+            None => Ok(()),
+        }
     }
 }
 
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -1,6 +1,7 @@
 //! The state of a router and its decisions on each request.
 
 mod conditions;
+mod lending;
 mod refusal;
 
 use std::time::Duration;
@@ -29,6 +30,7 @@
 use crate::choice;
 use crate::choice::Choice;
 use crate::choice::Selector;
+use crate::loan::Loans;
 use crate::queue::Queue;
 use crate::queue::Waiting;
 use crate::shares::Shares;
@@ -46,6 +48,7 @@
     queue: Queue,
     adaptive_limit: AdaptiveLimit,
     budget: RetryBudget,
+    loans: Loans,
 }
 
 /// The state of a router.
@@ -60,6 +63,8 @@
     /// The crashes of runners, by possible cause.
     pub crash_history: CrashHistory,
     limits: FleetLimits,
+    /// The number of published routers in each other zone that reports sums.
+    zone_sizes: IndexMap<Name, usize>,
     services: IndexMap<Name, ServiceState>,
     tickets: u64,
     shares: Shares,
@@ -77,6 +82,7 @@
             usage: Usage::default(),
             crash_history: CrashHistory::default(),
             limits,
+            zone_sizes: IndexMap::new(),
             services: IndexMap::new(),
             tickets: 0,
             shares: Shares::default(),
@@ -98,11 +104,21 @@
         self.limits.peers = Some(peers);
     }
 
+    /// Replaces the numbers of published routers in the other zones, which report sums.
+    pub fn set_zone_sizes(&mut self, routers: IndexMap<Name, usize>) {
+        self.zone_sizes = routers;
+    }
+
     /// Sets the time after which the other routers know of a grant.
     pub const fn set_report_interval(&mut self, interval: Duration) {
         self.shares.report_interval = interval;
     }
 
+    /// Records that another router has received a report of this one that was sent at `at`.
+    pub fn confirm_report(&mut self, at: Duration) {
+        self.shares.confirm_report(at);
+    }
+
     /// Adopts a configuration and returns `true`, or returns `false` if it is not newer than the current one.
     pub fn adopt(&mut self, table: Table) -> bool {
         if self.table.as_ref().is_some_and(|current| current.version >= table.version) {
@@ -300,16 +316,18 @@
         if !self.knows_departures(now) {
             return None;
         }
-        let choice = {
-            let selector = self.selector(now, &request.service, request.workspace.as_ref())?;
-            selector.choose(request)?
-        };
-        Some(self.place(now, request, &choice))
+        let selector = self.selector(now, &request.service, request.workspace.as_ref())?;
+        if let Some(choice) = selector.choose(request) {
+            return Some(self.place(now, request, &choice));
+        }
+        self.grant_reserved(now, request)
     }
 
     /// Returns whether any runner has room for requests of a workspace.
     fn has_room(&mut self, now: Duration, service: &Name, workspace: Option<&Name>) -> bool {
-        self.selector(now, service, workspace).is_some_and(|selector| selector.has_room())
+        let has_reserved = self.has_reserved(now, service, workspace);
+        let selector = self.selector(now, service, workspace);
+        selector.is_some_and(|selector| selector.beyond_lease(has_reserved).has_room())
     }
 
     fn selector(
@@ -331,12 +349,15 @@
         service: &Name,
         workspace: Option<&Name>,
     ) -> Option<Selector<'_>> {
+        let state = self.services.get(service)?;
+        let lease = self.shares.lease(now, &self.limits.router);
         Some(Selector {
             registry: &self.registry,
             service: self.service(service)?,
-            adaptive_limit: &self.services.get(service)?.adaptive_limit,
+            adaptive_limit: &state.adaptive_limit,
             fraction: self.shares.allowed_fraction(now, &self.usage, workspace),
-            lease: self.shares.lease(now, &self.limits.router),
+            lease: lease.with_loans(state.loans.balance(now)),
+            is_beyond_lease: false,
             fleet_limits: &self.limits,
             now,
             salt: self.tickets,
@@ -395,6 +416,7 @@
                 queue: Queue::default(),
                 adaptive_limit: AdaptiveLimit::default(),
                 budget,
+                loans: Loans::default(),
             };
             self.services.insert(service.clone(), state);
         }
--- a/crates/balance/src/core/conditions.rs
+++ b/crates/balance/src/core/conditions.rs
@@ -6,9 +6,9 @@
 
 use super::Core;
 use crate::EngineFill;
-use crate::Load;
-use crate::Runner;
+use crate::Origin;
 use crate::shares::Conditions;
+use crate::silence::Unheard;
 
 impl Core {
     /// Computes the shares in the engines again if they are due.
@@ -21,23 +21,25 @@
         // Shares are those of all services together, so the fullest one decides.
         let fill = fills.map(|fill| fill.nearest).reduce(f64::max);
         let routers = self.limits.peers.as_ref().map(|peers| peers.len() + 1);
-        let (mut own, mut all) = (Load::default(), Load::default());
-        for (_, runner) in self.registry.iter().filter(|(_, runner)| self.is_engine(runner)) {
-            own.add(runner.own_load);
-            all.add(runner.load());
-        }
-        let conditions = Conditions {
-            fill: fill.unwrap_or(1.0),
-            routers,
-            own_running: own.running,
-            all_running: all.running,
-        };
+        let unheard = self.unheard();
+        let conditions = Conditions { fill: fill.unwrap_or(1.0), routers, unheard };
         self.shares.update(now, &mut self.usage, conditions);
     }
 
-    fn is_engine(&self, runner: &Runner) -> bool {
-        let service = self.service(&runner.registration.service);
-        service.is_some_and(|service| service.engine.is_some())
+    /// Returns the other routers that are published and not heard.
+    fn unheard(&self) -> Unheard {
+        let Some(peers) = &self.limits.peers else { return Unheard::default() };
+        let mut unheard = Unheard::default();
+        for (zone, routers) in &self.zone_sizes {
+            match self.usage.heard_of(&Origin::Zone(zone.clone())) {
+                Some(heard) => unheard.of_heard_zones += routers.saturating_sub(heard),
+                None => unheard.of_silent_zones += routers,
+            }
+        }
+        let others: usize = self.zone_sizes.values().sum();
+        let own_zone = peers.len().saturating_sub(others);
+        unheard.of_heard_zones += own_zone.saturating_sub(self.usage.heard_directly());
+        unheard
     }
 
     /// Returns how full the engines of a service are; `None` if there are none.
--- a/crates/balance/src/member.rs
+++ b/crates/balance/src/member.rs
@@ -6,6 +6,8 @@
 use base::Name;
 use indexmap::IndexMap;
 
+use crate::rendezvous;
+
 /// The time after the last heartbeat for which a router counts as alive.
 const ALIVE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The time after the last heartbeat for which a router counts as alive if other routers report the heartbeat.
@@ -218,6 +220,16 @@
         zones
     }
 
+    /// Returns at most `count` live routers, chosen by a number that differs from call to call.
+    #[must_use]
+    pub fn sample(&self, now: Duration, number: u64, count: usize) -> Vec<&Member> {
+        let mut alive: Vec<&Member> = self.ready(now).collect();
+        alive
+            .sort_by_cached_key(|member| rendezvous::weight(number, member.identity.name.as_str()));
+        alive.truncate(count);
+        alive
+    }
+
     /// Returns the routers to which callers may be directed.
     pub fn ready(&self, now: Duration) -> impl Iterator<Item = &Member> {
         self.members.values().filter(move |member| member.status.is_ready && member.is_alive(now))
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -26,6 +26,19 @@
     pub(crate) expires_at: Duration,
 }
 
+/// The waiting requests that one payer is charged for.
+#[derive(Debug, Clone)]
+pub(crate) struct Queued {
+    /// The workspace that is charged, or what stands for requests without one.
+    pub(crate) payer: Name,
+    /// The workspace.
+    pub(crate) workspace: Option<Name>,
+    /// The number of requests.
+    pub(crate) requests: u32,
+    /// The tokens of their prompts.
+    pub(crate) tokens: u64,
+}
+
 /// The waiting requests of one service.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Queue {
@@ -85,6 +98,21 @@
         order.into_iter().take(limit).map(|(.., ticket)| ticket).collect()
     }
 
+    /// Returns what waits for each payer.
+    pub(crate) fn by_payer(&self) -> Vec<Queued> {
+        let mut queued: IndexMap<Name, Queued> = IndexMap::new();
+        for Waiting { request, .. } in self.waiting.values() {
+            let Some(payer) = request.payer() else { continue };
+            let workspace = request.workspace.clone();
+            let entry = queued.entry(payer.clone());
+            let entry =
+                entry.or_insert_with(|| Queued { payer, workspace, requests: 0, tokens: 0 });
+            entry.requests += 1;
+            entry.tokens += request.prompt.as_ref().map_or(0, |prompt| prompt.input);
+        }
+        queued.into_values().collect()
+    }
+
     /// Returns a waiting request.
     pub(crate) fn get(&self, ticket: Ticket) -> Option<&Waiting> {
         self.waiting.get(&ticket)
--- a/crates/balance/src/shares.rs
+++ b/crates/balance/src/shares.rs
@@ -8,22 +8,19 @@
 use crate::Usage;
 use crate::Work;
 use crate::lease::Lease;
-use crate::lease::Part;
-use crate::usage;
-use crate::usage::Decay;
+use crate::silence::Silence;
+use crate::silence::Unheard;
 
 /// The interval at which shares are computed again.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(50);
 /// The interval of reports to other routers until it is known.
 const DEFAULT_REPORT_INTERVAL: Duration = Duration::from_millis(100);
-/// The shortest time for which requests of a router are taken to hold a place, relative to those of all.
-const MIN_RELATIVE_DURATION: f64 = 0.5;
-/// The longest time for which requests of a router are taken to hold a place, relative to those of all.
-const MAX_RELATIVE_DURATION: f64 = 8.0;
 /// The smallest fill from which a capacity is estimated.
 const MIN_FILL: f64 = 0.1;
 /// The fraction of places that is divided evenly among routers, whatever they are asked for.
 const EVEN_FRACTION: f64 = 0.1;
+/// The time after a report from which on others may take this router for silent, less a margin, if none has confirmed it.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(1_250);
 
 /// The state of the engines and of the fleet on which shares depend.
 #[derive(Debug, Clone, Copy)]
@@ -32,67 +29,36 @@
     pub(crate) fill: f64,
     /// The number of routers, heard or not; `None` if it is unknown.
     pub(crate) routers: Option<usize>,
-    /// The requests that this router has running at engines.
-    pub(crate) own_running: u32,
-    /// The requests that all routers have running at engines.
-    pub(crate) all_running: u32,
+    /// The other routers that are not heard.
+    pub(crate) unheard: Unheard,
 }
 
 /// The shares of workspaces, and the part of this router.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(crate) struct Shares {
     /// The time until which the shares are used.
     until: Duration,
     fair_share: FairShare,
     /// Whether some workspace competes with others.
     is_contended: bool,
-    part: Part,
-    place_time: PlaceTime,
+    /// The part of all places that this router may use.
+    part: f64,
+    silence: Silence,
+    /// The time of the newest report to other routers that one of them has confirmed.
+    confirmed_at: Option<Duration>,
     /// The time after which other routers know of a grant.
     pub(crate) report_interval: Duration,
 }
 
-/// How long this router had places at engines in use of late, in seconds, as a sum with exponential decay.
-#[derive(Debug, Clone, Copy, Default)]
-struct PlaceTime {
-    at: Duration,
-    sum: Decay,
-}
-
-impl PlaceTime {
-    /// Adds the time since the last call, for which a number of requests was running.
-    fn add(&mut self, now: Duration, running: u32) {
-        let time = now.saturating_sub(self.at).as_secs_f64();
-        self.at = now;
-        self.sum.add(now, time * f64::from(running));
-    }
-
-    /// Returns how long requests of this router hold a place for the same work, relative to those of all routers.
-    ///
-    /// When load rises, the figure for the others is too high at first, so that no router takes its own requests for longer
-    /// ones.
-    fn relative_duration(&self, now: Duration, usage: &Usage, conditions: Conditions) -> f64 {
-        let own_used: u64 = usage.own(now).map(|(_, work)| work.used).sum();
-        let all_used: u64 = usage.all(now).map(|work| work.used).sum();
-        let own_time = self.sum.value(now);
-        let others_running = conditions.all_running.saturating_sub(conditions.own_running);
-        let all_time = own_time + f64::from(others_running) * usage::decay_time().as_secs_f64();
-        let relative = (own_time / own_used as f64) / (all_time / all_used as f64);
-        if !relative.is_normal() {
-            return 1.0;
-        }
-        relative.clamp(MIN_RELATIVE_DURATION, MAX_RELATIVE_DURATION)
-    }
-}
-
 impl Default for Shares {
     fn default() -> Self {
         Self {
             until: Duration::ZERO,
             fair_share: FairShare::default(),
             is_contended: false,
-            part: Part::default(),
-            place_time: PlaceTime::default(),
+            part: 0.0,
+            silence: Silence::default(),
+            confirmed_at: None,
             report_interval: DEFAULT_REPORT_INTERVAL,
         }
     }
@@ -116,9 +82,20 @@
             usage.count_as_contended(now, self.report_interval);
         }
         usage.record_own(now);
-        self.place_time.add(now, conditions.own_running);
-        let duration = self.place_time.relative_duration(now, usage, conditions);
-        self.part = part(usage, conditions, duration);
+        let silent = self.silence.record(now, conditions.unheard);
+        let is_confirmed = self.confirmed_at.is_some_and(|at| now < at + CONFIRMATION_TIMEOUT);
+        self.part = match conditions.routers {
+            None => 0.0,
+            Some(routers) if routers > 1 && !(is_confirmed && usage.heard_routers() > 0) => {
+                1.0 / routers as f64
+            }
+            Some(_) => part(usage, conditions.fill, conditions.unheard.count() - silent),
+        };
+    }
+
+    /// Records that another router has received a report of this one that was sent at `at`.
+    pub(crate) fn confirm_report(&mut self, at: Duration) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
     }
 
     /// Returns the fair share of a workspace.
@@ -166,20 +143,17 @@
     (used as f64 / fill.max(MIN_FILL)) as u64
 }
 
-/// Returns the part of this router: of what each workspace is owed, as much as it is asked for here. What nobody is owed
-/// is divided evenly, and what is owed at routers that were not heard stays with them.
+/// Returns the part of all places for this router: of what each workspace is owed, as much as it is asked for here. What
+/// nobody is owed is divided evenly. `waited_for` routers are not heard, but may still use an even part.
 ///
-/// `duration` is the time for which requests of this router hold a place, relative to those of all.
-fn part(usage: &Usage, conditions: Conditions, duration: f64) -> Part {
-    let Some(routers) = conditions.routers else { return Part::default() };
+/// `fill` is how full the engines are.
+fn part(usage: &Usage, fill: f64, waited_for: usize) -> f64 {
+    let routers = usage.heard_routers() + 1 + waited_for;
     let even = 1.0 / routers as f64;
-    if routers > 1 && usage.heard_routers() == 0 {
-        return Part { fraction: even, offered: 0.0 };
-    }
-    let heard = ((usage.heard_routers() + 1) as f64 * even).min(1.0);
+    let heard = 1.0 - waited_for as f64 * even;
     let works: Vec<(Work, Work)> = usage.as_of_reports().collect();
     let all: Vec<Work> = works.iter().map(|(_, all)| *all).collect();
-    let capacity = capacity(&all, conditions.fill);
+    let capacity = capacity(&all, fill);
     let fair_share = FairShare::of(capacity, &all);
     let owed: f64 = all.iter().map(|all| fair_share.owed(*all)).sum();
     let owed_here: f64 = works
@@ -188,20 +162,6 @@
         .map(|(own, all)| fair_share.owed(*all) * own.demand() as f64 / all.demand() as f64)
         .sum();
     let whole = (capacity as f64).max(owed).max(1.0);
-    let asked = heard * duration * owed_here / whole + even * (1.0 - owed / whole);
-    Part {
-        fraction: EVEN_FRACTION * even + (1.0 - EVEN_FRACTION) * asked.min(1.0),
-        offered: heard * part_of_lacking(fair_share, &works),
-    }
-}
-
-/// Returns the part of this router in what workspaces lack of what they are owed.
-fn part_of_lacking(fair_share: FairShare, works: &[(Work, Work)]) -> f64 {
-    let (mut here, mut sum) = (0.0, 0.0);
-    for (own, all) in works.iter().filter(|(_, all)| all.is_short()) {
-        let lacking = fair_share.owed(*all).min(all.unmet as f64);
-        here += lacking * own.unmet as f64 / all.unmet as f64;
-        sum += lacking;
-    }
-    if sum > 0.0 { here / sum } else { 0.0 }
+    let asked = heard * owed_here / whole + even * (1.0 - owed / whole);
+    EVEN_FRACTION * even + (1.0 - EVEN_FRACTION) * asked.min(1.0)
 }
--- a/crates/balance/src/usage.rs
+++ b/crates/balance/src/usage.rs
@@ -101,11 +101,6 @@
     reported_sums: IndexMap<Name, Work>,
 }
 
-/// Returns the time in which a constant amount adds up to its sum with exponential decay.
-pub(crate) fn decay_time() -> Duration {
-    HALF_LIFE.div_f64(std::f64::consts::LN_2)
-}
-
 impl Decay {
     pub(crate) fn value(self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.at);
@@ -236,6 +231,16 @@
         self.reported.values().map(|report| report.routers).sum()
     }
 
+    /// Returns the number of routers of an origin whose work is known; `None` if it is not heard.
+    pub(crate) fn heard_of(&self, origin: &Origin) -> Option<usize> {
+        self.reported.get(origin).map(|report| report.routers)
+    }
+
+    /// Returns the number of routers that report their own work.
+    pub(crate) fn heard_directly(&self) -> usize {
+        self.reported.keys().filter(|origin| origin.is_router()).count()
+    }
+
     /// Counts what this router has granted within an interval as granted while some workspace lacked work.
     pub(crate) fn count_as_contended(&mut self, now: Duration, interval: Duration) {
         let Some(record) = self.record_at(now.saturating_sub(interval)).cloned() else { return };
--- a/crates/balance/tests/common/fleet.rs
+++ b/crates/balance/tests/common/fleet.rs
@@ -6,7 +6,9 @@
 use balance::Core;
 use balance::Decision;
 use balance::Grant;
+use balance::Limit;
 use balance::Load;
+use balance::LoanRequest;
 use balance::Origin;
 use balance::Outcome;
 use balance::Refusal;
@@ -36,6 +38,7 @@
     pub(crate) at: Duration,
     pub(crate) workspace: Name,
     pub(crate) reason: Refusal,
+    pub(crate) limit: Limit,
     /// The number of requests that all engines ran.
     pub(crate) running: usize,
     /// The fraction of the places at all engines that were free.
@@ -51,6 +54,14 @@
     works: IndexMap<Name, Work>,
 }
 
+/// A router's request for places of another one, which is on its way.
+struct Asked {
+    at: Duration,
+    from: usize,
+    to: usize,
+    request: LoanRequest,
+}
+
 /// Zones of routers, which report the sums of their figures to each other later than routers of one zone do.
 struct Zones {
     count: usize,
@@ -75,8 +86,14 @@
     pub(crate) refused: Vec<Refused>,
     /// The largest number of requests beyond their limits that engines ran at one time, with that time.
     pub(crate) overrun: (u64, Duration),
+    /// The same for all engines together.
+    pub(crate) excess: (u64, Duration),
     /// The routers whose processes have ended.
     dead: IndexSet<usize>,
+    /// Requests for places that are on their way.
+    loan_requests: Vec<Asked>,
+    /// A number from which the routers that are asked are chosen.
+    draws: u64,
     engines: usize,
     zones: Option<Zones>,
     run: Duration,
@@ -97,7 +114,10 @@
             silent: None,
             refused: Vec::new(),
             overrun: (0, Duration::ZERO),
+            excess: (0, Duration::ZERO),
             dead: IndexSet::new(),
+            loan_requests: Vec::new(),
+            draws: 0,
             engines,
             zones: None,
             run,
@@ -110,6 +130,19 @@
     /// Divides the routers among zones, which know each other's sums after a number of intervals of reports.
     pub(crate) fn divide(&mut self, count: usize, delay: usize) {
         self.zones = Some(Zones { count, delay, sums: VecDeque::new() });
+        for router in 0..self.cores.len() {
+            self.set_zone_sizes(router);
+        }
+    }
+
+    fn set_zone_sizes(&mut self, router: usize) {
+        let Some(Zones { count, .. }) = self.zones else { return };
+        let others = (0..self.cores.len()).map(|other| other % count);
+        let mut sizes: IndexMap<Name, usize> = IndexMap::new();
+        for zone in others.filter(|zone| *zone != router % count) {
+            *sizes.entry(zone_name(zone)).or_default() += 1;
+        }
+        self.cores[router].set_zone_sizes(sizes);
     }
 
     /// Ends the process of a router; its requests are lost.
@@ -123,6 +156,7 @@
     pub(crate) fn restart(&mut self, router: usize) {
         self.dead.swap_remove(&router);
         self.cores[router] = new_core(router, self.cores.len(), self.engines, self.interval);
+        self.set_zone_sizes(router);
         self.running.retain(|running| running.router != router);
         self.waiting.retain(|(waiting_at, _), _| *waiting_at != router);
     }
@@ -138,9 +172,15 @@
         self.running.iter().filter(|running| running.router == router).count() as u64
     }
 
+    /// Returns the largest limit on running requests of all engines that a router knows.
+    fn limit(&self) -> u64 {
+        let alive = (0..self.cores.len()).filter(|router| !self.dead.contains(router));
+        alive.map(|router| self.running_limit(router)).max().unwrap_or_default()
+    }
+
     /// Returns the number of requests beyond their limits that engines run.
     fn overrun_now(&self) -> u64 {
-        let limit = self.running_limit(0) / self.engines as u64;
+        let limit = self.limit() / self.engines as u64;
         let mut running: IndexMap<&Name, u64> = IndexMap::new();
         for request in &self.running {
             *running.entry(&request.grant.id).or_default() += 1;
@@ -150,7 +190,7 @@
 
     /// Returns the fraction of the places at all engines that are free.
     fn free(&self) -> f64 {
-        let limit = self.running_limit(0) as f64;
+        let limit = self.limit() as f64;
         (1.0 - self.running.len() as f64 / limit).max(0.0)
     }
 
@@ -197,6 +237,7 @@
     /// Ends requests, decides waiting ones and exchanges reports, in steps of 10 ms.
     pub(crate) fn step(&mut self, now: Duration) {
         self.advance_requests(now);
+        self.answer_loan_requests(now);
         // The router with the lowest number runs last, after the others have used the free capacity.
         let alive = (0..self.cores.len()).rev().filter(|router| !self.dead.contains(router));
         for router in alive.collect::<Vec<usize>>() {
@@ -204,14 +245,14 @@
                 let workspace = self.waiting.swap_remove(&(router, ticket)).expect("waiting");
                 self.record(now, router, decision, &workspace);
             }
+            self.request_loans(now, router);
         }
         if now.as_millis().is_multiple_of(self.interval.as_millis()) {
             self.exchange(now);
         }
-        let overrun = self.overrun_now();
-        if overrun > self.overrun.0 {
-            self.overrun = (overrun, now);
-        }
+        self.overrun = self.overrun.max((self.overrun_now(), now));
+        let excess = (self.running.len() as u64).saturating_sub(self.limit());
+        self.excess = self.excess.max((excess, now));
     }
 
     /// Lets all routers measure tokens that take far too long.
@@ -240,10 +281,10 @@
     fn record(&mut self, now: Duration, router: usize, decision: Decision, workspace: &Name) {
         let grant = match decision {
             Decision::Granted(grant) => grant,
-            Decision::Refused { reason, .. } => {
+            Decision::Refused { reason, limit, .. } => {
                 let (workspace, running) = (workspace.clone(), self.running.len());
                 let free = self.free();
-                self.refused.push(Refused { at: now, workspace, reason, running, free });
+                self.refused.push(Refused { at: now, workspace, reason, limit, running, free });
                 return;
             }
         };
@@ -258,6 +299,28 @@
         });
     }
 
+    /// Asks other routers for places, wherever they are; the answers come in the next step.
+    fn request_loans(&mut self, now: Duration, from: usize) {
+        for request in self.cores[from].loan_requests(now) {
+            for request in request.split() {
+                self.draws = self.draws.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+                let to = (self.draws >> 33) as usize % self.cores.len();
+                if to != from && !self.dead.contains(&to) {
+                    self.loan_requests.push(Asked { at: now, from, to, request });
+                }
+            }
+        }
+    }
+
+    fn answer_loan_requests(&mut self, now: Duration) {
+        for Asked { at, from, to, request } in std::mem::take(&mut self.loan_requests) {
+            let lent = self.cores[to].lend(now, &request);
+            if !lent.is_empty() {
+                self.cores[from].borrow(now, at, &request, lent);
+            }
+        }
+    }
+
     fn exchange(&mut self, now: Duration) {
         let zone_count = self.zones.as_ref().map_or(1, |zones| zones.count);
         let mut sums = vec![Figures::default(); zone_count];
@@ -270,9 +333,10 @@
             let figures = Figures::of(&self.cores[from], now);
             for (to, core) in self.cores.iter_mut().enumerate() {
                 if to != from && to % zone_count == from % zone_count {
-                    figures.apply(core, &sender, now);
+                    figures.apply(core, &sender, now, now);
                 }
             }
+            self.cores[from].confirm_report(now);
             sums[from % zone_count].add(figures);
         }
         let Some(zones) = &mut self.zones else { return };
@@ -282,10 +346,10 @@
         }
         let Some((at, sums)) = zones.sums.pop_front() else { return };
         for (zone, figures) in sums.iter().enumerate() {
-            let sender = Origin::Zone(Name::new(&format!("zone-{zone}")));
+            let sender = Origin::Zone(zone_name(zone));
             for (to, core) in self.cores.iter_mut().enumerate() {
                 if to % zone_count != zone {
-                    figures.apply(core, &sender, at);
+                    figures.apply(core, &sender, now, at);
                 }
             }
         }
@@ -316,11 +380,12 @@
     }
 
     /// Records the figures of an origin, which were made at `at`, at a router.
-    fn apply(&self, core: &mut Core, origin: &Origin, at: Duration) {
+    fn apply(&self, core: &mut Core, origin: &Origin, now: Duration, at: Duration) {
         for (id, load) in &self.loads {
             let key = core.registry.find(id.as_str()).expect("known");
             let runner = core.registry.get_mut(key).expect("known");
             runner.peer_loads.put(origin, at, *load);
+            runner.peer_loads.remove_expired(now);
         }
         core.usage.put(origin, at, self.routers, self.works.clone());
     }
@@ -338,6 +403,10 @@
     counted.map(|(_, count)| count).sum()
 }
 
+fn zone_name(zone: usize) -> Name {
+    Name::new(&format!("zone-{zone}"))
+}
+
 fn router_name(router: usize) -> Name {
     Name::new(&format!("router-{router}"))
 }
--- a/crates/balance/tests/idle_room.rs
+++ b/crates/balance/tests/idle_room.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
+
 use crate::common::fleet::Fleet;
 use crate::common::floods::FLOOD;
 use crate::common::floods::RUN;
@@ -20,7 +22,7 @@
 /// The availability zones of a site.
 const ZONES: usize = 3;
 /// The intervals of reports after which other zones know the sums of a zone.
-const SUMS_DELAY: usize = 2;
+const SUMS_DELAY: usize = 1;
 /// The interval of reports, in milliseconds.
 const INTERVAL_MS: u64 = 600;
 /// The time between two steps, in milliseconds.
@@ -120,10 +122,18 @@
         assert!(granted * 10 >= possible * 8, "{granted} of {possible} granted; {by_second}");
     }
 
-    /// Asserts that engines are overrun by no more than one request for each router, and a fraction of all places.
-    fn assert_overrun_at_most(&self, fraction: f64) {
-        let (overrun, at) = self.fleet.overrun;
+    /// Asserts that no more is placed than all engines together may run, one request for each router and a fraction of all
+    /// places.
+    fn assert_places_kept(&self, fraction: f64) {
+        let (excess, at) = self.fleet.excess;
         let bound = ROUTERS as u64 + (PLACES as f64 * fraction) as u64;
+        assert!(excess <= bound, "{excess} beyond all places at {at:?}, bound {bound}");
+    }
+
+    /// Asserts that engines, each by itself, are overrun by no more than one request for each router.
+    fn assert_engines_not_overrun(&self) {
+        let (overrun, at) = self.fleet.overrun;
+        let bound = ROUTERS as u64;
         assert!(overrun <= bound, "overrun by {overrun} at {at:?}, bound {bound}");
     }
 
@@ -134,9 +144,14 @@
             let asked = fleet.all_asked_between(second, second + 1);
             let granted = fleet.all_granted_between(second, second + 1);
             let refused = fleet.refused.iter().filter(|refused| refused.at.as_secs() == second);
-            let free: Vec<f64> = refused.map(|refused| refused.free).collect();
+            let mut limits: IndexMap<String, usize> = IndexMap::new();
+            let free = refused.map(|refused| {
+                *limits.entry(refused.limit.to_string()).or_default() += 1;
+                refused.free
+            });
+            let free: Vec<f64> = free.collect();
             let mean = free.iter().sum::<f64>() / free.len().max(1) as f64;
-            format!("{asked} {granted} {} {mean:.2}", free.len())
+            format!("{asked} {granted} {} {mean:.2} {limits:?}", free.len())
         });
         format!(
             "asked, granted, refused and free by second: {}",
@@ -156,9 +171,8 @@
     modest.chain(large).map(|(workspace, rate)| Demand { workspace, rate, routers }).collect()
 }
 
-/// Asserts what must hold when the callers of 18 of 45 dead routers call at the others, and all ask for 1.5 times of what
-/// engines can do.
-fn assert_dead_routers_hold_no_places(seed: u64) {
+/// Plays callers of 18 of 45 dead routers that call at the others, while all ask for 1.5 times of what engines can do.
+fn play_dead_routers(seed: u64) -> Site {
     let mut site = Site::new(seed);
     let all: Vec<usize> = (0..ROUTERS).collect();
     let alive: Vec<usize> = all.iter().copied().filter(|router| router % 5 >= 2).collect();
@@ -167,10 +181,15 @@
         site.fleet.kill(*router);
     }
     site.play(FLOOD, FLOOD + 10, &demands(CAPACITY * 3 / 2, &alive));
+    site
+}
+
+fn assert_dead_routers_hold_no_places(seed: u64) {
+    let site = play_dead_routers(seed);
     site.assert_none_refused_beside_free(SILENT, END);
     site.assert_engines_used(SILENT.as_secs(), END.as_secs());
     site.assert_modest_served(FLOOD, FLOOD + 10);
-    site.assert_overrun_at_most(0.0);
+    site.assert_places_kept(0.0);
 }
 
 /// Guards against the places of dead routers that stand empty for as long as these are listed.
@@ -185,9 +204,9 @@
     assert_dead_routers_hold_no_places(2);
 }
 
-/// Asserts what must hold when a workspace asks for half of what engines can do, at two routers, from one moment on, while
-/// the others are asked for a fifth.
-fn assert_idle_routers_hold_no_places(seed: u64) {
+/// Plays a workspace that asks for half of what engines can do, at two routers, from one moment on, while the others are asked
+/// for a fifth.
+fn play_idle_routers(seed: u64) -> Site {
     let mut site = Site::new(seed);
     let all: Vec<usize> = (0..ROUTERS).collect();
     let crowded = [3, 4];
@@ -196,6 +215,11 @@
     site.play(START, FLOOD, &usual().into_iter().chain([flood(20)]).collect::<Vec<_>>());
     let flooded: Vec<Demand<'_>> = usual().into_iter().chain([flood(CAPACITY / 2)]).collect();
     site.play(FLOOD, FLOOD + 10, &flooded);
+    site
+}
+
+fn assert_idle_routers_hold_no_places(seed: u64) {
+    let site = play_idle_routers(seed);
     site.assert_none_refused_beside_free(Duration::from_secs(START), END);
     for from in FLOOD..=FLOOD + 10 - WINDOW {
         let granted = site.fleet.granted_between("flood", from, from + WINDOW);
@@ -203,7 +227,7 @@
         assert!(granted * 10 >= asked * 9, "from {from} s: {granted} of {asked} of the flood");
     }
     site.assert_modest_served(FLOOD, FLOOD + 10);
-    site.assert_overrun_at_most(0.0);
+    site.assert_places_kept(0.0);
 }
 
 /// Guards against a router that refuses a sudden flood while the places of idle routers stand empty.
@@ -230,7 +254,7 @@
         site.play(second, second + 1, &usual.into_iter().chain([burst]).collect::<Vec<_>>());
     }
     site.assert_none_refused_beside_free(Duration::from_secs(START), END);
-    site.assert_overrun_at_most(0.0);
+    site.assert_places_kept(0.0);
 }
 
 /// Guards against routers that, when many start again in a flood, fill engines several times over or leave them idle.
@@ -251,27 +275,57 @@
     site.assert_none_refused_beside_free(SILENT, END);
     site.assert_engines_used(SILENT.as_secs(), END.as_secs());
     // Until those that start again are heard, each may use an even part of the places.
-    site.assert_overrun_at_most(dead.len() as f64 / ROUTERS as f64);
+    site.assert_places_kept(dead.len() as f64 / ROUTERS as f64);
+}
+
+/// Plays floods, and a workspace at two routers that asks for twelve times its usual from one moment on.
+fn play_late_workspace(seed: u64) -> Site {
+    let mut site = Site::new(seed);
+    let all: Vec<usize> = (0..ROUTERS).collect();
+    let few = [7, 8];
+    let late = |rate| Demand { workspace: "late".to_owned(), rate, routers: &few };
+    let floods = || demands(CAPACITY * 3 / 2, &all);
+    site.play(START, FLOOD, &floods().into_iter().chain([late(5)]).collect::<Vec<_>>());
+    let surge: Vec<Demand<'_>> = floods().into_iter().chain([late(60)]).collect();
+    site.play(FLOOD, FLOOD + 10, &surge);
+    site
 }
 
 /// Guards against a modest workspace at a few routers that gets less than its part while floods have the engines.
 #[test]
 fn a_workspace_at_two_routers_that_asks_for_more_in_a_flood_gets_half_of_it() {
     for seed in 1..=3 {
-        let mut site = Site::new(seed);
-        let all: Vec<usize> = (0..ROUTERS).collect();
-        let few = [7, 8];
-        let late = |rate| Demand { workspace: "late".to_owned(), rate, routers: &few };
-        let floods = || demands(CAPACITY * 3 / 2, &all);
-        site.play(START, FLOOD, &floods().into_iter().chain([late(5)]).collect::<Vec<_>>());
-        let surge: Vec<Demand<'_>> = floods().into_iter().chain([late(60)]).collect();
-        site.play(FLOOD, FLOOD + 10, &surge);
+        let site = play_late_workspace(seed);
         for from in FLOOD - 5..=FLOOD + 10 - WINDOW {
             let granted = site.fleet.granted_between("late", from, from + WINDOW);
             let asked = site.fleet.asked_between("late", from, from + WINDOW);
             assert!(granted * 2 >= asked, "seed {seed}, from {from} s: {granted} of {asked}");
         }
         site.assert_modest_served(FLOOD - 4, FLOOD + 10);
-        site.assert_overrun_at_most(0.0);
+        site.assert_places_kept(0.0);
+    }
+}
+
+/// Guards against routers with old figures that all choose the engines which had least to do.
+#[test]
+fn engines_are_not_overrun_by_routers_with_old_figures_while_many_are_dead() {
+    for seed in 1..=2 {
+        play_dead_routers(seed).assert_engines_not_overrun();
+    }
+}
+
+/// Guards against the same with two crowded routers.
+#[test]
+fn engines_are_not_overrun_by_two_crowded_routers_with_old_figures() {
+    for seed in 1..=2 {
+        play_idle_routers(seed).assert_engines_not_overrun();
+    }
+}
+
+/// Guards against the same when all routers are asked for more than engines can do.
+#[test]
+fn engines_are_not_overrun_by_routers_with_old_figures_in_a_flood() {
+    for seed in 1..=3 {
+        play_late_workspace(seed).assert_engines_not_overrun();
     }
 }
--- a/crates/balance/tests/waiting.rs
+++ b/crates/balance/tests/waiting.rs
@@ -130,6 +130,9 @@
 #[test]
 fn a_refusal_says_whether_the_share_of_the_workspace_or_a_lack_of_runners_is_the_reason() {
     let mut busy = core("router-1", 2);
+    for part in 900..903 {
+        busy.submit(NOW, request(NOW, "modest", part, 2_000));
+    }
     assert_eq!(last_refusal(&mut busy, "flood", NOW), Some(Refusal::OverShare));
     let mut empty = core("router-1", 0);
     assert_eq!(last_refusal(&mut empty, "flood", NOW), Some(Refusal::NoRunner));
@@ -168,6 +171,7 @@
         for other in &others {
             core.usage.put(&Origin::Router(other.clone()), now, 1, IndexMap::new());
         }
+        core.confirm_report(now);
         let mut request = request(now, "wall", step, 10);
         request.workspace = workspace.map(Name::new);
         if let Outcome::Decided(Decision::Granted(mut grant)) = core.submit(now, request) {
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -30,6 +30,7 @@
 use crate::gossip::Heartbeat;
 use crate::gossip::Received;
 use crate::gossip::TopicStatus;
+use crate::lending;
 use crate::report;
 
 /// Interval between two heartbeats in a small zone.
@@ -62,7 +63,11 @@
 
 /// Exchanges heartbeats with all peers until the process ends.
 pub async fn exchange_heartbeats(router: Rc<Router>, identity: Rc<Identity>, socket: UdpSocket) {
-    tokio::join!(send_all(&router, &identity, &socket), receive_all(&router, &socket));
+    tokio::join!(
+        send_all(&router, &identity, &socket),
+        lending::send_requests(&router, &identity, &socket),
+        receive_all(&router, &identity, &socket),
+    );
 }
 
 async fn send_all(router: &Router, identity: &Identity, socket: &UdpSocket) {
@@ -122,12 +127,7 @@
     is_active
 }
 
-fn send_to_zone(
-    router: &Router,
-    identity: &Identity,
-    socket: &UdpSocket,
-    heartbeat: &Heartbeat,
-) {
+fn send_to_zone(router: &Router, identity: &Identity, socket: &UdpSocket, heartbeat: &Heartbeat) {
     let mut extension = extension(router);
     extension.shortage = report::own_shortage(&router.core.borrow(), router.now());
     extension.crash_evidence = crash_evidence::of_router(router);
@@ -234,10 +234,13 @@
     positions.into_iter()
 }
 
-async fn receive_all(router: &Router, socket: &UdpSocket) {
+async fn receive_all(router: &Router, identity: &Identity, socket: &UdpSocket) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
+            Ok((length, _)) if lending::is_message(&buffer[..length]) => {
+                lending::receive(router, identity, socket, &buffer[..length]);
+            }
             Ok((length, _)) => receive(router, &buffer[..length]),
             Err(error) => {
                 log::debug!("failed to receive a heartbeat: {error}");
@@ -258,6 +261,9 @@
     if !record_sender(router, now, &heartbeat, extension.as_ref()) {
         return;
     }
+    if let Some(at) = router.sent_heartbeats.borrow().known_as_of(acknowledged, Duration::ZERO) {
+        router.core.borrow_mut().confirm_report(at);
+    }
     if is_direct(router, &heartbeat.sender) {
         let shortage = extension.as_ref().map_or(&[][..], |extension| &extension.shortage);
         report::apply_heartbeat(router, now, &heartbeat, shortage);
--- /dev/null
+++ b/crates/relay/src/lending.rs
@@ -0,0 +1,257 @@
+//! Messages by which routers ask each other for places at engines and lend them.
+//!
+//! A message is one datagram on the socket of the heartbeats. It begins with an empty name, as no heartbeat does, so that
+//! routers of earlier versions drop it.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use balance::Identity;
+use balance::Loan;
+use balance::LoanRequest;
+use balance::Member;
+use balance::Table;
+use base::Name;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+use crate::Line;
+use crate::Router;
+use crate::gossip;
+use crate::gossip::Digest;
+
+/// The first byte of a message, which stands for an empty name.
+const TAG: u8 = 0;
+/// The time after which no answer to a request is expected.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A message with its sender.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct Message {
+    tag: u8,
+    sender: String,
+    /// The incarnation of the sender's process.
+    incarnation: u64,
+    /// The number of the request, which increases with each request of the asking router.
+    number: u64,
+    content: Content,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+enum Content {
+    Request(Request),
+    Answer(Answer),
+}
+
+/// A request, as [`LoanRequest`].
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+struct Request {
+    service: Digest,
+    lacking: u32,
+    first: Digest,
+    urgent: u32,
+    granted_share: f64,
+}
+
+/// An answer, as [`Loan`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct Answer {
+    urgent: u32,
+    other: u32,
+}
+
+/// A request that may still be answered.
+#[derive(Debug, Clone)]
+struct Pending {
+    number: u64,
+    at: Duration,
+    lender: Name,
+    request: LoanRequest,
+}
+
+/// The requests of this router, and those that it has received.
+#[derive(Debug, Default)]
+pub(crate) struct Lending {
+    wanted: RefCell<Vec<LoanRequest>>,
+    is_wanted: Notify,
+    last_number: RefCell<u64>,
+    pending: RefCell<VecDeque<Pending>>,
+    /// The newest request of each other router, with its incarnation.
+    received: RefCell<IndexMap<Name, (u64, u64)>>,
+}
+
+impl Lending {
+    /// Schedules requests to be sent.
+    pub(crate) fn want(&self, requests: Vec<LoanRequest>) {
+        if !requests.is_empty() {
+            self.wanted.borrow_mut().extend(requests);
+            self.is_wanted.notify_one();
+        }
+    }
+
+    /// Records a request that is sent to a router and returns its number.
+    fn add_pending(&self, now: Duration, lender: &Name, request: &LoanRequest) -> u64 {
+        let mut last_number = self.last_number.borrow_mut();
+        *last_number += 1;
+        let mut pending = self.pending.borrow_mut();
+        while pending.front().is_some_and(|oldest| oldest.at + ANSWER_TIMEOUT <= now) {
+            pending.pop_front();
+        }
+        let (lender, request) = (lender.clone(), request.clone());
+        pending.push_back(Pending { number: *last_number, at: now, lender, request });
+        *last_number
+    }
+
+    /// Removes and returns the request that a router answers.
+    fn take_pending(&self, now: Duration, lender: &str, number: u64) -> Option<Pending> {
+        let mut pending = self.pending.borrow_mut();
+        let is_answered =
+            |request: &Pending| request.number == number && request.lender.as_str() == lender;
+        let position = pending.iter().position(is_answered)?;
+        pending.remove(position).filter(|pending| now < pending.at + ANSWER_TIMEOUT)
+    }
+
+    /// Returns whether a request is newer than all that were received from its sender.
+    fn record_received(&self, sender: &str, incarnation: u64, number: u64) -> bool {
+        let mut received = self.received.borrow_mut();
+        let newest = received.entry(Name::new(sender)).or_default();
+        let is_new = newest.0 != incarnation || newest.1 < number;
+        if is_new {
+            *newest = (incarnation, number);
+        }
+        is_new
+    }
+}
+
+/// Sends the requests of this router until the process ends.
+pub(crate) async fn send_requests(router: &Router, identity: &Identity, socket: &UdpSocket) {
+    loop {
+        router.lending.is_wanted.notified().await;
+        let wanted = std::mem::take(&mut *router.lending.wanted.borrow_mut());
+        for request in wanted {
+            let sent = send_request(router, identity, socket, &request);
+            router.log(
+                Line::new("places_wanted")
+                    .subject(request.service.as_str())
+                    .workspace(request.first.as_str())
+                    .outcome(format!(
+                        "lacks {} places, {} for the first workspace, asked {sent} routers",
+                        request.lacking, request.urgent
+                    )),
+            );
+        }
+    }
+}
+
+/// Sends a request to some routers and returns their number.
+fn send_request(
+    router: &Router,
+    identity: &Identity,
+    socket: &UdpSocket,
+    request: &LoanRequest,
+) -> usize {
+    let now = router.now();
+    let parts: Vec<LoanRequest> = request.split().collect();
+    let members = router.members.borrow();
+    let lenders = members.sample(now, rand::random(), parts.len());
+    for (part, lender) in parts.iter().zip(&lenders) {
+        let number = router.lending.add_pending(now, &lender.identity.name, part);
+        let content = Content::Request(Request {
+            service: Digest::of(part.service.as_str()),
+            lacking: part.lacking,
+            first: Digest::of(part.first.as_str()),
+            urgent: part.urgent,
+            granted_share: part.granted_share,
+        });
+        send(identity, socket, number, content, lender.identity.peers);
+    }
+    lenders.len()
+}
+
+fn send(
+    identity: &Identity,
+    socket: &UdpSocket,
+    number: u64,
+    content: Content,
+    receiver: SocketAddr,
+) {
+    let message = Message {
+        tag: TAG,
+        sender: identity.name.to_string(),
+        incarnation: identity.incarnation,
+        number,
+        content,
+    };
+    let Some(datagram) = gossip::seal_message(&message, &identity.key) else {
+        log::warn!("a message about places can't be encoded");
+        return;
+    };
+    if let Err(error) = socket.try_send_to(&datagram, receiver) {
+        log::debug!("failed to send a message about places to {receiver}: {error}");
+    }
+}
+
+/// Returns whether a datagram is a message about places.
+pub(crate) fn is_message(bytes: &[u8]) -> bool {
+    bytes.first() == Some(&TAG)
+}
+
+/// Handles a message of another router; one that can't be authenticated is dropped.
+pub(crate) fn receive(router: &Router, identity: &Identity, socket: &UdpSocket, bytes: &[u8]) {
+    let mut sender: Option<Identity> = None;
+    let message = gossip::open_message(bytes, |message: &Message| {
+        let members = router.members.borrow();
+        let known = members.get(&message.sender).map(|member: &Member| &member.identity);
+        sender = known.filter(|known| known.incarnation == message.incarnation).cloned();
+        sender.as_ref().map(|sender| sender.key.clone())
+    });
+    let (Some(message), Some(sender)) = (message, sender) else { return };
+    match message.content {
+        Content::Request(request) => {
+            let lending = &router.lending;
+            if !lending.record_received(&message.sender, message.incarnation, message.number) {
+                return;
+            }
+            let Loan { urgent, other } = lend(router, request);
+            if urgent + other > 0 {
+                let answer = Content::Answer(Answer { urgent, other });
+                send(identity, socket, message.number, answer, sender.peers);
+            }
+        }
+        Content::Answer(answer) => borrow(router, &message.sender, message.number, answer),
+    }
+}
+
+fn lend(router: &Router, request: Request) -> Loan {
+    let mut core = router.core.borrow_mut();
+    let request = core.table.as_ref().and_then(|table| decode(request, table));
+    request.map_or_else(Loan::default, |request| core.lend(router.now(), &request))
+}
+
+/// Returns a request with the names of a configuration; `None` if it names others.
+fn decode(request: Request, table: &Table) -> Option<LoanRequest> {
+    let keyless = Name::new(balance::KEYLESS);
+    let of = |name: &Name| Digest::of(name.as_str());
+    let service = table.services().find(|service| of(&service.name) == request.service)?;
+    let mut workspaces = table.workspaces().chain([&keyless]);
+    let first = workspaces.find(|name| of(name) == request.first)?.clone();
+    let Request { lacking, urgent, granted_share, .. } = request;
+    Some(LoanRequest { service: service.name.clone(), lacking, first, urgent, granted_share })
+}
+
+fn borrow(router: &Router, lender: &str, number: u64, answer: Answer) {
+    let now = router.now();
+    let Some(pending) = router.lending.take_pending(now, lender, number) else { return };
+    let Answer { urgent, other } = answer;
+    let loan = Loan { urgent, other };
+    router.core.borrow_mut().borrow(now, pending.at, &pending.request, loan);
+    let line = Line::new("places_borrowed").subject(lender);
+    let line = line.workspace(pending.request.first.as_str());
+    router.log(line.outcome(format!("{urgent} for the workspace, {other} for any request")));
+    router.wake_queue();
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,6 +21,7 @@
 mod forward;
 mod gossip;
 mod heartbeat;
+mod lending;
 mod metrics;
 mod notice;
 mod pool;
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -35,6 +35,7 @@
 use crate::exchange::Exchange;
 use crate::forward;
 use crate::heartbeat;
+use crate::lending::Lending;
 use crate::pool::Pool;
 use crate::sent_heartbeats::SentHeartbeats;
 
@@ -78,6 +79,7 @@
     pub(crate) buffer: Buffer,
     pub(crate) sent_heartbeats: RefCell<SentHeartbeats>,
     pub(crate) exchange: RefCell<Exchange>,
+    pub(crate) lending: Lending,
     reaches_store: Cell<bool>,
     waiters: RefCell<IndexMap<Ticket, oneshot::Sender<Decision>>>,
     queue_changed: Notify,
@@ -109,6 +111,7 @@
             buffer: Buffer::default(),
             sent_heartbeats: RefCell::default(),
             exchange: RefCell::default(),
+            lending: Lending::default(),
             reaches_store: Cell::new(true),
             waiters: RefCell::default(),
             queue_changed: Notify::new(),
@@ -318,9 +321,13 @@
 
     /// Updates the names of the routers among which the constant parts of limits are divided.
     pub fn update_peers(&self) {
-        let names =
-            self.members.borrow().iter().map(|member| member.identity.name.clone()).collect();
-        self.core.borrow_mut().set_peers(names);
+        let members = self.members.borrow();
+        let names = members.iter().map(|member| member.identity.name.clone()).collect();
+        let zones = members.by_other_zone(&self.settings.zone).into_iter();
+        let sizes = zones.map(|(zone, members)| (zone.clone(), members.len())).collect();
+        let mut core = self.core.borrow_mut();
+        core.set_peers(names);
+        core.set_zone_sizes(sizes);
     }
 
     /// Releases a grant and wakes the queue.
@@ -350,6 +357,7 @@
             }
             drop(waiter.send(decision));
         }
+        self.lending.want(self.core.borrow_mut().loan_requests(self.now()));
     }
 
     /// Adds a waiter for the decision on a queued request and returns its receiver.
