fix(balance,relay): a router that is asked for nothing knows who has been silent, and asks all routers that there are

Read from the code: a router without requests computes no shares, so it began to count the silence of a dead one only with the first request of a burst, for 0.5 s, as long as its requests wait; and of four parts of a request for places, only as many were sent as there were routers to ask. Silence is now recorded with each heartbeat, and a request is divided by the routers that are asked.

--- a/crates/balance/src/core/conditions.rs
+++ b/crates/balance/src/core/conditions.rs
@@ -16,16 +16,23 @@
         if !self.shares.is_due(now) {
             return;
         }
-        self.usage.remove_expired(now);
+        self.record_silence(now);
         let fills = self.services.keys().filter_map(|name| self.engine_fill(now, name));
         // Shares are those of all services together, so the fullest one decides.
         let fill = fills.map(|fill| fill.nearest).reduce(f64::max);
         let routers = self.limits.peers.as_ref().map(|peers| peers.len() + 1);
-        let unheard = self.unheard();
-        let conditions = Conditions { fill: fill.unwrap_or(1.0), routers, unheard };
+        let conditions = Conditions { fill: fill.unwrap_or(1.0), routers };
         self.shares.update(now, &mut self.usage, conditions);
     }
 
+    /// Records which routers are not heard; called at least with each report, since a router without requests computes no
+    /// shares.
+    pub fn record_silence(&mut self, now: Duration) {
+        self.usage.remove_expired(now);
+        let unheard = self.unheard();
+        self.shares.record_silence(now, unheard);
+    }
+
     /// Returns the other routers that are published and not heard.
     fn unheard(&self) -> Unheard {
         let Some(peers) = &self.limits.peers else { return Unheard::default() };
--- a/crates/balance/src/loan.rs
+++ b/crates/balance/src/loan.rs
@@ -79,9 +79,15 @@
 }
 
 impl LoanRequest {
-    /// Returns the requests that others are sent, one each; together they ask for what is lacking.
-    pub fn split(&self) -> impl Iterator<Item = Self> {
-        let parts = self.lacking.max(self.urgent).clamp(1, MAX_LENDERS);
+    /// Returns how many routers are asked, no more than it takes places.
+    #[must_use]
+    pub fn lenders(&self) -> usize {
+        self.lacking.max(self.urgent).clamp(1, MAX_LENDERS) as usize
+    }
+
+    /// Returns the requests that a number of routers are sent, one each; together they ask for what is lacking.
+    pub fn split(&self, parts: usize) -> impl Iterator<Item = Self> {
+        let parts = u32::try_from(parts).unwrap_or(u32::MAX);
         (0..parts).map(move |part| Self {
             lacking: (self.lacking + part) / parts,
             urgent: (self.urgent + part) / parts,
--- a/crates/balance/src/shares.rs
+++ b/crates/balance/src/shares.rs
@@ -29,8 +29,6 @@
     pub(crate) fill: f64,
     /// The number of routers, heard or not; `None` if it is unknown.
     pub(crate) routers: Option<usize>,
-    /// The other routers that are not heard.
-    pub(crate) unheard: Unheard,
 }
 
 /// The shares of workspaces, and the part of this router.
@@ -44,6 +42,8 @@
     /// The part of all places that this router may use.
     part: f64,
     silence: Silence,
+    /// The routers that are not heard, but may still use an even part.
+    waited_for: usize,
     /// The time of the newest report to other routers that one of them has confirmed.
     confirmed_at: Option<Duration>,
     /// The time after which other routers know of a grant.
@@ -58,6 +58,7 @@
             is_contended: false,
             part: 0.0,
             silence: Silence::default(),
+            waited_for: 0,
             confirmed_at: None,
             report_interval: DEFAULT_REPORT_INTERVAL,
         }
@@ -82,17 +83,21 @@
             usage.count_as_contended(now, self.report_interval);
         }
         usage.record_own(now);
-        let silent = self.silence.record(now, conditions.unheard);
         let is_confirmed = self.confirmed_at.is_some_and(|at| now < at + CONFIRMATION_TIMEOUT);
         self.part = match conditions.routers {
             None => 0.0,
             Some(routers) if routers > 1 && !(is_confirmed && usage.heard_routers() > 0) => {
                 1.0 / routers as f64
             }
-            Some(_) => part(usage, conditions.fill, conditions.unheard.count() - silent),
+            Some(_) => part(usage, conditions.fill, self.waited_for),
         };
     }
 
+    /// Records which other routers are not heard.
+    pub(crate) fn record_silence(&mut self, now: Duration, unheard: Unheard) {
+        self.waited_for = unheard.count() - self.silence.record(now, unheard);
+    }
+
     /// Records that another router has received a report of this one that was sent at `at`.
     pub(crate) fn confirm_report(&mut self, at: Duration) {
         self.confirmed_at = self.confirmed_at.max(Some(at));
--- a/crates/relay/src/lending.rs
+++ b/crates/relay/src/lending.rs
@@ -156,11 +156,10 @@
     request: &LoanRequest,
 ) -> usize {
     let now = router.now();
-    let parts: Vec<LoanRequest> = request.split().collect();
     let members = router.members.borrow();
-    let lenders = members.sample(now, rand::random(), parts.len());
-    for (part, lender) in parts.iter().zip(&lenders) {
-        let number = router.lending.add_pending(now, &lender.identity.name, part);
+    let lenders = members.sample(now, rand::random(), request.lenders());
+    for (part, lender) in request.split(lenders.len()).zip(&lenders) {
+        let number = router.lending.add_pending(now, &lender.identity.name, &part);
         let content = Content::Request(Request {
             service: Digest::of(part.service.as_str()),
             lacking: part.lacking,
