fix(balance): parts by the duration of requests again, and places are yielded below 0.8 of what others have

In a flood at all routers nobody has unused places, and places were yielded only to workspaces with less than half of what the others have, so a gap of half was left alone: just the users' bound.

--- a/crates/balance/src/core/conditions.rs
+++ b/crates/balance/src/core/conditions.rs
@@ -6,7 +6,9 @@
 
 use super::Core;
 use crate::EngineFill;
+use crate::Load;
 use crate::Origin;
+use crate::Runner;
 use crate::shares::Conditions;
 use crate::silence::Unheard;
 
@@ -21,10 +23,25 @@
         // Shares are those of all services together, so the fullest one decides.
         let fill = fills.map(|fill| fill.nearest).reduce(f64::max);
         let routers = self.limits.peers.as_ref().map(|peers| peers.len() + 1);
-        let conditions = Conditions { fill: fill.unwrap_or(1.0), routers };
+        let (mut own, mut all) = (Load::default(), Load::default());
+        for (_, runner) in self.registry.iter().filter(|(_, runner)| self.is_engine(runner)) {
+            own.add(runner.own_load);
+            all.add(runner.load());
+        }
+        let conditions = Conditions {
+            fill: fill.unwrap_or(1.0),
+            routers,
+            own_running: own.running,
+            all_running: all.running,
+        };
         self.shares.update(now, &mut self.usage, conditions);
     }
 
+    fn is_engine(&self, runner: &Runner) -> bool {
+        let service = self.service(&runner.registration.service);
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
     /// Records which routers are not heard; called at least with each report, since a router without requests computes no
     /// shares.
     pub fn record_silence(&mut self, now: Duration) {
--- a/crates/balance/src/loan.rs
+++ b/crates/balance/src/loan.rs
@@ -24,7 +24,7 @@
 /// The most routers that are asked at once.
 const MAX_LENDERS: u32 = 4;
 /// The ratio of what two workspaces have of their shares below which the first one comes before the other.
-const MAX_RATIO: f64 = 0.5;
+const MAX_RATIO: f64 = 0.8;
 
 /// A request of a router that lacks places.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/balance/src/usage.rs
+++ b/crates/balance/src/usage.rs
@@ -101,6 +101,11 @@
     reported_sums: IndexMap<Name, Work>,
 }
 
+/// Returns the time in which a constant amount adds up to its sum with exponential decay.
+pub(crate) fn decay_time() -> Duration {
+    HALF_LIFE.div_f64(std::f64::consts::LN_2)
+}
+
 impl Decay {
     pub(crate) fn value(self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.at);
