fix(balance): parts of places are computed from figures as of one time

A router compared its own work as of the oldest report with the newest reports of others, so that those that lose callers gave up places an interval of reports before the others took them. And how long others hold places was today's number of running requests for the whole past, beside work that decays with a half-life of 1.5 s: while load rises, each router took its own requests for shorter ones than those of the others.

Change: for each other router the newest report that is no newer than the oldest of all newest ones counts, and for itself what a router told at that time. The time for which others hold places decays like their work; a rise counts from the report before, since it becomes known that much later.

--- a/crates/balance/src/core/conditions.rs
+++ b/crates/balance/src/core/conditions.rs
@@ -42,9 +42,16 @@
         service.is_some_and(|service| service.engine.is_some())
     }
 
-    /// Records which routers are not heard; called at least with each report, since a router without requests computes no
-    /// shares.
-    pub fn record_silence(&mut self, now: Duration) {
+    /// Records the work at this router, and which routers are not heard; called at least with each report, since a router
+    /// without requests computes no shares.
+    pub fn record_state(&mut self, now: Duration) {
+        let engines = self.registry.iter().filter(|(_, runner)| self.is_engine(runner));
+        let running = engines.map(|(_, runner)| runner.own_load.running).sum();
+        self.usage.record_report(now, running);
+        self.record_silence(now);
+    }
+
+    fn record_silence(&mut self, now: Duration) {
         self.usage.remove_expired(now);
         let unheard = self.unheard();
         self.shares.record_silence(now, unheard);
--- a/crates/balance/src/shares.rs
+++ b/crates/balance/src/shares.rs
@@ -8,19 +8,14 @@
 use crate::Usage;
 use crate::Work;
 use crate::lease::Lease;
+use crate::place_time::PlaceTime;
 use crate::silence::Silence;
 use crate::silence::Unheard;
-use crate::usage;
-use crate::usage::Decay;
 
 /// The interval at which shares are computed again.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(50);
 /// The interval of reports to other routers until it is known.
 const DEFAULT_REPORT_INTERVAL: Duration = Duration::from_millis(100);
-/// The shortest time for which requests of a router are taken to hold a place, relative to those of all.
-const MIN_RELATIVE_DURATION: f64 = 0.5;
-/// The longest time for which requests of a router are taken to hold a place, relative to those of all.
-const MAX_RELATIVE_DURATION: f64 = 8.0;
 /// The smallest fill from which a capacity is estimated.
 const MIN_FILL: f64 = 0.1;
 /// The fraction of places that is divided evenly among routers, whatever they are asked for.
@@ -51,7 +46,8 @@
     is_contended: bool,
     /// The part of all places that this router may use.
     part: f64,
-    place_time: PlaceTime,
+    /// How long requests of others had places in use.
+    others_time: PlaceTime,
     silence: Silence,
     /// The routers that are not heard, but may still use an even part.
     waited_for: usize,
@@ -61,39 +57,6 @@
     pub(crate) report_interval: Duration,
 }
 
-/// How long this router had places at engines in use of late, in seconds, as a sum with exponential decay.
-#[derive(Debug, Clone, Copy, Default)]
-struct PlaceTime {
-    at: Duration,
-    sum: Decay,
-}
-
-impl PlaceTime {
-    /// Adds the time since the last call, for which a number of requests was running.
-    fn add(&mut self, now: Duration, running: u32) {
-        let time = now.saturating_sub(self.at).as_secs_f64();
-        self.at = now;
-        self.sum.add(now, time * f64::from(running));
-    }
-
-    /// Returns how long requests of this router hold a place for the same work, relative to those of all routers.
-    ///
-    /// When load rises, the figure for the others is too high at first, so that no router takes its own requests for longer
-    /// ones.
-    fn relative_duration(&self, now: Duration, usage: &Usage, conditions: Conditions) -> f64 {
-        let own_used: u64 = usage.own(now).map(|(_, work)| work.used).sum();
-        let all_used: u64 = usage.all(now).map(|work| work.used).sum();
-        let own_time = self.sum.value(now);
-        let others_running = conditions.all_running.saturating_sub(conditions.own_running);
-        let all_time = own_time + f64::from(others_running) * usage::decay_time().as_secs_f64();
-        let relative = (own_time / own_used as f64) / (all_time / all_used as f64);
-        if !relative.is_normal() {
-            return 1.0;
-        }
-        relative.clamp(MIN_RELATIVE_DURATION, MAX_RELATIVE_DURATION)
-    }
-}
-
 impl Default for Shares {
     fn default() -> Self {
         Self {
@@ -101,7 +64,7 @@
             fair_share: FairShare::default(),
             is_contended: false,
             part: 0.0,
-            place_time: PlaceTime::default(),
+            others_time: PlaceTime::default(),
             silence: Silence::default(),
             waited_for: 0,
             confirmed_at: None,
@@ -127,19 +90,40 @@
             // Nobody could know of the shortage before the reports of the last interval.
             usage.count_as_contended(now, self.report_interval);
         }
-        usage.record_own(now);
-        self.place_time.add(now, conditions.own_running);
-        let duration = self.place_time.relative_duration(now, usage, conditions);
+        usage.record_own(now, conditions.own_running);
+        let others_running = conditions.all_running.saturating_sub(conditions.own_running);
+        self.others_time.add_reported(now, others_running, self.report_interval);
         let is_confirmed = self.confirmed_at.is_some_and(|at| now < at + CONFIRMATION_TIMEOUT);
         self.part = match conditions.routers {
             None => 0.0,
             Some(routers) if routers > 1 && !(is_confirmed && usage.heard_routers() > 0) => {
                 1.0 / routers as f64
             }
-            Some(_) => part(usage, conditions.fill, self.waited_for, duration),
+            Some(_) => self.part_asked(now, usage, conditions.fill),
         };
     }
 
+    /// Returns the part of all places for this router: of what each workspace is owed, as much as it is asked for here. What
+    /// nobody is owed is divided evenly, and routers that are not heard, but waited for, may still use an even part.
+    fn part_asked(&self, now: Duration, usage: &Usage, fill: f64) -> f64 {
+        let routers = usage.heard_routers() + 1 + self.waited_for;
+        let even = 1.0 / routers as f64;
+        let heard = 1.0 - self.waited_for as f64 * even;
+        let snapshot = usage.snapshot();
+        let all: Vec<Work> = snapshot.works.iter().map(|(_, all)| *all).collect();
+        let capacity = capacity(&all, fill);
+        let fair_share = FairShare::of(capacity, &all);
+        let owed: f64 = all.iter().map(|all| fair_share.owed(*all)).sum();
+        let competing = snapshot.works.iter().filter(|(_, all)| all.demand() > 0);
+        let owed_here: f64 = competing
+            .map(|(own, all)| fair_share.owed(*all) * own.demand() as f64 / all.demand() as f64)
+            .sum();
+        let whole = (capacity as f64).max(owed).max(1.0);
+        let duration = snapshot.relative_duration(self.others_time.value(now));
+        let asked = heard * duration * owed_here / whole + even * (1.0 - owed / whole);
+        EVEN_FRACTION * even + (1.0 - EVEN_FRACTION) * asked.min(1.0)
+    }
+
     /// Records which other routers are not heard.
     pub(crate) fn record_silence(&mut self, now: Duration, unheard: Unheard) {
         self.waited_for = unheard.count() - self.silence.record(now, unheard);
@@ -194,27 +178,3 @@
     let used: u64 = works.iter().map(|work| work.used).sum();
     (used as f64 / fill.max(MIN_FILL)) as u64
 }
-
-/// Returns the part of all places for this router: of what each workspace is owed, as much as it is asked for here. What
-/// nobody is owed is divided evenly. `waited_for` routers are not heard, but may still use an even part.
-///
-/// `fill` is how full the engines are, and `duration` the time for which requests of this router hold a place, relative to
-/// those of all.
-fn part(usage: &Usage, fill: f64, waited_for: usize, duration: f64) -> f64 {
-    let routers = usage.heard_routers() + 1 + waited_for;
-    let even = 1.0 / routers as f64;
-    let heard = 1.0 - waited_for as f64 * even;
-    let works: Vec<(Work, Work)> = usage.as_of_reports().collect();
-    let all: Vec<Work> = works.iter().map(|(_, all)| *all).collect();
-    let capacity = capacity(&all, fill);
-    let fair_share = FairShare::of(capacity, &all);
-    let owed: f64 = all.iter().map(|all| fair_share.owed(*all)).sum();
-    let owed_here: f64 = works
-        .iter()
-        .filter(|(_, all)| all.demand() > 0)
-        .map(|(own, all)| fair_share.owed(*all) * own.demand() as f64 / all.demand() as f64)
-        .sum();
-    let whole = (capacity as f64).max(owed).max(1.0);
-    let asked = heard * duration * owed_here / whole + even * (1.0 - owed / whole);
-    EVEN_FRACTION * even + (1.0 - EVEN_FRACTION) * asked.min(1.0)
-}
--- a/crates/balance/src/usage.rs
+++ b/crates/balance/src/usage.rs
@@ -8,6 +8,8 @@
 
 use crate::Origin;
 use crate::ReportAges;
+use crate::place_time::PlaceTime;
+use crate::snapshot::Snapshot;
 
 /// The time after which past work has half of its weight.
 const HALF_LIFE: Duration = Duration::from_millis(1_500);
@@ -87,6 +89,10 @@
 #[derive(Debug, Clone)]
 struct Record {
     at: Duration,
+    /// Whether it is what other routers were told.
+    is_reported: bool,
+    /// How long places were in use, as a sum with exponential decay, in seconds.
+    place_time: f64,
     works: IndexMap<Name, Work>,
 }
 
@@ -96,8 +102,11 @@
     own: IndexMap<Name, OwnWork>,
     /// The work at this router within the time after which reports expire, oldest first.
     records: VecDeque<Record>,
-    reported: IndexMap<Origin, Report>,
-    /// The sums of the reported figures, which each decision needs.
+    /// How long requests of this router had places in use.
+    place_time: PlaceTime,
+    /// The reports within the time after which they expire, oldest first; there is one at least.
+    reported: IndexMap<Origin, VecDeque<Report>>,
+    /// The sums of the newest reports, which each decision needs.
     reported_sums: IndexMap<Name, Work>,
 }
 
@@ -167,23 +176,34 @@
             let sum = self.reported_sums.entry(workspace.clone()).or_default();
             *sum = sum.plus(*work);
         }
-        let previous = self.reported.insert(origin.clone(), Report { at, routers, works });
+        let oldest = at.saturating_sub(EXPIRY);
+        let reports = self.reported.entry(origin.clone()).or_default();
+        let previous = reports.back().map(|report| report.works.clone());
+        reports.push_back(Report { at, routers, works });
+        while reports.front().is_some_and(|report| report.at <= oldest) {
+            reports.pop_front();
+        }
         self.subtract(previous);
     }
 
+    /// Returns the newest report of each origin.
+    fn newest(&self) -> impl Iterator<Item = (&Origin, &Report)> + Clone {
+        self.reported.iter().filter_map(|(origin, reports)| Some((origin, reports.back()?)))
+    }
+
     /// Removes reported figures that have expired.
     pub fn remove_expired(&mut self, now: Duration) {
-        let is_expired = |at: Duration| now >= at + EXPIRY;
-        let origins = self.reported.iter().filter(|(_, report)| is_expired(report.at));
-        let expired: Vec<Origin> = origins.map(|(origin, _)| origin.clone()).collect();
+        let expired = self.newest().filter(|(_, report)| now >= report.at + EXPIRY);
+        let expired: Vec<Origin> = expired.map(|(origin, _)| origin.clone()).collect();
         for origin in expired {
             let removed = self.reported.swap_remove(&origin);
-            self.subtract(removed);
+            let newest = removed.and_then(|mut reports| reports.pop_back());
+            self.subtract(newest.map(|report| report.works));
         }
     }
 
-    fn subtract(&mut self, removed: Option<Report>) {
-        for (workspace, work) in removed.into_iter().flat_map(|report| report.works) {
+    fn subtract(&mut self, removed: Option<IndexMap<Name, Work>>) {
+        for (workspace, work) in removed.into_iter().flatten() {
             if let Some(sum) = self.reported_sums.get_mut(&workspace) {
                 *sum = sum.saturating_sub(work);
             }
@@ -202,13 +222,23 @@
         self.workspaces().into_iter().map(move |name| self.of(now, name))
     }
 
-    /// Records the work at this router, unless that has just been done.
-    pub(crate) fn record_own(&mut self, now: Duration) {
-        if self.records.back().is_some_and(|record| now < record.at + RECORD_INTERVAL) {
-            return;
+    /// Records the work at this router, unless that has just been done, with the number of its requests that are running.
+    pub(crate) fn record_own(&mut self, now: Duration, running: u32) {
+        if self.records.back().is_none_or(|record| now >= record.at + RECORD_INTERVAL) {
+            self.record(now, running, false);
         }
+    }
+
+    /// Records the work at this router that other routers are told.
+    pub(crate) fn record_report(&mut self, now: Duration, running: u32) {
+        self.record(now, running, true);
+    }
+
+    fn record(&mut self, now: Duration, running: u32, is_reported: bool) {
+        self.place_time.add(now, running);
+        let place_time = self.place_time.value(now);
         let works = self.own(now).map(|(name, work)| (name.clone(), work)).collect();
-        self.records.push_back(Record { at: now, works });
+        self.records.push_back(Record { at: now, is_reported, place_time, works });
         while self.records.get(1).is_some_and(|record| record.at + EXPIRY <= now) {
             self.records.pop_front();
         }
@@ -219,26 +249,39 @@
         self.records.iter().rev().find(|record| record.at <= time).or(self.records.front())
     }
 
-    /// Returns the work of each workspace at this router and over all routers, both as of the oldest report.
-    ///
-    /// Newer work here, beside older work elsewhere, would make this router's part too large when load rises everywhere.
-    pub(crate) fn as_of_reports(&self) -> impl Iterator<Item = (Work, Work)> {
-        let oldest = self.reported.values().map(|report| report.at).min();
-        let record = self.record_at(oldest.unwrap_or(Duration::MAX));
-        self.workspaces().into_iter().map(move |name| {
-            let own = record.and_then(|record| record.works.get(name)).copied().unwrap_or_default();
-            (own, own.plus(self.reported_sums.get(name).copied().unwrap_or_default()))
-        })
+    /// Returns what other routers were told of this one at a time, or else what was recorded.
+    fn told_at(&self, time: Duration) -> Option<&Record> {
+        let mut told = self.records.iter().rev().filter(|record| record.is_reported);
+        told.find(|record| record.at <= time).or_else(|| self.record_at(time))
+    }
+
+    /// Returns the work of each workspace at this router and over all routers, as of the oldest of the newest reports.
+    pub(crate) fn snapshot(&self) -> Snapshot {
+        let oldest = self.newest().map(|(_, report)| report.at).min();
+        let time = oldest.unwrap_or(Duration::MAX);
+        let told = self.told_at(time);
+        let own = told.map(|record| record.works.clone()).unwrap_or_default();
+        let mut all = own.clone();
+        for report in self.reported.values().filter_map(|reports| report_at(reports, time)) {
+            for (name, work) in &report.works {
+                let sum = all.entry(name.clone()).or_default();
+                *sum = sum.plus(*work);
+            }
+        }
+        let own_work = |name: &Name| own.get(name).copied().unwrap_or_default();
+        let works = all.iter().map(|(name, all)| (own_work(name), *all)).collect();
+        let place_time = told.map(|record| record.place_time).unwrap_or_default();
+        Snapshot { works, place_time }
     }
 
     /// Returns the number of other routers whose work is known.
     pub(crate) fn heard_routers(&self) -> usize {
-        self.reported.values().map(|report| report.routers).sum()
+        self.newest().map(|(_, report)| report.routers).sum()
     }
 
     /// Returns the number of routers of an origin whose work is known; `None` if it is not heard.
     pub(crate) fn heard_of(&self, origin: &Origin) -> Option<usize> {
-        self.reported.get(origin).map(|report| report.routers)
+        self.reported.get(origin)?.back().map(|report| report.routers)
     }
 
     /// Returns the number of routers that report their own work.
@@ -272,7 +315,7 @@
     /// Returns the ages of the figures of other routers, or of the sums of other zones; `None` if there are none.
     #[must_use]
     pub fn report_ages(&self, now: Duration, of_routers: bool) -> Option<ReportAges> {
-        let reports = self.reported.iter().filter(|(origin, _)| origin.is_router() == of_routers);
+        let reports = self.newest().filter(|(origin, _)| origin.is_router() == of_routers);
         let ages = reports.map(|(_, report)| now.saturating_sub(report.at));
         let newest = ages.clone().min()?;
         Some(ReportAges { newest, oldest: ages.max().unwrap_or(newest) })
@@ -283,7 +326,7 @@
     }
 
     fn work_of_routers(&self, workspace: &Name) -> Work {
-        let routers = self.reported.iter().filter(|(origin, _)| origin.is_router());
+        let routers = self.newest().filter(|(origin, _)| origin.is_router());
         let works = routers.filter_map(|(_, report)| report.works.get(workspace));
         works.fold(Work::default(), |sum, work| sum.plus(*work))
     }
@@ -297,3 +340,8 @@
         names
     }
 }
+
+/// Returns the newest report that isn't newer than a time, or else the oldest.
+fn report_at(reports: &VecDeque<Report>, time: Duration) -> Option<&Report> {
+    reports.iter().rev().find(|report| report.at <= time).or(reports.front())
+}
--- a/crates/balance/tests/common/fleet.rs
+++ b/crates/balance/tests/common/fleet.rs
@@ -330,6 +330,7 @@
                 continue;
             }
             let sender = Origin::Router(router_name(from));
+            self.cores[from].record_state(now);
             let figures = Figures::of(&self.cores[from], now);
             for (to, core) in self.cores.iter_mut().enumerate() {
                 if to != from && to % zone_count == from % zone_count {
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -78,7 +78,7 @@
         router.sent_heartbeats.borrow_mut().record_sent(now, sequence);
         router.core.borrow_mut().set_report_interval(REPORT_PERIODS * period(router));
         router.core.borrow_mut().registry.record_running(now);
-        router.core.borrow_mut().record_silence(now);
+        router.core.borrow_mut().record_state(now);
         let is_aggregator = update_aggregation(router, now);
         let heartbeat = heartbeat(router, identity, sequence);
         router.exchange.borrow_mut().record_placed(&heartbeat.placed);
