fix(balance): engines are chosen by the load that is expected now, not by what was reported

What callers saw: late first tokens while other engines had room.

Cause: reports of other routers are as old as requests take, prompts wait for a fifth of that. Routers that all saw the same old figures chose the same engines.

Change: of the load that others have reported, the part counts that is still there by the mean times that this router has measured; the rest is taken to be spread as its own requests are. One rule for all services and sizes.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -18,12 +18,14 @@
 use crate::Key;
 use crate::Kind;
 use crate::Limit;
+use crate::Load;
 use crate::Openings;
 use crate::Prompt;
 use crate::Registry;
 use crate::Request;
 use crate::Runner;
 use crate::Service;
+use crate::expectation::Expectation;
 use crate::lease::Lease;
 use crate::lease::Places;
 use crate::rendezvous;
@@ -69,6 +71,8 @@
     pub(crate) lease: Lease,
     /// Whether a request may be placed beyond it.
     pub(crate) is_beyond_lease: bool,
+    /// The load that is expected at each runner.
+    pub(crate) expectation: Expectation,
     /// The limits that hold over all routers, with the names of this router and its peers.
     pub(crate) fleet_limits: &'a FleetLimits,
     /// The current time.
@@ -105,9 +109,9 @@
         self.running.min(runner.registration.slots).min(engine.slots)
     }
 
-    /// Returns whether the number of running requests allows one more at a runner.
-    fn may_run(&self, runner: &Runner, engine: &Engine) -> bool {
-        runner.load().running < self.running_at(runner, engine)
+    /// Returns whether the number of running requests allows one more at a runner with this load.
+    fn may_run(&self, load: Load, runner: &Runner, engine: &Engine) -> bool {
+        load.running < self.running_at(runner, engine)
     }
 }
 
@@ -151,7 +155,8 @@
         let mut serving = self.registry.serving(self.service.name.as_str());
         self.lease_limit().is_none()
             && serving.any(|(_, runner)| {
-                limits.may_run(runner, &engine) && runner.load().backlog <= limits.backlog
+                let load = self.expectation.load(runner);
+                limits.may_run(load, runner, &engine) && load.backlog <= limits.backlog
             })
     }
 
@@ -161,11 +166,11 @@
         let limits = self.workspace_limits();
         let mut serving = self.registry.serving(self.service.name.as_str());
         serving.any(|(_, runner)| {
-            runner.health.is_usable(self.now)
-                && !runner.is_paused(self.now)
-                && limits.may_run(runner, &engine)
-                && runner.load().backlog < limits.backlog
-                && runner.load().memory < usable_memory(&engine)
+            let load = self.expectation.load(runner);
+            runner.may_be_sent(self.now)
+                && limits.may_run(load, runner, &engine)
+                && load.backlog < limits.backlog
+                && load.memory < usable_memory(&engine)
         })
     }
 
@@ -175,8 +180,8 @@
         let Some(engine) = self.service.engine else { return room };
         let limits = self.workspace_limits();
         for (_, runner) in self.registry.serving(self.service.name.as_str()) {
-            let load = runner.load();
-            let count = if !limits.may_run(runner, &engine) {
+            let load = self.expectation.load(runner);
+            let count = if !limits.may_run(load, runner, &engine) {
                 &mut room.at_running_limit
             } else if load.backlog >= limits.backlog {
                 &mut room.at_backlog_limit
@@ -223,8 +228,7 @@
         let limits = self.workspace_limits();
         let mut places = Places::default();
         let serving = self.registry.serving(self.service.name.as_str());
-        let usable = serving
-            .filter(|(_, runner)| runner.health.is_usable(self.now) && !runner.is_paused(self.now));
+        let usable = serving.filter(|(_, runner)| runner.may_be_sent(self.now));
         for (_, runner) in usable {
             places.own.add(runner.own_load);
             places.running += f64::from(limits.running_at(runner, &engine));
@@ -294,9 +298,7 @@
 
     /// Returns whether a runner may be used for a request, apart from its capacity.
     fn is_usable(&self, key: Key, runner: &Runner, request: &Request) -> bool {
-        let is_usable = runner.health.is_usable(self.now)
-            && !runner.is_paused(self.now)
-            && !request.avoid.contains(&key);
+        let is_usable = runner.may_be_sent(self.now) && !request.avoid.contains(&key);
         let is_available =
             !runner.health.is_half_open() || (runner.own_load.running == 0 && may_probe(request));
         is_usable && is_available && self.has_cold_capacity(runner)
@@ -328,7 +330,7 @@
 
     /// Returns whether a runner has capacity for a request, of whose prompt it still has to process `missing` tokens.
     fn has_capacity(&self, runner: &Runner, request: &Request, missing: u64) -> bool {
-        let load = runner.load();
+        let load = self.expectation.load(runner);
         let Some(engine) = self.service.engine else {
             return load.running
                 < runner.registration.slots
@@ -337,13 +339,13 @@
         let limits = self.workspace_limits();
         let missing = missing.min(limits.backlog / 2);
         let has_memory = load.memory + request.memory() <= usable_memory(&engine);
-        limits.may_run(runner, &engine)
+        limits.may_run(load, runner, &engine)
             && (has_memory || load.running == 0)
             && load.backlog + missing <= limits.backlog
     }
 
     fn cost(&self, runner: &Runner, request: &Request, missing: u64, rank: Option<usize>) -> u64 {
-        let load = runner.load();
+        let load = self.expectation.load(runner);
         let jitter = self.jitter(runner);
         let failure_ratio = runner.health.failure_ratio();
         let is_near = runner.registration.zone == self.fleet_limits.zone;
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -30,10 +30,12 @@
 use crate::choice;
 use crate::choice::Choice;
 use crate::choice::Selector;
+use crate::expectation::Expectation;
 use crate::loan::Loans;
 use crate::queue::Queue;
 use crate::queue::Waiting;
 use crate::shares::Shares;
+use crate::turnover::Turnover;
 
 /// The fraction of its target time for which a request waits for a runner.
 const MAX_WAIT_FRACTION: f64 = 0.5;
@@ -49,6 +51,7 @@
     adaptive_limit: AdaptiveLimit,
     budget: RetryBudget,
     loans: Loans,
+    turnover: Turnover,
 }
 
 /// The state of a router.
@@ -248,6 +251,7 @@
             runner.own_load.remove(read);
         }
         let state = self.service_state(service);
+        state.turnover.record_prompt(took);
         let has_waiting = !state.queue.is_empty();
         state.adaptive_limit.record_first_token(now, took, target, has_waiting);
     }
@@ -263,6 +267,10 @@
     pub fn release(&mut self, now: Duration, grant: &Grant, may_have_run: bool) {
         if let Some(runner) = self.registry.get_mut(grant.runner) {
             runner.own_load.remove(grant.load);
+            let state = self.services.get_mut(&runner.registration.service);
+            if let Some(state) = state.filter(|_| may_have_run) {
+                state.turnover.record_place(now.saturating_sub(grant.granted_at));
+            }
         }
         if let Some(payer) = grant.payer.as_ref().filter(|_| !may_have_run) {
             self.usage.refund(now, payer, grant.work, grant.is_contended);
@@ -351,6 +359,8 @@
     ) -> Option<Selector<'_>> {
         let state = self.services.get(service)?;
         let lease = self.shares.lease(now, &self.limits.router);
+        let runners = self.registry.serving(service.as_str()).map(|(_, runner)| runner);
+        let usable = runners.filter(|runner| runner.may_be_sent(now));
         Some(Selector {
             registry: &self.registry,
             service: self.service(service)?,
@@ -358,6 +368,7 @@
             fraction: self.shares.allowed_fraction(now, &self.usage, workspace),
             lease: lease.with_loans(state.loans.balance(now)),
             is_beyond_lease: false,
+            expectation: Expectation::of(now, state.turnover, usable),
             fleet_limits: &self.limits,
             now,
             salt: self.tickets,
@@ -400,7 +411,18 @@
             self.shares.record_use(now, &self.usage, payer);
         }
         let source = choice.source;
-        Grant { runner: key, id, incarnation, address, source, load, payer, work, is_contended }
+        Grant {
+            runner: key,
+            id,
+            incarnation,
+            address,
+            source,
+            granted_at: now,
+            load,
+            payer,
+            work,
+            is_contended,
+        }
     }
 
     fn service(&self, name: &Name) -> Option<&Service> {
@@ -417,6 +439,7 @@
                 adaptive_limit: AdaptiveLimit::default(),
                 budget,
                 loans: Loans::default(),
+                turnover: Turnover::default(),
             };
             self.services.insert(service.clone(), state);
         }
--- a/crates/balance/src/fill.rs
+++ b/crates/balance/src/fill.rs
@@ -33,7 +33,7 @@
         let memory_limit = choice::usable_memory(&engine).max(1) as f64;
         let (mut sum, mut count) = (Self::default(), 0.0);
         for (_, runner) in registry.serving(service.name.as_str()) {
-            if !runner.health.is_usable(now) || runner.is_paused(now) {
+            if !runner.may_be_sent(now) {
                 continue;
             }
             let load = runner.load();
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -24,6 +24,7 @@
 mod decision;
 mod departure;
 pub mod era;
+mod expectation;
 mod fair_share;
 mod fill;
 mod fleet_limits;
@@ -52,6 +53,7 @@
 mod snapshot;
 mod table;
 mod topic_view;
+mod turnover;
 mod usage;
 mod window;
 
--- a/crates/balance/src/load.rs
+++ b/crates/balance/src/load.rs
@@ -43,6 +43,8 @@
 pub struct PeerLoads {
     reported: IndexMap<Origin, (Duration, Load)>,
     sum: Load,
+    /// The sum over the running requests of the times, in milliseconds, at which they were reported.
+    reported_ms: u64,
     /// The earliest time at which figures that are part of the sum expire.
     expires_at: Option<Duration>,
 }
@@ -55,10 +57,12 @@
         } else {
             self.reported.insert(origin.clone(), (at, load))
         };
-        if let Some((_, load)) = previous {
+        if let Some((at, load)) = previous {
             self.sum.remove(load);
+            self.reported_ms = self.reported_ms.saturating_sub(reported_ms(at, load));
         }
         self.sum.add(load);
+        self.reported_ms += reported_ms(at, load);
         if load != Load::default() {
             let expires_at = at + EXPIRY;
             self.expires_at =
@@ -72,6 +76,11 @@
         self.sum
     }
 
+    /// Returns the sum over the running requests of the times, in milliseconds, at which they were reported.
+    pub(crate) const fn reported_ms(&self) -> u64 {
+        self.reported_ms
+    }
+
     /// Returns the sum over the routers that report their own figures.
     #[must_use]
     pub fn sum_of_routers(&self) -> Load {
@@ -86,9 +95,16 @@
         self.reported.retain(|_, (at, _)| now < *at + EXPIRY);
         self.expires_at = self.reported.values().map(|(at, _)| *at + EXPIRY).min();
         self.sum = sum(self.reported.iter());
+        self.reported_ms = self.reported.values().map(|(at, load)| reported_ms(*at, *load)).sum();
     }
 }
 
+/// Returns the time of a report in milliseconds, once for each running request.
+fn reported_ms(at: Duration, load: Load) -> u64 {
+    let at_ms = u64::try_from(at.as_millis()).unwrap_or(u64::MAX);
+    at_ms.saturating_mul(u64::from(load.running))
+}
+
 fn sum<'a>(reported: impl Iterator<Item = (&'a Origin, &'a (Duration, Load))>) -> Load {
     let mut sum = Load::default();
     for (_, (_, load)) in reported {
--- a/crates/balance/src/runner.rs
+++ b/crates/balance/src/runner.rs
@@ -131,6 +131,11 @@
         self.paused_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether this router may send requests to the runner now.
+    pub(crate) fn may_be_sent(&self, now: Duration) -> bool {
+        self.health.is_usable(now) && !self.is_paused(now)
+    }
+
     /// Returns whether the runner can handle only few requests.
     #[must_use]
     pub fn is_cold(&self, now: Duration) -> bool {
