--- a/crates/balance/src/runner.rs
+++ b/crates/balance/src/runner.rs
@@ -12,6 +12,7 @@
 use crate::PrefixCache;
 use crate::Start;
 use crate::Window;
+use crate::rendezvous;
 
 slotmap::new_key_type! {
     /// The key of a runner in the registry.
@@ -66,6 +67,7 @@
 pub struct Runner {
     /// The newest registration.
     pub registration: Registration,
+    digest: u32,
     /// The time until which it can handle only few requests.
     pub cold_until: Duration,
     /// The circuit breaker, based on the results of requests.
@@ -87,6 +89,7 @@
     #[must_use]
     pub fn new(now: Duration, registration: Registration) -> Self {
         let mut runner = Self {
+            digest: rendezvous::digest(registration.id.as_str()),
             registration,
             cold_until: Duration::ZERO,
             health: Health::default(),
@@ -100,6 +103,12 @@
         runner
     }
 
+    /// Returns the digest that stands for its identifier in what routers tell each other.
+    #[must_use]
+    pub const fn digest(&self) -> u32 {
+        self.digest
+    }
+
     /// Replaces the registration by a newer one of the same incarnation; a draining runner stays draining.
     pub fn update(&mut self, now: Duration, registration: &Registration) {
         let is_draining = self.registration.is_draining || registration.is_draining;
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -7,6 +7,7 @@
 //! topic of the platform's store, which only the fleet can write.
 
 use balance::Cause;
+use balance::Runner;
 use balance::Start;
 use hmac::Hmac;
 use hmac::Mac;
@@ -30,6 +31,11 @@
     pub(crate) fn of(name: &str) -> Self {
         Self(balance::digest(name))
     }
+
+    /// Returns the digest of the identifier of a runner.
+    pub(crate) const fn of_runner(runner: &Runner) -> Self {
+        Self(runner.digest())
+    }
 }
 
 /// The load that the sender has placed on a runner.
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -67,7 +67,7 @@
     let placed = core.take_placements();
     let known = placed.into_iter().filter_map(|(part, runner)| {
         let runner = core.registry.get(runner)?;
-        Some(PlacedPart { part, runner: Digest::of(runner.registration.id.as_str()) })
+        Some(PlacedPart { part, runner: Digest::of_runner(runner) })
     });
     known.collect()
 }
@@ -149,7 +149,7 @@
         let loads: IndexMap<Digest, &RunnerLoad> =
             self.loads.iter().map(|load| (load.runner, load)).collect();
         for runner in core.registry.iter_mut() {
-            let digest = Digest::of(runner.registration.id.as_str());
+            let digest = Digest::of_runner(runner);
             for placed in self.placed.iter().filter(|placed| placed.runner == digest) {
                 runner.prefix_cache.record_sent_by_peer(placed.part, now);
             }
@@ -199,7 +199,7 @@
     let loaded = core.registry.iter().filter_map(|(_, runner)| {
         let load = load_of(runner);
         (load != Load::default()).then(|| RunnerLoad {
-            runner: Digest::of(runner.registration.id.as_str()),
+            runner: Digest::of_runner(runner),
             running: load.running,
             backlog: load.backlog,
             memory: load.memory,
