--- a/review/kit/mod.rs
+++ b/review/kit/mod.rs
@@ -178,8 +178,14 @@
     /// Decides on an append of a caller: how long it is held back, and whether it is answered.
     on_append: Mutex<Option<Box<dyn Fn(&str, &[u8]) -> Option<Duration> + Send>>>,
     record: Record,
+    /// The era, which the header `Store-Era` states; it rises by one when the store comes back from an older copy.
+    era: AtomicU64,
+    is_away: std::sync::atomic::AtomicBool,
 }
 
+/// A copy of the store: the number of records of each topic.
+pub struct Copy(BTreeMap<String, usize>);
+
 impl Store {
     /// Starts a store: linearizable, 4 ms an answer, at most `max_kb` (1,024) a read.
     pub fn start(record: &Record) -> Arc<Self> {
@@ -191,6 +197,8 @@
             answer: Mutex::new(ms(4)),
             on_append: Mutex::new(None),
             record: record.clone(),
+            era: AtomicU64::new(0),
+            is_away: std::sync::atomic::AtomicBool::new(false),
         });
         let own = Arc::clone(&store);
         thread::spawn(move || {
@@ -211,6 +219,27 @@
         *self.on_append.lock().unwrap() = None;
     }
 
+    /// Takes a copy.
+    pub fn copy(&self) -> Copy {
+        let topics = self.topics.lock().unwrap();
+        Copy(topics.iter().map(|(name, topic)| (name.clone(), topic.records.len())).collect())
+    }
+
+    /// Is away for a moment and comes back from a copy: what was written since is gone.
+    pub fn restore(&self, copy: &Copy, away: Duration) {
+        self.is_away.store(true, Ordering::SeqCst);
+        thread::sleep(away);
+        {
+            let mut topics = self.topics.lock().unwrap();
+            for (name, topic) in topics.iter_mut() {
+                topic.records.truncate(copy.0.get(name).copied().unwrap_or(0));
+            }
+            self.era.fetch_add(1, Ordering::SeqCst);
+            self.changed.notify_all();
+        }
+        self.is_away.store(false, Ordering::SeqCst);
+    }
+
     /// Writes a record as the operator or a runner does; the return is the confirmation.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
         let mut record = vec![u8::try_from(key.len()).unwrap()];
@@ -245,7 +274,11 @@
             let Some(body) = read_body(&mut reader, &head) else { return };
             let pause = *self.answer.lock().unwrap();
             thread::sleep(pause);
-            let answer = self.call(&head, &body);
+            let answer = if self.is_away.load(Ordering::SeqCst) {
+                Some((503, Vec::new()))
+            } else {
+                self.call(&head, &body)
+            };
             let Some((status, body)) = answer else {
                 // The answer is lost: the channel returns nothing further.
                 let mut rest = Vec::new();
@@ -254,7 +287,8 @@
             };
             // read_mb_per_s is 80.
             thread::sleep(Duration::from_nanos(body.len() as u64 * 1_000 / 80));
-            let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", body.len());
+            let era = self.era.load(Ordering::SeqCst);
+            let head = format!("HTTP/1.1 {status} X\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n", body.len());
             let sent = writer.write_all(head.as_bytes()).and_then(|()| writer.write_all(&body));
             if sent.is_err() {
                 return;
@@ -302,6 +336,9 @@
         loop {
             let records = topics.get(topic).map_or(&[][..], |t| &t.records[..]);
             let left = until.saturating_duration_since(Instant::now());
+            if from > records.len() {
+                return (410, b"{\"first\":0}".to_vec());
+            }
             if from < records.len() || left.is_zero() {
                 let mut out = Vec::new();
                 out.extend((records.len() as u64).to_be_bytes());
