--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -11,12 +11,15 @@
 
 use kit::*;
 
-const ROUTES: usize = 400;
-const CHANGES: u64 = 25;
+/// Twice the 400 routes that a day adds at once.
+const ROUTES: usize = 800;
+const CHANGES: u64 = 5;
+/// The longest cut of one machine from the store.
+const CUT_MS: u64 = 5_500;
 const KEPT: &str = "k7b2ex5wa5xwyhks8nbk";
 const TAKEN: &str = "asnmgkcuyj8pjbvk9m68";
 
-/// The configuration: the routes of a day to which 400 were added, and two tenants.
+/// The configuration: the routes of a day to which 400 were added twice, and two tenants.
 fn configuration(version: u64, has_taken: bool) -> String {
     let route = |n: usize| {
         format!(
@@ -72,7 +75,7 @@
         record.write("front-derby-1 is cut off from the store");
     }
     let cut_at = record.at();
-    thread::sleep(ms(200));
+    let cut_since = Instant::now();
     for change in 0..CHANGES {
         store.put("keyed.op", "config", configuration(2 + change, true).as_bytes());
         thread::sleep(ms(80));
@@ -81,13 +84,14 @@
     let confirmed = Instant::now();
     record.write(format!("the store confirms version {}, which takes the key of tenant left away", 2 + CHANGES));
 
-    thread::sleep(ms(5_200));
+    thread::sleep(ms(5_002).saturating_sub(confirmed.elapsed()));
     let is_over = Arc::new(AtomicBool::new(false));
     let sent: Arc<Mutex<Vec<(String, Instant, Option<u16>)>>> = Arc::default();
-    let clients: Vec<_> = (0..8)
-        .map(|_| {
+    let clients: Vec<_> = (0..10u64)
+        .map(|number| {
             let (is_over, sent, callers) = (Arc::clone(&is_over), Arc::clone(&sent), routers[0].callers);
             thread::spawn(move || {
+                thread::sleep(ms(number));
                 while !is_over.load(Ordering::SeqCst) {
                     let id = new_id();
                     let at = Instant::now();
@@ -96,15 +100,15 @@
                     );
                     let status = call(callers, &head, b"", ms(1_500)).map(|reply| reply.head.status());
                     sent.lock().unwrap().push((id, at, status));
-                    thread::sleep(ms(20));
+                    thread::sleep(ms(4));
                 }
             })
         })
         .collect();
-    thread::sleep(ms(300));
+    thread::sleep(ms(CUT_MS - 10).saturating_sub(cut_since.elapsed()));
     if trouble() {
         way.cut(false);
-        record.write(format!("front-derby-1 reaches the store again after {:.1} s", record.at() - cut_at));
+        record.write(format!("front-derby-1 reaches the store again after {:.3} s", record.at() - cut_at));
     }
     thread::sleep(ms(2_000));
     is_over.store(true, Ordering::SeqCst);
