fix(platform): a page that ends before the end of its topic confirms nothing

Cause: an answer of log-read holds 1,024 KB at most and states the end of the topic, which the client skipped. Each page was reported as all records up to the end, and confirmed what the router knows as of the begin of the read.

Why this works: only a page that reaches the end which it states confirms. The end counts as a change that this router has not read, so reports of others don't confirm either, and the next read follows at once.

--- a/crates/balance/src/read_schedule.rs
+++ b/crates/balance/src/read_schedule.rs
@@ -61,6 +61,11 @@
 pub enum Extent {
     /// The records that another router had.
     Partial,
+    /// Records that end before the end of the topic.
+    Page {
+        /// The position after the newest record of the topic.
+        end: u64,
+    },
     /// The newest record of each key, in pages that need not be of the same time.
     Newest,
     /// All records up to the end of the topic.
@@ -107,6 +112,7 @@
         self.changes.record(changes);
         match extent {
             Extent::All => self.confirm(started),
+            Extent::Page { end } => self.reported = self.reported.max(end),
             Extent::Newest => self.told_as_of = self.told_as_of.max(Some(started)),
             Extent::Partial => (),
         }
@@ -150,13 +156,13 @@
         self.changes
     }
 
-    /// Returns the position after the last change that was reported and not read at that time.
+    /// Returns the position after the last change that a router or the store has reported and was not read at that time.
     #[must_use]
     pub const fn reported(&self) -> u64 {
         self.reported
     }
 
-    /// Returns whether a change was reported that this router has not read yet.
+    /// Returns whether a router or the store has reported a change that this router has not read yet.
     #[must_use]
     pub const fn is_behind(&self) -> bool {
         self.reported > self.position
--- a/crates/balance/tests/watch.rs
+++ b/crates/balance/tests/watch.rs
@@ -70,6 +70,22 @@
     assert_eq!(schedule.changes().last, 11);
 }
 
+/// Guards against a page that ends before the end of its topic being taken for all of it.
+#[test]
+fn a_page_that_ends_early_confirms_nothing_until_the_rest_is_read() {
+    let second = NOW + Duration::from_secs(1);
+    let mut schedule = read_at(NOW, 10);
+    schedule.record_read(second, 12, Changes::untold(12), Extent::Page { end: 14 });
+    assert!(schedule.is_behind());
+    assert_eq!(schedule.age(second), Some(Duration::from_secs(1)));
+    assert_eq!(schedule.told_age(second), Some(Duration::from_secs(1)));
+    schedule.record_report(&report(14, Some(second)));
+    assert_eq!(schedule.age(second), Some(Duration::from_secs(1)));
+    schedule.record_read(second, 14, Changes::untold(14), Extent::All);
+    assert!(!schedule.is_behind());
+    assert_eq!(schedule.age(second), Some(Duration::ZERO));
+}
+
 #[test]
 fn a_router_does_not_read_while_peers_confirm_that_there_is_no_change() {
     let mut schedule = read_at(NOW, 10);
--- a/crates/fake/src/store.rs
+++ b/crates/fake/src/store.rs
@@ -33,6 +33,11 @@
 /// The interval at which a waiting read checks for new records.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Maximum size of a page of records, in bytes, unless its first record is larger.
+pub const PAGE_BYTES: usize = 1_024 << 10;
+/// Maximum number of items of a page of newest records.
+pub const PAGE_ITEMS: usize = 500;
+
 /// How long a slow store takes to begin with an answer.
 pub const SLOW_DELAY: Duration = Duration::from_millis(300);
 
@@ -48,8 +53,16 @@
     Unresponsive,
     /// Answers each call after [`SLOW_DELAY`].
     Slow,
+    /// Becomes [`FaultMode::Withholding`] once a page ends before the end of its topic.
+    OnePage,
+    /// Never answers reads of records that exist.
+    Withholding,
 }
 
+/// Marks an answer whose page ends before the end of its topic.
+#[derive(Debug, Clone, Copy)]
+struct CutShort;
+
 /// One topic, with a single partition.
 #[derive(Debug, Clone, Default)]
 struct Topic {
@@ -227,12 +240,18 @@
                 let Ok((stream, _)) = accepted else { continue };
                 let (state, fault_mode) = (Arc::clone(&state), fault_mode.clone());
                 let service = service_fn(move |request| {
-                    let state = Arc::clone(&state);
-                    let own = fault_mode.as_deref().map(|mode| {
-                        *mode.lock().unwrap_or_else(PoisonError::into_inner)
-                    });
-                    let mode = own.unwrap_or_else(|| lock(&state).fault_mode);
-                    async move { Ok::<_, Infallible>(answer(&state, mode, request).await) }
+                    let (state, fault_mode) = (Arc::clone(&state), fault_mode.clone());
+                    async move {
+                        let mode = exchange_mode(&state, fault_mode.as_deref(), None);
+                        let response = answer(&state, mode, request).await;
+                        if mode == FaultMode::OnePage
+                            && response.extensions().get::<CutShort>().is_some()
+                        {
+                            let next = Some(FaultMode::Withholding);
+                            exchange_mode(&state, fault_mode.as_deref(), next);
+                        }
+                        Ok::<_, Infallible>(response)
+                    }
                 });
                 connections.spawn(async move {
                     let connection =
@@ -245,6 +264,19 @@
     }
 }
 
+/// Returns the fault mode of an address, and sets that of later calls if there is a `next` one.
+fn exchange_mode(
+    state: &Mutex<State>,
+    own: Option<&Mutex<FaultMode>>,
+    next: Option<FaultMode>,
+) -> FaultMode {
+    let exchange = |mode: &mut FaultMode| std::mem::replace(mode, next.unwrap_or(*mode));
+    match own {
+        Some(own) => exchange(&mut own.lock().unwrap_or_else(PoisonError::into_inner)),
+        None => exchange(&mut lock(state).fault_mode),
+    }
+}
+
 /// Answers a call; each answer states the era in which it was made.
 async fn answer(
     state: &Mutex<State>,
@@ -263,7 +295,7 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     match fault_mode {
-        FaultMode::Normal => (),
+        FaultMode::Normal | FaultMode::OnePage | FaultMode::Withholding => (),
         FaultMode::Unavailable => return status(StatusCode::SERVICE_UNAVAILABLE),
         FaultMode::Unresponsive => return pending().await,
         FaultMode::Slow => time::sleep(SLOW_DELAY).await,
@@ -274,7 +306,12 @@
             Ok(body) => append(state, &query, &body.to_bytes()),
             Err(_) => status(StatusCode::BAD_REQUEST),
         },
-        "/log-read" => read(state, &query).await,
+        "/log-read" => match read(state, &query).await {
+            (_, has_records) if has_records && fault_mode == FaultMode::Withholding => {
+                pending().await
+            }
+            (page, _) => page,
+        },
         "/log-newest" => newest(state, &query),
         _ => status(StatusCode::NOT_FOUND),
     }
@@ -298,14 +335,16 @@
     json_body(&json!({ "offset": end - count, "end": end }))
 }
 
-async fn read(state: &Mutex<State>, query: &Query) -> Response<Full<Bytes>> {
+/// Reads records and returns the answer with whether it has any.
+async fn read(state: &Mutex<State>, query: &Query) -> (Response<Full<Bytes>>, bool) {
     let until = time::Instant::now() + query.wait;
     loop {
         if let Some(answer) = try_read(state, query) {
-            return answer;
+            let has_records = answer.status() == StatusCode::OK;
+            return (answer, has_records);
         }
         if time::Instant::now() >= until {
-            return page_body(state, query, &[]);
+            return (page_body(state, query, &[]), false);
         }
         time::sleep(POLL_INTERVAL).await;
     }
@@ -331,7 +370,12 @@
     let mut body = Vec::new();
     body.extend_from_slice(&end.to_be_bytes());
     body.extend_from_slice(&first.to_be_bytes());
-    for record in records {
+    for (number, record) in records.iter().enumerate() {
+        if number > 0 && body.len() + 4 + record.len() > PAGE_BYTES {
+            let mut response = Response::new(Full::new(Bytes::from(body)));
+            response.extensions_mut().insert(CutShort);
+            return response;
+        }
         let length = u32::try_from(record.len()).expect("the record is shorter than 4 GiB");
         body.extend_from_slice(&length.to_be_bytes());
         body.extend_from_slice(record);
@@ -342,13 +386,16 @@
 fn newest(state: &Mutex<State>, query: &Query) -> Response<Full<Bytes>> {
     let state = lock(state);
     let topic = state.topics.get(&query.topic);
-    let newest = topic.map(Topic::newest).unwrap_or_default();
-    let items = newest.iter().map(|(key, (offset, value))| {
+    let mut newest = topic.map(Topic::newest).unwrap_or_default();
+    newest.sort_unstable_keys();
+    newest.retain(|key, _| *key > query.after);
+    let has_more = newest.len() > PAGE_ITEMS;
+    let items = newest.iter().take(PAGE_ITEMS).map(|(key, (offset, value))| {
         json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
     });
     let items: Vec<serde_json::Value> = items.collect();
     let end = topic.map_or(0, |topic| topic.records.len());
-    json_body(&json!({ "items": items, "has_more": false, "end": end }))
+    json_body(&json!({ "items": items, "has_more": has_more, "end": end }))
 }
 
 fn json_body(value: &serde_json::Value) -> Response<Full<Bytes>> {
@@ -368,6 +415,8 @@
 struct Query {
     topic: String,
     from: u64,
+    /// The key after which a page of newest records begins.
+    after: String,
     wait: Duration,
 }
 
@@ -377,6 +426,7 @@
         for (name, value) in text.split('&').filter_map(|part| part.split_once('=')) {
             match name {
                 "topic" => value.clone_into(&mut query.topic),
+                "after" => value.clone_into(&mut query.after),
                 "from" => query.from = value.parse().unwrap_or_default(),
                 "wait_ms" => query.wait = Duration::from_millis(value.parse().unwrap_or_default()),
                 _ => (),
