fix(balance): any kind of request may bring an unreachable runner back into use

Cause: a runner whose connection broke becomes half-open, only a success ends that, and unsafe requests were never sent to a half-open runner. So a service without other requests never used it again.

Why this works: an unsafe request may probe as well, 1 s after the block, so that others go first where there are any, and only while no sound runner has room, since it may be lost.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -92,6 +92,8 @@
 /// A usable runner with its cost for a request.
 struct Candidate {
     key: Key,
+    /// Whether the request may be lost there, so that any other runner comes first.
+    is_last_resort: bool,
     cost: u64,
     has_capacity: bool,
 }
@@ -137,11 +139,12 @@
             let rank = ranks.iter().position(|ranked| *ranked == key);
             let cost = self.cost(runner, request, missing, rank);
             let has_capacity = self.has_capacity(runner, request, missing);
-            Candidate { key, cost, has_capacity }
+            let is_last_resort = runner.health.is_half_open() && !probes_first(request);
+            Candidate { key, is_last_resort, cost, has_capacity }
         });
         let may_wait = self.now < request.arrived + max_preferred_wait(request);
         let candidates = candidates.filter(|candidate| candidate.has_capacity || may_wait);
-        let best = candidates.min_by_key(|candidate| candidate.cost)?;
+        let best = candidates.min_by_key(|candidate| (candidate.is_last_resort, candidate.cost))?;
         let source = self.source(request, &ranks, best.key);
         best.has_capacity.then_some(Choice { runner: best.key, source })
     }
@@ -299,8 +302,9 @@
     /// Returns whether a runner may be used for a request, apart from its capacity.
     fn is_usable(&self, key: Key, runner: &Runner, request: &Request) -> bool {
         let is_usable = runner.may_be_sent(self.now) && !request.avoid.contains(&key);
-        let is_available =
-            !runner.health.is_half_open() || (runner.own_load.running == 0 && may_probe(request));
+        let may_probe = runner.own_load.running == 0
+            && runner.health.may_be_probed(self.now, probes_first(request));
+        let is_available = !runner.health.is_half_open() || may_probe;
         is_usable && is_available && self.has_cold_capacity(runner)
     }
 
@@ -385,7 +389,8 @@
     request.prompt.as_ref().map_or(0, |prompt| runner.prefix_cache.missing_tokens(prompt, now))
 }
 
-/// Returns whether a request may probe a runner that has failed before.
-const fn may_probe(request: &Request) -> bool {
+/// Returns whether a request may probe a runner as soon as its block is over; one that must not be lost leaves that to
+/// others.
+const fn probes_first(request: &Request) -> bool {
     !matches!(request.kind, Kind::Unsafe)
 }
--- a/crates/balance/src/health.rs
+++ b/crates/balance/src/health.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: runners that refuse connections, hang or fail some of their requests although their own health checks
 //! succeed. A failing runner is blocked for a time that doubles with each block, and is then probed with single
-//! requests.
+//! requests: at first with those that are not unsafe, and after a time with any, since a service may have no others.
 
 use std::time::Duration;
 
@@ -11,6 +11,8 @@
 const MIN_BLOCK: Duration = Duration::from_millis(400);
 /// The longest time for which a runner is blocked.
 const MAX_BLOCK: Duration = Duration::from_secs(4);
+/// The time after a block that is left to requests which are not unsafe.
+const FIRST_PROBES_TIME: Duration = Duration::from_secs(1);
 /// The weight of the newest result in the failure ratio.
 const NEWEST_WEIGHT: f64 = 0.15;
 /// The failure ratio above which a runner is blocked.
@@ -38,6 +40,12 @@
         self.is_half_open
     }
 
+    /// Returns whether a request may probe the runner while it is half-open.
+    #[must_use]
+    pub fn may_be_probed(&self, now: Duration, probes_first: bool) -> bool {
+        probes_first || now >= self.blocked_until + FIRST_PROBES_TIME
+    }
+
     /// Returns the fraction of recent requests that failed, from 0 to 1.
     #[must_use]
     pub const fn failure_ratio(&self) -> f64 {
