fix(relay): a broken connection counts as a crash only if its runner has ended

All runners were sound.

Cause: a connection that broke before an answer was taken for a crash of the runner. A runner may drop an idle connection, turn one away or break an answer off and run on; three breaks under the same content quarantined it.

Why this works: after a break the runner is tried with a new connection. One that stays open shows that the runner runs on, so nothing is counted, and it is kept for a later request; else the break counts as before.

--- a/crates/conn/src/connection.rs
+++ b/crates/conn/src/connection.rs
@@ -74,6 +74,12 @@
         self.closed
     }
 
+    /// Returns whether the connection is open, after a look for a close by the peer.
+    pub async fn is_open(&mut self) -> bool {
+        self.poll_closed().await;
+        !self.closed
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
@@ -82,8 +88,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Failure> {
-        self.poll_closed().await;
-        if self.closed {
+        if !self.is_open().await {
             return Err(Failure::NotSent);
         }
         drive(&mut self.driver, &mut self.closed, self.sender.ready())
--- a/crates/relay/src/acquire.rs
+++ b/crates/relay/src/acquire.rs
@@ -19,6 +19,7 @@
 use crate::Line;
 use crate::Problem;
 use crate::Router;
+use crate::crash_check::Break;
 use crate::event;
 use crate::forward;
 use crate::forward::AttemptHistory;
@@ -83,13 +84,19 @@
 
     /// Records that the runner broke the connection while it ran the request, `data_for` after its first data.
     ///
-    /// A request whose answer had been arriving for a while has not crashed the runner.
+    /// A request whose answer had been arriving for a while has not crashed the runner. Otherwise it counts as the cause
+    /// of a crash if the runner turns out to have ended.
     pub(crate) fn record_break(&self, data_for: Option<Duration>) {
         self.router.log(self.break_line(data_for));
         if data_for.is_none_or(|data_for| data_for < SOUND_AFTER) {
-            let now = self.router.now();
-            let mut core = self.router.core.borrow_mut();
-            core.crash_history.record_crash(now, self.grant.incarnation, &self.call.causes);
+            self.router.breaks.add(Break {
+                runner: self.grant.runner,
+                id: self.grant.id.clone(),
+                address: self.grant.address,
+                incarnation: self.grant.incarnation,
+                causes: self.call.causes.clone(),
+                at: self.router.now(),
+            });
         }
     }
 
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -32,6 +32,7 @@
 use crate::RunnerProtocol;
 use crate::Settings;
 use crate::buffer::Buffer;
+use crate::crash_check::Breaks;
 use crate::exchange::Exchange;
 use crate::forward;
 use crate::heartbeat;
@@ -75,6 +76,7 @@
     /// The clock of the process.
     pub clock: Clock,
     pub(crate) pool: RefCell<Pool>,
+    pub(crate) breaks: Breaks,
     /// The memory for incomplete answers.
     pub(crate) buffer: Buffer,
     pub(crate) sent_heartbeats: RefCell<SentHeartbeats>,
@@ -108,6 +110,7 @@
             metrics: Metrics::default(),
             clock,
             pool: RefCell::default(),
+            breaks: Breaks::default(),
             buffer: Buffer::default(),
             sent_heartbeats: RefCell::default(),
             exchange: RefCell::default(),
