fix(platform,balance): no late write of an ended process touches the next one

Cause: a process withdraws its identity under the name of its router. Done late, that removes the identity of the next process, which all others then drop, so that they divide the limits of cold runners among too few. The late identity of a killed process likewise replaces that of the running one.

Evidence: both new tests failed before (one router listed in place of two).

Why this works: each process has a record of its own, whose key holds the incarnation, so no write of another one names it. A process removes what earlier ones have left and publishes its own again if it is gone. Of several processes of a router, the one whose heartbeats arrive is the one that runs.

Tests changed: two looked the record up by the router's name; they now count the records under the name, of which there must be exactly one.

--- a/crates/aspenline/tests/platform_era.rs
+++ b/crates/aspenline/tests/platform_era.rs
@@ -36,7 +36,8 @@
 async fn wait_for_identities(platform: &Platform, names: &[&str]) {
     let start = Instant::now();
     wait_for(|| {
-        names.iter().all(|name| platform.store.newest(ROUTERS, name).is_some()).then_some(())
+        let stands = |name: &&str| platform.store.count_keys(ROUTERS, &format!("{name}/")) == 1;
+        names.iter().all(stands).then_some(())
     })
     .await;
     assert!(start.elapsed() < REWRITE_LIMIT, "after {:?}", start.elapsed());
--- a/crates/aspenline/tests/platform_members.rs
+++ b/crates/aspenline/tests/platform_members.rs
@@ -15,6 +15,7 @@
 
 use crate::router::HOST;
 use crate::router::Platform;
+use crate::router::Router;
 use crate::router::WAIT_TIMEOUT;
 use crate::router::call;
 use crate::router::configuration;
@@ -27,29 +28,36 @@
     (1..=STREAM_EVENTS).map(event_text).collect()
 }
 
-#[tokio::test]
-async fn the_directory_lists_both_routers_until_one_leaves() {
-    let platform = Platform::start("directory").await;
-    platform.configure(&configuration(1));
-    let first = platform.router("router-1").await;
-    let mut second = platform.router("router-2").await;
-    let listed_addresses = async |router: &router::Router| {
-        let path = format!("/resolve?name={HOST}&region=north&zone=north");
-        let answer = call(router.directory, get(&path, "r-1")).await;
-        let answer: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
-        let addresses = answer["addresses"].as_array().cloned().unwrap_or_default();
-        let mut addresses: Vec<String> =
-            addresses.iter().filter_map(|address| address.as_str().map(str::to_owned)).collect();
-        addresses.sort();
-        addresses
-    };
+/// Returns the addresses that the directory of a router lists.
+async fn listed_addresses(router: &Router) -> Vec<String> {
+    let path = format!("/resolve?name={HOST}&region=north&zone=north");
+    let answer = call(router.directory, get(&path, "r-1")).await;
+    let answer: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+    let addresses = answer["addresses"].as_array().cloned().unwrap_or_default();
+    let mut addresses: Vec<String> =
+        addresses.iter().filter_map(|address| address.as_str().map(str::to_owned)).collect();
+    addresses.sort();
+    addresses
+}
+
+/// Waits until the directories of two routers list both.
+async fn wait_until_both_are_listed(first: &Router, second: &Router) {
     let mut both = vec![first.callers.to_string(), second.callers.to_string()];
     both.sort();
     let start = Instant::now();
-    while listed_addresses(&first).await != both || listed_addresses(&second).await != both {
+    while listed_addresses(first).await != both || listed_addresses(second).await != both {
         assert!(start.elapsed() < WAIT_TIMEOUT, "the directories do not list both routers");
         time::sleep(Duration::from_millis(50)).await;
     }
+}
+
+#[tokio::test]
+async fn the_directory_lists_both_routers_until_one_leaves() {
+    let platform = Platform::start("directory").await;
+    platform.configure(&configuration(1));
+    let first = platform.router("router-1").await;
+    let mut second = platform.router("router-2").await;
+    wait_until_both_are_listed(&first, &second).await;
     second.signal(Signal::TERM);
     let start = Instant::now();
     while listed_addresses(&first).await.len() != 1 {
@@ -59,6 +67,49 @@
     assert_eq!(second.wait_for_exit().await, Some(0));
 }
 
+/// Checks that two routers still list each other once the store has done its late writes.
+async fn assert_late_writes_change_nothing(platform: &Platform, first: &Router, second: &Router) {
+    wait_until_both_are_listed(first, second).await;
+    assert!(!platform.store.has_done_late_appends(), "the late write was done too early");
+    wait_for(|| platform.store.has_done_late_appends().then_some(())).await;
+    // A router that is not heard any more stays listed for 1.5 s.
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(2) {
+        assert_eq!(listed_addresses(first).await.len(), 2, "after {:?}", start.elapsed());
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    let identities = platform.store.count_keys("keyed.routers", "router-2/");
+    assert_eq!(identities, 1, "the record of the ended process is still there");
+}
+
+/// Guards against the late withdrawal of an ended process removing its successor from the fleet.
+#[tokio::test]
+async fn a_late_withdrawal_of_an_ended_process_does_not_remove_its_successor() {
+    let platform = Platform::start("late-withdrawal").await;
+    platform.configure(&configuration(1));
+    let first = platform.router("router-1").await;
+    let mut ended = platform.router("router-2").await;
+    wait_until_both_are_listed(&first, &ended).await;
+    platform.store.delay_next_append(Duration::from_secs(4));
+    ended.signal(Signal::TERM);
+    assert_eq!(ended.wait_for_exit().await, Some(0));
+    let second = platform.router("router-2").await;
+    assert_late_writes_change_nothing(&platform, &first, &second).await;
+}
+
+/// Guards against the late identity of a killed process replacing that of its successor.
+#[tokio::test]
+async fn a_late_identity_of_a_killed_process_does_not_replace_that_of_its_successor() {
+    let platform = Platform::start("late-identity").await;
+    platform.configure(&configuration(1));
+    let first = platform.router("router-1").await;
+    wait_for(|| first.first_line("identity_published")).await;
+    platform.store.delay_next_append(Duration::from_secs(4));
+    drop(platform.router("router-2").await);
+    let second = platform.router("router-2").await;
+    assert_late_writes_change_nothing(&platform, &first, &second).await;
+}
+
 #[tokio::test]
 async fn a_router_that_is_told_to_terminate_finishes_its_streams() {
     let platform = Platform::start("ending").await;
@@ -128,12 +179,12 @@
     let platform = Platform::start("leaving-identity").await;
     platform.configure(&configuration(1));
     let mut router = platform.router("router-1").await;
-    let identity = || platform.store.newest("keyed.routers", "router-1");
-    wait_for(identity).await;
+    let identities = || platform.store.count_keys("keyed.routers", "router-1/");
+    wait_for(|| (identities() == 1).then_some(())).await;
     router.signal(Signal::TERM);
     wait_for(|| router.first_line("leaving")).await;
     time::sleep(Duration::from_millis(300)).await;
-    assert!(identity().is_some(), "withdrawn while callers are still served");
+    assert_eq!(identities(), 1, "withdrawn while callers are still served");
     assert_eq!(router.wait_for_exit().await, Some(0));
-    assert!(identity().is_none(), "not withdrawn at the end");
+    assert_eq!(identities(), 0, "not withdrawn at the end");
 }
--- a/crates/balance/src/member.rs
+++ b/crates/balance/src/member.rs
@@ -1,11 +1,12 @@
 //! The other routers of the fleet and their state.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use base::Name;
 use indexmap::IndexMap;
 
+use crate::Identity;
+use crate::identity::Identities;
 use crate::rendezvous;
 
 /// The time after the last heartbeat for which a router counts as alive.
@@ -13,33 +14,10 @@
 /// The time after the last heartbeat for which a router counts as alive if other routers report the heartbeat.
 const REPORTED_ALIVE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// The identity that a router publishes when it starts.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Identity {
-    /// The name of the instance.
-    pub name: Name,
-    /// The incarnation, a number that differs at each start of the process.
-    pub incarnation: u64,
-    /// The address at which it receives heartbeats.
-    pub peers: SocketAddr,
-    /// The address at which it accepts callers.
-    pub callers: SocketAddr,
-    /// Its share of a processor, in thousandths.
-    pub share_milli: u32,
-    /// The key that authenticates its heartbeats, in hexadecimal.
-    pub key: String,
-    /// Its availability zone; `None` for a router of an earlier version, which sends heartbeats to all routers.
-    #[serde(default)]
-    pub zone: Option<Name>,
-    /// The address at which other routers fetch records of the store from it; `None` for a router of an earlier version.
-    #[serde(default)]
-    pub records: Option<SocketAddr>,
-}
-
 /// Another router.
 #[derive(Debug, Clone)]
 pub struct Member {
-    /// The identity that it has published.
+    /// The identity of its newest process that is known to run.
     pub identity: Identity,
     /// The time of its last heartbeat that this router has received, or `None` before the first one.
     pub last_contact: Option<Duration>,
@@ -73,6 +51,7 @@
 /// All other routers that have published an identity.
 #[derive(Debug, Clone, Default)]
 pub struct Members {
+    identities: Identities,
     members: IndexMap<Name, Member>,
 }
 
@@ -124,19 +103,66 @@
 }
 
 impl Members {
-    /// Records an identity; that of a new incarnation replaces the old one.
-    pub fn put(&mut self, identity: Identity) {
+    /// Records the identity of the record with this key.
+    ///
+    /// A router that is alive keeps its identity until one of another process has sent a heartbeat, since records may be
+    /// written late.
+    pub fn put(&mut self, now: Duration, key: &str, identity: Identity) {
         let known = self.members.get(&identity.name);
-        if known.is_some_and(|member| member.identity == identity) {
+        let keeps = known.is_some_and(|known| known.identity == identity || known.is_alive(now));
+        let replaced = self.identities.put(key, identity.clone());
+        if !keeps {
+            self.members.insert(identity.name.clone(), Member::new(identity));
+        } else if let Some(replaced) = replaced.filter(|replaced| *replaced != identity) {
+            self.forget(&replaced);
+        }
+    }
+
+    /// Records that the record with this key was removed.
+    pub fn remove(&mut self, key: &str) {
+        if let Some(removed) = self.identities.remove(key) {
+            self.forget(&removed);
+        }
+    }
+
+    /// Ends the use of an identity that is no longer published; the router stays known by another one, if there is one.
+    fn forget(&mut self, identity: &Identity) {
+        let name = &identity.name;
+        if self.members.get(name).is_none_or(|member| member.identity != *identity) {
             return;
         }
-        let name = identity.name.clone();
-        self.members.insert(name, Member::new(identity));
+        match self.identities.last_of(name) {
+            Some(other) => {
+                self.members.insert(name.clone(), Member::new(other.clone()));
+            }
+            None => {
+                self.members.shift_remove(name);
+            }
+        }
     }
 
-    /// Removes a router that has withdrawn its identity.
-    pub fn remove(&mut self, name: &str) {
-        self.members.shift_remove(name);
+    /// Takes a process for the one that runs, if it has published an identity.
+    fn switch_to(&mut self, name: &str, incarnation: u64) {
+        let is_current = |member: &Member| member.identity.incarnation == incarnation;
+        if self.members.get(name).is_some_and(is_current) {
+            return;
+        }
+        if let Some(identity) = self.identities.find(name, incarnation) {
+            self.members.insert(identity.name.clone(), Member::new(identity.clone()));
+        }
+    }
+
+    /// Returns the identity that a process has published.
+    #[must_use]
+    pub fn identity(&self, name: &str, incarnation: u64) -> Option<&Identity> {
+        let current = self.get(name).map(|member| &member.identity);
+        let current = current.filter(|identity| identity.incarnation == incarnation);
+        current.or_else(|| self.identities.find(name, incarnation))
+    }
+
+    /// Returns all published identities, of which a router may have several.
+    pub fn identities(&self) -> impl Iterator<Item = &Identity> {
+        self.identities.iter()
     }
 
     /// Returns a router by its name.
@@ -156,9 +182,11 @@
         &mut self,
         now: Duration,
         name: &str,
+        incarnation: u64,
         sequence: u64,
         status: MemberStatus,
     ) -> bool {
+        self.switch_to(name, incarnation);
         let Some(member) = self.members.get_mut(name) else { return false };
         if member.last_contact.is_some() && sequence <= member.sequence {
             return false;
@@ -192,6 +220,10 @@
         incarnation: u64,
         status: MemberStatus,
     ) {
+        let is_newer = |known: &Member| known.status_at.is_none_or(|at| heartbeat_at > at);
+        if self.get(name).is_some_and(is_newer) {
+            self.switch_to(name, incarnation);
+        }
         let member = self.members.get_mut(name);
         if let Some(member) = member.filter(|known| known.identity.incarnation == incarnation) {
             member.record_status(heartbeat_at, heartbeat_at + REPORTED_ALIVE_TIMEOUT, status);
--- a/crates/balance/tests/aggregation.rs
+++ b/crates/balance/tests/aggregation.rs
@@ -24,6 +24,12 @@
     Duration::from_millis(millis)
 }
 
+/// Publishes the identity of a router.
+fn put(members: &mut Members, identity: Identity) {
+    let key = Identity::key(identity.name.as_str(), identity.incarnation);
+    members.put(NOW, &key, identity);
+}
+
 fn identity(name: &str, zone: Option<&str>) -> Identity {
     let address = SocketAddr::from(([127, 0, 0, 1], 1));
     Identity {
@@ -51,8 +57,8 @@
 fn view(own: &str, zone: &str, names: &[String]) -> Members {
     let mut members = Members::default();
     for name in names.iter().filter(|name| *name != own) {
-        members.put(identity(name, Some(zone)));
-        members.record_heartbeat(NOW, name, 1, status(names.len() as u32 - 1));
+        put(&mut members, identity(name, Some(zone)));
+        members.record_heartbeat(NOW, name, 7, 1, status(names.len() as u32 - 1));
     }
     members
 }
@@ -83,7 +89,7 @@
     let later = NOW + ms(301);
     for (own, view) in names.iter().zip(&mut views) {
         for name in names.iter().filter(|name| **name != silent && *name != own) {
-            view.record_heartbeat(later - ms(50), name, 2, status(7));
+            view.record_heartbeat(later - ms(50), name, 7, 2, status(7));
         }
     }
     let (others, other_views): (Vec<String>, Vec<Members>) =
@@ -100,7 +106,7 @@
     let deaf = first("north", &names, NOW, &views).remove(0);
     for (own, view) in names.iter().zip(&mut views) {
         if *own != deaf {
-            view.record_heartbeat(NOW, &deaf, 2, status(0));
+            view.record_heartbeat(NOW, &deaf, 7, 2, status(0));
         }
     }
     let (others, other_views): (Vec<String>, Vec<Members>) =
@@ -127,7 +133,7 @@
     let (own, zone) = (Name::new("north"), Name::new("south"));
     let mut members = Members::default();
     for name in names("south", 20) {
-        members.put(identity(&name, Some("south")));
+        put(&mut members, identity(&name, Some("south")));
     }
     members.record_sums(NOW, "south-13");
     let known = members_of(&members, &own);
@@ -142,7 +148,7 @@
     let (own, zone) = (Name::new("north"), Name::new("south"));
     let mut members = Members::default();
     for name in names("south", 20) {
-        members.put(identity(&name, Some("south")));
+        put(&mut members, identity(&name, Some("south")));
     }
     let known = members_of(&members, &own);
     let mut tried: Vec<Name> = (0..40)
@@ -160,8 +166,8 @@
 #[test]
 fn a_router_of_an_earlier_version_exchanges_heartbeats_with_all_zones() {
     let mut members = Members::default();
-    members.put(identity("old", None));
-    members.put(identity("south-0", Some("south")));
+    put(&mut members, identity("old", None));
+    put(&mut members, identity("south-0", Some("south")));
     let north = Name::new("north");
     let direct: Vec<&str> =
         members.direct(&north).map(|member| member.identity.name.as_str()).collect();
@@ -171,7 +177,7 @@
 #[test]
 fn a_reported_router_is_alive_until_no_heartbeat_is_reported_any_more() {
     let mut members = Members::default();
-    members.put(identity("south-0", Some("south")));
+    put(&mut members, identity("south-0", Some("south")));
     members.record_report(NOW, "south-0", 8, status(0));
     assert!(!members.get("south-0").is_some_and(|member| member.is_alive(NOW)), "earlier process");
     members.record_report(NOW, "south-0", 7, status(0));
--- a/crates/balance/tests/leaving.rs
+++ b/crates/balance/tests/leaving.rs
@@ -136,7 +136,7 @@
     fn new(number: usize, routers: usize, random: &mut Random) -> Self {
         let mut members = Members::default();
         for other in (0..routers).filter(|other| *other != number) {
-            members.put(identity(other));
+            members.put(Duration::ZERO, &name(other), identity(other));
         }
         let mut registry = Registry::default();
         registry.put(Duration::ZERO, &registration(RUNNER));
@@ -267,7 +267,7 @@
 fn receive(node: &mut Node, now: Duration, heartbeat: &Heartbeat) {
     let sender = name(heartbeat.sender);
     let status = MemberStatus { reaches_store: true, ..MemberStatus::default() };
-    node.members.record_heartbeat(now, &sender, heartbeat.sequence, status);
+    node.members.record_heartbeat(now, &sender, 1, heartbeat.sequence, status);
     node.members.record_last_changes(&sender, vec![heartbeat.report.changes.last]);
     node.schedule.record_report(&heartbeat.report);
     for start in &heartbeat.leaving {
--- a/crates/fake/src/store.rs
+++ b/crates/fake/src/store.rs
@@ -76,6 +76,9 @@
     /// The number of times that the store was restored from a copy.
     era: u32,
     topics: IndexMap<String, Topic>,
+    /// How much later the next append is done, which gets no answer.
+    late_by: Option<Duration>,
+    late_appends: JoinSet<()>,
 }
 
 /// A copy of a store's topics, from which it can be restored.
@@ -164,6 +167,19 @@
         self.put(topic, key, &[]);
     }
 
+    /// Leaves the next append of a caller without an answer, and does it this much later.
+    pub fn delay_next_append(&self, late_by: Duration) {
+        lock(&self.state).late_by = Some(late_by);
+    }
+
+    /// Returns whether all delayed appends are done.
+    #[must_use]
+    pub fn has_done_late_appends(&self) -> bool {
+        let mut state = lock(&self.state);
+        while state.late_appends.try_join_next().is_some() {}
+        state.late_by.is_none() && state.late_appends.is_empty()
+    }
+
     /// Compacts a topic: only the newest record of each key remains readable.
     pub fn compact(&self, topic: &str) {
         let mut state = lock(&self.state);
@@ -184,6 +200,14 @@
         state.era += 1;
     }
 
+    /// Returns the number of keys with a prefix that have a value.
+    #[must_use]
+    pub fn count_keys(&self, topic: &str, prefix: &str) -> usize {
+        let state = lock(&self.state);
+        let newest = state.topics.get(topic).map(Topic::newest).unwrap_or_default();
+        newest.keys().filter(|key| key.starts_with(prefix)).count()
+    }
+
     /// Returns the newest value of a key.
     #[must_use]
     pub fn newest(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
@@ -279,7 +303,7 @@
 
 /// Answers a call; each answer states the era in which it was made.
 async fn answer(
-    state: &Mutex<State>,
+    state: &Arc<Mutex<State>>,
     fault_mode: FaultMode,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
@@ -290,7 +314,7 @@
 }
 
 async fn answer_call(
-    state: &Mutex<State>,
+    state: &Arc<Mutex<State>>,
     fault_mode: FaultMode,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
@@ -303,7 +327,13 @@
     let query = Query::parse(request.uri().query().unwrap_or_default());
     match request.uri().path() {
         "/log-append" => match request.into_body().collect().await {
-            Ok(body) => append(state, &query, &body.to_bytes()),
+            Ok(body) => {
+                let body = body.to_bytes();
+                if is_late(state, &query, &body) {
+                    return pending().await;
+                }
+                append(state, &query, &body)
+            }
             Err(_) => status(StatusCode::BAD_REQUEST),
         },
         "/log-read" => match read(state, &query).await {
@@ -317,6 +347,17 @@
     }
 }
 
+/// Returns whether an append is to be done later, and has it done then.
+fn is_late(state: &Arc<Mutex<State>>, query: &Query, body: &Bytes) -> bool {
+    let Some(late_by) = lock(state).late_by.take() else { return false };
+    let (owned, query, body) = (Arc::clone(state), query.clone(), body.clone());
+    lock(state).late_appends.spawn(async move {
+        time::sleep(late_by).await;
+        append(&owned, &query, &body);
+    });
+    true
+}
+
 fn append(state: &Mutex<State>, query: &Query, body: &Bytes) -> Response<Full<Bytes>> {
     let mut state = lock(state);
     let mut remaining = body.clone();
@@ -411,7 +452,7 @@
 }
 
 /// The query parameters of the calls.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Query {
     topic: String,
     from: u64,
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -254,8 +254,7 @@
 fn receive(router: &Router, bytes: &[u8]) {
     let received = gossip::open(bytes, |sender, incarnation| {
         let members = router.members.borrow();
-        let member = members.get(sender)?;
-        (member.identity.incarnation == incarnation).then(|| member.identity.key.clone())
+        members.identity(sender, incarnation).map(|identity| identity.key.clone())
     });
     let Some(Received { heartbeat, extension, acknowledged }) = received else { return };
     let now = router.now();
@@ -298,7 +297,7 @@
     };
     let mut members = router.members.borrow_mut();
     let was_alive = members.get(sender).is_some_and(|member| member.is_alive(now));
-    if !members.record_heartbeat(now, sender, heartbeat.sequence, status) {
+    if !members.record_heartbeat(now, sender, heartbeat.incarnation, heartbeat.sequence, status) {
         return false;
     }
     let zone = members.get(sender).and_then(|member| member.identity.zone.clone());
--- a/crates/relay/src/lending.rs
+++ b/crates/relay/src/lending.rs
@@ -11,7 +11,6 @@
 use balance::Identity;
 use balance::Loan;
 use balance::LoanRequest;
-use balance::Member;
 use balance::Table;
 use base::Name;
 use indexmap::IndexMap;
@@ -205,8 +204,7 @@
     let mut sender: Option<Identity> = None;
     let message = gossip::open_message(bytes, |message: &Message| {
         let members = router.members.borrow();
-        let known = members.get(&message.sender).map(|member: &Member| &member.identity);
-        sender = known.filter(|known| known.incarnation == message.incarnation).cloned();
+        sender = members.identity(&message.sender, message.incarnation).cloned();
         sender.as_ref().map(|sender| sender.key.clone())
     });
     let (Some(message), Some(sender)) = (message, sender) else { return };
--- a/crates/relay/src/records.rs
+++ b/crates/relay/src/records.rs
@@ -186,8 +186,8 @@
 fn page(router: &Router, identity: &Identity, body: &[u8]) -> Option<Vec<u8>> {
     let query: Query = gossip::open_message(body, |query: &Query| {
         let members = router.members.borrow();
-        let member = members.get(&query.sender)?;
-        (member.identity.incarnation == query.incarnation).then(|| member.identity.key.clone())
+        let identity = members.identity(&query.sender, query.incarnation)?;
+        Some(identity.key.clone())
     })?;
     let topic = Topic::iter().nth(usize::from(query.topic))?;
     let position = router.with_read_schedule(topic, |schedule| schedule.position());
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -4,9 +4,9 @@
 
 use balance::Core;
 use balance::Distance;
+use balance::Identity;
 use balance::Load;
 use balance::LoadLimits;
-use balance::Member;
 use balance::MemberStatus;
 use balance::Origin;
 use balance::Runner;
@@ -256,12 +256,11 @@
     let by_name: IndexMap<Digest, &MemberReport> =
         reports.iter().map(|report| (report.name, report)).collect();
     let mut members = router.members.borrow_mut();
-    let is_of_zone = |member: &&Member| member.identity.zone.as_ref() == Some(zone);
+    let is_of_zone = |identity: &&Identity| identity.zone.as_ref() == Some(zone);
     let reported: Vec<(Name, u64, MemberReport)> = members
-        .iter()
+        .identities()
         .filter(is_of_zone)
-        .filter_map(|member| {
-            let identity = &member.identity;
+        .filter_map(|identity| {
             let report = **by_name.get(&Digest::of(identity.name.as_str()))?;
             let is_same = report.incarnation == low_half(identity.incarnation);
             is_same.then(|| (identity.name.clone(), identity.incarnation, report))
