fix(platform): odd records of runners end no task and name no runner

Cause here: a cold time near the longest time of all is valid, and adding it to the time overflows in a router that has run for over 34 minutes, which ends the task that follows the topic.

Evidence: the decision test failed before with the overflow; the process test failed before, as not all of 15 odd records were logged as unreadable.

--- a/crates/aspenline/tests/platform_store.rs
+++ b/crates/aspenline/tests/platform_store.rs
@@ -50,6 +50,70 @@
     assert_eq!(router.call(get("/safe/", "r-1")).await.status, StatusCode::OK);
 }
 
+/// Returns records of runners that no runner writes, each of which names no runner to use.
+fn odd_records(address: &str) -> Vec<Vec<u8>> {
+    let record = |address: &str, numbers: &str| {
+        format!(
+            r#"{{"service":"ledger","address":"{address}","zone":"north","version":"1","state":"ready",{numbers}}}"#
+        )
+    };
+    let usual = r#""slots":8,"seq":3"#;
+    let nested = |begin: &str, end: &str| {
+        let (begin, end) = (begin.repeat(60_000), end.repeat(60_000));
+        format!("{{\"service\":{begin}0{end}}}")
+    };
+    let texts = [
+        nested("[", "]"),
+        nested("{\"a\":", "}"),
+        record(address, r#""slots":8,"seq":1e400"#),
+        record(address, r#""slots":8,"seq":18446744073709551616"#),
+        record(address, r#""slots":99999999999,"seq":3"#),
+        record(address, r#""slots":8,"seq":3,"cold_left_ms":1e400"#),
+        record(address, r#""slots":8,"seq":3,"cold_left_ms":1.84467440737095e22"#),
+        record(address, r#""slots":8,"seq":3,"cold_left_ms":1e300"#),
+        record(address, r#""slots":8,"seq":3,"cold_left_ms":-1"#),
+        record(address, r#""slots":8,"seq":3,"born":-1"#),
+        record("127.0.0.1:0", usual),
+        record("127.0.0.1:70000", usual),
+        record("0.0.0.0:9000", usual),
+        record("", usual),
+    ];
+    texts.into_iter().map(String::into_bytes).chain([vec![0xff, 0xfe]]).collect()
+}
+
+/// Guards against odd records that end a router, stop it following the store or are taken for runners.
+#[tokio::test]
+async fn odd_records_name_no_runner_and_are_followed_by_the_next_ones() {
+    let platform = Platform::start("odd").await;
+    platform.configure(&configuration(1));
+    let runners = platform.runners("ledger", 2).await;
+    let router = platform.router("router-1").await;
+    router.wait_for_runners(2).await;
+    let odd = odd_records(&runners[0].address().to_string());
+    for (number, record) in odd.iter().enumerate() {
+        platform.store.put("keyed.servers", &format!("odd-{number}"), record);
+    }
+    wait_for(|| (router.count("runner_unreadable") == odd.len()).then_some(())).await;
+    let second = platform.router("router-2").await;
+    second.wait_for_runners(2).await;
+    assert_eq!(second.count("runner_unreadable"), odd.len());
+    for (number, record) in odd.iter().enumerate() {
+        let before = runners[0].execution_count();
+        platform.store.put("keyed.servers", runners[0].id(), record);
+        wait_for(|| (router.count("runner_unreadable") > odd.len() + number).then_some(())).await;
+        let status = router.call(get("/safe/", &format!("r-{number}"))).await.status;
+        assert_eq!(status, StatusCode::OK);
+        assert_eq!(runners[0].execution_count(), before, "used by record {number}");
+    }
+    platform.list_runner(&runners[0], "ledger", "ready", 9);
+    let start = Instant::now();
+    while runners[0].execution_count() == 0 {
+        assert!(start.elapsed() < WAIT_TIMEOUT, "the runner is not used again");
+        router.call(get("/safe/", "again")).await;
+    }
+    assert_eq!(second.call(get("/safe/", "second")).await.status, StatusCode::OK);
+}
+
 #[tokio::test]
 async fn a_revoked_key_is_refused_and_an_older_configuration_is_never_adopted() {
     let platform = Platform::start("revoked").await;
--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -336,9 +336,8 @@
     fn has_capacity(&self, runner: &Runner, request: &Request, missing: u64) -> bool {
         let load = self.expectation.load(runner);
         let Some(engine) = self.service.engine else {
-            return load.running
-                < runner.registration.slots
-                    + runner.registration.slots.div_ceil(PLAIN_SURPLUS_DIVISOR);
+            let slots = runner.registration.slots;
+            return load.running < slots.saturating_add(slots.div_ceil(PLAIN_SURPLUS_DIVISOR));
         };
         let limits = self.workspace_limits();
         let missing = missing.min(limits.backlog / 2);
--- a/crates/balance/src/registry.rs
+++ b/crates/balance/src/registry.rs
@@ -98,7 +98,8 @@
     pub fn is_change(&self, now: Duration, registration: &Registration) -> bool {
         let known = self.find(registration.id.as_str()).and_then(|key| self.get(key));
         known.is_none_or(|known| {
-            let is_colder = now + registration.cold_left > known.cold_until + MIN_COLD_EXTENSION;
+            let cold_until = now.saturating_add(registration.cold_left);
+            let is_colder = cold_until > known.cold_until.saturating_add(MIN_COLD_EXTENSION);
             let known = &known.registration;
             known.started_ms != registration.started_ms
                 || (registration.is_draining && !known.is_draining)
@@ -115,7 +116,7 @@
             for runner in
                 self.runners.values_mut().filter(|runner| runner.registration.zone == *zone)
             {
-                runner.cold_until = runner.cold_until.max(now + cold);
+                runner.cold_until = runner.cold_until.max(now.saturating_add(cold));
                 runner.prefix_cache.clear();
             }
         }
--- a/crates/balance/src/runner.rs
+++ b/crates/balance/src/runner.rs
@@ -118,7 +118,8 @@
 
     fn extend_cold_period(&mut self, now: Duration) {
         if self.registration.cold_left > Duration::ZERO {
-            self.cold_until = self.cold_until.max(now + self.registration.cold_left);
+            let until = now.saturating_add(self.registration.cold_left);
+            self.cold_until = self.cold_until.max(until);
         }
     }
 
--- a/crates/balance/tests/registry.rs
+++ b/crates/balance/tests/registry.rs
@@ -171,3 +171,19 @@
     registry.put(NOW, &readable);
     assert_eq!(serving(&registry), 2);
 }
+
+/// Guards against a cold time of an odd record that is too long to be added to the time.
+#[test]
+fn a_registration_with_the_longest_cold_time_ends_no_router() {
+    let now = Duration::from_secs(2 * 60 * 60);
+    let mut registry = Registry::default();
+    let mut cold = registration("engine-0");
+    cold.cold_left = Duration::MAX;
+    let key = registry.put(now, &cold).expect("a new runner");
+    assert!(registry.get(key).expect("known").is_cold(now));
+    (cold.sequence, cold.position) = (2, 1);
+    assert!(!registry.is_change(now, &cold));
+    registry.set_zones_out(now, IndexSet::from([cold.zone.clone()]), Duration::MAX);
+    registry.set_zones_out(now, IndexSet::new(), Duration::MAX);
+    registry.get_mut(key).expect("known").pause(Duration::MAX);
+}
--- a/crates/relay/src/notice.rs
+++ b/crates/relay/src/notice.rs
@@ -62,7 +62,7 @@
 fn record_pause(router: &Router, grant: &Grant, pause: Duration) {
     let mut core = router.core.borrow_mut();
     let Some(runner) = core.registry.get_mut(grant.runner) else { return };
-    runner.pause(router.now() + pause);
+    runner.pause(router.now().saturating_add(pause));
     drop(core);
     let line = Line::new("runner_paused").subject(grant.id.as_str());
     router.log(line.outcome(format!("for {} ms", event::millis(pause))));
