fix(balance): within an era the position of a runner's record decides, not its sequence

Found while trying odd records: one with a sequence number that is too large, under the id of a runner in use and otherwise right, hid all later records of that runner, also the one by which it leaves, until it started again.

Cause: a record with a lower sequence number was taken for an older one.

Evidence: the new test failed before (the leaving was not seen).

Why this works: the store has its records in order, so within an era a higher position is a newer record; the sequence number only decides across eras.

--- a/crates/balance/src/registry.rs
+++ b/crates/balance/src/registry.rs
@@ -64,7 +64,7 @@
             let known = &runner.registration;
             if known.started_ms == registration.started_ms && known.address == registration.address
             {
-                if registration.sequence >= known.sequence {
+                if registration.sequence >= known.sequence || is_later(known, registration) {
                     runner.update(now, registration);
                 }
                 return key;
@@ -226,11 +226,15 @@
     }
 }
 
+/// Returns whether the store has a registration after another one, which its positions tell within an era.
+const fn is_later(known: &Registration, registration: &Registration) -> bool {
+    registration.position > known.position
+        && era::of(registration.position) == era::of(known.position)
+}
+
 /// Returns whether a registration with an earlier start is that of a later one, on a clock that was set back.
 ///
 /// The order of the records in the store tells, but not over its eras; and a runner that leaves is not taken for another.
 const fn is_restart(known: &Registration, registration: &Registration) -> bool {
-    registration.position > known.position
-        && era::of(registration.position) == era::of(known.position)
-        && !known.is_draining
+    is_later(known, registration) && !known.is_draining
 }
--- a/crates/balance/tests/registry.rs
+++ b/crates/balance/tests/registry.rs
@@ -187,3 +187,15 @@
     registry.set_zones_out(now, IndexSet::new(), Duration::MAX);
     registry.get_mut(key).expect("known").pause(Duration::MAX);
 }
+
+/// Guards against a sequence number of an odd record that no later record exceeds.
+#[test]
+fn a_later_record_of_the_store_counts_whatever_its_sequence_number() {
+    let mut registry = Registry::default();
+    let mut record = registration("engine-0");
+    (record.sequence, record.position) = (u64::MAX, 5);
+    let key = registry.put(NOW, &record).expect("a new runner");
+    (record.sequence, record.position, record.is_draining) = (7, 6, true);
+    registry.put(NOW, &record);
+    assert!(registry.get(key).expect("known").registration.is_draining);
+}
