fix(conn,relay): a response that names an earlier request doesn't cost the next one its answer

Callers here saw 502 for the next request on that connection, although the runner ran it: the copy was read in place of its answer, which was thrown away with the connection 60 ms before it came.

Why this works: each answer repeats the id of its request, so a copy that names an earlier request of the connection, and states its length, is left out and the next response is read. What names none of them is no answer, as before.

--- a/crates/aspenline/tests/platform_answers.rs
+++ b/crates/aspenline/tests/platform_answers.rs
@@ -193,3 +193,20 @@
 async fn a_late_rejection_of_an_earlier_request_is_not_taken_for_that_of_the_next() {
     assert_late_answers_are_ignored("late-rejections", FaultMode::LateRejections).await;
 }
+
+/// Guards against a rejection that a runner writes again being taken for that of a request which runs.
+#[tokio::test]
+async fn a_request_gets_its_own_answer_after_an_earlier_rejection_is_written_again() {
+    let fault = FaultMode::RepeatedRejections;
+    let (_platform, router, runners) = start("repeated-rejections", "ledger", fault, 0).await;
+    for number in 0..20 {
+        let id = format!("r-{number}");
+        let answer = router.call(get("/unsafe/", &id)).await;
+        // The first request on each connection is rejected.
+        let is_run = runners[0].requests().last().is_some_and(|request| request.is_executed);
+        let expected = if is_run { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        assert_eq!(answer.status, expected, "{id}");
+        assert!(!is_run || answer.body == id, "{id}: {:?}", answer.body);
+    }
+    assert!(runners[0].execution_count() > 15, "{}", runners[0].execution_count());
+}
--- a/crates/conn/src/connection.rs
+++ b/crates/conn/src/connection.rs
@@ -24,6 +24,9 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
+use crate::filter::Expectation;
+use crate::filter::Filtered;
+
 /// How long sent bytes may stay unacknowledged before the kernel closes the connection (`TCP_USER_TIMEOUT`).
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(3_000);
 
@@ -38,12 +41,13 @@
     Silent,
 }
 
-type Driver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+type Driver = http1::Connection<TokioIo<Filtered>, Full<Bytes>>;
 
 /// A connection that makes progress only while a call polls it.
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: Pin<Box<Driver>>,
+    expectation: Expectation,
     closed: bool,
     last_used: Instant,
 }
@@ -57,9 +61,12 @@
         let opening = tokio::time::timeout(timeout, TcpStream::connect(address));
         let stream = opening.await.map_err(|_| Failure::NotSent)?.map_err(|_| Failure::NotSent)?;
         set_socket_options(&stream);
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let expectation = Expectation::default();
+        let filtered = Filtered::new(stream, expectation.clone());
+        let handshake = http1::handshake(TokioIo::new(filtered)).await;
         let (sender, driver) = handshake.map_err(|_| Failure::NotSent)?;
-        Ok(Self { sender, driver: Box::pin(driver), closed: false, last_used: Instant::now() })
+        let (driver, last_used) = (Box::pin(driver), Instant::now());
+        Ok(Self { sender, driver, expectation, closed: false, last_used })
     }
 
     /// Returns the time since the last use of the connection.
@@ -80,6 +87,27 @@
         !self.closed
     }
 
+    /// Sends a request as [`Connection::send`] does, and leaves out responses to earlier requests on the connection.
+    ///
+    /// Each response repeats the value of `header`, which differs from request to request.
+    ///
+    /// # Errors
+    /// Returns the same as [`Connection::send`].
+    pub async fn send_named(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        header: &'static str,
+    ) -> Result<Response<Incoming>, Failure> {
+        if !self.is_open().await {
+            return Err(Failure::NotSent);
+        }
+        let name = request.headers().get(header).and_then(|name| name.to_str().ok());
+        if let Some(name) = name {
+            self.expectation.begin(header, name);
+        }
+        self.send(request).await
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
--- a/crates/conn/src/lib.rs
+++ b/crates/conn/src/lib.rs
@@ -13,6 +13,7 @@
 //! ```
 
 mod connection;
+mod filter;
 
 pub use connection::Connection;
 pub use connection::Failure;
--- a/crates/fake/src/endpoint.rs
+++ b/crates/fake/src/endpoint.rs
@@ -28,6 +28,9 @@
 /// The time for which a runner that has crashed closes all connections.
 const DOWN_TIME: Duration = Duration::from_millis(300);
 
+/// The time from a rejection that is written again to the answer.
+const REPEATED_BEFORE: Duration = Duration::from_millis(60);
+
 /// The pause of a runner that is slow but sound.
 pub const PAUSE: Duration = Duration::from_millis(1_700);
 /// The start of a runner that its record states, in milliseconds since the Unix epoch.
@@ -63,6 +66,9 @@
     LateCopies,
     /// Sends a rejection of an unnamed earlier request on a kept connection, when the next request has arrived.
     LateRejections,
+    /// Rejects the first request on each connection, and writes that rejection again when a later one has arrived, some
+    /// time before its answer.
+    RepeatedRejections,
     /// Sends streams that end with their connection, complete.
     Unframed,
     /// Sends streams that end with their connection, in the middle of the event with this number; without any data if
@@ -249,8 +255,14 @@
     stream: &mut TcpStream,
     fault_mode: FaultMode,
 ) -> io::Result<()> {
-    if matches!(fault_mode, FaultMode::LateCopies | FaultMode::LateRejections) {
-        return serve_with_late_answers(shared, stream, fault_mode).await;
+    match fault_mode {
+        FaultMode::LateCopies | FaultMode::LateRejections => {
+            return serve_with_late_answers(shared, stream, fault_mode).await;
+        }
+        FaultMode::RepeatedRejections => {
+            return serve_with_repeated_rejections(shared, stream).await;
+        }
+        _ => (),
     }
     let head = raw::read_head(stream).await?;
     let is_executed = fault_mode != FaultMode::EndlessRejection;
@@ -278,6 +290,21 @@
     }
 }
 
+/// Rejects the first request, and writes the rejection again before each later answer.
+async fn serve_with_repeated_rejections(shared: &Shared, stream: &mut TcpStream) -> io::Result<()> {
+    let head = raw::read_head(stream).await?;
+    record_raw(shared, &head, false);
+    let rejection = raw::rejection(&head);
+    stream.write_all(rejection.as_bytes()).await?;
+    loop {
+        let head = raw::read_head(stream).await?;
+        stream.write_all(rejection.as_bytes()).await?;
+        record_raw(shared, &head, true);
+        time::sleep(REPEATED_BEFORE).await;
+        stream.write_all(raw::plain_answer(&head).as_bytes()).await?;
+    }
+}
+
 fn record_raw(shared: &Shared, head: &raw::Head, is_executed: bool) {
     let (line, headers) = (head.line.clone(), HeaderMap::new());
     let request = RecordedRequest { line, headers, body: Bytes::new(), is_executed };
--- a/crates/fake/src/endpoint/raw.rs
+++ b/crates/fake/src/endpoint/raw.rs
@@ -43,6 +43,7 @@
             | FaultMode::EndlessRejection
             | FaultMode::LateCopies
             | FaultMode::LateRejections
+            | FaultMode::RepeatedRejections
             | FaultMode::Unframed
             | FaultMode::UnframedTruncatedAt(_)
             | FaultMode::StalledAt(_)
@@ -113,6 +114,14 @@
     }
 }
 
+/// Returns the rejection of a request.
+pub(super) fn rejection(head: &Head) -> String {
+    let Head { id, .. } = head;
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\nrequest-id: {id}\r\nnot-executed: 1\r\ncontent-length: 4\r\n\r\nbusy"
+    )
+}
+
 /// Returns a complete answer to a request, whose body is the id of the request.
 pub(super) fn plain_answer(head: &Head) -> String {
     let Head { id, .. } = head;
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -85,6 +85,8 @@
 /// The protocol of the runners: how requests are built and answers are read.
 #[derive(Debug, Clone, Copy)]
 pub struct RunnerProtocol {
+    /// The header that names a request, in lowercase, which each answer repeats.
+    pub id_header: &'static str,
     /// Builds the request to a runner.
     pub build_request: fn(&Call, &Attempt<'_>) -> Request<Full<Bytes>>,
     /// Classifies an answer by its head.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -211,7 +211,7 @@
     history.sends += 1;
     history.runs += 1;
     permit.record_sent();
-    match connection.send(request).await {
+    match connection.send_named(request, router.protocol.id_header).await {
         Ok(response) => {
             let (head, body) = response.into_parts();
             let notice = (router.protocol.notice)(&head);
