fix(relay): only events of a stream reach the caller

Reported by other operators: a stream had begun and broke off, the next runner answered with an error; clients found its text or its whole head in the middle of their stream, or the stream ended as if it were complete.

Cause here: any block of lines up to a blank one was taken for an event, so the head of an error that a runner wrote after some events, in an answer without a length, was passed on; streams that may not be resumed were passed on byte by byte. A text that ended with a blank line made the stream look complete.

Evidence: the new test failed before (the head of a 500 behind the fifth event).

Why this works: a block counts as an event only if its lines are fields and its id rises. Anything else ends the run at this runner like a broken connection, so the stream goes on elsewhere where that is allowed, and else is cut.

--- a/crates/aspenline/tests/platform_answers.rs
+++ b/crates/aspenline/tests/platform_answers.rs
@@ -12,6 +12,7 @@
 use fake::endpoint::event_text;
 use http::StatusCode;
 use tokio::task::JoinSet;
+use tokio::time;
 
 use crate::router::Platform;
 use crate::router::Router;
@@ -210,3 +211,49 @@
     }
     assert!(runners[0].execution_count() > 15, "{}", runners[0].execution_count());
 }
+
+/// Sends streams to runners of which the first one breaks off and the other one has a fault; checks each answer.
+async fn assert_no_foreign_bytes(test: &str, path: &str, second: FaultMode) {
+    let (_platform, router, runners) =
+        start(test, "engines", FaultMode::UnframedTruncatedAt(4), 1).await;
+    runners[1].set_fault_mode(second);
+    let whole = complete_stream();
+    for number in 0..4 {
+        let request = request_with_key("POST", path, &format!("s-{number}"));
+        let answer = router.call(request).await;
+        if answer.status != StatusCode::OK {
+            continue;
+        }
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        assert!(whole.starts_with(&text), "{second:?} at {path}: {text:?}");
+        assert!(
+            !answer.is_complete || text == whole,
+            "{second:?} at {path} looks complete: {text:?}"
+        );
+        // A runner that was blocked is tried again.
+        time::sleep(Duration::from_millis(450)).await;
+    }
+    assert!(runners.iter().all(|runner| !runner.requests().is_empty()), "{second:?} at {path}");
+}
+
+/// Guards against the text of an error, or its whole head, in the middle of a caller's stream.
+#[tokio::test]
+async fn a_stream_that_goes_on_at_a_faulty_runner_has_no_bytes_that_are_not_its_own() {
+    for (number, second) in [
+        FaultMode::ErrorAt(6),
+        FaultMode::ErrorAt(5),
+        FaultMode::ErrorAt(STREAM_EVENTS + 1),
+        FaultMode::PlainText,
+        FaultMode::Garbage,
+        FaultMode::UnframedTruncatedAt(6),
+        FaultMode::InternalError,
+        FaultMode::Busy,
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        for path in ["/stream/x", "/once/stream/x"] {
+            assert_no_foreign_bytes(&format!("foreign-{number}"), path, second).await;
+        }
+    }
+}
--- a/crates/fake/src/endpoint.rs
+++ b/crates/fake/src/endpoint.rs
@@ -74,6 +74,12 @@
     /// Sends streams that end with their connection, in the middle of the event with this number; without any data if
     /// it is 0.
     UnframedTruncatedAt(u32),
+    /// Sends a stream without a length, and the head and text of an error in place of the event with this number.
+    ErrorAt(u32),
+    /// Answers each request with a plain text in place of a stream.
+    PlainText,
+    /// Sends bytes that are no response.
+    Garbage,
     /// Sends a byte now and then, without an end, in place of the event with this number.
     StalledAt(u32),
     /// Pauses for [`PAUSE`] before the event with this number, then goes on to the end.
--- a/crates/fake/src/endpoint/raw.rs
+++ b/crates/fake/src/endpoint/raw.rs
@@ -24,6 +24,9 @@
 pub(super) const UNNAMED_REJECTION: &str =
     "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n";
 
+/// An error as it would be answered at the beginning.
+const ERROR: &str = "HTTP/1.1 500 Internal Server Error\r\ncontent-type: text/plain\r\ncontent-length: 8\r\n\r\nfailed\n\n";
+
 /// The head of a request.
 pub(super) struct Head {
     /// Method, path and version.
@@ -46,6 +49,9 @@
             | FaultMode::RepeatedRejections
             | FaultMode::Unframed
             | FaultMode::UnframedTruncatedAt(_)
+            | FaultMode::ErrorAt(_)
+            | FaultMode::PlainText
+            | FaultMode::Garbage
             | FaultMode::StalledAt(_)
             | FaultMode::PausedAt(_)
     )
@@ -90,6 +96,16 @@
             write_success(stream, head).await?;
             write_endlessly(stream).await
         }
+        FaultMode::ErrorAt(event) => {
+            write_success(stream, head).await?;
+            write_events(stream, head.last_event + 1..event).await?;
+            stream.write_all(ERROR.as_bytes()).await
+        }
+        FaultMode::PlainText => {
+            write_success(stream, head).await?;
+            stream.write_all(b"the engine has failed\n\n").await
+        }
+        FaultMode::Garbage => stream.write_all(b"\x16\x03\x01 no response\r\n\r\n").await,
         FaultMode::StalledAt(event) => {
             write_success(stream, head).await?;
             write_events(stream, head.last_event + 1..event).await?;
--- a/crates/relay/src/sse.rs
+++ b/crates/relay/src/sse.rs
@@ -15,25 +15,45 @@
     0
 }
 
-/// The last bytes of a stream, from which it is known whether the stream ends between two events.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct Tail {
-    bytes: Vec<u8>,
-}
-
-impl Tail {
-    /// Adds bytes of the stream.
-    pub(crate) fn push(&mut self, bytes: &[u8]) {
-        let newest = &bytes[bytes.len().saturating_sub(TAIL_BYTES)..];
-        self.bytes.extend_from_slice(newest);
-        self.bytes.drain(..self.bytes.len().saturating_sub(TAIL_BYTES));
+/// Returns the length of the leading events of a stream among complete blocks of lines.
+///
+/// A block is an event if each line is a field and one is an id, which rises from event to event and from that of the
+/// `last` event on; or if all lines are comments. Any other block is no part of a stream.
+pub(crate) fn events_length(blocks: &[u8], last: Option<&str>) -> usize {
+    let mut last = last.and_then(|last| last.parse::<u64>().ok());
+    let (mut length, mut position) = (0, 0);
+    let (mut has_field, mut has_id) = (false, false);
+    for line in blocks.split_inclusive(|byte| *byte == b'\n') {
+        position += line.len();
+        let text = line.strip_suffix(b"\n").unwrap_or(line);
+        let text = text.strip_suffix(b"\r").unwrap_or(text);
+        if text.is_empty() {
+            if has_field && !has_id {
+                return length;
+            }
+            length = position;
+            (has_field, has_id) = (false, false);
+        } else if !is_field(text) {
+            return length;
+        } else if let Some(id) = text.strip_prefix(b"id:") {
+            let number = std::str::from_utf8(id).ok().and_then(|id| id.trim().parse().ok());
+            if number.is_some() && number <= last {
+                return length;
+            }
+            last = number.or(last);
+            (has_field, has_id) = (true, true);
+        } else {
+            has_field |= !text.starts_with(b":");
+        }
     }
+    length
+}
 
-    /// Returns whether the stream is empty or ends with a complete event.
-    pub(crate) fn is_between_events(&self) -> bool {
-        let Some((b'\n', before)) = self.bytes.split_last() else { return self.bytes.is_empty() };
-        ends_event(before)
-    }
+/// Returns whether a line is a name of lowercase letters and a colon, or a comment, which has no name.
+fn is_field(line: &[u8]) -> bool {
+    let is_name = |byte: &&u8| byte.is_ascii_lowercase() || **byte == b'-';
+    let name = line.iter().take_while(is_name).count();
+    line.get(name) == Some(&b':')
 }
 
 /// Returns the id of the last event that has one.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -1,7 +1,7 @@
 //! Forwarding of a runner's stream of events to the caller.
 //!
-//! A stream that may be resumed is passed on in complete events only, so that another runner can continue after the
-//! last of them. Dropping a stream closes the connection to its runner at once.
+//! A stream is passed on in complete events only, so that another runner can continue after the last of them where that
+//! is allowed, and nothing else reaches the caller. Dropping a stream closes the connection to its runner at once.
 
 mod progress;
 
@@ -63,6 +63,8 @@
     Broken,
     /// The stream ended before its first event or inside one.
     UnfinishedEvent,
+    /// Bytes came that are no part of a stream.
+    ForeignBytes,
     /// An event is too large to be held back.
     EventTooLarge,
     /// No event has come for too long.
@@ -139,9 +141,6 @@
             source.permit.record_first_token(took);
         }
         self.record_sound(now);
-        if self.call.route.kind != Kind::Resumable {
-            return Some(self.progress.pass_on(now, bytes));
-        }
         let events = self.progress.take_events(now, bytes);
         if events.is_empty() {
             return None;
@@ -301,6 +300,12 @@
                     return Poll::Ready(Some(Err(error)));
                 }
             }
+            if self.progress.is_foreign() && self.source.is_some() {
+                if let Err(error) = self.handle_break(Break::ForeignBytes, None) {
+                    return Poll::Ready(Some(Err(error)));
+                }
+                continue;
+            }
             let Some(source) = &mut self.source else { return Poll::Ready(None) };
             let frame = source.connection.poll_frame(&mut source.body, context);
             let result = match std::task::ready!(frame) {
--- a/crates/relay/src/stream/progress.rs
+++ b/crates/relay/src/stream/progress.rs
@@ -19,8 +19,8 @@
     /// The incomplete event that is held back.
     partial: BytesMut,
     reservation: Reservation,
-    /// The last bytes of a stream that is passed on as it arrives.
-    tail: sse::Tail,
+    /// Whether bytes have arrived that are no part of a stream.
+    is_foreign: bool,
     last_event: Option<String>,
     /// The time of the last sign that the runner makes progress.
     last_contact: Duration,
@@ -36,7 +36,7 @@
         Self {
             partial: BytesMut::new(),
             reservation,
-            tail: sse::Tail::default(),
+            is_foreign: false,
             last_event: None,
             last_contact: sent_at,
             first_at: None,
@@ -47,6 +47,7 @@
     /// Begins anew with another runner, after the last complete event.
     pub(super) fn restart(&mut self, now: Duration) {
         self.drop_partial();
+        self.is_foreign = false;
         self.last_contact = now;
         self.first_at = None;
         self.events = 0;
@@ -63,18 +64,14 @@
         true
     }
 
-    /// Passes data on as it has arrived.
-    pub(super) fn pass_on(&mut self, now: Duration, bytes: Bytes) -> Bytes {
-        self.last_contact = now;
-        self.tail.push(&bytes);
-        bytes
-    }
-
-    /// Adds data to the incomplete event and returns the events that are complete.
+    /// Adds data to the incomplete event and returns the events that are complete, up to what is no part of a stream.
     ///
     /// Bytes of an incomplete event are no sign that the runner makes progress.
     pub(super) fn take_events(&mut self, now: Duration, bytes: Bytes) -> Bytes {
-        let events = self.split_events(bytes);
+        let mut events = self.split_events(bytes);
+        let length = sse::events_length(&events, self.last_event.as_deref());
+        self.is_foreign |= length < events.len();
+        events.truncate(length);
         if !events.is_empty() {
             self.last_contact = now;
         }
@@ -112,7 +109,12 @@
 
     /// Returns whether what has arrived ends between two events.
     pub(super) fn is_between_events(&self) -> bool {
-        self.partial.is_empty() && self.tail.is_between_events()
+        self.partial.is_empty()
+    }
+
+    /// Returns whether bytes have arrived that are no part of a stream.
+    pub(super) const fn is_foreign(&self) -> bool {
+        self.is_foreign
     }
 
     /// Returns whether the present runner has sent any data.
