--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -111,6 +111,11 @@
         self.running.min(runner.registration.slots).min(engine.slots)
     }
 
+    /// Returns the number of prompt tokens that may wait at a runner; they take the same time at each.
+    fn backlog_at(&self, runner: &Runner, now: Duration) -> u64 {
+        (self.backlog as f64 / runner.pace.factor(now)) as u64
+    }
+
     /// Returns whether the number of running requests allows one more at a runner with this load.
     fn may_run(&self, load: Load, runner: &Runner, engine: &Engine) -> bool {
         load.running < self.running_at(runner, engine)
@@ -159,7 +164,8 @@
         self.lease_limit().is_none()
             && serving.any(|(_, runner)| {
                 let load = self.expectation.load(runner);
-                limits.may_run(load, runner, &engine) && load.backlog <= limits.backlog
+                limits.may_run(load, runner, &engine)
+                    && load.backlog <= limits.backlog_at(runner, self.now)
             })
     }
 
@@ -172,7 +178,7 @@
             let load = self.expectation.load(runner);
             runner.may_be_sent(self.now)
                 && limits.may_run(load, runner, &engine)
-                && load.backlog < limits.backlog
+                && load.backlog < limits.backlog_at(runner, self.now)
                 && load.memory < usable_memory(&engine)
         })
     }
@@ -186,7 +192,7 @@
             let load = self.expectation.load(runner);
             let count = if !limits.may_run(load, runner, &engine) {
                 &mut room.at_running_limit
-            } else if load.backlog >= limits.backlog {
+            } else if load.backlog >= limits.backlog_at(runner, self.now) {
                 &mut room.at_backlog_limit
             } else if load.memory >= usable_memory(&engine) {
                 &mut room.at_memory_limit
@@ -235,7 +241,7 @@
         for (_, runner) in usable {
             places.own.add(runner.own_load);
             places.running += f64::from(limits.running_at(runner, &engine));
-            places.backlog += limits.backlog as f64;
+            places.backlog += limits.backlog_at(runner, self.now) as f64;
         }
         Some(places)
     }
@@ -340,11 +346,12 @@
             return load.running < slots.saturating_add(slots.div_ceil(PLAIN_SURPLUS_DIVISOR));
         };
         let limits = self.workspace_limits();
-        let missing = missing.min(limits.backlog / 2);
+        let backlog = limits.backlog_at(runner, self.now);
+        let missing = missing.min(backlog / 2);
         let has_memory = load.memory + request.memory() <= usable_memory(&engine);
         limits.may_run(load, runner, &engine)
             && (has_memory || load.running == 0)
-            && load.backlog + missing <= limits.backlog
+            && load.backlog + missing <= backlog
     }
 
     fn cost(&self, runner: &Runner, request: &Request, missing: u64, rank: Option<usize>) -> u64 {
@@ -357,14 +364,16 @@
             let distance = if is_near { 0.0 } else { OTHER_ZONE_BUSY };
             return (((busy + distance) * 1_000.0 + failure_ratio * 4_000.0) * jitter) as u64;
         };
-        let waiting = load.backlog + u64::from(load.running) * RUNNING_TOKENS;
+        let waiting = (load.backlog + u64::from(load.running) * RUNNING_TOKENS) as f64;
         let cached = rank.map_or(0.0, |rank| CACHED_FRACTIONS[rank]);
         let unshared = prompt.input.saturating_sub(prompt.shared());
         let missing_shared = missing.saturating_sub(unshared) as f64;
         let fetched = missing_shared.min(prompt.shared() as f64 * (1.0 - cached));
         let failures = failure_ratio * FAILURE_TOKENS;
         let distance = if is_near { 0.0 } else { OTHER_ZONE_TOKENS };
-        (waiting as f64 * jitter + FETCHED_TOKEN_COST * fetched + distance + failures) as u64
+        let read = waiting * jitter + missing as f64;
+        let factor = runner.pace.factor(self.now);
+        (read * factor + FETCHED_TOKEN_COST * fetched + distance + failures) as u64
     }
 
     fn jitter(&self, runner: &Runner) -> f64 {
--- a/crates/balance/src/runner.rs
+++ b/crates/balance/src/runner.rs
@@ -8,6 +8,7 @@
 
 use crate::Health;
 use crate::Load;
+use crate::Pace;
 use crate::PeerLoads;
 use crate::PrefixCache;
 use crate::Start;
@@ -74,6 +75,8 @@
     pub health: Health,
     /// The time until which it wants no requests of this router.
     pub(crate) paused_until: Option<Duration>,
+    /// How long work takes there.
+    pub pace: Pace,
     /// The prompt parts that it is assumed to hold.
     pub prefix_cache: PrefixCache,
     /// The load that this router has placed on it.
@@ -94,6 +97,7 @@
             cold_until: Duration::ZERO,
             health: Health::default(),
             paused_until: None,
+            pace: Pace::default(),
             prefix_cache: PrefixCache::default(),
             own_load: Load::default(),
             peer_loads: PeerLoads::default(),
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -111,6 +111,17 @@
     pub(crate) is_quarantined: bool,
 }
 
+/// How long work takes at a runner, as it has stated it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RunnerPace {
+    /// The runner's id.
+    pub(crate) runner: Digest,
+    /// In percent of the usual time.
+    pub(crate) percent: u32,
+    /// The time since the statement, in milliseconds.
+    pub(crate) age_ms: u32,
+}
+
 /// The sender's view of a topic of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct TopicStatus {
@@ -200,6 +211,9 @@
     /// What the routers of the zone know about crashes of runners.
     #[serde(skip)]
     pub(crate) crash_evidence: Vec<CrashEvidence>,
+    /// How long work takes at runners, by the newest statements that routers of the zone have seen.
+    #[serde(skip)]
+    pub(crate) paces: Vec<RunnerPace>,
 }
 
 /// The part of a datagram that routers of earlier versions ignore.
@@ -226,6 +240,9 @@
     /// What the sender has seen of crashes of runners.
     #[serde(skip)]
     pub(crate) crash_evidence: Vec<CrashEvidence>,
+    /// How long work takes at runners, by statements that the sender has seen since its last heartbeat.
+    #[serde(skip)]
+    pub(crate) paces: Vec<RunnerPace>,
 }
 
 /// The departures of runners that [`Extension::leaving`] does not name; the last part of a datagram, which earlier versions
@@ -271,6 +288,14 @@
     by_zone: Vec<Vec<CrashEvidence>>,
 }
 
+/// The part of a datagram that tells how long work takes at runners.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct PaceReport {
+    own: Vec<RunnerPace>,
+    /// Those of each zone whose sums are told, in the order of the sums.
+    by_zone: Vec<Vec<RunnerPace>>,
+}
+
 /// A received heartbeat, and the newest heartbeat of the receiver that it acknowledges.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Received {
@@ -297,10 +322,13 @@
         by_zone: extension.sums.iter().map(|sums| sums.crash_evidence.clone()).collect(),
     };
     let encoded = postcard::to_extend(&crash_report, encoded).ok()?;
-    match &extension.departures {
-        Some(departures) => postcard::to_extend(departures, encoded).ok(),
-        None => Some(encoded),
-    }
+    let Some(departures) = &extension.departures else { return Some(encoded) };
+    let encoded = postcard::to_extend(departures, encoded).ok()?;
+    let pace_report = PaceReport {
+        own: extension.paces.clone(),
+        by_zone: extension.sums.iter().map(|sums| sums.paces.clone()).collect(),
+    };
+    postcard::to_extend(&pace_report, encoded).ok()
 }
 
 /// Decodes an extension, with the later parts of the datagram if the sender's version has them.
@@ -310,7 +338,11 @@
         postcard::take_from_bytes(rest).unwrap_or_default();
     let (crash_report, rest): (CrashReport, &[u8]) =
         postcard::take_from_bytes(rest).unwrap_or_default();
-    extension.departures = postcard::from_bytes(rest).ok();
+    let departures = postcard::take_from_bytes(rest).ok();
+    let (departures, rest) = departures.map_or((None, &[][..]), |(told, rest)| (Some(told), rest));
+    let pace_report: PaceReport = postcard::from_bytes(rest).unwrap_or_default();
+    extension.departures = departures;
+    extension.paces = pace_report.own;
     extension.shortage = supplement.shortage;
     extension.leaving = supplement.leaving;
     extension.eras = supplement.eras;
@@ -318,6 +350,9 @@
     for (sums, shortage) in extension.sums.iter_mut().zip(supplement.shortage_by_zone) {
         sums.shortage = shortage;
     }
+    for (sums, paces) in extension.sums.iter_mut().zip(pace_report.by_zone) {
+        sums.paces = paces;
+    }
     for (sums, crash_evidence) in extension.sums.iter_mut().zip(crash_report.by_zone) {
         sums.crash_evidence = crash_evidence;
     }
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -31,6 +31,7 @@
 use crate::gossip::Received;
 use crate::gossip::TopicStatus;
 use crate::lending;
+use crate::pace_report;
 use crate::report;
 
 /// Interval between two heartbeats in a small zone.
@@ -132,6 +133,7 @@
     let mut extension = extension(router);
     extension.shortage = report::own_shortage(&router.core.borrow(), router.now());
     extension.crash_evidence = crash_evidence::of_router(router);
+    extension.paces = pace_report::of_router(router);
     extension.sums = router.exchange.borrow_mut().take_sums(router.now());
     let members = router.members.borrow();
     let receivers = members.direct(&router.settings.zone).map(Receiver::of);
@@ -215,6 +217,7 @@
         departures: Some(departure_report::of_router(router)),
         eras: last_changes(router).map(era::of).collect(),
         crash_evidence: Vec::new(),
+        paces: Vec::new(),
     }
 }
 
@@ -269,6 +272,8 @@
         report::apply_heartbeat(router, now, &heartbeat, shortage);
         let evidence = extension.as_ref().map_or(&[][..], |extension| &extension.crash_evidence);
         crash_evidence::apply(router, now, now, Distance::Zone, evidence);
+        let paces = extension.as_ref().map_or(&[][..], |extension| &extension.paces);
+        pace_report::apply(router, now, paces);
     }
     if let Some(extension) = &extension {
         departure_report::apply(router, &heartbeat.sender, extension);
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use balance::Limit;
+use base::Name;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
@@ -37,6 +38,12 @@
     kind: String,
 }
 
+/// The label of a histogram per route.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Route {
+    route: String,
+}
+
 /// The metrics of a router.
 #[derive(Debug)]
 pub struct Metrics {
@@ -44,6 +51,8 @@
     events: Family<Event, Counter>,
     refusals: Family<RefusingLimit, Counter>,
     answers: Family<Kind, Histogram>,
+    first_events: Family<Route, Histogram>,
+    pauses: Family<Route, Histogram>,
     waiting: Gauge,
     configuration_age: Gauge,
     departures_age: Gauge,
@@ -74,9 +83,9 @@
         let mut registry = Registry::with_prefix("aspenline");
         let events = Family::<Event, Counter>::default();
         let refusals = Family::<RefusingLimit, Counter>::default();
-        let answers = Family::<Kind, Histogram>::new_with_constructor(|| {
-            Histogram::new(exponential_buckets(FIRST_BUCKET, BUCKET_FACTOR, BUCKETS))
-        });
+        let answers = Family::<Kind, Histogram>::new_with_constructor(histogram);
+        let first_events = Family::<Route, Histogram>::new_with_constructor(histogram);
+        let pauses = Family::<Route, Histogram>::new_with_constructor(histogram);
         let (waiting, configuration_age, departures_age) =
             (Gauge::default(), Gauge::default(), Gauge::default());
         let (runners, routers, quarantined) =
@@ -85,6 +94,10 @@
         let help = "Refused requests by what kept them from the engines, as in the log";
         registry.register("refusals", help, refusals.clone());
         registry.register("answer_seconds", "Time to the head of an answer", answers.clone());
+        let help = "Time from the arrival of a request to the first event of its stream";
+        registry.register("first_event_seconds", help, first_events.clone());
+        let help = "Longest time between two events of a complete stream";
+        registry.register("longest_pause_seconds", help, pauses.clone());
         registry.register("waiting_requests", "Requests that wait for a runner", waiting.clone());
         let age = "Age of the configuration in milliseconds, -1 if unknown";
         registry.register("configuration_age_ms", age, configuration_age.clone());
@@ -99,6 +112,8 @@
             events,
             refusals,
             answers,
+            first_events,
+            pauses,
             waiting,
             configuration_age,
             departures_age,
@@ -127,6 +142,18 @@
         self.answers.get_or_create(&kind).observe(took.as_secs_f64());
     }
 
+    /// Records the time to the first event of a stream.
+    pub fn record_first_event(&self, route: &Name, took: Duration) {
+        let route = Route { route: route.to_string() };
+        self.first_events.get_or_create(&route).observe(took.as_secs_f64());
+    }
+
+    /// Records the longest time between two events of a complete stream.
+    pub fn record_pause(&self, route: &Name, pause: Duration) {
+        let route = Route { route: route.to_string() };
+        self.pauses.get_or_create(&route).observe(pause.as_secs_f64());
+    }
+
     /// Returns all metrics as text.
     #[must_use]
     pub fn text(&self, gauges: Gauges) -> String {
@@ -144,6 +171,10 @@
     }
 }
 
+fn histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET, BUCKET_FACTOR, BUCKETS))
+}
+
 fn to_i64<T: TryInto<i64>>(value: T) -> i64 {
     value.try_into().unwrap_or(i64::MAX)
 }
--- a/crates/relay/src/notice.rs
+++ b/crates/relay/src/notice.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use balance::Grant;
+use balance::Sample;
 
 use crate::Line;
 use crate::Router;
@@ -17,6 +18,15 @@
     Unreadable(String),
 }
 
+/// How long work takes at a runner, as it states it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Slowness {
+    /// In percent of the usual time.
+    Percent(u32),
+    /// The statement can't be read.
+    Unreadable(String),
+}
+
 /// What a runner says about itself in an answer.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Notice {
@@ -24,6 +34,8 @@
     pub is_leaving: bool,
     /// The pause that it asks for.
     pub pause: Option<Pause>,
+    /// How long work takes there at this moment.
+    pub slowness: Option<Slowness>,
 }
 
 /// Records what the runner of a grant says in an answer.
@@ -31,6 +43,14 @@
     if notice.is_leaving {
         record_leaving(router, grant);
     }
+    match &notice.slowness {
+        Some(Slowness::Percent(percent)) => record_slowness(router, grant, *percent),
+        Some(Slowness::Unreadable(text)) => {
+            let line = Line::new("load_unreadable").subject(grant.id.as_str());
+            router.log(line.outcome(text.as_str()));
+        }
+        None => (),
+    }
     match &notice.pause {
         Some(Pause::For(pause)) => record_pause(router, grant, *pause),
         Some(Pause::Unreadable(text)) => {
@@ -47,6 +67,13 @@
     core.registry.get(grant.runner).is_some_and(|runner| runner.is_paused(router.now()))
 }
 
+fn record_slowness(router: &Router, grant: &Grant, percent: u32) {
+    let sample = Sample { percent, at: router.now() };
+    if let Some(runner) = router.core.borrow_mut().registry.get_mut(grant.runner) {
+        runner.pace.record(sample);
+    }
+}
+
 fn record_leaving(router: &Router, grant: &Grant) {
     let mut core = router.core.borrow_mut();
     let start = core.registry.get(grant.runner).map(|runner| runner.registration.start());
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -26,6 +26,7 @@
 use crate::gossip::Shortage;
 use crate::gossip::WorkspaceUse;
 use crate::gossip::ZoneSums;
+use crate::pace_report;
 
 /// Figures of one origin.
 struct Figures<'a> {
@@ -76,6 +77,7 @@
 pub(crate) fn zone_sums(router: &Router, incarnation: u64) -> ZoneSums {
     let now = router.now();
     let crash_evidence = crash_evidence::of_zone(router);
+    let paces = pace_report::of_zone(router);
     let core = router.core.borrow();
     let zone_load = |runner: &Runner| {
         let mut load = runner.own_load;
@@ -92,6 +94,7 @@
         limits: limits(&core),
         crash_counts: Vec::new(),
         crash_evidence,
+        paces,
         members: member_reports(router, now, incarnation),
     }
 }
@@ -134,6 +137,7 @@
     let zone = Name::new(&sums.zone);
     figures.apply(&mut router.core.borrow_mut(), &Origin::Zone(zone.clone()), now, at);
     crash_evidence::apply(router, now, at, Distance::Fleet, &sums.crash_evidence);
+    pace_report::apply(router, at, &sums.paces);
     apply_member_reports(router, &zone, at, &sums.members);
 }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -15,6 +15,7 @@
 
 use balance::Health;
 use balance::Kind;
+use base::Name;
 use bytes::Bytes;
 use conn::Connection;
 use http::header::CONTENT_LENGTH;
@@ -96,6 +97,8 @@
     history: Option<AttemptHistory>,
     progress: Progress,
     is_sound: bool,
+    /// The time from the arrival of the request to the first event that was passed on.
+    first_event_after: Option<Duration>,
     /// The error that ends the stream.
     error: Option<Error>,
     check_timer: Pin<Box<Sleep>>,
@@ -126,6 +129,7 @@
             resuming: None,
             history: Some(history),
             is_sound: false,
+            first_event_after: None,
             error: None,
             check_timer: Box::pin(time::sleep(CHECK_INTERVAL)),
         };
@@ -146,6 +150,11 @@
             return None;
         }
         self.moving = None;
+        if self.first_event_after.is_none() {
+            let took = now.saturating_sub(self.call.arrived);
+            self.first_event_after = Some(took);
+            self.router.metrics.record_first_event(&self.call.route.name, took);
+        }
         Some(events)
     }
 
@@ -177,8 +186,9 @@
         source.permit.record_answer();
         source.permit.record_sound();
         let runner = source.permit.grant.runner;
+        let source_id = source.permit.grant.id.clone();
         self.router.pool.borrow_mut().put(runner, source.connection, source.keep_alive);
-        self.log("stream_finished", String::new());
+        self.log_finished(&source_id);
         true
     }
 
@@ -276,6 +286,18 @@
         }
     }
 
+    /// Logs and counts a complete stream with its time to the first event and its longest pause.
+    fn log_finished(&self, runner: &Name) {
+        let pause = self.progress.longest_pause();
+        self.router.metrics.record_pause(&self.call.route.name, pause);
+        let first = self.first_event_after.unwrap_or_default();
+        let mut line = forward::line(&self.call, "stream_finished").subject(runner.as_str());
+        line.took_ms = Some(event::millis(self.router.now().saturating_sub(self.call.arrived)));
+        let (first, pause) = (event::millis(first), event::millis(pause));
+        line.outcome = Some(format!("first event after {first} ms, longest pause {pause} ms"));
+        self.router.log(line);
+    }
+
     fn log(&self, event: &'static str, outcome: String) {
         let mut line = forward::line(&self.call, event).outcome(outcome);
         line.took_ms = Some(event::millis(self.router.now().saturating_sub(self.call.arrived)));
--- a/crates/relay/src/stream/progress.rs
+++ b/crates/relay/src/stream/progress.rs
@@ -28,6 +28,10 @@
     first_at: Option<Duration>,
     /// The number of events of the present runner.
     events: u32,
+    /// The time of the last events that were passed on.
+    last_passed: Option<Duration>,
+    /// The longest time between two events that were passed on.
+    longest_pause: Duration,
 }
 
 impl Progress {
@@ -41,6 +45,8 @@
             last_contact: sent_at,
             first_at: None,
             events: 0,
+            last_passed: None,
+            longest_pause: Duration::ZERO,
         }
     }
 
@@ -74,6 +80,7 @@
         events.truncate(length);
         if !events.is_empty() {
             self.last_contact = now;
+            self.record_passed(now);
         }
         if let Some(id) = sse::last_id(&events) {
             self.last_event = Some(id.to_owned());
@@ -81,6 +88,17 @@
         events
     }
 
+    fn record_passed(&mut self, now: Duration) {
+        if let Some(last) = self.last_passed.replace(now) {
+            self.longest_pause = self.longest_pause.max(now.saturating_sub(last));
+        }
+    }
+
+    /// Returns the longest time between two events that were passed on.
+    pub(super) const fn longest_pause(&self) -> Duration {
+        self.longest_pause
+    }
+
     fn split_events(&mut self, bytes: Bytes) -> Bytes {
         if self.partial.is_empty() && sse::complete_length(&bytes) == bytes.len() {
             return bytes;
