--- a/crates/balance/src/expectation.rs
+++ b/crates/balance/src/expectation.rs
@@ -38,7 +38,7 @@
     ) -> Self {
         let (mut own_requests, mut reported, mut reported_ms) = (0.0, Load::default(), 0);
         for runner in runners {
-            own_requests += f64::from(runner.own_load.running) + PRIOR_REQUESTS;
+            own_requests += requests(runner);
             reported.add(runner.peer_loads.sum());
             reported_ms += runner.peer_loads.reported_ms();
         }
@@ -46,7 +46,7 @@
         let age = reported_at.map(|at| now.saturating_sub(Duration::from_millis(at)));
         let age = age.unwrap_or_default();
         Self {
-            own_requests: own_requests.max(PRIOR_REQUESTS),
+            own_requests: if own_requests > 0.0 { own_requests } else { PRIOR_REQUESTS },
             reported,
             places_left: turnover.places_left(age),
             prompts_left: turnover.prompts_left(age),
@@ -55,8 +55,7 @@
 
     /// Returns the load that all routers are expected to have placed on a runner by now.
     pub(crate) fn load(&self, runner: &Runner) -> Load {
-        let own = f64::from(runner.own_load.running) + PRIOR_REQUESTS;
-        let part = own / self.own_requests;
+        let part = requests(runner) / self.own_requests;
         let expected = |left: f64, known: f64, all: f64| left * known + (1.0 - left) * part * all;
         let (known, all) = (runner.peer_loads.sum(), self.reported);
         let running = expected(self.places_left, known.running.into(), all.running.into());
@@ -71,3 +70,9 @@
         load
     }
 }
+
+/// Returns the requests of this router at a runner, with those that are added there; a runner that works faster than
+/// others is taken to get more.
+fn requests(runner: &Runner) -> f64 {
+    f64::from(runner.own_load.running) + PRIOR_REQUESTS / runner.pace.undisturbed()
+}
