--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -37,12 +37,19 @@
 /// The largest random increase of a cost, as a fraction, so that routers with the same figures choose different
 /// runners.
 const COST_JITTER: f64 = 0.1;
+/// The mean number of runners whose costs are compared for a request, beside those that hold its shared part. With all
+/// compared, routers whose figures are equally old choose the same runners.
+const SAMPLED_RUNNERS: f64 = 12.0;
+/// The weight of a request's own prompt tokens relative to those that wait. Below 1, long prompts don't all go to the
+/// fastest runners.
+const OWN_PROMPT_WEIGHT: f64 = 0.6;
 /// The cost of an expected failure, in prompt tokens.
 const FAILURE_TOKENS: f64 = 20_000.0;
 /// The cost of a shared token that is fetched from another runner, in waiting prompt tokens.
 const FETCHED_TOKEN_COST: f64 = 0.5;
-/// The cost of a runner in another zone, in waiting prompt tokens; small, so that a busy zone passes its work on.
-const OTHER_ZONE_TOKENS: f64 = 400.0;
+/// The cost of a runner in another zone, in waiting prompt tokens. The load of other zones is known later, and a busy zone
+/// still passes its work on.
+const OTHER_ZONE_TOKENS: f64 = 3_000.0;
 /// The cost of a plain runner in another zone, as a fraction of its slots in use.
 const OTHER_ZONE_BUSY: f64 = 0.34;
 /// The number of runners in a zone from which on shared parts are held in each zone by itself.
@@ -138,7 +145,24 @@
             return None;
         }
         let ranks = self.ranks(request);
-        let usable = serving().filter(|(key, runner)| self.is_usable(*key, runner, request));
+        let usable = || serving().filter(|(key, runner)| self.is_usable(*key, runner, request));
+        let fraction = SAMPLED_RUNNERS / usable().count().max(1) as f64;
+        let sampled = usable()
+            .filter(|(key, runner)| ranks.contains(key) || self.is_sampled(runner, fraction));
+        let best = self.best(request, &ranks, sampled).filter(|best| best.has_capacity);
+        let best = best.or_else(|| self.best(request, &ranks, usable()))?;
+        let source = self.source(request, &ranks, best.key);
+        best.has_capacity.then_some(Choice { runner: best.key, source })
+    }
+
+    /// Returns the runner with the lowest cost; one without capacity only while the request may wait for it.
+    fn best<'a>(
+        &self,
+        request: &Request,
+        ranks: &[Key],
+        usable: impl Iterator<Item = (Key, &'a Runner)>,
+    ) -> Option<Candidate> {
+        let may_wait = self.now < request.arrived + max_preferred_wait(request);
         let candidates = usable.map(|(key, runner)| {
             let missing = missing_tokens(runner, request, self.now);
             let rank = ranks.iter().position(|ranked| *ranked == key);
@@ -147,11 +171,8 @@
             let is_last_resort = runner.health.is_half_open() && !probes_first(request);
             Candidate { key, is_last_resort, cost, has_capacity }
         });
-        let may_wait = self.now < request.arrived + max_preferred_wait(request);
         let candidates = candidates.filter(|candidate| candidate.has_capacity || may_wait);
-        let best = candidates.min_by_key(|candidate| (candidate.is_last_resort, candidate.cost))?;
-        let source = self.source(request, &ranks, best.key);
-        best.has_capacity.then_some(Choice { runner: best.key, source })
+        candidates.min_by_key(|candidate| (candidate.is_last_resort, candidate.cost))
     }
 
     /// Returns whether any runner has room for a request of the workspace that needs no processing of its prompt.
@@ -371,11 +392,17 @@
         let fetched = missing_shared.min(prompt.shared() as f64 * (1.0 - cached));
         let failures = failure_ratio * FAILURE_TOKENS;
         let distance = if is_near { 0.0 } else { OTHER_ZONE_TOKENS };
-        let read = waiting * jitter + missing as f64;
+        let read = waiting * jitter + OWN_PROMPT_WEIGHT * missing as f64;
         let factor = runner.pace.factor(self.now);
         (read * factor + FETCHED_TOKEN_COST * fetched + distance + failures) as u64
     }
 
+    /// Returns whether a runner is among those whose costs are compared for the present request.
+    fn is_sampled(&self, runner: &Runner, fraction: f64) -> bool {
+        let weight = rendezvous::weight(!self.salt, runner.registration.id.as_str());
+        weight as f64 / (u64::MAX as f64) < fraction
+    }
+
     fn jitter(&self, runner: &Runner) -> f64 {
         let weight = rendezvous::weight(self.salt, runner.registration.id.as_str());
         1.0 + COST_JITTER * (weight as f64 / u64::MAX as f64)
--- a/crates/balance/src/fill.rs
+++ b/crates/balance/src/fill.rs
@@ -39,7 +39,8 @@
             let load = runner.load();
             let slots = limits.running.min(runner.registration.slots).min(engine.slots);
             let running = f64::from(load.running) / f64::from(slots.max(1));
-            let backlog = load.backlog as f64 * runner.pace.factor(now) / limits.backlog.max(1) as f64;
+            let backlog =
+                load.backlog as f64 * runner.pace.factor(now) / limits.backlog.max(1) as f64;
             let memory = load.memory as f64 / memory_limit;
             sum.running += running;
             sum.backlog += backlog;
