fix(balance): a reserve of waiting tokens for workspaces that ask for little

Cause: routers know of each other's prompts an interval of reports late and fill engines to 1.3 to 1.9 times the limit on waiting prompt tokens in bursts. What others leave free below the limit is then no room, so that a workspace which asks for little finds no engine under full limits. Its router's lease of these tokens may also be smaller than one long prompt.

Change: a workspace that asks for no more than half of its share and lacks work may fill engines to twice the limit on waiting prompt tokens and needs no lease of them. Limits on running requests and memory, and the lease of places, hold as before.

At the start of a flood its demand looks small at each router until others report, so the reserve is then also used by it.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -67,6 +67,8 @@
     pub(crate) adaptive_limit: &'a AdaptiveLimit,
     /// The fraction of these limits that the workspace may fill.
     pub(crate) fraction: f64,
+    /// The fraction of the limit on waiting prompt tokens that it may fill beyond this limit.
+    pub(crate) backlog_reserve: f64,
     /// The places at the engines of the service that this router may use.
     pub(crate) lease: Lease,
     /// Whether a request may be placed beyond it.
@@ -243,7 +245,7 @@
     fn workspace_limits(&self) -> WorkspaceLimits {
         let limits = self.adaptive_limit.limits();
         WorkspaceLimits {
-            backlog: (limits.backlog as f64 * self.fraction) as u64,
+            backlog: (limits.backlog as f64 * (self.fraction + self.backlog_reserve)) as u64,
             running: (f64::from(limits.running) * self.fraction).ceil() as u32,
         }
     }
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -359,6 +359,8 @@
     ) -> Option<Selector<'_>> {
         let state = self.services.get(service)?;
         let lease = self.shares.lease(now, &self.limits.router);
+        let backlog_reserve = self.shares.backlog_reserve(now, &self.usage, workspace);
+        let lease = if backlog_reserve > 0.0 { lease.without_backlog() } else { lease };
         let runners = self.registry.serving(service.as_str()).map(|(_, runner)| runner);
         let usable = runners.filter(|runner| runner.may_be_sent(now));
         Some(Selector {
@@ -366,6 +368,7 @@
             service: self.service(service)?,
             adaptive_limit: &state.adaptive_limit,
             fraction: self.shares.allowed_fraction(now, &self.usage, workspace),
+            backlog_reserve,
             lease: lease.with_loans(state.loans.balance(now)),
             is_beyond_lease: false,
             expectation: Expectation::of(now, state.turnover, usable),
--- a/crates/balance/src/fair_share.rs
+++ b/crates/balance/src/fair_share.rs
@@ -11,6 +11,11 @@
 
 /// The largest fraction of an engine's limits that a workspace leaves to others when it has been granted its fair share.
 const MAX_RESERVED_FRACTION: f64 = 0.25;
+/// The fraction of its fair share up to which the demand of a workspace counts as small.
+const MAX_SMALL_DEMAND: f64 = 0.5;
+/// The fraction of an engine's limit on waiting prompt tokens that is added for a workspace which asks for little and lacks
+/// work. Prompts of others have filled engines to 1.3 to 1.9 times this limit in bursts.
+const BACKLOG_RESERVE: f64 = 1.0;
 
 /// The work that a workspace may be granted when engines are short.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -50,6 +55,16 @@
         1.0 - self.reserved * self.granted(work).min(1.0)
     }
 
+    /// Returns the fraction of an engine's limit on waiting prompt tokens that a workspace may fill beyond it.
+    ///
+    /// Routers that know of each other's prompts late fill engines beyond this limit, so that what others leave below it is
+    /// no room for a workspace that asks for little. Its small demand bounds what is added.
+    #[must_use]
+    pub fn backlog_reserve(self, work: Work) -> f64 {
+        let is_small = work.demand() as f64 <= self.tokens as f64 * MAX_SMALL_DEMAND;
+        if is_small && work.is_short() { BACKLOG_RESERVE } else { 0.0 }
+    }
+
     /// Returns what a workspace has been granted, relative to its share.
     #[must_use]
     pub fn granted(self, work: Work) -> f64 {
--- a/crates/balance/src/lease.rs
+++ b/crates/balance/src/lease.rs
@@ -54,6 +54,11 @@
         Self { loans, ..self }
     }
 
+    /// Returns the lease without the limit on prompt tokens; that on places still holds.
+    pub(crate) const fn without_backlog(self) -> Self {
+        Self { is_short: false, ..self }
+    }
+
     /// Returns the places that the router has in use and may use.
     pub(crate) fn of(&self, places: &Places) -> LeasedPlaces {
         let Balance { borrowed, lent } = self.loans;
--- a/crates/balance/src/shares.rs
+++ b/crates/balance/src/shares.rs
@@ -154,6 +154,16 @@
         workspace.map_or(1.0, |name| self.fair_share.allowed_fraction(usage.of(now, name)))
     }
 
+    /// Returns the fraction of an engine's limit on waiting prompt tokens that a workspace may fill beyond it.
+    pub(crate) fn backlog_reserve(
+        &self,
+        now: Duration,
+        usage: &Usage,
+        workspace: Option<&Name>,
+    ) -> f64 {
+        workspace.map_or(0.0, |name| self.fair_share.backlog_reserve(usage.of(now, name)))
+    }
+
     /// Returns the lease of a router.
     pub(crate) fn lease(&self, now: Duration, router: &Name) -> Lease {
         let interval = now.as_millis() / self.report_interval.as_millis().max(1);
