--- a/crates/aspenline/tests/platform_notices.rs
+++ b/crates/aspenline/tests/platform_notices.rs
@@ -59,6 +59,8 @@
     call_often(&first, "first", 10).await;
     call_often(&second, "second", 10).await;
     assert_eq!(runners[0].requests().len(), before);
+    // Its lines are read by another thread, so that this one may still be on its way.
+    wait_for(|| first.first_line("runner_leaving")).await;
     assert_eq!(first.count("runner_leaving"), 1);
 
     // The record of the same start says nothing new; that of a later start does.
@@ -149,3 +151,25 @@
     wait_for(|| router.first_line("retry_after_unreadable")).await;
     assert_eq!(router.count("runner_paused"), 0);
 }
+
+/// Guards against a figure that can't be true ending the use of a runner, or of the figures of others.
+#[tokio::test]
+async fn a_load_that_does_not_parse_is_ignored_and_logged() {
+    let platform = Platform::start("load").await;
+    platform.configure(&configuration(1));
+    let runners = platform.runners("ledger", 2).await;
+    let router = platform.router("router-1").await;
+    router.wait_for_runners(2).await;
+    for load in ["1,0,8,-3", "1,0,8,99999999999999", "1,0,8,x", "1,0,8,0"] {
+        runners[0].set_added_headers(&[("runner-load", load)]);
+        call_until_received(&router, &runners[0], load).await;
+    }
+    wait_for(|| (router.count("load_unreadable") >= 4).then_some(())).await;
+    for load in ["", "1,0,8", "1,0,8,120"] {
+        runners[0].set_added_headers(&[("runner-load", load)]);
+        call_until_received(&router, &runners[0], &format!("good{load}")).await;
+    }
+    let answers = call_often(&router, "after", 6).await;
+    assert!(answers.iter().all(|answer| answer.status == StatusCode::OK));
+    assert_eq!(router.count("load_unreadable"), 4);
+}
