feat(balance): decide on rollouts of new versions

Cause: a fleet has no means to try a new version of a service on a part of the requests and to stop it when it is bad.

Change: rollout/ holds orders, the share of requests on trial, the evidence of all routers, a CUSUM test against the baseline, suspension of single runners, the move of requests before the deadline, and the status to be written. Runners have a role; the choice of a runner reads it. Registrations state a version.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -71,6 +71,8 @@
     pub(crate) lease: Lease,
     /// Whether a request may be placed beyond it.
     pub(crate) is_beyond_lease: bool,
+    /// Whether the runner is chosen among those that receive requests on trial.
+    pub(crate) is_canary: bool,
     /// The load that is expected at each runner.
     pub(crate) expectation: Expectation,
     /// The limits that hold over all routers, with the names of this router and its peers.
@@ -123,9 +125,23 @@
         Self { is_beyond_lease: is_beyond, ..self }
     }
 
+    /// Returns the selector for a request on trial.
+    ///
+    /// Requests on trial are few, and a lease of the few runners that receive them would allow a router none.
+    pub(crate) const fn on_trial(self, is_limited: bool) -> Self {
+        Self { is_canary: true, is_beyond_lease: self.is_beyond_lease || is_limited, ..self }
+    }
+
+    /// Returns the runners of a service among which one is chosen.
+    fn serving<'b>(&'b self, service: &'b str) -> impl Iterator<Item = (Key, &'b Runner)> {
+        let regular = (!self.is_canary).then(|| self.registry.serving(service));
+        let canaries = self.is_canary.then(|| self.registry.canaries(service));
+        regular.into_iter().flatten().chain(canaries.into_iter().flatten())
+    }
+
     /// Chooses the runner with the lowest cost, or `None` if it has no capacity and the request may still wait for it.
     pub(crate) fn choose(&self, request: &Request) -> Option<Choice> {
-        let serving = || self.registry.serving(request.service.as_str());
+        let serving = || self.serving(request.service.as_str());
         if !serving().any(|(_, runner)| self.may_have_capacity(runner, request)) {
             return None;
         }
@@ -155,7 +171,7 @@
     pub(crate) fn has_room(&self) -> bool {
         let Some(engine) = self.service.engine else { return true };
         let limits = self.workspace_limits();
-        let mut serving = self.registry.serving(self.service.name.as_str());
+        let mut serving = self.serving(self.service.name.as_str());
         self.lease_limit().is_none()
             && serving.any(|(_, runner)| {
                 let load = self.expectation.load(runner);
@@ -167,7 +183,7 @@
     pub(crate) fn has_usable_room(&self) -> bool {
         let Some(engine) = self.service.engine else { return false };
         let limits = self.workspace_limits();
-        let mut serving = self.registry.serving(self.service.name.as_str());
+        let mut serving = self.serving(self.service.name.as_str());
         serving.any(|(_, runner)| {
             let load = self.expectation.load(runner);
             runner.may_be_sent(self.now)
@@ -182,7 +198,7 @@
         let mut room = EngineRoom::default();
         let Some(engine) = self.service.engine else { return room };
         let limits = self.workspace_limits();
-        for (_, runner) in self.registry.serving(self.service.name.as_str()) {
+        for (_, runner) in self.serving(self.service.name.as_str()) {
             let load = self.expectation.load(runner);
             let count = if !limits.may_run(load, runner, &engine) {
                 &mut room.at_running_limit
@@ -210,7 +226,7 @@
     }
 
     fn count_openings(&self, request: &Request) -> u32 {
-        let serving = self.registry.serving(request.service.as_str());
+        let serving = self.serving(request.service.as_str());
         let usable = serving.filter(|(key, runner)| self.is_usable(*key, runner, request));
         let open = usable.filter(|(_, runner)| {
             let missing = missing_tokens(runner, request, self.now);
@@ -230,7 +246,7 @@
         let engine = self.service.engine?;
         let limits = self.workspace_limits();
         let mut places = Places::default();
-        let serving = self.registry.serving(self.service.name.as_str());
+        let serving = self.serving(self.service.name.as_str());
         let usable = serving.filter(|(_, runner)| runner.may_be_sent(self.now));
         for (_, runner) in usable {
             places.own.add(runner.own_load);
@@ -259,7 +275,7 @@
         let zone = self.registry.get(chosen).map(|runner| &runner.registration.zone);
         let preferred = ranks.first().copied();
         let is_preferred = preferred == Some(chosen);
-        let serving = self.registry.serving(request.service.as_str());
+        let serving = self.serving(request.service.as_str());
         let others = serving.filter(|(key, _)| *key != chosen);
         let usable = others.filter(|(_, runner)| runner.health.is_usable(self.now));
         let holders = usable.filter_map(|(key, runner)| {
@@ -283,7 +299,7 @@
     fn ranks(&self, request: &Request) -> Vec<Key> {
         let affinity = request.prompt.as_ref().map(Prompt::affinity).filter(|part| *part != 0);
         let Some(affinity) = affinity else { return Vec::new() };
-        let serving = || self.registry.serving(request.service.as_str());
+        let serving = || self.serving(request.service.as_str());
         let is_near = |runner: &Runner| runner.registration.zone == self.fleet_limits.zone;
         let near_count = serving().filter(|(_, runner)| is_near(runner)).count();
         let is_zone_large = near_count >= MIN_ZONE_RUNNERS;
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -3,6 +3,7 @@
 mod conditions;
 mod lending;
 mod refusal;
+mod rollout;
 
 use std::time::Duration;
 
@@ -34,6 +35,8 @@
 use crate::loan::Loans;
 use crate::queue::Queue;
 use crate::queue::Waiting;
+use crate::rollout::Rollouts;
+use crate::rollout::versions::Versions;
 use crate::shares::Shares;
 use crate::turnover::Turnover;
 
@@ -65,6 +68,9 @@
     pub usage: Usage,
     /// The crashes of runners, by possible cause.
     pub crash_history: CrashHistory,
+    /// The rollouts of new versions.
+    pub rollouts: Rollouts,
+    versions: Versions,
     limits: FleetLimits,
     /// The number of published routers in each other zone that reports sums.
     zone_sizes: IndexMap<Name, usize>,
@@ -84,6 +90,8 @@
             registry: Registry::default(),
             usage: Usage::default(),
             crash_history: CrashHistory::default(),
+            rollouts: Rollouts::default(),
+            versions: Versions::default(),
             limits,
             zone_sizes: IndexMap::new(),
             services: IndexMap::new(),
@@ -134,6 +142,7 @@
     /// Records a caller's request in the retry budget of a service.
     pub fn count_request(&mut self, now: Duration, service: &Name) {
         self.service_state(service).budget.record_request(now);
+        self.rollouts.record_request(service);
     }
 
     /// Takes a retry from the budget of a service; returns `false` if none is left.
@@ -324,6 +333,9 @@
         if !self.knows_departures(now) {
             return None;
         }
+        if let Some(grant) = self.grant_on_trial(now, request) {
+            return Some(grant);
+        }
         let selector = self.selector(now, &request.service, request.workspace.as_ref())?;
         if let Some(choice) = selector.choose(request) {
             return Some(self.place(now, request, &choice));
@@ -333,6 +345,9 @@
 
     /// Returns whether any runner has room for requests of a workspace.
     fn has_room(&mut self, now: Duration, service: &Name, workspace: Option<&Name>) -> bool {
+        if self.rollouts.prefers_candidates(service) {
+            return true;
+        }
         let has_reserved = self.has_reserved(now, service, workspace);
         let selector = self.selector(now, service, workspace);
         selector.is_some_and(|selector| selector.beyond_lease(has_reserved).has_room())
@@ -368,6 +383,7 @@
             fraction: self.shares.allowed_fraction(now, &self.usage, workspace),
             lease: lease.with_loans(state.loans.balance(now)),
             is_beyond_lease: false,
+            is_canary: false,
             expectation: Expectation::of(now, state.turnover, usable),
             fleet_limits: &self.limits,
             now,
@@ -403,6 +419,7 @@
         let registration = &runner.registration;
         let (id, address) = (registration.id.clone(), registration.address);
         let incarnation = registration.incarnation();
+        let version = registration.version.clone();
         let is_contended = self.shares.is_contended();
         let work = request.work();
         let payer = request.payer();
@@ -417,6 +434,7 @@
             incarnation,
             address,
             source,
+            version,
             granted_at: now,
             load,
             payer,
--- a/crates/balance/src/decision.rs
+++ b/crates/balance/src/decision.rs
@@ -24,6 +24,8 @@
     pub address: SocketAddr,
     /// The runner from which it fetches the shared parts that it does not hold.
     pub source: Option<SocketAddr>,
+    /// The version of the runner, if it states one.
+    pub version: Option<Name>,
     /// The time at which it was granted.
     pub(crate) granted_at: Duration,
     /// The load that the request places on the runner.
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -47,6 +47,7 @@
 mod rendezvous;
 mod request;
 mod retry_budget;
+pub mod rollout;
 mod route;
 mod runner;
 mod shares;
--- a/crates/balance/src/registry.rs
+++ b/crates/balance/src/registry.rs
@@ -15,6 +15,7 @@
 use crate::Runner;
 use crate::era;
 use crate::freshness::Freshness;
+use crate::rollout::Role;
 
 /// The shortest extension of a known cold period that counts as a change.
 const MIN_COLD_EXTENSION: Duration = Duration::from_millis(300);
@@ -169,12 +170,30 @@
         let uses_expired = self.has_mostly_expired(service);
         let all = self.runners.iter();
         let own = all.filter(move |(_, runner)| runner.registration.service.as_str() == service);
+        let regular = own.filter(|(_, runner)| runner.role == Role::Regular);
+        regular.filter(move |(_, runner)| self.may_serve(&runner.registration, uses_expired))
+    }
+
+    /// Returns the runners of a service that may be sent requests on trial.
+    pub(crate) fn canaries<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (Key, &'a Runner)> {
+        let uses_expired = self.has_mostly_expired(service);
+        let canaries = self.runners.iter().filter(|(_, runner)| runner.role == Role::Canary);
+        let own =
+            canaries.filter(move |(_, runner)| runner.registration.service.as_str() == service);
         own.filter(move |(_, runner)| self.may_serve(&runner.registration, uses_expired))
     }
 
     /// Returns whether a runner may still be sent requests.
     #[must_use]
     pub fn is_serving(&self, key: Key) -> bool {
+        self.get(key).is_some_and(|runner| runner.role != Role::Excluded) && self.is_in_service(key)
+    }
+
+    /// Returns whether a runner may be sent requests, apart from rollouts.
+    pub(crate) fn is_in_service(&self, key: Key) -> bool {
         let registration = self.get(key).map(|runner| &runner.registration);
         registration.is_some_and(|registration| {
             self.may_serve(registration, self.has_mostly_expired(registration.service.as_str()))
--- a/crates/balance/src/runner.rs
+++ b/crates/balance/src/runner.rs
@@ -13,6 +13,7 @@
 use crate::Start;
 use crate::Window;
 use crate::rendezvous;
+use crate::rollout::Role;
 
 slotmap::new_key_type! {
     /// The key of a runner in the registry.
@@ -39,6 +40,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: Name,
+    /// The version of the service that it runs, if it states one.
+    pub version: Option<Name>,
     /// The maximum number of concurrent requests.
     pub slots: u32,
     /// Whether it is draining before it leaves.
@@ -82,6 +85,8 @@
     pub peer_loads: PeerLoads,
     /// The requests that were sent while it was cold.
     pub cold_sent: Window,
+    /// The requests that it receives during a rollout.
+    pub(crate) role: Role,
 }
 
 impl Runner {
@@ -98,6 +103,7 @@
             own_load: Load::default(),
             peer_loads: PeerLoads::default(),
             cold_sent: Window::new(COLD_WINDOW),
+            role: Role::default(),
         };
         runner.extend_cold_period(now);
         runner
--- a/crates/balance/tests/common/mod.rs
+++ b/crates/balance/tests/common/mod.rs
@@ -41,6 +41,7 @@
         service: Name::new(SERVICE),
         address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number.unwrap_or_default())),
         zone: Name::new("north"),
+        version: None,
         slots: 128,
         is_draining: false,
         cold_left: Duration::ZERO,
