feat(relay,platform): roll versions out over all routers

Cause: the decisions on rollouts need the versions of runners, the responses, the orders of the operator and the status topic.

Change: registrations read the field version; responses are recorded where answers and streams end; heartbeats and zone sums carry reports of rollouts as a last part, which is left out without rollouts and which earlier builds ignore; orders are read from the operator's topic; states are written conditionally (at) and read only when a rollout needs them; settings expose_share, expose_slack, rollback_ms with defaults; log lines and a counter by version. fake: versions, partial faults, slow answers, the conditional append.

--- a/crates/balance/src/core/rollout.rs
+++ b/crates/balance/src/core/rollout.rs
@@ -75,8 +75,8 @@
                 let is_serving = self.registry.is_in_service(key);
                 if registration.version.as_ref() == Some(&order.to) {
                     let id = registration.id.as_str();
-                    let is_serving = is_serving && runner.health.is_usable(now);
-                    conditions.candidates.push(Candidate { id, is_serving });
+                    let is_healthy = runner.health.is_usable(now);
+                    conditions.candidates.push(Candidate { id, is_serving, is_healthy });
                 } else {
                     let version = registration.version.as_ref();
                     let is_old = !self.rollouts.is_abandoned(&order.service, version);
@@ -90,6 +90,12 @@
         self.rollouts.take_notes()
     }
 
+    /// Returns whether any rollout is known or any version is on hold.
+    #[must_use]
+    pub fn has_rollouts(&self) -> bool {
+        !self.rollouts.is_empty() || self.versions.has_pending()
+    }
+
     fn update_roles(&mut self) {
         if self.rollouts.is_empty() && !self.versions.has_pending() {
             for runner in self.registry.iter_mut() {
@@ -118,6 +124,8 @@
     }
 
     /// Records the response to a granted request of a route: the time to its first token or its end, and whether it was bad.
+    ///
+    /// Returns whether it is a bad response of a version that is rolled out.
     pub fn record_response(
         &mut self,
         grant: &Grant,
@@ -125,14 +133,13 @@
         route: &Name,
         took: Option<Duration>,
         is_bad: bool,
-    ) {
+    ) -> bool {
         if self.rollouts.is_empty() {
-            return;
+            return false;
         }
         let runner = rendezvous::digest(grant.id.as_str());
-        let route = rendezvous::digest(route.as_str());
         let version = grant.version.as_ref();
-        self.rollouts.record_response(service, version, runner, route, took, is_bad);
+        self.rollouts.record_response(service, version, runner, route, took, is_bad)
     }
 
     /// Records that a granted request of a route ended without a response after a time, which counts if that is long.
@@ -143,8 +150,7 @@
         route: &Name,
         took: Duration,
     ) {
-        let digest = rendezvous::digest(route.as_str());
-        if self.rollouts.is_slow(service, digest, took) {
+        if self.rollouts.is_slow(service, route, took) {
             self.record_response(grant, service, route, Some(took), true);
         }
     }
--- a/crates/balance/src/rollout.rs
+++ b/crates/balance/src/rollout.rs
@@ -121,8 +121,10 @@
 pub struct Candidate<'a> {
     /// The identifier of the runner.
     pub id: &'a str,
-    /// Whether it may be sent requests.
+    /// Whether its registration allows requests.
     pub is_serving: bool,
+    /// Whether its recent responses allow them too.
+    pub is_healthy: bool,
 }
 
 /// The state of a service and of the fleet on which the next step of its rollout depends.
@@ -175,6 +177,8 @@
     exposure: Exposure,
     /// The runners that alone give bad responses, which receive no requests while there are other candidates.
     suspended: IndexSet<u32>,
+    /// The names of routes by digest, for the log.
+    routes: IndexMap<u32, Name>,
     /// The candidates that receive requests, by digest.
     used: IndexSet<u32>,
     has_baseline: bool,
@@ -205,6 +209,7 @@
             good: 0,
             exposure: Exposure::default(),
             suspended: IndexSet::new(),
+            routes: IndexMap::new(),
             used: IndexSet::new(),
             has_baseline: true,
             has_candidates: false,
@@ -324,6 +329,7 @@
 
     fn describe_evidence(&self) -> String {
         let total = self.evidence.total();
+        let name = |route| self.routes.get(&route).map_or("unknown", Name::as_str);
         let describe = |counts: Counts| format!("{} of {} bad", counts.bad, counts.responses);
         let mut text = format!(
             "candidates {}, baseline {}",
@@ -332,7 +338,10 @@
         );
         for route in total.routes.iter().filter(|route| route.candidate.bad > 0) {
             let (candidate, baseline) = (describe(route.candidate), describe(route.baseline));
-            text.push_str(&format!(", route {:x}: {candidate}, {baseline}", route.route));
+            let name = name(route.route);
+            text.push_str(&format!(
+                ", route {name}: {candidate} of candidates, {baseline} of others"
+            ));
         }
         text
     }
@@ -346,9 +355,10 @@
         }
         self.has_baseline = conditions.baseline > 0;
         self.has_candidates = conditions.candidates.iter().any(|candidate| candidate.is_serving);
-        let judgement = self.judge(now);
         if self.phase == Phase::Running {
-            self.advance(now, deadline, judgement);
+            let total = self.evidence.total();
+            let judgement = self.judge(now, &total, conditions);
+            self.advance(now, deadline, &total, judgement);
         }
         self.stage = self.stage_at(now);
         self.exposure.update(now, bounds, conditions.routers);
@@ -370,19 +380,15 @@
         }
     }
 
-    fn judge(&mut self, now: Duration) -> Judgement {
-        if self.phase != Phase::Running {
-            return Judgement::Sound;
-        }
-        let total = self.evidence.total();
+    fn judge(&mut self, now: Duration, total: &Figures, conditions: &Conditions<'_>) -> Judgement {
         self.slow_times = total.slow_times();
         self.good = total.candidate().good();
-        let judgement = self.windows.judge(now, &total);
+        let judgement = self.windows.judge(now, total);
         match judgement {
             // Another router may be writing that the rollout is completed, at which old runners end.
             Judgement::Bad if self.is_completing(now) => (),
             Judgement::Bad => self.stop(now, "worse than the baseline"),
-            Judgement::Suspect(runner) => self.suspend(runner),
+            Judgement::Suspect(runner) => self.suspend(runner, conditions),
             Judgement::Sound => (),
         }
         judgement
@@ -392,16 +398,26 @@
         self.wants_completion && now < self.target_since + MAX_COMPLETION_TIME
     }
 
-    fn suspend(&mut self, runner: u32) {
+    fn suspend(&mut self, runner: u32, conditions: &Conditions<'_>) {
         if self.suspended.insert(runner) {
-            let text = format!("runner {runner:x} alone gives bad responses");
+            let mut ids = conditions.candidates.iter().map(|candidate| candidate.id);
+            let id = ids.find(|id| rendezvous::digest(id) == runner).unwrap_or("unknown");
+            let text = format!("runner {id} alone gives bad responses");
             self.note("rollout_runner_suspended", text);
         }
     }
 
     /// Ends a rollout that must not go on at this time.
-    fn advance(&mut self, now: Duration, deadline: Duration, judgement: Judgement) {
-        let total = self.evidence.total();
+    fn advance(
+        &mut self,
+        now: Duration,
+        deadline: Duration,
+        total: &Figures,
+        judgement: Judgement,
+    ) {
+        if self.phase != Phase::Running {
+            return;
+        }
         let candidate = total.candidate();
         if self.stage_at(now) != Stage::Canary {
             if let Judgement::Suspect(runner) = judgement {
@@ -430,14 +446,14 @@
     fn choose_candidates(&mut self, bounds: &Bounds, conditions: &Conditions<'_>) {
         let position = self.order.position;
         let serving = conditions.candidates.iter().filter(|candidate| candidate.is_serving);
-        let mut ranked: Vec<(u64, u32)> = serving
+        let mut ranked: Vec<(bool, u64, u32)> = serving
             .map(|candidate| {
                 let digest = rendezvous::digest(candidate.id);
-                (rendezvous::weight(position, candidate.id), digest)
+                (!candidate.is_healthy, rendezvous::weight(position, candidate.id), digest)
             })
             .collect();
         ranked.sort_unstable();
-        let all: IndexSet<u32> = ranked.into_iter().map(|(_, digest)| digest).collect();
+        let all: IndexSet<u32> = ranked.into_iter().map(|(.., digest)| digest).collect();
         let mut usable: IndexSet<u32> = all.difference(&self.suspended).copied().collect();
         if usable.is_empty() {
             usable = all;
--- a/crates/balance/src/rollout/rollouts.rs
+++ b/crates/balance/src/rollout/rollouts.rs
@@ -19,6 +19,7 @@
 use super::Status;
 use super::exposure::Exposure;
 use crate::Origin;
+use crate::rendezvous;
 
 /// The rollouts, by service.
 #[derive(Debug, Clone, Default)]
@@ -60,18 +61,19 @@
         self.rollouts.insert(service, rollout);
     }
 
-    /// Applies the report of a process of a router, or of a zone.
+    /// Applies the report of a process of a router, or of a zone; returns whether the order or its phase is new.
     pub fn apply_report(
         &mut self,
         now: Duration,
         origin: &Origin,
         incarnation: u64,
         report: &Report,
-    ) {
+    ) -> bool {
+        let before = self.get(&report.service).map(|known| (known.order.position, known.phase));
         self.put_order(now, report.order(), false);
-        let Some(rollout) = self.rollouts.get_mut(&report.service) else { return };
+        let Some(rollout) = self.rollouts.get_mut(&report.service) else { return false };
         if !rollout.order.is_same(report.position, report.to.as_str()) {
-            return;
+            return false;
         }
         let deadline = now.saturating_add(Duration::from_millis(report.left_ms));
         rollout.deadline = Some(rollout.deadline.map_or(deadline, |known| known.min(deadline)));
@@ -88,6 +90,7 @@
         if rollout.written.is_none() && report.written == rollout.target() {
             rollout.written = report.written;
         }
+        before != Some((rollout.order.position, rollout.phase))
     }
 
     /// Returns the reports of this router, or of its zone.
@@ -147,30 +150,41 @@
     }
 
     /// Records the response of a runner: the time to its first token or to its end, and whether it was bad.
+    ///
+    /// Returns whether it is a bad response of the version that is rolled out.
     pub fn record_response(
         &mut self,
         service: &Name,
         version: Option<&Name>,
         runner: u32,
-        route: u32,
+        route: &Name,
         took: Option<Duration>,
         is_bad: bool,
-    ) {
-        let Some(rollout) = self.rollouts.get_mut(service) else { return };
+    ) -> bool {
+        let Some(rollout) = self.rollouts.get_mut(service) else { return false };
         if rollout.phase != Phase::Running {
-            return;
+            return false;
+        }
+        let name = route;
+        let route = rendezvous::digest(name.as_str());
+        if !rollout.routes.contains_key(&route) {
+            rollout.routes.insert(route, name.clone());
         }
         let is_bad = is_bad || took.is_some_and(|took| rollout.is_slow(route, took));
         if version == Some(&rollout.order.to) {
             rollout.evidence.record_candidate(route, runner, is_bad);
-        } else if version.is_none_or(|version| !rollout.abandoned.contains(version)) {
+            return is_bad;
+        }
+        if version.is_none_or(|version| !rollout.abandoned.contains(version)) {
             rollout.evidence.record_baseline(route, took, is_bad);
         }
+        false
     }
 
     /// Returns whether a response of a route that has not come after a time is slow.
     #[must_use]
-    pub fn is_slow(&self, service: &Name, route: u32, took: Duration) -> bool {
+    pub fn is_slow(&self, service: &Name, route: &Name, took: Duration) -> bool {
+        let route = rendezvous::digest(route.as_str());
         self.get(service).is_some_and(|rollout| rollout.is_slow(route, took))
     }
 
--- a/crates/balance/src/rollout/status.rs
+++ b/crates/balance/src/rollout/status.rs
@@ -109,8 +109,12 @@
 
     /// Continues from a status that no live router knows more of.
     pub(super) fn resume(&mut self, now: Duration, status: &Status) {
-        let deadline = now + status.left;
-        self.deadline = Some(self.deadline.map_or(deadline, |known| known.min(deadline)));
+        if self.phase == Phase::Unknown {
+            // The deadline is stated by another machine's clock, which may differ.
+            let left = status.duration.map_or(status.left, |duration| status.left.min(duration));
+            let deadline = now + left;
+            self.deadline = Some(self.deadline.map_or(deadline, |known| known.min(deadline)));
+        }
         self.abandoned.extend(status.abandoned.iter().cloned());
         let deadline = self.deadline.unwrap_or(now);
         let is_lost = self.phase == Phase::Unknown && now >= self.final_at(deadline);
--- a/crates/balance/tests/common/rollouts.rs
+++ b/crates/balance/tests/common/rollouts.rs
@@ -236,7 +236,8 @@
                 let (service, version) = (Name::new(SERVICE), version(is_new));
                 let took = Some(Duration::from_millis(20));
                 let rollouts = &mut self.routers[router].1;
-                rollouts.record_response(&service, Some(&version), runner, 1, took, is_bad);
+                let route = Name::new("safe");
+                rollouts.record_response(&service, Some(&version), runner, &route, took, is_bad);
             }
         }
     }
@@ -249,7 +250,10 @@
             others.map(|other| Origin::Router(Name::new(&router_name(other)))).collect();
         let own = self.responses.iter().filter(|response| response.router == router);
         let conditions = Conditions {
-            candidates: ids.iter().map(|id| Candidate { id, is_serving }).collect(),
+            candidates: ids
+                .iter()
+                .map(|id| Candidate { id, is_serving, is_healthy: true })
+                .collect(),
             baseline: OLD_RUNNERS as usize,
             in_flight: own.filter(|response| !response.is_new).count() as u32,
             reporting: &reporting,
--- a/crates/balance/tests/rollout.rs
+++ b/crates/balance/tests/rollout.rs
@@ -151,6 +151,20 @@
     assert!(f64::from(outcome.sent_new) <= allowed, "{outcome:?}");
 }
 
+/// Guards against a version that is bad only under the load of all requests, and is completed.
+#[test]
+fn a_version_that_turns_bad_when_all_requests_move_is_stopped() {
+    for seed in 1..9 {
+        let bad_from = ms(9_200);
+        let scenario = Scenario { new_bad: 0.4, bad_from, ..Scenario::new(seed) };
+        let outcome = play(scenario.clone());
+        assert_eq!(outcome.state, Some(State::RolledBack), "{outcome:?}");
+        assert!(outcome.written_at < scenario.duration, "{outcome:?}");
+        let stopped = outcome.last_sent_new.expect("requests were sent");
+        assert!(stopped < bad_from + ms(1_500), "{outcome:?}");
+    }
+}
+
 /// Guards against a rollout that completes without a runner of the version.
 #[test]
 fn a_version_without_runners_is_rolled_back() {
@@ -174,7 +188,7 @@
 }
 
 fn update(rollouts: &mut Rollouts, now: Duration, baseline: usize) {
-    let candidates = vec![Candidate { id: "new-0", is_serving: true }];
+    let candidates = vec![Candidate { id: "new-0", is_serving: true, is_healthy: true }];
     let conditions = Conditions { candidates, baseline, ..Conditions::default() };
     rollouts.update(now, &Name::new(SERVICE), &conditions);
 }
@@ -214,7 +228,8 @@
     let mut rollouts = with_order(1, "v2", 12.0, true);
     let service = Name::new(SERVICE);
     update(&mut rollouts, ms(50), 1);
-    rollouts.record_response(&service, Some(&Name::new("v2")), 1, 1, None, false);
+    let (version, route) = (Name::new("v2"), Name::new("safe"));
+    rollouts.record_response(&service, Some(&version), 1, &route, None, false);
     put(&mut rollouts, ms(1_000), 2, "v2", 20.0, true);
     update(&mut rollouts, ms(1_050), 1);
     assert_eq!(rollouts.figures(&service).candidate().responses, 1);
--- a/crates/fake/src/endpoint.rs
+++ b/crates/fake/src/endpoint.rs
@@ -33,6 +33,8 @@
 
 /// The pause of a runner that is slow but sound.
 pub const PAUSE: Duration = Duration::from_millis(1_700);
+/// The delay of the answers of a runner that is slow as a whole.
+pub const SLOW_ANSWER: Duration = Duration::from_millis(300);
 /// The start of a runner that its record states, in milliseconds since the Unix epoch.
 pub const FIRST_START_MS: u64 = 1_700_000_000_000;
 
@@ -84,6 +86,8 @@
     StalledAt(u32),
     /// Pauses for [`PAUSE`] before the event with this number, then goes on to the end.
     PausedAt(u32),
+    /// Answers each request completely, [`SLOW_ANSWER`] later.
+    SlowAnswer,
 }
 
 /// A request that the runner has received.
@@ -106,9 +110,23 @@
     requests: Vec<RecordedRequest>,
     /// The prompt part that crashes the runner.
     crashing_part: Option<&'static str>,
+    /// The version that the record states, if it is not the first one.
+    version: Option<&'static str>,
+    partial_fault: Option<PartialFault>,
     crashes: u32,
 }
 
+/// A fault of some of the requests.
+#[derive(Debug, Clone, Copy)]
+struct PartialFault {
+    fault_mode: FaultMode,
+    path: &'static str,
+    /// One in this many requests of the path has the fault.
+    every: u32,
+    /// The number of requests of the path so far.
+    requests: u32,
+}
+
 /// A running fake runner, which stops when it is dropped.
 #[derive(Debug)]
 pub struct Endpoint {
@@ -159,6 +177,17 @@
         lock(&self.state).fault_mode = fault_mode;
     }
 
+    /// Sets the fault mode of one in `every` later requests whose path begins with `path`.
+    pub fn set_partial_fault(&self, fault_mode: FaultMode, path: &'static str, every: u32) {
+        let fault = PartialFault { fault_mode, path, every, requests: 0 };
+        lock(&self.state).partial_fault = Some(fault);
+    }
+
+    /// Sets the version that later records state.
+    pub fn set_version(&self, version: &'static str) {
+        lock(&self.state).version = Some(version);
+    }
+
     /// Sets the prompt part that crashes the runner when it begins to write an answer on it.
     ///
     /// A crash breaks all connections, and new ones are closed for a while.
@@ -204,15 +233,26 @@
         sequence: u64,
         started_ms: u64,
     ) -> Vec<u8> {
+        let version = lock(&self.state).version.unwrap_or("v1");
         let record = serde_json::json!({
             "service": service, "address": self.address.to_string(), "zone": "north",
-            "version": "v1", "slots": 16, "state": state, "cold_left_ms": 0,
+            "version": version, "slots": 16, "state": state, "cold_left_ms": 0,
             "seq": sequence, "born": started_ms,
         });
         record.to_string().into_bytes()
     }
 }
 
+impl State {
+    /// Returns the fault mode of the next request of a path.
+    fn next_fault_mode(&mut self, path: &str) -> FaultMode {
+        let fault = self.partial_fault.as_mut().filter(|fault| path.starts_with(fault.path));
+        let Some(fault) = fault else { return self.fault_mode };
+        fault.requests += 1;
+        if fault.requests % fault.every == 0 { fault.fault_mode } else { self.fault_mode }
+    }
+}
+
 fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/fake/src/endpoint/answer.rs
+++ b/crates/fake/src/endpoint/answer.rs
@@ -23,6 +23,7 @@
 
 use super::FaultMode;
 use super::RecordedRequest;
+use super::SLOW_ANSWER;
 use super::STREAM_EVENTS;
 use super::Shared;
 use super::event_text;
@@ -63,7 +64,7 @@
     let Shared { id, state, .. } = shared;
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(|_| Closed)?.to_bytes();
-    let fault_mode = lock(state).fault_mode;
+    let fault_mode = lock(state).next_fault_mode(head.uri.path());
     let is_expected =
         head.headers.get("expect-instance").is_none_or(|expected| expected == id.as_str());
     let is_executed = is_expected && fault_mode != FaultMode::Busy;
@@ -80,6 +81,9 @@
     }
     let shown =
         if fault_mode == FaultMode::WrongRequestId { "another" } else { request_id.as_str() };
+    if fault_mode == FaultMode::SlowAnswer {
+        time::sleep(SLOW_ANSWER).await;
+    }
     let mut response = match fault_mode {
         FaultMode::Busy => status(StatusCode::SERVICE_UNAVAILABLE, "not-executed", "1"),
         FaultMode::Disconnected => return Err(Closed),
--- a/crates/fake/src/store.rs
+++ b/crates/fake/src/store.rs
@@ -360,6 +360,12 @@
 
 fn append(state: &Mutex<State>, query: &Query, body: &Bytes) -> Response<Full<Bytes>> {
     let mut state = lock(state);
+    let present = state.topics.get(&query.topic).map_or(0, |topic| topic.records.len() as u64);
+    if query.at.is_some_and(|at| at != present) {
+        let mut response = json_body(&json!({ "end": present }));
+        *response.status_mut() = StatusCode::PRECONDITION_FAILED;
+        return response;
+    }
     let mut remaining = body.clone();
     let mut end = 0;
     let mut count = 0;
@@ -459,6 +465,8 @@
     /// The key after which a page of newest records begins.
     after: String,
     wait: Duration,
+    /// The offset at which the topic must end for an append.
+    at: Option<u64>,
 }
 
 impl Query {
@@ -468,6 +476,7 @@
             match name {
                 "topic" => value.clone_into(&mut query.topic),
                 "after" => value.clone_into(&mut query.after),
+                "at" => query.at = value.parse().ok(),
                 "from" => query.from = value.parse().unwrap_or_default(),
                 "wait_ms" => query.wait = Duration::from_millis(value.parse().unwrap_or_default()),
                 _ => (),
--- a/crates/relay/src/acquire.rs
+++ b/crates/relay/src/acquire.rs
@@ -23,6 +23,7 @@
 use crate::event;
 use crate::forward;
 use crate::forward::AttemptHistory;
+use crate::rollout;
 
 /// The time since the first data of an answer from which on a crash of the runner has another cause.
 pub(crate) const SOUND_AFTER: Duration = Duration::from_millis(250);
@@ -34,6 +35,11 @@
     call: Rc<Call>,
     pub(crate) grant: Grant,
     may_have_run: bool,
+    sent_at: Option<Duration>,
+    /// The time to the first token.
+    first_token: Option<Duration>,
+    /// Whether the response is recorded as evidence on its runner's version.
+    is_recorded: bool,
 }
 
 /// An entry of the queue, cancelled when dropped.
@@ -52,8 +58,9 @@
 
 impl Permit {
     /// Records that the request was sent, so that the runner may have run it.
-    pub(crate) const fn record_sent(&mut self) {
+    pub(crate) fn record_sent(&mut self) {
         self.may_have_run = true;
+        self.sent_at = Some(self.router.now());
     }
 
     /// Records that the runner has not run the request.
@@ -63,6 +70,7 @@
 
     /// Records that the first token arrived after `took`.
     pub(crate) fn record_first_token(&mut self, took: Duration) {
+        self.first_token = Some(took);
         let now = self.router.now();
         let target = self.call.route.target;
         let service = &self.call.service;
@@ -100,6 +108,37 @@
         }
     }
 
+    /// Records once that the response ended and whether it was bad, as evidence on the version of its runner.
+    pub(crate) fn record_response(&mut self, is_bad: bool) {
+        let sent_at = self.sent_at.filter(|_| !self.is_recorded);
+        let Some(sent_at) = sent_at else { return };
+        self.is_recorded = true;
+        let took = self.first_token.unwrap_or_else(|| self.router.now().saturating_sub(sent_at));
+        rollout::record_response(&self.router, &self.call, &self.grant, took, is_bad);
+    }
+
+    /// Records that the connection broke, which says nothing of the version if the request has crashed runners before.
+    pub(crate) fn record_broken_response(&mut self) {
+        if rollout::is_crashing(&self.router, &self.call) {
+            self.is_recorded = true;
+        } else {
+            self.record_response(true);
+        }
+    }
+
+    /// Records a response that the caller, or a timeout, has ended.
+    fn record_ended(&mut self) {
+        let sent_at = self.sent_at.filter(|_| self.may_have_run && !self.is_recorded);
+        let Some(sent_at) = sent_at else { return };
+        match self.first_token {
+            Some(_) => self.record_response(false),
+            None => {
+                let took = self.router.now().saturating_sub(sent_at);
+                rollout::record_no_response(&self.router, &self.call, &self.grant, took);
+            }
+        }
+    }
+
     /// Records that the request has not crashed the runner.
     pub(crate) fn record_sound(&self) {
         let now = self.router.now();
@@ -134,6 +173,7 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
+        self.record_ended();
         self.router.release(&self.grant, self.may_have_run);
     }
 }
@@ -216,6 +256,9 @@
             call: Rc::clone(call),
             grant,
             may_have_run: false,
+            sent_at: None,
+            first_token: None,
+            is_recorded: false,
         }),
         Decision::Refused { retry_after, reason, limit } => {
             Err(Error { retry_after, reason, limit: Some(limit) })
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -140,7 +140,7 @@
     let before = may_have_run.get();
     may_have_run.set(true);
     let sending = send_request(router, call, permit, None, history);
-    let reply = match time::timeout(limit, sending).await {
+    let mut reply = match time::timeout(limit, sending).await {
         Ok(Ok(reply)) => reply,
         Ok(Err(AttemptError::NotRun)) => {
             may_have_run.set(before);
@@ -156,8 +156,9 @@
             Ok(Answer::Stream(Box::new(Response::from_parts(head, stream))))
         }
         AnswerClass::Final => {
-            let (answer, permit) = collect(router, reply).await?;
+            let (answer, mut permit) = collect(router, reply).await?;
             permit.record_answer();
+            permit.record_response(false);
             if answer.status().is_success() {
                 permit.record_sound();
             }
@@ -165,6 +166,7 @@
         }
         AnswerClass::Failed => {
             reply.permit.update_health(Health::record_failure);
+            reply.permit.record_response(true);
             let (answer, _) = collect(router, reply).await?;
             Err(AttemptError::Answered(answer))
         }
@@ -178,6 +180,7 @@
         AnswerClass::Invalid => {
             router.log(line(call, "invalid_answer").subject(reply.permit.grant.id.as_str()));
             reply.permit.update_health(Health::record_failure);
+            reply.permit.record_response(true);
             Err(AttemptError::MayHaveRun)
         }
     }
@@ -229,6 +232,7 @@
                 return Err(AttemptError::NotRun);
             }
             permit.record_break(None);
+            permit.record_broken_response();
             permit.update_health(Health::record_unreachable);
             Err(AttemptError::MayHaveRun)
         }
@@ -262,7 +266,7 @@
 
 /// Reads the entire body of an answer and returns the connection to the pool.
 async fn collect(router: &Router, reply: Reply) -> Result<(Response<Bytes>, Permit), AttemptError> {
-    let Reply { permit, mut connection, head, body, .. } = reply;
+    let Reply { mut permit, mut connection, head, body, .. } = reply;
     let mut reservation = router.buffer.reservation();
     let mut has_room = true;
     let reserve = |bytes| {
@@ -272,6 +276,7 @@
     let Ok(body) = connection.collect_reserved(body, reserve).await else {
         if has_room {
             permit.record_break(None);
+            permit.record_broken_response();
         }
         permit.update_health(Health::record_failure);
         return Err(AttemptError::MayHaveRun);
@@ -365,7 +370,7 @@
             None => permit_to_resume(&router, &call, &history).await?,
         };
         history.avoid.push(permit.grant.runner);
-        let Ok(reply) =
+        let Ok(mut reply) =
             send_request(&router, &call, permit, last_event.as_deref(), &mut history).await
         else {
             continue;
@@ -377,7 +382,10 @@
                 history.rejections += 1;
                 handle_rejection(&router, &call, reply, class).await;
             }
-            _ => reply.permit.update_health(Health::record_failure),
+            _ => {
+                reply.permit.update_health(Health::record_failure);
+                reply.permit.record_response(true);
+            }
         }
     }
 }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -9,6 +9,7 @@
 use balance::Cause;
 use balance::Runner;
 use balance::Start;
+use balance::rollout;
 use hmac::Hmac;
 use hmac::Mac;
 use serde::Deserialize;
@@ -200,6 +201,9 @@
     /// What the routers of the zone know about crashes of runners.
     #[serde(skip)]
     pub(crate) crash_evidence: Vec<CrashEvidence>,
+    /// The rollouts, with the sums of the evidence of the zone.
+    #[serde(skip)]
+    pub(crate) rollouts: Vec<rollout::Report>,
 }
 
 /// The part of a datagram that routers of earlier versions ignore.
@@ -226,10 +230,13 @@
     /// What the sender has seen of crashes of runners.
     #[serde(skip)]
     pub(crate) crash_evidence: Vec<CrashEvidence>,
+    /// The rollouts, with the evidence of the sender.
+    #[serde(skip)]
+    pub(crate) rollouts: Vec<rollout::Report>,
 }
 
-/// The departures of runners that [`Extension::leaving`] does not name; the last part of a datagram, which earlier versions
-/// ignore.
+/// The departures of runners that [`Extension::leaving`] does not name; the part of a datagram after the crash report, which
+/// earlier versions ignore.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct DepartureReport {
     /// The position after the last change of runners that is no departure.
@@ -271,6 +278,15 @@
     by_zone: Vec<Vec<CrashEvidence>>,
 }
 
+/// The last part of a datagram, which earlier versions ignore and which is left out while there are no rollouts.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct RolloutReports {
+    /// Those of the sender.
+    own: Vec<rollout::Report>,
+    /// Those of each zone, in the order of [`Extension::sums`].
+    by_zone: Vec<Vec<rollout::Report>>,
+}
+
 /// A received heartbeat, and the newest heartbeat of the receiver that it acknowledges.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Received {
@@ -297,10 +313,16 @@
         by_zone: extension.sums.iter().map(|sums| sums.crash_evidence.clone()).collect(),
     };
     let encoded = postcard::to_extend(&crash_report, encoded).ok()?;
-    match &extension.departures {
-        Some(departures) => postcard::to_extend(departures, encoded).ok(),
-        None => Some(encoded),
+    let Some(departures) = &extension.departures else { return Some(encoded) };
+    let encoded = postcard::to_extend(departures, encoded).ok()?;
+    let rollouts = RolloutReports {
+        own: extension.rollouts.clone(),
+        by_zone: extension.sums.iter().map(|sums| sums.rollouts.clone()).collect(),
+    };
+    if rollouts.own.is_empty() && rollouts.by_zone.iter().all(Vec::is_empty) {
+        return Some(encoded);
     }
+    postcard::to_extend(&rollouts, encoded).ok()
 }
 
 /// Decodes an extension, with the later parts of the datagram if the sender's version has them.
@@ -310,7 +332,14 @@
         postcard::take_from_bytes(rest).unwrap_or_default();
     let (crash_report, rest): (CrashReport, &[u8]) =
         postcard::take_from_bytes(rest).unwrap_or_default();
-    extension.departures = postcard::from_bytes(rest).ok();
+    let departures = postcard::take_from_bytes::<DepartureReport>(rest).ok();
+    let rest = departures.as_ref().map_or(&[][..], |(_, rest)| rest);
+    let rollouts: RolloutReports = postcard::from_bytes(rest).unwrap_or_default();
+    extension.departures = departures.map(|(departures, _)| departures);
+    extension.rollouts = rollouts.own;
+    for (sums, reports) in extension.sums.iter_mut().zip(rollouts.by_zone) {
+        sums.rollouts = reports;
+    }
     extension.shortage = supplement.shortage;
     extension.leaving = supplement.leaving;
     extension.eras = supplement.eras;
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -32,6 +32,7 @@
 use crate::gossip::TopicStatus;
 use crate::lending;
 use crate::report;
+use crate::rollout;
 
 /// Interval between two heartbeats in a small zone.
 const PERIOD: Duration = Duration::from_millis(50);
@@ -79,6 +80,7 @@
         router.core.borrow_mut().set_report_interval(REPORT_PERIODS * period(router));
         router.core.borrow_mut().registry.record_running(now);
         router.core.borrow_mut().record_state(now);
+        rollout::update(router);
         let is_aggregator = update_aggregation(router, now);
         let heartbeat = heartbeat(router, identity, sequence);
         router.exchange.borrow_mut().record_placed(&heartbeat.placed);
@@ -132,6 +134,7 @@
     let mut extension = extension(router);
     extension.shortage = report::own_shortage(&router.core.borrow(), router.now());
     extension.crash_evidence = crash_evidence::of_router(router);
+    extension.rollouts = router.core.borrow().rollouts.reports(router.now(), false);
     extension.sums = router.exchange.borrow_mut().take_sums(router.now());
     let members = router.members.borrow();
     let receivers = members.direct(&router.settings.zone).map(Receiver::of);
@@ -215,6 +218,7 @@
         departures: Some(departure_report::of_router(router)),
         eras: last_changes(router).map(era::of).collect(),
         crash_evidence: Vec::new(),
+        rollouts: Vec::new(),
     }
 }
 
@@ -269,6 +273,8 @@
         report::apply_heartbeat(router, now, &heartbeat, shortage);
         let evidence = extension.as_ref().map_or(&[][..], |extension| &extension.crash_evidence);
         crash_evidence::apply(router, now, now, Distance::Zone, evidence);
+        let reports = extension.as_ref().map_or(&[][..], |extension| &extension.rollouts);
+        rollout::apply_heartbeat(router, now, &heartbeat, reports);
     }
     if let Some(extension) = &extension {
         departure_report::apply(router, &heartbeat.sender, extension);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,6 +28,7 @@
 mod pool;
 mod records;
 mod report;
+pub mod rollout;
 mod router;
 mod sent_heartbeats;
 mod server;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use balance::Limit;
+use base::Name;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
@@ -31,6 +32,14 @@
     limit: String,
 }
 
+/// The labels of a counter per version of a service that is rolled out.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct VersionResponse {
+    service: String,
+    version: String,
+    outcome: &'static str,
+}
+
 /// The label of a histogram per kind of route.
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct Kind {
@@ -43,6 +52,7 @@
     registry: Registry,
     events: Family<Event, Counter>,
     refusals: Family<RefusingLimit, Counter>,
+    versions: Family<VersionResponse, Counter>,
     answers: Family<Kind, Histogram>,
     waiting: Gauge,
     configuration_age: Gauge,
@@ -74,6 +84,7 @@
         let mut registry = Registry::with_prefix("aspenline");
         let events = Family::<Event, Counter>::default();
         let refusals = Family::<RefusingLimit, Counter>::default();
+        let versions = Family::<VersionResponse, Counter>::default();
         let answers = Family::<Kind, Histogram>::new_with_constructor(|| {
             Histogram::new(exponential_buckets(FIRST_BUCKET, BUCKET_FACTOR, BUCKETS))
         });
@@ -84,6 +95,8 @@
         registry.register("events", "Events by name, as in the log", events.clone());
         let help = "Refused requests by what kept them from the engines, as in the log";
         registry.register("refusals", help, refusals.clone());
+        let help = "Responses by version during rollouts";
+        registry.register("rollout_responses", help, versions.clone());
         registry.register("answer_seconds", "Time to the head of an answer", answers.clone());
         registry.register("waiting_requests", "Requests that wait for a runner", waiting.clone());
         let age = "Age of the configuration in milliseconds, -1 if unknown";
@@ -98,6 +111,7 @@
             registry,
             events,
             refusals,
+            versions,
             answers,
             waiting,
             configuration_age,
@@ -121,6 +135,16 @@
         self.refusals.get_or_create(&RefusingLimit { limit }).inc();
     }
 
+    /// Counts a response of a runner of a version during a rollout.
+    pub fn count_response(&self, service: &Name, version: Option<&Name>, is_bad: bool) {
+        let response = VersionResponse {
+            service: service.to_string(),
+            version: version.map(ToString::to_string).unwrap_or_default(),
+            outcome: if is_bad { "bad" } else { "good" },
+        };
+        self.versions.get_or_create(&response).inc();
+    }
+
     /// Records the time to the head of an answer.
     pub fn record_answer(&self, kind: balance::Kind, took: Duration) {
         let kind = Kind { kind: kind.to_string() };
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -26,6 +26,7 @@
 use crate::gossip::Shortage;
 use crate::gossip::WorkspaceUse;
 use crate::gossip::ZoneSums;
+use crate::rollout;
 
 /// Figures of one origin.
 struct Figures<'a> {
@@ -92,6 +93,7 @@
         limits: limits(&core),
         crash_counts: Vec::new(),
         crash_evidence,
+        rollouts: core.rollouts.reports(now, true),
         members: member_reports(router, now, incarnation),
     }
 }
@@ -134,6 +136,7 @@
     let zone = Name::new(&sums.zone);
     figures.apply(&mut router.core.borrow_mut(), &Origin::Zone(zone.clone()), now, at);
     crash_evidence::apply(router, now, at, Distance::Fleet, &sums.crash_evidence);
+    rollout::apply_sums(router, now, at, &zone, &sums.rollouts);
     apply_member_reports(router, &zone, at, &sums.members);
 }
 
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -98,13 +98,14 @@
     /// Creates the state of a router that has no configuration, runners or peers yet.
     #[must_use]
     pub fn new(settings: Settings, protocol: RunnerProtocol, clock: Clock) -> Self {
-        let limits = limits(&settings);
+        let mut core = Core::new(limits(&settings));
+        core.rollouts.bounds = settings.rollout_bounds();
         Self {
             grace: Cell::new(settings.grace()),
             revocation: Cell::new(settings.revocation()),
             settings,
             protocol,
-            core: RefCell::new(Core::new(limits)),
+            core: RefCell::new(core),
             members: RefCell::default(),
             journal: Journal::new(clock),
             metrics: Metrics::default(),
@@ -129,6 +130,7 @@
     /// Applies the limits of changed settings; addresses and names stay as they are.
     pub fn reload(&self, settings: &Settings) {
         self.core.borrow_mut().set_limits(limits(settings));
+        self.core.borrow_mut().rollouts.bounds = settings.rollout_bounds();
         self.grace.set(settings.grace());
         self.revocation.set(settings.revocation());
     }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use balance::rollout;
 use base::Name;
 use error_stack::Report;
 use json_comments::StripComments;
@@ -77,6 +78,15 @@
     /// How long a runner still serves after it has reported that it leaves, in milliseconds; `None` if that is unknown.
     #[serde(default)]
     pub leaving_ms: Option<u64>,
+    /// The fraction of the requests to a service that may reach a bad version of it.
+    #[serde(default)]
+    pub expose_share: Option<f64>,
+    /// Requests that may reach a bad version in addition.
+    #[serde(default)]
+    pub expose_slack: Option<f64>,
+    /// The time after which no request reaches a version that was found bad, in milliseconds.
+    #[serde(default)]
+    pub rollback_ms: Option<u64>,
 }
 
 impl Settings {
@@ -114,8 +124,21 @@
         self.bounds.leaving_ms.map(Duration::from_millis)
     }
 
+    /// Returns the limits on the requests that may reach a bad version.
+    #[must_use]
+    pub fn rollout_bounds(&self) -> rollout::Bounds {
+        let default = rollout::Bounds::default();
+        let bounds = &self.bounds;
+        rollout::Bounds {
+            share: bounds.expose_share.unwrap_or(default.share),
+            slack: bounds.expose_slack.unwrap_or(default.slack),
+            rollback: bounds.rollback_ms.map_or(default.rollback, Duration::from_millis),
+        }
+    }
+
     fn check(&self) -> Result<(), Report<Error>> {
         let bounds = &self.bounds;
+        let rollout = self.rollout_bounds();
         let numbers = [
             ("share", self.share, 0.001, "processors"),
             ("grace_s", self.grace_s, 0.1, "seconds"),
@@ -124,6 +147,8 @@
             ("bounds.retry_ratio", bounds.retry_ratio, 0.0, "retries a request"),
             ("bounds.retry_constant", bounds.retry_constant, 0.0, "retries"),
             ("bounds.retry_window_s", bounds.retry_window_s, 0.1, "seconds"),
+            ("bounds.expose_share", rollout.share, 0.0, "of the requests"),
+            ("bounds.expose_slack", rollout.slack, 0.0, "requests"),
         ];
         for (field, value, minimum, unit) in numbers {
             if !(value >= minimum && value.is_finite()) {
@@ -131,6 +156,10 @@
                 return Err(Report::new(Error(text)));
             }
         }
+        if rollout.share > 1.0 {
+            let text = format!("bounds.expose_share: {} is more than 1", rollout.share);
+            return Err(Report::new(Error(text)));
+        }
         Ok(())
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -176,6 +176,7 @@
         }
         source.permit.record_answer();
         source.permit.record_sound();
+        source.permit.record_response(false);
         let runner = source.permit.grant.runner;
         self.router.pool.borrow_mut().put(runner, source.connection, source.keep_alive);
         self.log("stream_finished", String::new());
@@ -187,10 +188,12 @@
     /// `permit` is that for the other runner, if the stream has waited for one.
     fn handle_break(&mut self, reason: Break, permit: Option<Permit>) -> Result<(), Error> {
         self.moving = None;
-        if let Some(source) = self.source.take() {
+        if let Some(mut source) = self.source.take() {
             if matches!(reason, Break::Broken | Break::UnfinishedEvent) {
                 source.permit.record_break(self.progress.data_for(self.router.now()));
+                source.permit.record_broken_response();
             }
+            source.permit.record_response(true);
             source.permit.update_health(Health::record_unreachable);
             self.router.pool.borrow_mut().discard(source.permit.grant.runner);
         }
@@ -228,6 +231,9 @@
             let now = self.router.now();
             if now >= self.call.deadline {
                 self.log("stream_broken", "timeout".to_owned());
+                if let Some(source) = &mut self.source {
+                    source.permit.record_response(true);
+                }
                 return Err(Error::Timeout);
             }
             if self.is_unresponsive(now) && self.may_resume() {
