--- a/crates/aspenline/tests/platform_rollout.rs
+++ b/crates/aspenline/tests/platform_rollout.rs
@@ -96,6 +96,12 @@
     }
 }
 
+async fn start_router(platform: &Platform, name: &str, zone: &str) -> Router {
+    let mut settings = platform.settings_in(name, zone);
+    settings["bounds"]["expose_slack"] = json!(SLACK);
+    platform.router_with(name, &settings).await
+}
+
 impl Fleet {
     /// Starts a fleet with old runners and, after the order, new ones that `prepare` sets up.
     async fn start(test: &str, interval: Duration, prepare: impl Fn(usize, &Endpoint)) -> Self {
@@ -106,19 +112,22 @@
     }
 
     async fn start_without_order(test: &str, interval: Duration) -> Self {
+        Self::start_in_zones(test, interval, &["north"; ROUTERS]).await
+    }
+
+    /// Starts a fleet with one router in each of the zones.
+    async fn start_in_zones(test: &str, interval: Duration, zones: &[&str]) -> Self {
         let platform = Platform::start(test).await;
         platform.configure(&configuration(1));
         let old = platform.runners("ledger", OLD_RUNNERS).await;
         let mut routers = Vec::new();
-        for number in 0..ROUTERS {
-            let name = format!("router-{number}");
-            let mut settings = platform.settings(&name);
-            settings["bounds"]["expose_slack"] = json!(SLACK);
-            routers.push(platform.router_with(&name, &settings).await);
+        for (number, zone) in zones.iter().enumerate() {
+            routers.push(start_router(&platform, &format!("router-{number}"), zone).await);
         }
-        for router in &routers {
+        for (router, zone) in routers.iter().zip(zones) {
             router.wait_for_runners(OLD_RUNNERS).await;
-            wait_for(|| (router.count("router_alive") >= ROUTERS - 1).then_some(())).await;
+            let others = zones.iter().filter(|other| *other == zone).count() - 1;
+            wait_for(|| (router.count("router_alive") >= others).then_some(())).await;
         }
         let load = Load::start(&routers, interval);
         time::sleep(Duration::from_millis(500)).await;
@@ -288,6 +297,66 @@
     assert_eq!(fleet.state(), "");
 }
 
+/// Guards against evidence, verdicts and the end of requests at old runners that do not cross zones.
+#[tokio::test(flavor = "multi_thread")]
+async fn rollouts_end_over_several_zones() {
+    let zones = ["north", "north", "middle", "south"];
+    for is_bad in [true, false] {
+        let test = format!("rollout-zones-{is_bad}");
+        let mut fleet = Fleet::start_in_zones(&test, CALL_INTERVAL, &zones).await;
+        time::sleep(Duration::from_millis(1_500)).await;
+        fleet.order("v2", &json!(DURATION.as_secs()));
+        let prepare = |_, runner: &Endpoint| {
+            if is_bad {
+                runner.set_partial_fault(FaultMode::InternalError, "/", 3);
+            }
+        };
+        fleet.start_new(prepare).await;
+        if is_bad {
+            fleet.assert_rolled_back().await;
+        } else {
+            fleet.assert_completed(DURATION).await;
+            let completing =
+                fleet.routers.iter().flat_map(|router| router.lines_of("rollout_completing"));
+            let completing: Vec<String> = completing.collect();
+            let drained = completing.iter().any(|line| line.contains("no requests are left"));
+            assert!(drained, "{completing:?}");
+            assert_eq!(fleet.load.count_failed(), 0);
+        }
+    }
+}
+
+/// Guards against a rollout that begins anew, or never ends, when the store loses the order and the state.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rollout_survives_a_restored_store() {
+    let mut fleet = Fleet::start_without_order("rollout-restored", CALL_INTERVAL).await;
+    let backup = fleet.platform.store.back_up();
+    fleet.order("v2", &json!(DURATION.as_secs()));
+    fleet.start_new(|_, _| ()).await;
+    wait_for(|| (fleet.state() == "running").then_some(())).await;
+    time::sleep(Duration::from_secs(2)).await;
+    fleet.platform.store.restore(&backup);
+    for runner in &fleet.new {
+        fleet.platform.list_runner(runner, "ledger", "ready", 2);
+    }
+    fleet.assert_completed(DURATION + MAX_STRETCH).await;
+}
+
+/// Guards against a rollout that is forgotten when all routers end after its order was removed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rollout_survives_the_death_of_all_routers_and_the_removal_of_its_order() {
+    let mut fleet = Fleet::start("rollout-all-killed", CALL_INTERVAL, |_, _| ()).await;
+    wait_for(|| (fleet.state() == "running").then_some(())).await;
+    fleet.platform.store.remove("keyed.op", "rollout/ledger");
+    fleet.routers.clear();
+    for number in 0..2 {
+        let name = format!("router-{number}");
+        fleet.routers.push(start_router(&fleet.platform, &name, "north").await);
+    }
+    fleet.load = Load::start(&fleet.routers, CALL_INTERVAL);
+    fleet.assert_completed(DURATION).await;
+}
+
 /// Guards against an order that never ends, and one whose version gets requests before it is known.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_invalid_duration_is_rolled_back_at_once() {
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -408,7 +408,8 @@
             backlog: choice::missing_tokens(runner, request, now),
             memory: request.memory(),
         };
-        if runner.is_cold(now) {
+        let is_cold = runner.is_cold(now);
+        if is_cold {
             runner.cold_sent.add(now, 1);
         }
         runner.own_load.add(load);
@@ -435,6 +436,7 @@
             address,
             source,
             version,
+            is_cold,
             granted_at: now,
             load,
             payer,
--- a/crates/balance/src/core/rollout.rs
+++ b/crates/balance/src/core/rollout.rs
@@ -139,6 +139,8 @@
         }
         let runner = rendezvous::digest(grant.id.as_str());
         let version = grant.version.as_ref();
+        // A cold runner is slow whatever its version.
+        let took = took.filter(|_| !grant.is_cold);
         self.rollouts.record_response(service, version, runner, route, took, is_bad)
     }
 
@@ -150,7 +152,7 @@
         route: &Name,
         took: Duration,
     ) {
-        if self.rollouts.is_slow(service, route, took) {
+        if !grant.is_cold && self.rollouts.is_slow(service, route, took) {
             self.record_response(grant, service, route, Some(took), true);
         }
     }
--- a/crates/balance/src/decision.rs
+++ b/crates/balance/src/decision.rs
@@ -26,6 +26,8 @@
     pub source: Option<SocketAddr>,
     /// The version of the runner, if it states one.
     pub version: Option<Name>,
+    /// Whether the runner was cold.
+    pub(crate) is_cold: bool,
     /// The time at which it was granted.
     pub(crate) granted_at: Duration,
     /// The load that the request places on the runner.
--- a/crates/balance/src/rollout.rs
+++ b/crates/balance/src/rollout.rs
@@ -394,6 +394,13 @@
         judgement
     }
 
+    /// Records that another router is about to write that the rollout is completed, at which old runners end.
+    fn record_completing(&mut self, now: Duration, is_completing: bool) {
+        if is_completing && self.phase == Phase::Running && !self.wants_completion {
+            (self.wants_completion, self.target_since) = (true, now);
+        }
+    }
+
     fn is_completing(&self, now: Duration) -> bool {
         self.wants_completion && now < self.target_since + MAX_COMPLETION_TIME
     }
--- a/crates/balance/src/rollout/report.rs
+++ b/crates/balance/src/rollout/report.rs
@@ -33,6 +33,8 @@
     pub abandoned: Vec<Name>,
     /// Whether no requests are left at old runners.
     pub is_drained: bool,
+    /// Whether the rollout is to be written as completed, which may happen at any moment.
+    pub is_completing: bool,
     /// The cumulative evidence.
     pub figures: Figures,
 }
@@ -69,6 +71,7 @@
             written: self.written,
             abandoned: self.abandoned.iter().cloned().collect(),
             is_drained: if is_of_zone { self.is_zone_drained } else { self.is_drained },
+            is_completing: self.wants_completion,
             figures,
         })
     }
--- a/crates/balance/src/rollout/rollouts.rs
+++ b/crates/balance/src/rollout/rollouts.rs
@@ -83,7 +83,10 @@
         rollout.progress.insert(origin.clone(), progress);
         match report.phase {
             Phase::Unknown => (),
-            Phase::Running => rollout.begin(now),
+            Phase::Running => {
+                rollout.begin(now);
+                rollout.record_completing(now, report.is_completing);
+            }
             Phase::Stopped => rollout.stop(now, "another router has stopped it"),
             Phase::Completed => rollout.complete(now),
         }
