fix(rollout): candidates of a known order are not held; streams leave old runners

Streams that were in flight at the end of old runners were cut and resumed only then.

Change: a version is not held if the known order is for it. Streams that may be resumed move from old runners to candidates 0.7 s before the completion at the latest. fake: slow streams.

--- a/crates/aspenline/tests/platform_rollout.rs
+++ b/crates/aspenline/tests/platform_rollout.rs
@@ -11,6 +11,7 @@
 
 use fake::endpoint::Endpoint;
 use fake::endpoint::FaultMode;
+use fake::endpoint::STREAM_EVENTS;
 use fake::store::FaultMode as StoreFault;
 use serde_json::Value;
 use serde_json::json;
@@ -22,6 +23,7 @@
 use crate::router::configuration;
 use crate::router::get;
 use crate::router::request;
+use crate::router::request_with_key;
 use crate::router::try_call;
 use crate::router::wait_for;
 
@@ -357,6 +359,49 @@
     fleet.assert_completed(DURATION).await;
 }
 
+/// Guards against streams that are cut when old runners end at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_are_whole_when_old_runners_end() {
+    let platform = Platform::start("rollout-streams").await;
+    platform.configure(&configuration(1));
+    let old = platform.runners("engines", OLD_RUNNERS).await;
+    for runner in &old {
+        runner.set_fault_mode(FaultMode::SlowStream);
+    }
+    let router = start_router(&platform, "router-0", "north").await;
+    router.wait_for_runners(OLD_RUNNERS).await;
+    let order = json!({ "service": "engines", "to": "v2", "duration_s": DURATION.as_secs() });
+    platform.store.put("keyed.op", "rollout/engines", order.to_string().as_bytes());
+    let mut new = Vec::new();
+    for number in 0..NEW_RUNNERS {
+        let runner = Endpoint::start(&format!("new-{number}")).await.expect("a runner");
+        runner.set_version("v2");
+        platform.list_runner(&runner, "engines", "ready", 1);
+        new.push(runner);
+    }
+    let mut streams = JoinSet::new();
+    let is_completed = || {
+        let stored = platform.store.newest("keyed.status", "rollout/engines");
+        stored.is_some_and(|value| String::from_utf8_lossy(&value).contains("completed"))
+    };
+    let start = Instant::now();
+    while !is_completed() {
+        assert!(start.elapsed() < DURATION, "the rollout was not completed");
+        let id = format!("stream-{}", streams.len());
+        let request = request_with_key("GET", &format!("/stream/{id}"), &id);
+        streams.spawn(try_call(router.callers, request));
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    drop(old);
+    while let Some(stream) = streams.join_next().await {
+        let answer = stream.expect("no panic").expect("an answer");
+        let events = String::from_utf8_lossy(&answer.body).matches("id: ").count();
+        assert!(answer.is_complete && events == STREAM_EVENTS as usize, "{events} events");
+    }
+    let completing = router.last("rollout_completing").expect("a line");
+    assert!(completing.contains("no requests are left"), "{completing}");
+}
+
 /// Guards against an order that never ends, and one whose version gets requests before it is known.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_invalid_duration_is_rolled_back_at_once() {
--- a/crates/balance/src/core/rollout.rs
+++ b/crates/balance/src/core/rollout.rs
@@ -107,7 +107,8 @@
         let role = |runner: &Runner| {
             let registration = &runner.registration;
             let (service, version) = (&registration.service, &registration.version);
-            if versions.is_held(service, version) {
+            let order = rollouts.get(service).map(|rollout| &rollout.order.to);
+            if versions.is_held(service, version) && order != version.as_ref() {
                 return Role::Excluded;
             }
             rollouts.role(service, version.as_ref(), runner.digest())
--- a/crates/balance/src/rollout.rs
+++ b/crates/balance/src/rollout.rs
@@ -62,6 +62,8 @@
 const MAX_FINAL: Duration = Duration::from_millis(1_500);
 /// The time for which the completion is not given up once it is to be written.
 const MAX_COMPLETION_TIME: Duration = Duration::from_secs(1);
+/// The time before the completion at the latest in which streams move from old runners.
+const MOVE_TIME: Duration = Duration::from_millis(700);
 /// The least number of runners that receive the requests on trial, so that evidence comes from more than one.
 const MIN_CANARIES: usize = 2;
 /// The part of [`Bounds::rollback`] after which a router that hears no other one sends candidates nothing.
@@ -280,6 +282,16 @@
         deadline.saturating_sub(before)
     }
 
+    /// Returns whether runners of a version are about to end, so that requests there which can go on elsewhere should.
+    fn ends_soon(&self, now: Duration, version: Option<&Name>) -> bool {
+        let is_old = version != Some(&self.order.to);
+        let final_at = self.deadline.map(|deadline| self.final_at(deadline));
+        is_old
+            && self.stage == Stage::Exclusive
+            && self.has_candidates
+            && final_at.is_some_and(|final_at| now.saturating_add(MOVE_TIME) >= final_at)
+    }
+
     fn stage_at(&self, now: Duration) -> Stage {
         match self.phase {
             Phase::Unknown => Stage::Unknown,
--- a/crates/balance/src/rollout/rollouts.rs
+++ b/crates/balance/src/rollout/rollouts.rs
@@ -191,6 +191,12 @@
         self.get(service).is_some_and(|rollout| rollout.is_slow(route, took))
     }
 
+    /// Returns whether runners of a version are about to end, so that requests there which can go on elsewhere should.
+    #[must_use]
+    pub fn ends_soon(&self, now: Duration, service: &Name, version: Option<&Name>) -> bool {
+        self.get(service).is_some_and(|rollout| rollout.ends_soon(now, version))
+    }
+
     /// Returns the sums of the evidence on a service.
     #[must_use]
     pub fn figures(&self, service: &Name) -> Figures {
--- a/crates/balance/tests/rollout.rs
+++ b/crates/balance/tests/rollout.rs
@@ -245,6 +245,19 @@
     assert_eq!(role(&rollouts, "v2"), Role::Excluded, "an older record has no effect");
 }
 
+/// Guards against streams that stay at old runners until these end, and against moving them earlier than that.
+#[test]
+fn requests_leave_old_runners_shortly_before_the_end() {
+    let mut rollouts = with_order(1, "v2", 12.0, true);
+    let (service, old, new) = (Name::new(SERVICE), Name::new("v1"), Name::new("v2"));
+    update(&mut rollouts, Duration::ZERO, 1);
+    for (millis, ends) in [(9_500, false), (10_500, false), (10_600, true), (11_500, true)] {
+        update(&mut rollouts, ms(millis), 1);
+        assert_eq!(rollouts.ends_soon(ms(millis), &service, Some(&old)), ends, "{millis}");
+        assert!(!rollouts.ends_soon(ms(millis), &service, Some(&new)), "{millis}");
+    }
+}
+
 /// Guards against a verdict that later reports change, and one that is not passed on.
 #[test]
 fn a_verdict_is_final_and_passed_on() {
--- a/crates/fake/src/endpoint.rs
+++ b/crates/fake/src/endpoint.rs
@@ -35,6 +35,8 @@
 pub const PAUSE: Duration = Duration::from_millis(1_700);
 /// The delay of the answers of a runner that is slow as a whole.
 pub const SLOW_ANSWER: Duration = Duration::from_millis(300);
+/// The time between two events of a slow stream.
+pub const SLOW_EVENT_INTERVAL: Duration = Duration::from_millis(250);
 /// The start of a runner that its record states, in milliseconds since the Unix epoch.
 pub const FIRST_START_MS: u64 = 1_700_000_000_000;
 
@@ -88,6 +90,8 @@
     PausedAt(u32),
     /// Answers each request completely, [`SLOW_ANSWER`] later.
     SlowAnswer,
+    /// Sends complete streams with [`SLOW_EVENT_INTERVAL`] between two events.
+    SlowStream,
 }
 
 /// A request that the runner has received.
--- a/crates/fake/src/endpoint/answer.rs
+++ b/crates/fake/src/endpoint/answer.rs
@@ -24,6 +24,7 @@
 use super::FaultMode;
 use super::RecordedRequest;
 use super::SLOW_ANSWER;
+use super::SLOW_EVENT_INTERVAL;
 use super::STREAM_EVENTS;
 use super::Shared;
 use super::event_text;
@@ -95,7 +96,12 @@
                 FaultMode::TruncatedAt(event) => Some(event),
                 _ => None,
             };
-            Response::new(BodyExt::boxed(StreamBody::new(events(last_event, truncated_at))))
+            let interval = match fault_mode {
+                FaultMode::SlowStream => SLOW_EVENT_INTERVAL,
+                _ => EVENT_INTERVAL,
+            };
+            let events = events(last_event, truncated_at, interval);
+            Response::new(BodyExt::boxed(StreamBody::new(events)))
         }
         _ => Response::new(full_body(format!("answer of {id}"))),
     };
@@ -143,11 +149,12 @@
 fn events(
     last: Option<u32>,
     truncated_at: Option<u32>,
+    interval: Duration,
 ) -> impl Stream<Item = io::Result<Frame<Bytes>>> + Send + Sync {
     let first = last.map_or(1, |last| last + 1);
     stream::unfold(Some(first), move |next| async move {
         let number = next.filter(|number| *number <= STREAM_EVENTS)?;
-        time::sleep(EVENT_INTERVAL).await;
+        time::sleep(interval).await;
         let text = event_text(number);
         if truncated_at == Some(number) {
             let half = Bytes::from(text[..text.len() / 2].to_owned());
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -69,6 +69,8 @@
     EventTooLarge,
     /// No event has come for too long.
     Silent,
+    /// The runner is about to end, since another version of its service replaces it.
+    Replaced,
 }
 
 type ResumeFuture = Pin<Box<dyn Future<Output = Option<(Reply, AttemptHistory)>>>>;
@@ -91,7 +93,7 @@
     call: Rc<Call>,
     source: Option<Source>,
     /// The wait for another runner while this one is silent.
-    moving: Option<PermitFuture>,
+    moving: Option<(Break, PermitFuture)>,
     resuming: Option<ResumeFuture>,
     history: Option<AttemptHistory>,
     progress: Progress,
@@ -145,7 +147,7 @@
         if events.is_empty() {
             return None;
         }
-        self.moving = None;
+        self.moving.take_if(|(reason, _)| *reason == Break::Silent);
         Some(events)
     }
 
@@ -193,8 +195,10 @@
                 source.permit.record_break(self.progress.data_for(self.router.now()));
                 source.permit.record_broken_response();
             }
-            source.permit.record_response(true);
-            source.permit.update_health(Health::record_unreachable);
+            source.permit.record_response(reason != Break::Replaced);
+            if reason != Break::Replaced {
+                source.permit.update_health(Health::record_unreachable);
+            }
             self.router.pool.borrow_mut().discard(source.permit.grant.runner);
         }
         self.progress.drop_partial();
@@ -237,7 +241,9 @@
                 return Err(Error::Timeout);
             }
             if self.is_unresponsive(now) && self.may_resume() {
-                self.begin_move();
+                self.begin_move(Break::Silent);
+            } else if self.is_replaced(now) && self.may_resume() {
+                self.begin_move(Break::Replaced);
             }
         }
         Ok(())
@@ -252,28 +258,36 @@
         self.source.is_some() && self.progress.silent_for(now) > timeout
     }
 
+    /// Returns whether the runner is about to end, since another version replaces it.
+    fn is_replaced(&self, now: Duration) -> bool {
+        let version = self.source.as_ref().map(|source| source.permit.grant.version.as_ref());
+        let core = self.router.core.borrow();
+        version.is_some_and(|version| core.rollouts.ends_soon(now, &self.call.service, version))
+    }
+
     fn may_resume(&self) -> bool {
         let has_more =
             self.history.as_ref().is_some_and(|history| history.runs < self.call.route.attempts);
         self.call.route.kind == Kind::Resumable && has_more
     }
 
-    /// Begins to wait for another runner; the silent one may go on meanwhile.
-    fn begin_move(&mut self) {
+    /// Begins to wait for another runner; the present one may go on meanwhile.
+    fn begin_move(&mut self, reason: Break) {
         let Some(history) = self.history.clone().filter(|_| self.moving.is_none()) else { return };
         let (router, call) = (Rc::clone(&self.router), Rc::clone(&self.call));
-        self.moving =
-            Some(Box::pin(
-                async move { forward::permit_to_resume(&router, &call, &history).await },
-            ));
+        self.moving = Some((
+            reason,
+            Box::pin(async move { forward::permit_to_resume(&router, &call, &history).await }),
+        ));
     }
 
     /// Moves to another runner once one is free.
     fn poll_move(&mut self, context: &mut Context<'_>) -> Result<(), Error> {
-        let Some(moving) = &mut self.moving else { return Ok(()) };
+        let Some((reason, moving)) = &mut self.moving else { return Ok(()) };
+        let reason = *reason;
         match moving.as_mut().poll(context) {
             Poll::Pending => Ok(()),
-            Poll::Ready(Some(permit)) => self.handle_break(Break::Silent, Some(permit)),
+            Poll::Ready(Some(permit)) => self.handle_break(reason, Some(permit)),
             Poll::Ready(None) => {
                 self.moving = None;
                 self.progress.forgive_silence(self.router.now());
