--- a/crates/fake/src/endpoint/answer.rs
+++ b/crates/fake/src/endpoint/answer.rs
@@ -23,6 +23,8 @@
 
 use super::FaultMode;
 use super::RecordedRequest;
+use super::SLOW_ANSWER;
+use super::SLOW_EVENT_INTERVAL;
 use super::STREAM_EVENTS;
 use super::Shared;
 use super::event_text;
@@ -63,7 +65,7 @@
     let Shared { id, state, .. } = shared;
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(|_| Closed)?.to_bytes();
-    let fault_mode = lock(state).fault_mode;
+    let fault_mode = lock(state).next_fault_mode(head.uri.path());
     let is_expected =
         head.headers.get("expect-instance").is_none_or(|expected| expected == id.as_str());
     let is_executed = is_expected && fault_mode != FaultMode::Busy;
@@ -80,6 +82,9 @@
     }
     let shown =
         if fault_mode == FaultMode::WrongRequestId { "another" } else { request_id.as_str() };
+    if fault_mode == FaultMode::SlowAnswer {
+        time::sleep(SLOW_ANSWER).await;
+    }
     let mut response = match fault_mode {
         FaultMode::Busy => status(StatusCode::SERVICE_UNAVAILABLE, "not-executed", "1"),
         FaultMode::Disconnected => return Err(Closed),
@@ -91,7 +96,12 @@
                 FaultMode::TruncatedAt(event) => Some(event),
                 _ => None,
             };
-            Response::new(BodyExt::boxed(StreamBody::new(events(last_event, truncated_at))))
+            let interval = match fault_mode {
+                FaultMode::SlowStream => SLOW_EVENT_INTERVAL,
+                _ => EVENT_INTERVAL,
+            };
+            let events = events(last_event, truncated_at, interval);
+            Response::new(BodyExt::boxed(StreamBody::new(events)))
         }
         _ => Response::new(full_body(format!("answer of {id}"))),
     };
@@ -139,11 +149,12 @@
 fn events(
     last: Option<u32>,
     truncated_at: Option<u32>,
+    interval: Duration,
 ) -> impl Stream<Item = io::Result<Frame<Bytes>>> + Send + Sync {
     let first = last.map_or(1, |last| last + 1);
     stream::unfold(Some(first), move |next| async move {
         let number = next.filter(|number| *number <= STREAM_EVENTS)?;
-        time::sleep(EVENT_INTERVAL).await;
+        time::sleep(interval).await;
         let text = event_text(number);
         if truncated_at == Some(number) {
             let half = Bytes::from(text[..text.len() / 2].to_owned());
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -9,6 +9,7 @@
 use balance::Cause;
 use balance::Runner;
 use balance::Start;
+use balance::rollout;
 use hmac::Hmac;
 use hmac::Mac;
 use serde::Deserialize;
@@ -214,6 +215,9 @@
     /// How long work takes at runners, by the newest statements that routers of the zone have seen.
     #[serde(skip)]
     pub(crate) paces: Vec<RunnerPace>,
+    /// The rollouts, with the sums of the evidence of the zone.
+    #[serde(skip)]
+    pub(crate) rollouts: Vec<rollout::Report>,
 }
 
 /// The part of a datagram that routers of earlier versions ignore.
@@ -243,10 +247,13 @@
     /// How long work takes at runners, by statements that the sender has seen since its last heartbeat.
     #[serde(skip)]
     pub(crate) paces: Vec<RunnerPace>,
+    /// The rollouts, with the evidence of the sender.
+    #[serde(skip)]
+    pub(crate) rollouts: Vec<rollout::Report>,
 }
 
-/// The departures of runners that [`Extension::leaving`] does not name; the last part of a datagram, which earlier versions
-/// ignore.
+/// The departures of runners that [`Extension::leaving`] does not name; the part of a datagram after the crash report, which
+/// earlier versions ignore.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct DepartureReport {
     /// The position after the last change of runners that is no departure.
@@ -296,6 +303,15 @@
     by_zone: Vec<Vec<RunnerPace>>,
 }
 
+/// The last part of a datagram, which earlier versions ignore and which is left out while there are no rollouts.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct RolloutReports {
+    /// Those of the sender.
+    own: Vec<rollout::Report>,
+    /// Those of each zone, in the order of [`Extension::sums`].
+    by_zone: Vec<Vec<rollout::Report>>,
+}
+
 /// A received heartbeat, and the newest heartbeat of the receiver that it acknowledges.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Received {
@@ -328,7 +344,15 @@
         own: extension.paces.clone(),
         by_zone: extension.sums.iter().map(|sums| sums.paces.clone()).collect(),
     };
-    postcard::to_extend(&pace_report, encoded).ok()
+    let encoded = postcard::to_extend(&pace_report, encoded).ok()?;
+    let rollouts = RolloutReports {
+        own: extension.rollouts.clone(),
+        by_zone: extension.sums.iter().map(|sums| sums.rollouts.clone()).collect(),
+    };
+    if rollouts.own.is_empty() && rollouts.by_zone.iter().all(Vec::is_empty) {
+        return Some(encoded);
+    }
+    postcard::to_extend(&rollouts, encoded).ok()
 }
 
 /// Decodes an extension, with the later parts of the datagram if the sender's version has them.
@@ -340,9 +364,15 @@
         postcard::take_from_bytes(rest).unwrap_or_default();
     let departures = postcard::take_from_bytes(rest).ok();
     let (departures, rest) = departures.map_or((None, &[][..]), |(told, rest)| (Some(told), rest));
-    let pace_report: PaceReport = postcard::from_bytes(rest).unwrap_or_default();
+    let (pace_report, rest): (PaceReport, &[u8]) =
+        postcard::take_from_bytes(rest).unwrap_or_default();
+    let rollouts: RolloutReports = postcard::from_bytes(rest).unwrap_or_default();
     extension.departures = departures;
     extension.paces = pace_report.own;
+    extension.rollouts = rollouts.own;
+    for (sums, reports) in extension.sums.iter_mut().zip(rollouts.by_zone) {
+        sums.rollouts = reports;
+    }
     extension.shortage = supplement.shortage;
     extension.leaving = supplement.leaving;
     extension.eras = supplement.eras;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,6 +29,7 @@
 mod pool;
 mod records;
 mod report;
+pub mod rollout;
 mod router;
 mod sent_heartbeats;
 mod server;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -32,6 +32,14 @@
     limit: String,
 }
 
+/// The labels of a counter per version of a service that is rolled out.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct VersionResponse {
+    service: String,
+    version: String,
+    outcome: &'static str,
+}
+
 /// The label of a histogram per kind of route.
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct Kind {
@@ -50,6 +58,7 @@
     registry: Registry,
     events: Family<Event, Counter>,
     refusals: Family<RefusingLimit, Counter>,
+    versions: Family<VersionResponse, Counter>,
     answers: Family<Kind, Histogram>,
     first_events: Family<Route, Histogram>,
     pauses: Family<Route, Histogram>,
@@ -86,6 +95,7 @@
         let answers = Family::<Kind, Histogram>::new_with_constructor(histogram);
         let first_events = Family::<Route, Histogram>::new_with_constructor(histogram);
         let pauses = Family::<Route, Histogram>::new_with_constructor(histogram);
+        let versions = Family::<VersionResponse, Counter>::default();
         let (waiting, configuration_age, departures_age) =
             (Gauge::default(), Gauge::default(), Gauge::default());
         let (runners, routers, quarantined) =
@@ -93,6 +103,8 @@
         registry.register("events", "Events by name, as in the log", events.clone());
         let help = "Refused requests by what kept them from the engines, as in the log";
         registry.register("refusals", help, refusals.clone());
+        let help = "Responses by version during rollouts";
+        registry.register("rollout_responses", help, versions.clone());
         registry.register("answer_seconds", "Time to the head of an answer", answers.clone());
         let help = "Time from the arrival of a request to the first event of its stream";
         registry.register("first_event_seconds", help, first_events.clone());
@@ -111,6 +123,7 @@
             registry,
             events,
             refusals,
+            versions,
             answers,
             first_events,
             pauses,
@@ -136,6 +149,16 @@
         self.refusals.get_or_create(&RefusingLimit { limit }).inc();
     }
 
+    /// Counts a response of a runner of a version during a rollout.
+    pub fn count_response(&self, service: &Name, version: Option<&Name>, is_bad: bool) {
+        let response = VersionResponse {
+            service: service.to_string(),
+            version: version.map(ToString::to_string).unwrap_or_default(),
+            outcome: if is_bad { "bad" } else { "good" },
+        };
+        self.versions.get_or_create(&response).inc();
+    }
+
     /// Records the time to the head of an answer.
     pub fn record_answer(&self, kind: balance::Kind, took: Duration) {
         let kind = Kind { kind: kind.to_string() };
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -27,6 +27,7 @@
 use crate::gossip::WorkspaceUse;
 use crate::gossip::ZoneSums;
 use crate::pace_report;
+use crate::rollout;
 
 /// Figures of one origin.
 struct Figures<'a> {
@@ -95,6 +96,7 @@
         crash_counts: Vec::new(),
         crash_evidence,
         paces,
+        rollouts: core.rollouts.reports(now, true),
         members: member_reports(router, now, incarnation),
     }
 }
@@ -138,6 +140,7 @@
     figures.apply(&mut router.core.borrow_mut(), &Origin::Zone(zone.clone()), now, at);
     crash_evidence::apply(router, now, at, Distance::Fleet, &sums.crash_evidence);
     pace_report::apply(router, at, &sums.paces);
+    rollout::apply_sums(router, now, at, &zone, &sums.rollouts);
     apply_member_reports(router, &zone, at, &sums.members);
 }
 
