--- a/crates/aspenline/tests/check.rs
+++ b/crates/aspenline/tests/check.rs
@@ -101,6 +101,10 @@
         ("{{^bounds.strict_revoke}}null{{/bounds.strict_revoke}}", ""),
         ("{{#bounds.drain_ms}}{{bounds.drain_ms|json}}{{/bounds.drain_ms}}", "2000"),
         ("{{^bounds.drain_ms}}null{{/bounds.drain_ms}}", ""),
+        ("{{#limits.memory_mb}}{{limits.memory_mb|json}}{{/limits.memory_mb}}", "88"),
+        ("{{^limits.memory_mb}}null{{/limits.memory_mb}}", ""),
+        ("{{#limits.max_fds}}{{limits.max_fds|json}}{{/limits.max_fds}}", "3000"),
+        ("{{^limits.max_fds}}null{{/limits.max_fds}}", ""),
     ] {
         assert!(text.contains(name), "{name} is not in the template");
         text = text.replace(name, value);
--- a/crates/aspenline/tests/common/router.rs
+++ b/crates/aspenline/tests/common/router.rs
@@ -243,6 +243,17 @@
         value.and_then(|value| value.parse().ok()).expect("a number of KiB")
     }
 
+    /// Returns the number of open file descriptors of the process.
+    pub(crate) fn open_descriptors(&self) -> usize {
+        let entries = fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        entries.expect("the process runs").count()
+    }
+
+    /// Returns whether the process has not exited.
+    pub(crate) fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("the status of the process can be read").is_none()
+    }
+
     /// Sends a signal.
     pub(crate) fn signal(&self, signal: rustix::process::Signal) {
         let id = i32::try_from(self.child.id()).expect("a process id");
--- a/crates/fake/src/endpoint.rs
+++ b/crates/fake/src/endpoint.rs
@@ -103,6 +103,8 @@
 struct State {
     fault_mode: FaultMode,
     added_headers: Vec<(&'static str, &'static str)>,
+    /// The size of the bodies of plain answers, in bytes.
+    answer_bytes: Option<usize>,
     requests: Vec<RecordedRequest>,
     /// The prompt part that crashes the runner.
     crashing_part: Option<&'static str>,
@@ -177,6 +179,11 @@
         lock(&self.state).added_headers = headers.to_vec();
     }
 
+    /// Sets the size of the bodies of later plain answers to requests whose path contains `/large/`, in bytes.
+    pub fn set_answer_bytes(&self, bytes: usize) {
+        lock(&self.state).answer_bytes = Some(bytes);
+    }
+
     /// Returns all requests received so far, oldest first.
     #[must_use]
     pub fn requests(&self) -> Vec<RecordedRequest> {
--- a/crates/fake/src/endpoint/answer.rs
+++ b/crates/fake/src/endpoint/answer.rs
@@ -71,6 +71,7 @@
     let last_event = header(&head.headers, "last-event-id").and_then(|id| id.parse().ok());
     let request_id = header(&head.headers, "request-id").unwrap_or_default().to_owned();
     let is_stream = head.uri.path().contains("/stream/");
+    let large = lock(state).answer_bytes.filter(|_| head.uri.path().contains("/large/"));
     let crashes = is_expected && has_part(&head.headers, lock(state).crashing_part);
     lock(state).requests.push(RecordedRequest { line, headers: head.headers, body, is_executed });
     if !is_expected {
@@ -93,7 +94,9 @@
             };
             Response::new(BodyExt::boxed(StreamBody::new(events(last_event, truncated_at))))
         }
-        _ => Response::new(full_body(format!("answer of {id}"))),
+        _ => Response::new(full_body(
+            large.map_or_else(|| format!("answer of {id}"), |bytes| "x".repeat(bytes)),
+        )),
     };
     let headers = response.headers_mut();
     headers.insert("request-id", shown.parse().expect("a plain id"));
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -42,6 +42,12 @@
     pub grace_s: f64,
     /// The limits that hold over all routers together.
     pub bounds: Bounds,
+    /// The memory of the instance, in MiB; `None` for that of the machine.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
+    /// The maximum number of file descriptors; `None` for the limit of the process.
+    #[serde(default)]
+    pub max_descriptors: Option<u64>,
 }
 
 /// The addresses at which requests are accepted.
