feat(platform): memory and descriptors that clients hold are bounded

Cause: bodies were collected piece by piece without a common limit, complete answers were held for clients that do not read them, and any number of connections was accepted.

Change: a body takes memory from the budget before it is read on, and is copied into one buffer, so a chunk of one byte costs its byte. A body without memory waits up to 5 s and is then refused with 503 and Retry-After; it was never forwarded. A body over the limit gets 413, at once if it is announced; its connection is closed. A complete answer is counted until the connection has it, and what a client does not read until it is written; a stalled client is closed when others need memory. Callers' connections, idle connections to runners and those of the other listeners are bounded; idle ones of the address with the most connections are closed for new ones. At most 64 KiB of a runner's response are read ahead (400 KiB before). The limits come from memory_mb and max_descriptors, or from the machine and the process. Log lines, metrics, docs/design/memory.md; check explains values that are too small.

--- a/crates/aspenline/tests/check.rs
+++ b/crates/aspenline/tests/check.rs
@@ -127,6 +127,12 @@
         ("\"retry_ratio\": 0.2", "\"retry_ratio\": -2", "at least 0 retries a request"),
         ("\"zone\"", "\"zones\"", "unknown field `zones`"),
         ("10.0.0.2:90", "nowhere", "store: invalid socket address"),
+        (
+            "\"memory_mb\": 88",
+            "\"memory_mb\": 40",
+            "memory_mb: 40 is too small, at least 48 MiB: 24",
+        ),
+        ("3000", "100", "max_descriptors: 100 is too small, at least 128 descriptors"),
     ] {
         let text = platform_settings().replace(from, to);
         let result = run_with_input(&["check", "-", "--kind", "platform"], &text);
--- a/crates/conn/src/connection.rs
+++ b/crates/conn/src/connection.rs
@@ -30,6 +30,10 @@
 /// How long sent bytes may stay unacknowledged before the kernel closes the connection (`TCP_USER_TIMEOUT`).
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(3_000);
 
+/// Maximum size of the head of a response, and of what is read of a body before it is asked for, in bytes. The default
+/// of 400 KiB would be held for each response that a client reads slowly.
+const MAX_READ_BYTES: usize = 64 << 10;
+
 /// The reason why a call has no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Failure {
@@ -63,7 +67,10 @@
         set_socket_options(&stream);
         let expectation = Expectation::default();
         let filtered = Filtered::new(stream, expectation.clone());
-        let handshake = http1::handshake(TokioIo::new(filtered)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_READ_BYTES)
+            .handshake(TokioIo::new(filtered))
+            .await;
         let (sender, driver) = handshake.map_err(|_| Failure::NotSent)?;
         let (driver, last_used) = (Box::pin(driver), Instant::now());
         Ok(Self { sender, driver, expectation, closed: false, last_used })
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -4,16 +4,16 @@
 
 use balance::Limit;
 use balance::Refusal;
-use bytes::Bytes;
 use http::Response;
 
+use crate::Held;
 use crate::Stream;
 
 /// A final answer.
 #[derive(Debug)]
 pub enum Answer {
     /// The complete answer of a runner.
-    Complete(Response<Bytes>),
+    Complete(Response<Held>),
     /// A runner's stream of events, passed on as they arrive.
     Stream(Box<Response<Stream>>),
     /// There is no answer of a runner.
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -8,6 +8,7 @@
 use balance::Prompt;
 use balance::Route;
 use base::Name;
+use budget::Reservation;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
@@ -49,6 +50,10 @@
     pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
+    /// The memory of the body, if it has any.
+    pub memory: Option<Rc<Reservation>>,
+    /// The number by which the memory of the caller is counted.
+    pub owner: u64,
     /// What may be the cause if the request crashes its runner.
     pub causes: Vec<Cause>,
 }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -1,6 +1,7 @@
 //! Forwarding of a call: acquiring a runner, sending, reading the answer, and retrying where that is allowed.
 
 use std::cell::Cell;
+use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,7 +10,9 @@
 use balance::Key;
 use balance::Kind;
 use balance::Refusal;
+use budget::Refused;
 use bytes::Bytes;
+use bytes::BytesMut;
 use conn::Connection;
 use conn::Failure;
 use http::Response;
@@ -21,6 +24,7 @@
 use crate::AnswerClass;
 use crate::Attempt;
 use crate::Call;
+use crate::Held;
 use crate::Line;
 use crate::Problem;
 use crate::Router;
@@ -75,7 +79,29 @@
     /// The request may have run.
     MayHaveRun,
     /// The runner has answered that it failed.
-    Answered(Response<Bytes>),
+    Answered(Response<Held>),
+}
+
+/// The pieces of an answer; one that arrives at once is not copied.
+#[derive(Default)]
+struct Collected {
+    first: Bytes,
+    all: BytesMut,
+}
+
+impl Collected {
+    fn add(&mut self, bytes: Bytes) {
+        if self.first.is_empty() && self.all.is_empty() {
+            self.first = bytes;
+            return;
+        }
+        self.all.extend_from_slice(&std::mem::take(&mut self.first));
+        self.all.extend_from_slice(&bytes);
+    }
+
+    fn freeze(self) -> Bytes {
+        if self.all.is_empty() { self.first } else { self.all.freeze() }
+    }
 }
 
 /// Forwards a call and returns its final answer, by its deadline.
@@ -156,7 +182,7 @@
             Ok(Answer::Stream(Box::new(Response::from_parts(head, stream))))
         }
         AnswerClass::Final => {
-            let (answer, permit) = collect(router, reply).await?;
+            let (answer, permit) = collect(router, call, reply).await?;
             permit.record_answer();
             if answer.status().is_success() {
                 permit.record_sound();
@@ -165,7 +191,7 @@
         }
         AnswerClass::Failed => {
             reply.permit.update_health(Health::record_failure);
-            let (answer, _) = collect(router, reply).await?;
+            let (answer, _) = collect(router, call, reply).await?;
             Err(AttemptError::Answered(answer))
         }
         AnswerClass::NotRun | AnswerClass::Misdirected => {
@@ -261,21 +287,36 @@
 }
 
 /// Reads the entire body of an answer and returns the connection to the pool.
-async fn collect(router: &Router, reply: Reply) -> Result<(Response<Bytes>, Permit), AttemptError> {
-    let Reply { permit, mut connection, head, body, .. } = reply;
-    let mut reservation = router.buffer.reservation();
-    let mut has_room = true;
-    let reserve = |bytes| {
-        has_room = reservation.add(bytes);
-        has_room
-    };
-    let Ok(body) = connection.collect_reserved(body, reserve).await else {
-        if has_room {
+async fn collect(
+    router: &Router,
+    call: &Call,
+    reply: Reply,
+) -> Result<(Response<Held>, Permit), AttemptError> {
+    let Reply { permit, mut connection, head, mut body, .. } = reply;
+    let mut reservation = router.buffer.reservation(call.owner);
+    let mut collected = Collected::default();
+    while let Some(frame) = poll_fn(|context| connection.poll_frame(&mut body, context)).await {
+        let Ok(frame) = frame else {
             permit.record_break(None);
+            permit.update_health(Health::record_failure);
+            return Err(AttemptError::MayHaveRun);
+        };
+        let Ok(bytes) = frame.into_data() else { continue };
+        match reservation.add(bytes.len()).await {
+            Ok(()) => collected.add(bytes),
+            Err(Refused::TooLarge) => {
+                permit.update_health(Health::record_failure);
+                return Err(AttemptError::MayHaveRun);
+            }
+            Err(refused) => {
+                let line = line(call, "answer_without_memory");
+                router.log(line.outcome(refused.to_string()));
+                return Err(AttemptError::MayHaveRun);
+            }
         }
-        permit.update_health(Health::record_failure);
-        return Err(AttemptError::MayHaveRun);
-    };
+    }
+    connection.mark_used();
+    let body = Held::new(collected.freeze(), reservation.complete());
     let stated = (router.protocol.keep_alive)(&head);
     router.pool.borrow_mut().put(permit.grant.runner, connection, stated);
     Ok((Response::from_parts(head, body), permit))
@@ -317,7 +358,7 @@
 }
 
 /// Returns the final answer when no further attempt is made; `not_run` is that of a request that has not run.
-fn last_answer(history: &AttemptHistory, last: Option<Response<Bytes>>, not_run: Answer) -> Answer {
+fn last_answer(history: &AttemptHistory, last: Option<Response<Held>>, not_run: Answer) -> Answer {
     match last {
         Some(answer) => Answer::Complete(answer),
         None if history.runs > 0 => Answer::Problem(Problem::Lost),
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use balance::Limit;
+use budget::Figures;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
@@ -50,6 +51,13 @@
     runners: Gauge,
     routers: Gauge,
     quarantined: Gauge,
+    memory: Family<MemoryLabel, Gauge>,
+}
+
+/// The label of a gauge per figure of the memory budget.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct MemoryLabel {
+    figure: &'static str,
 }
 
 /// The values of the gauges at one moment.
@@ -67,6 +75,8 @@
     pub routers: usize,
     /// The number of quarantined causes of crashes.
     pub quarantined: usize,
+    /// The figures of the memory budget.
+    pub memory: Figures,
 }
 
 impl Default for Metrics {
@@ -94,6 +104,9 @@
         registry.register("live_routers", "Other routers that are alive", routers.clone());
         let help = "Causes of runner crashes that are quarantined";
         registry.register("quarantined_causes", help, quarantined.clone());
+        let memory = Family::<MemoryLabel, Gauge>::default();
+        let help = "Memory budget: bytes held, peak and total; evicted, refused and closed since the start";
+        registry.register("memory_budget", help, memory.clone());
         Self {
             registry,
             events,
@@ -105,6 +118,7 @@
             runners,
             routers,
             quarantined,
+            memory,
         }
     }
 }
@@ -136,6 +150,17 @@
         self.runners.set(to_i64(gauges.runners));
         self.routers.set(to_i64(gauges.routers));
         self.quarantined.set(to_i64(gauges.quarantined));
+        let Figures { held, total, peak, evicted, refused, closed } = gauges.memory;
+        for (figure, value) in [
+            ("held_bytes", to_i64(held)),
+            ("peak_bytes", to_i64(peak)),
+            ("total_bytes", to_i64(total)),
+            ("evicted", to_i64(evicted)),
+            ("refused", to_i64(refused)),
+            ("closed", to_i64(closed)),
+        ] {
+            self.memory.get_or_create(&MemoryLabel { figure }).set(value);
+        }
         let mut output = String::new();
         if let Err(error) = text::encode(&mut output, &self.registry) {
             log::error!("failed to encode the metrics: {error}");
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -23,12 +23,18 @@
 }
 
 /// The idle connections of each runner.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Pool {
     idle: IndexMap<Key, Vec<Idle>>,
+    max_idle: usize,
 }
 
 impl Pool {
+    /// Creates a pool of at most `max_idle` connections.
+    pub(crate) fn new(max_idle: usize) -> Self {
+        Self { idle: IndexMap::default(), max_idle }
+    }
+
     /// Takes the most recently used connection to a runner.
     pub(crate) fn take(&mut self, runner: Key, is_idempotent: bool) -> Option<Connection> {
         let idle = self.idle.get_mut(&runner)?;
@@ -42,8 +48,9 @@
 
     /// Stores a connection for a fraction of the time `stated` by the runner, or for the default time.
     pub(crate) fn put(&mut self, runner: Key, connection: Connection, stated: Option<Duration>) {
+        let count: usize = self.idle.values().map(Vec::len).sum();
         let idle = self.idle.entry(runner).or_default();
-        if connection.is_closed() || idle.len() >= MAX_IDLE {
+        if connection.is_closed() || idle.len() >= MAX_IDLE || count >= self.max_idle {
             return;
         }
         let limit =
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -18,12 +18,15 @@
 use balance::Ticket;
 use balance::TopicView;
 use balance::Window;
+use budget::Budget;
+use budget::Limits;
 use indexmap::IndexMap;
 use strum::EnumCount;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::time;
 
+use crate::Capacity;
 use crate::Clock;
 use crate::Gauges;
 use crate::Journal;
@@ -31,6 +34,7 @@
 use crate::Metrics;
 use crate::RunnerProtocol;
 use crate::Settings;
+use crate::body;
 use crate::buffer::Buffer;
 use crate::crash_check::Breaks;
 use crate::exchange::Exchange;
@@ -75,6 +79,10 @@
     pub metrics: Metrics,
     /// The clock of the process.
     pub clock: Clock,
+    /// What clients may use of the instance.
+    pub capacity: Capacity,
+    /// The memory that clients and runners may make the process hold.
+    pub budget: Budget,
     pub(crate) pool: RefCell<Pool>,
     pub(crate) breaks: Breaks,
     /// The memory for incomplete answers.
@@ -99,7 +107,10 @@
     #[must_use]
     pub fn new(settings: Settings, protocol: RunnerProtocol, clock: Clock) -> Self {
         let limits = limits(&settings);
+        let capacity = Capacity::of(&settings);
+        let budget = Budget::new(Limits::of(capacity.held_bytes));
         Self {
+            capacity,
             grace: Cell::new(settings.grace()),
             revocation: Cell::new(settings.revocation()),
             settings,
@@ -109,9 +120,10 @@
             journal: Journal::new(clock),
             metrics: Metrics::default(),
             clock,
-            pool: RefCell::default(),
+            pool: RefCell::new(Pool::new(capacity.idle)),
             breaks: Breaks::default(),
-            buffer: Buffer::default(),
+            buffer: Buffer::new(budget.clone()),
+            budget,
             sent_heartbeats: RefCell::default(),
             exchange: RefCell::default(),
             lending: Lending::default(),
@@ -133,6 +145,13 @@
         self.revocation.set(settings.revocation());
     }
 
+    /// Returns the size of the largest body for which there is memory without load.
+    #[must_use]
+    pub fn max_body_bytes(&self) -> usize {
+        let Limits { total, reserved, answers, .. } = Limits::of(self.capacity.held_bytes);
+        total.saturating_sub(reserved + answers + body::OVERHEAD_BYTES)
+    }
+
     /// Returns how long the process may continue after it is asked to terminate.
     #[must_use]
     pub fn grace(&self) -> Duration {
@@ -404,6 +423,7 @@
             departures_age: self.departures_age(),
             runners: core.registry.ids().count(),
             quarantined: core.crash_history.quarantined(now).len(),
+            memory: self.budget.figures(),
             routers: self.members.borrow().iter().filter(|member| member.is_alive(now)).count(),
         })
     }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -1,5 +1,6 @@
 //! Accepting of connections, and graceful shutdown that lets requests complete.
 
+use std::cmp::Reverse;
 use std::convert::Infallible;
 use std::error::Error as StdError;
 use std::future::Future;
@@ -8,8 +9,10 @@
 use std::pin::Pin;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use budget::Budget;
 use bytes::Bytes;
 use futures_util::FutureExt;
 use http::Request;
@@ -20,6 +23,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use indexmap::IndexMap;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
@@ -28,8 +32,14 @@
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
+use crate::Client;
+use crate::client::Tracked;
+use crate::client::Watched;
+
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Delay until a listener with the maximum number of connections looks again for one that it may close.
+const FULL_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// How long a connection that has just been accepted may take to send its first request when the listener stops.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum size of the head of a request, in bytes.
@@ -46,6 +56,15 @@
 pub struct Listener {
     listener: TcpListener,
     idle: Duration,
+    max_connections: usize,
+    budget: Option<Budget>,
+}
+
+/// The open connections of a listener, by the tasks that serve them.
+#[derive(Debug, Default)]
+struct Connections {
+    tasks: JoinSet<()>,
+    clients: IndexMap<task::Id, Arc<Client>>,
 }
 
 impl Listener {
@@ -58,7 +77,22 @@
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
         socket.bind(address)?;
-        Ok(Self { listener: socket.listen(waiting)?, idle })
+        let listener = socket.listen(waiting)?;
+        Ok(Self { listener, idle, max_connections: usize::MAX, budget: None })
+    }
+
+    /// Limits the number of connections. Beyond them, idle ones are closed, or new ones wait in the kernel.
+    #[must_use]
+    pub const fn max_connections(mut self, max_connections: usize) -> Self {
+        self.max_connections = max_connections;
+        self
+    }
+
+    /// Counts what clients do not read towards a budget.
+    #[must_use]
+    pub fn budget(mut self, budget: Budget) -> Self {
+        self.budget = Some(budget);
+        self
     }
 
     /// Returns the bound address.
@@ -75,17 +109,21 @@
     /// more connections than it serves, and the others wait in the kernel, whose queue is bounded.
     pub async fn serve<B>(self, handler: Handler<B>, stop: CancellationToken)
     where
-        B: Body<Data = Bytes> + 'static,
+        B: Body<Data = Bytes> + Unpin + 'static,
         B::Error: Into<Box<dyn StdError + Send + Sync>>,
     {
-        let mut connections = JoinSet::new();
+        let mut connections = Connections::default();
         loop {
+            let is_full = connections.clients.len() >= self.max_connections;
+            if is_full {
+                connections.make_room(self.budget.as_ref());
+            }
             tokio::select! {
-                accepted = self.listener.accept() => match accepted {
-                    Ok((stream, _)) => {
-                        let connection =
-                            connection(stream, Rc::clone(&handler), self.idle, stop.clone());
-                        connections.spawn_local(connection);
+                accepted = self.listener.accept(), if !is_full => match accepted {
+                    Ok((stream, address)) => {
+                        let client = Client::new(address, self.budget.clone());
+                        let (handler, idle) = (Rc::clone(&handler), self.idle);
+                        connections.spawn(stream, client, handler, idle, stop.clone());
                         task::yield_now().await;
                     }
                     Err(error) => {
@@ -93,32 +131,79 @@
                         time::sleep(ACCEPT_RETRY_DELAY).await;
                     }
                 },
-                Some(_) = connections.join_next() => (),
+                () = connections.join_next(), if !connections.clients.is_empty() => (),
+                () = time::sleep(FULL_RETRY_DELAY), if is_full => (),
                 () = stop.cancelled() => break,
             }
         }
         // Connections that wait in the kernel would be reset with the listener.
-        while let Some(Ok((stream, _))) = task::unconstrained(self.listener.accept()).now_or_never()
+        while let Some(Ok((stream, address))) =
+            task::unconstrained(self.listener.accept()).now_or_never()
         {
-            connections.spawn_local(connection(
-                stream,
-                Rc::clone(&handler),
-                self.idle,
-                stop.clone(),
-            ));
+            let client = Client::new(address, self.budget.clone());
+            connections.spawn(stream, client, Rc::clone(&handler), self.idle, stop.clone());
         }
         drop(self.listener);
-        while connections.join_next().await.is_some() {}
+        while connections.tasks.join_next().await.is_some() {}
+    }
+}
+
+impl Connections {
+    /// Begins to serve a connection.
+    fn spawn<B>(
+        &mut self,
+        stream: TcpStream,
+        client: Arc<Client>,
+        handler: Handler<B>,
+        idle: Duration,
+        stop: CancellationToken,
+    ) where
+        B: Body<Data = Bytes> + Unpin + 'static,
+        B::Error: Into<Box<dyn StdError + Send + Sync>>,
+    {
+        let serving = connection(stream, Arc::clone(&client), handler, idle, stop);
+        let id = self.tasks.spawn_local(serving).id();
+        self.clients.insert(id, client);
+    }
+
+    /// Waits until a connection has ended.
+    async fn join_next(&mut self) {
+        match self.tasks.join_next_with_id().await {
+            Some(Ok((id, ()))) => drop(self.clients.swap_remove(&id)),
+            Some(Err(error)) => drop(self.clients.swap_remove(&error.id())),
+            None => (),
+        }
+    }
+
+    /// Closes an idle connection, or else one that makes no progress.
+    ///
+    /// Of the idle ones, it is one of the address with the most connections, the one that has been idle for the longest
+    /// time.
+    fn make_room(&self, budget: Option<&Budget>) {
+        let mut counts = IndexMap::<u64, usize>::new();
+        for client in self.clients.values() {
+            *counts.entry(client.owner()).or_default() += 1;
+        }
+        let idle = self.clients.values().filter_map(|client| Some((client.idle_since()?, client)));
+        let first = idle
+            .min_by_key(|(since, client)| (Reverse(counts.get(&client.owner()).copied()), *since));
+        let closed = first.map(|(_, client)| client.close());
+        let Some(budget) = budget else { return };
+        match closed {
+            Some(()) => budget.record_closed(),
+            None => budget.evict_stalled(),
+        }
     }
 }
 
 async fn connection<B>(
     stream: TcpStream,
+    client: Arc<Client>,
     handler: Handler<B>,
     idle: Duration,
     stop: CancellationToken,
 ) where
-    B: Body<Data = Bytes> + 'static,
+    B: Body<Data = Bytes> + Unpin + 'static,
     B::Error: Into<Box<dyn StdError + Send + Sync>>,
 {
     let stream = match register_anew(stream) {
@@ -133,19 +218,23 @@
     }
     let has_request = CancellationToken::new();
     let requested = has_request.clone();
-    let service = service_fn(move |request| {
+    let served = Arc::clone(&client);
+    let service = service_fn(move |mut request: Request<Incoming>| {
         requested.cancel();
-        let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        served.begin();
+        request.extensions_mut().insert(Arc::clone(&served));
+        let (answer, client) = (handler(request), Arc::clone(&served));
+        async move { Ok::<_, Infallible>(answer.await.map(|body| Tracked::new(body, client))) }
     });
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(Watched::new(stream, Arc::clone(&client))), service);
     let mut serving = pin!(serving);
     let ended = tokio::select! {
         ended = &mut serving => ended,
+        () = client.closed() => return,
         () = stopped_after_first_request(&stop, &has_request) => {
             serving.as_mut().graceful_shutdown();
             serving.await
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -10,6 +10,8 @@
 use json_comments::StripComments;
 use serde::Deserialize;
 
+use crate::capacity;
+
 /// An error in a settings file.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Error(String);
@@ -137,6 +139,26 @@
                 return Err(Report::new(Error(text)));
             }
         }
+        let counts = [
+            (
+                "memory_mb",
+                self.memory_mb,
+                capacity::MIN_MEMORY_MB,
+                "MiB: 24 for the process itself, a quarter for connections, the rest for bodies and answers",
+            ),
+            (
+                "max_descriptors",
+                self.max_descriptors,
+                capacity::MIN_DESCRIPTORS,
+                "descriptors: callers and requests to runners have three parts in eight each",
+            ),
+        ];
+        for (field, value, minimum, need) in counts {
+            if let Some(value) = value.filter(|value| *value < minimum) {
+                let text = format!("{field}: {value} is too small, at least {minimum} {need}");
+                return Err(Report::new(Error(text)));
+            }
+        }
         Ok(())
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -120,7 +120,7 @@
         let stream = Self {
             router: Rc::clone(router),
             call: Rc::clone(call),
-            progress: Progress::new(reply.sent_at, router.buffer.reservation()),
+            progress: Progress::new(reply.sent_at, router.buffer.reservation(call.owner)),
             source: Some(Source::new(router, reply)),
             moving: None,
             resuming: None,
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -6,6 +6,7 @@
 use balance::AdaptiveLimit;
 use balance::Cause;
 use base::Name;
+use budget::Figures;
 use indexmap::IndexSet;
 use tokio::time;
 
@@ -20,6 +21,7 @@
 /// Removes expired connections, runners and figures and logs the load, until the process ends.
 pub async fn keep_up(router: Rc<Router>) {
     let mut quarantined = IndexSet::new();
+    let mut memory = router.budget.figures();
     loop {
         time::sleep(INTERVAL).await;
         let now = router.now();
@@ -29,9 +31,26 @@
         log_quarantine(&router, now, &mut quarantined);
         log_loads(&router);
         log_contention(&router, now);
+        log_memory(&router, &mut memory);
     }
 }
 
+/// Logs what was refused and closed for lack of memory or descriptors since the last call.
+fn log_memory(router: &Router, last: &mut Figures) {
+    let figures = router.budget.figures();
+    let evicted = figures.evicted - last.evicted;
+    let refused = figures.refused - last.refused;
+    let closed = figures.closed - last.closed;
+    *last = figures;
+    if evicted + refused + closed == 0 {
+        return;
+    }
+    let Figures { held, total, .. } = figures;
+    router.log(Line::new("memory_short").outcome(format!(
+        "{evicted} gave way, {refused} waited in vain, {closed} idle connections closed, {held} of {total} bytes held"
+    )));
+}
+
 fn remove_expired(router: &Router, now: Duration) {
     let mut core = router.core.borrow_mut();
     core.registry.remove_expired(now);
