--- a/crates/aspenline/tests/check.rs
+++ b/crates/aspenline/tests/check.rs
@@ -101,6 +101,10 @@
         ("{{^bounds.strict_revoke}}null{{/bounds.strict_revoke}}", ""),
         ("{{#bounds.drain_ms}}{{bounds.drain_ms|json}}{{/bounds.drain_ms}}", "2000"),
         ("{{^bounds.drain_ms}}null{{/bounds.drain_ms}}", ""),
+        ("{{#limits.memory_mb}}{{limits.memory_mb|json}}{{/limits.memory_mb}}", "88"),
+        ("{{^limits.memory_mb}}null{{/limits.memory_mb}}", ""),
+        ("{{#limits.max_fds}}{{limits.max_fds|json}}{{/limits.max_fds}}", "3000"),
+        ("{{^limits.max_fds}}null{{/limits.max_fds}}", ""),
     ] {
         assert!(text.contains(name), "{name} is not in the template");
         text = text.replace(name, value);
@@ -123,6 +127,12 @@
         ("\"retry_ratio\": 0.2", "\"retry_ratio\": -2", "at least 0 retries a request"),
         ("\"zone\"", "\"zones\"", "unknown field `zones`"),
         ("10.0.0.2:90", "nowhere", "store: invalid socket address"),
+        (
+            "\"memory_mb\": 88",
+            "\"memory_mb\": 40",
+            "memory_mb: 40 is too small, at least 48 MiB: 24",
+        ),
+        ("3000", "100", "max_descriptors: 100 is too small, at least 128 descriptors"),
     ] {
         let text = platform_settings().replace(from, to);
         let result = run_with_input(&["check", "-", "--kind", "platform"], &text);
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -11,6 +11,8 @@
 use json_comments::StripComments;
 use serde::Deserialize;
 
+use crate::capacity;
+
 /// An error in a settings file.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Error(String);
@@ -43,6 +45,12 @@
     pub grace_s: f64,
     /// The limits that hold over all routers together.
     pub bounds: Bounds,
+    /// The memory of the instance, in MiB; `None` for that of the machine.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
+    /// The maximum number of file descriptors; `None` for the limit of the process.
+    #[serde(default)]
+    pub max_descriptors: Option<u64>,
 }
 
 /// The addresses at which requests are accepted.
@@ -160,6 +168,26 @@
             let text = format!("bounds.expose_share: {} is more than 1", rollout.share);
             return Err(Report::new(Error(text)));
         }
+        let counts = [
+            (
+                "memory_mb",
+                self.memory_mb,
+                capacity::MIN_MEMORY_MB,
+                "MiB: 24 for the process itself, a quarter for connections, the rest for bodies and answers",
+            ),
+            (
+                "max_descriptors",
+                self.max_descriptors,
+                capacity::MIN_DESCRIPTORS,
+                "descriptors: callers and requests to runners have three parts in eight each",
+            ),
+        ];
+        for (field, value, minimum, need) in counts {
+            if let Some(value) = value.filter(|value| *value < minimum) {
+                let text = format!("{field}: {value} is too small, at least {minimum} {need}");
+                return Err(Report::new(Error(text)));
+            }
+        }
         Ok(())
     }
 }
