perf(relay): small answers are not counted one by one

Change: an answer of up to 4 KiB, and a partial event of a stream, are covered by the part of the memory that each connection has, and open no holding. A body takes the memory of its request and its first piece at once.

The tests platform, platform_answers, platform_crashes, platform_leaving and platform_store pass.

--- a/crates/budget/src/share.rs
+++ b/crates/budget/src/share.rs
@@ -228,6 +228,9 @@
 
     /// Gives memory back.
     pub fn shrink(&self, bytes: usize) {
+        if bytes == 0 {
+            return;
+        }
         self.budget.state().ledger.shrink(self.key, bytes);
         self.budget.shared.released.notify_waiters();
     }
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -76,7 +76,6 @@
     if announced.is_some_and(|size| size > limit) {
         return Err(Error::TooLarge);
     }
-    memory.grow(REQUEST_BYTES, MEMORY_TIMEOUT).await.map_err(Error::Refused)?;
     let expected = announced.unwrap_or(limit);
     let mut part = Part { memory, bytes: Vec::new(), reserved: 0, expected, recent: 0 };
     loop {
@@ -107,7 +106,8 @@
         let reserved = needed.max(self.reserved * 2).max(small).min(self.expected.max(needed));
         let is_first_large = reserved > SMALL_BYTES && self.reserved <= SMALL_BYTES;
         let connection = if is_first_large { CONNECTION_BYTES } else { 0 };
-        let added = reserved - self.reserved + connection;
+        let request = if self.reserved == 0 { REQUEST_BYTES } else { 0 };
+        let added = reserved - self.reserved + connection + request;
         self.memory.grow(added, MEMORY_TIMEOUT).await.map_err(Error::Refused)?;
         self.reserved = reserved;
         Ok(())
--- a/crates/relay/src/buffer.rs
+++ b/crates/relay/src/buffer.rs
@@ -16,6 +16,8 @@
 /// Maximum size of one incomplete answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
+/// The size up to which an answer is covered by the part of the memory that its client's connection has, in bytes.
+const UNCOUNTED_BYTES: usize = 4 << 10;
 /// How long an answer waits for memory that others hold.
 const MEMORY_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -31,7 +33,8 @@
 pub(crate) struct Reservation {
     buffer: Buffer,
     bytes: usize,
-    /// The memory of the bytes; `None` once it belongs to the complete answer.
+    owner: u64,
+    /// The memory of the bytes; `None` while they are few, or once it belongs to the complete answer.
     memory: Option<budget::Reservation>,
 }
 
@@ -43,22 +46,22 @@
 
     /// Returns a reservation for an answer to `owner` of which nothing has arrived yet.
     pub(crate) fn reservation(&self, owner: u64) -> Reservation {
-        let memory = Some(self.budget.reservation(owner, Class::Needed));
-        Reservation { buffer: self.clone(), bytes: 0, memory }
+        Reservation { buffer: self.clone(), bytes: 0, owner, memory: None }
     }
 }
 
 impl Reservation {
     /// Sets the number of bytes that the answer occupies; returns `false` if they are too many.
     pub(crate) fn resize(&mut self, bytes: usize) -> bool {
-        let Some(memory) = &self.memory else { return false };
-        let has_room =
-            self.has_room(bytes) && (bytes <= self.bytes || memory.try_grow(bytes - self.bytes));
-        if !has_room {
+        if !self.has_room(bytes) {
             return false;
         }
-        if bytes < self.bytes {
-            memory.shrink(self.bytes - bytes);
+        if let Some(memory) = self.memory_for(bytes) {
+            let counted = memory.bytes();
+            if bytes > counted && !memory.try_grow(bytes - counted) {
+                return false;
+            }
+            memory.shrink(counted.saturating_sub(bytes));
         }
         self.set(bytes);
         true
@@ -66,9 +69,7 @@
 
     /// Gives all memory of the answer back.
     pub(crate) fn release(&mut self) {
-        if let Some(memory) = self.memory.as_ref().filter(|_| self.bytes > 0) {
-            memory.shrink(self.bytes);
-        }
+        self.memory = None;
         self.set(0);
     }
 
@@ -81,8 +82,9 @@
         if !self.has_room(sum) {
             return Err(Refused::TooLarge);
         }
-        if let Some(memory) = &self.memory {
-            memory.grow(bytes, MEMORY_TIMEOUT).await?;
+        if let Some(memory) = self.memory_for(sum) {
+            let counted = memory.bytes();
+            memory.grow(sum.saturating_sub(counted), MEMORY_TIMEOUT).await?;
         }
         if !self.has_room(sum) {
             return Err(Refused::TooLarge);
@@ -97,6 +99,14 @@
         self.memory.take()
     }
 
+    /// Returns the memory that counts this many bytes; `None` if they are too few to be counted.
+    fn memory_for(&mut self, bytes: usize) -> Option<&budget::Reservation> {
+        if bytes > UNCOUNTED_BYTES && self.memory.is_none() {
+            self.memory = Some(self.buffer.budget.reservation(self.owner, Class::Needed));
+        }
+        self.memory.as_ref()
+    }
+
     /// Returns whether the limits on incomplete answers allow this size of the answer.
     fn has_room(&self, bytes: usize) -> bool {
         let others = self.buffer.used.get() - self.bytes;
