--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -80,14 +80,14 @@
     let mut part = Part { memory, bytes: Vec::new(), reserved: 0, expected, recent: 0 };
     loop {
         let piece = part.bytes.len().clamp(FIRST_PIECE_BYTES, MAX_PIECE_BYTES);
-        part.reserve(piece.min(expected - part.bytes.len())).await?;
+        part.reserve(piece.min(expected.saturating_sub(part.bytes.len()))).await?;
         let frame = memory.unless_evicted(body.frame()).await.map_err(Error::Refused)?;
         let Some(frame) = frame else { return Ok(Bytes::from(part.bytes)) };
         let Ok(bytes) = frame.map_err(|_| Error::Broken)?.into_data() else { continue };
         if announced == Some(bytes.len()) && bytes.len() <= SMALL_BYTES {
             return Ok(bytes);
         }
-        if bytes.len() > limit - part.bytes.len() {
+        if bytes.len() > limit.saturating_sub(part.bytes.len()) {
             return Err(Error::TooLarge);
         }
         part.reserve(bytes.len()).await?;
