--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -76,19 +76,18 @@
     if announced.is_some_and(|size| size > limit) {
         return Err(Error::TooLarge);
     }
-    memory.grow(REQUEST_BYTES, MEMORY_TIMEOUT).await.map_err(Error::Refused)?;
     let expected = announced.unwrap_or(limit);
     let mut part = Part { memory, bytes: Vec::new(), reserved: 0, expected, recent: 0 };
     loop {
         let piece = part.bytes.len().clamp(FIRST_PIECE_BYTES, MAX_PIECE_BYTES);
-        part.reserve(piece.min(expected - part.bytes.len())).await?;
+        part.reserve(piece.min(expected.saturating_sub(part.bytes.len()))).await?;
         let frame = memory.unless_evicted(body.frame()).await.map_err(Error::Refused)?;
         let Some(frame) = frame else { return Ok(Bytes::from(part.bytes)) };
         let Ok(bytes) = frame.map_err(|_| Error::Broken)?.into_data() else { continue };
         if announced == Some(bytes.len()) && bytes.len() <= SMALL_BYTES {
             return Ok(bytes);
         }
-        if bytes.len() > limit - part.bytes.len() {
+        if bytes.len() > limit.saturating_sub(part.bytes.len()) {
             return Err(Error::TooLarge);
         }
         part.reserve(bytes.len()).await?;
@@ -107,7 +106,8 @@
         let reserved = needed.max(self.reserved * 2).max(small).min(self.expected.max(needed));
         let is_first_large = reserved > SMALL_BYTES && self.reserved <= SMALL_BYTES;
         let connection = if is_first_large { CONNECTION_BYTES } else { 0 };
-        let added = reserved - self.reserved + connection;
+        let request = if self.reserved == 0 { REQUEST_BYTES } else { 0 };
+        let added = reserved - self.reserved + connection + request;
         self.memory.grow(added, MEMORY_TIMEOUT).await.map_err(Error::Refused)?;
         self.reserved = reserved;
         Ok(())
