--- a/crates/balance/src/fair_share.rs
+++ b/crates/balance/src/fair_share.rs
@@ -13,8 +13,10 @@
 const MAX_RESERVED_FRACTION: f64 = 0.25;
 /// The fraction of its fair share up to which the demand of a workspace counts as small.
 const MAX_SMALL_DEMAND: f64 = 0.5;
-/// The fraction of an engine's limit on waiting prompt tokens that is added for a workspace which asks for little and lacks
-/// work. Prompts of others have filled engines to 1.3 to 1.9 times this limit in bursts.
+/// The fraction of its share, or of its demand if that is less, below which a workspace counts as far behind.
+const MAX_BEHIND: f64 = 0.7;
+/// The fraction of an engine's limit on waiting prompt tokens that is added for a workspace which lacks work and asks for
+/// little or is far behind. Prompts of others have filled engines to 1.3 to 1.9 times this limit in bursts.
 const BACKLOG_RESERVE: f64 = 1.0;
 
 /// The work that a workspace may be granted when engines are short.
@@ -58,11 +60,14 @@
     /// Returns the fraction of an engine's limit on waiting prompt tokens that a workspace may fill beyond it.
     ///
     /// Routers that know of each other's prompts late fill engines beyond this limit, so that what others leave below it is
-    /// no room for a workspace that asks for little. Its small demand bounds what is added.
+    /// no room for a workspace that asks for little, or that has been granted much less than its share. What it lacks bounds
+    /// what is added.
     #[must_use]
     pub fn backlog_reserve(self, work: Work) -> f64 {
         let is_small = work.demand() as f64 <= self.tokens as f64 * MAX_SMALL_DEMAND;
-        if is_small && work.is_short() { BACKLOG_RESERVE } else { 0.0 }
+        let owed = work.demand().min(self.tokens) as f64;
+        let is_behind = (self.counted(work) as f64) < owed * MAX_BEHIND;
+        if (is_small || is_behind) && work.is_short() { BACKLOG_RESERVE } else { 0.0 }
     }
 
     /// Returns what a workspace has been granted, relative to its share.
