--- a/crates/balance/tests/scarcity.rs
+++ b/crates/balance/tests/scarcity.rs
@@ -33,8 +33,10 @@
 /// The start and the length of the replay, in milliseconds.
 const START_MS: u64 = 100_000;
 const LENGTH_MS: u64 = 6_000;
-/// The time between two requests of the workspace that asks for little, in milliseconds.
+/// The time between two requests of a workspace that asks for little, in milliseconds.
 const PERIOD_MS: u64 = 100;
+/// The time between two requests of a workspace that asks for most of its share, in milliseconds.
+const SHORT_PERIOD_MS: u64 = 10;
 /// The lengths of its prompts, in tokens; the mean is 8,000.
 const PROMPTS: [u64; 4] = [2_000, 4_000, 8_000, 18_000];
 /// The time to the target of each of its requests.
@@ -65,9 +67,9 @@
     Request { prompt: Some(prompt), target, ..request(now, "small", 1, 1) }
 }
 
-/// Returns the work that a workspace at one router asks for in six seconds, and what it is granted, while others are granted
+/// Returns the work that a workspace at one router asks for in six seconds with a request each `period_ms`, and what it is granted, while others are granted
 /// some ten million tokens and engines are reported beyond their limit on waiting prompt tokens.
-fn replay() -> (u64, u64) {
+fn replay(period_ms: u64) -> (u64, u64) {
     let service = Name::new(SERVICE);
     let mut core = core("router-0", ENGINES);
     let others: Vec<Name> = (1..ROUTERS).map(|n| Name::new(&format!("router-{n}"))).collect();
@@ -111,8 +113,8 @@
             .into_iter()
             .map(|(ticket, decision)| (waiting.swap_remove(&ticket).expect("waiting"), decision))
             .collect();
-        if at % PERIOD_MS == 0 {
-            let request = small_request(now, (at / PERIOD_MS) as usize);
+        if at % period_ms == 0 {
+            let request = small_request(now, (at / period_ms) as usize);
             let work = request.work();
             asked += work;
             match core.submit(now, request) {
@@ -146,7 +148,15 @@
 /// In six seconds it gets half of what it asks, less three of the largest requests: others get far more.
 #[test]
 fn a_workspace_that_asks_for_little_gets_half_of_it_beside_engines_beyond_their_limits() {
-    let (asked, granted) = replay();
+    let (asked, granted) = replay(PERIOD_MS);
+    let largest = small_request(ms(START_MS), PROMPTS.len() - 1).work();
+    assert!(granted + 3 * largest >= asked / 2, "granted {granted} of {asked}");
+}
+
+/// The same for one that asks for more than half of its share, and has been granted much less than it is owed.
+#[test]
+fn a_workspace_far_behind_its_share_gets_half_of_what_it_asks_beside_engines_beyond_their_limits() {
+    let (asked, granted) = replay(SHORT_PERIOD_MS);
     let largest = small_request(ms(START_MS), PROMPTS.len() - 1).work();
     assert!(granted + 3 * largest >= asked / 2, "granted {granted} of {asked}");
 }
