--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -37,12 +37,19 @@
 /// The largest random increase of a cost, as a fraction, so that routers with the same figures choose different
 /// runners.
 const COST_JITTER: f64 = 0.1;
+/// The mean number of runners whose costs are compared for a request, beside those that hold its shared part. With all
+/// compared, routers whose figures are equally old choose the same runners.
+const SAMPLED_RUNNERS: f64 = 12.0;
+/// The weight of a request's own prompt tokens relative to those that wait. Below 1, long prompts don't all go to the
+/// fastest runners.
+const OWN_PROMPT_WEIGHT: f64 = 0.6;
 /// The cost of an expected failure, in prompt tokens.
 const FAILURE_TOKENS: f64 = 20_000.0;
 /// The cost of a shared token that is fetched from another runner, in waiting prompt tokens.
 const FETCHED_TOKEN_COST: f64 = 0.5;
-/// The cost of a runner in another zone, in waiting prompt tokens; small, so that a busy zone passes its work on.
-const OTHER_ZONE_TOKENS: f64 = 400.0;
+/// The cost of a runner in another zone, in waiting prompt tokens. The load of other zones is known later, and a busy zone
+/// still passes its work on.
+const OTHER_ZONE_TOKENS: f64 = 3_000.0;
 /// The cost of a plain runner in another zone, as a fraction of its slots in use.
 const OTHER_ZONE_BUSY: f64 = 0.34;
 /// The number of runners in a zone from which on shared parts are held in each zone by itself.
@@ -67,10 +74,14 @@
     pub(crate) adaptive_limit: &'a AdaptiveLimit,
     /// The fraction of these limits that the workspace may fill.
     pub(crate) fraction: f64,
+    /// The fraction of the limit on waiting prompt tokens that it may fill beyond this limit.
+    pub(crate) backlog_reserve: f64,
     /// The places at the engines of the service that this router may use.
     pub(crate) lease: Lease,
     /// Whether a request may be placed beyond it.
     pub(crate) is_beyond_lease: bool,
+    /// Whether the runner is chosen among those that receive requests on trial.
+    pub(crate) is_canary: bool,
     /// The load that is expected at each runner.
     pub(crate) expectation: Expectation,
     /// The limits that hold over all routers, with the names of this router and its peers.
@@ -111,6 +122,11 @@
         self.running.min(runner.registration.slots).min(engine.slots)
     }
 
+    /// Returns the number of prompt tokens that may wait at a runner; they take the same time at each.
+    fn backlog_at(&self, runner: &Runner, now: Duration) -> u64 {
+        (self.backlog as f64 / runner.pace.factor(now)) as u64
+    }
+
     /// Returns whether the number of running requests allows one more at a runner with this load.
     fn may_run(&self, load: Load, runner: &Runner, engine: &Engine) -> bool {
         load.running < self.running_at(runner, engine)
@@ -123,9 +139,23 @@
         Self { is_beyond_lease: is_beyond, ..self }
     }
 
+    /// Returns the selector for a request on trial.
+    ///
+    /// Requests on trial are few, and a lease of the few runners that receive them would allow a router none.
+    pub(crate) const fn on_trial(self, is_limited: bool) -> Self {
+        Self { is_canary: true, is_beyond_lease: self.is_beyond_lease || is_limited, ..self }
+    }
+
+    /// Returns the runners of a service among which one is chosen.
+    fn serving<'b>(&'b self, service: &'b str) -> impl Iterator<Item = (Key, &'b Runner)> {
+        let regular = (!self.is_canary).then(|| self.registry.serving(service));
+        let canaries = self.is_canary.then(|| self.registry.canaries(service));
+        regular.into_iter().flatten().chain(canaries.into_iter().flatten())
+    }
+
     /// Chooses the runner with the lowest cost, or `None` if it has no capacity and the request may still wait for it.
     pub(crate) fn choose(&self, request: &Request) -> Option<Choice> {
-        let serving = || self.registry.serving(request.service.as_str());
+        let serving = || self.serving(request.service.as_str());
         if !serving().any(|(_, runner)| self.may_have_capacity(runner, request)) {
             return None;
         }
@@ -133,7 +163,24 @@
             return None;
         }
         let ranks = self.ranks(request);
-        let usable = serving().filter(|(key, runner)| self.is_usable(*key, runner, request));
+        let usable = || serving().filter(|(key, runner)| self.is_usable(*key, runner, request));
+        let fraction = SAMPLED_RUNNERS / usable().count().max(1) as f64;
+        let sampled = usable()
+            .filter(|(key, runner)| ranks.contains(key) || self.is_sampled(runner, fraction));
+        let best = self.best(request, &ranks, sampled).filter(|best| best.has_capacity);
+        let best = best.or_else(|| self.best(request, &ranks, usable()))?;
+        let source = self.source(request, &ranks, best.key);
+        best.has_capacity.then_some(Choice { runner: best.key, source })
+    }
+
+    /// Returns the runner with the lowest cost; one without capacity only while the request may wait for it.
+    fn best<'a>(
+        &self,
+        request: &Request,
+        ranks: &[Key],
+        usable: impl Iterator<Item = (Key, &'a Runner)>,
+    ) -> Option<Candidate> {
+        let may_wait = self.now < request.arrived + max_preferred_wait(request);
         let candidates = usable.map(|(key, runner)| {
             let missing = missing_tokens(runner, request, self.now);
             let rank = ranks.iter().position(|ranked| *ranked == key);
@@ -142,11 +189,8 @@
             let is_last_resort = runner.health.is_half_open() && !probes_first(request);
             Candidate { key, is_last_resort, cost, has_capacity }
         });
-        let may_wait = self.now < request.arrived + max_preferred_wait(request);
         let candidates = candidates.filter(|candidate| candidate.has_capacity || may_wait);
-        let best = candidates.min_by_key(|candidate| (candidate.is_last_resort, candidate.cost))?;
-        let source = self.source(request, &ranks, best.key);
-        best.has_capacity.then_some(Choice { runner: best.key, source })
+        candidates.min_by_key(|candidate| (candidate.is_last_resort, candidate.cost))
     }
 
     /// Returns whether any runner has room for a request of the workspace that needs no processing of its prompt.
@@ -155,11 +199,12 @@
     pub(crate) fn has_room(&self) -> bool {
         let Some(engine) = self.service.engine else { return true };
         let limits = self.workspace_limits();
-        let mut serving = self.registry.serving(self.service.name.as_str());
+        let mut serving = self.serving(self.service.name.as_str());
         self.lease_limit().is_none()
             && serving.any(|(_, runner)| {
                 let load = self.expectation.load(runner);
-                limits.may_run(load, runner, &engine) && load.backlog <= limits.backlog
+                limits.may_run(load, runner, &engine)
+                    && load.backlog <= limits.backlog_at(runner, self.now)
             })
     }
 
@@ -167,12 +212,12 @@
     pub(crate) fn has_usable_room(&self) -> bool {
         let Some(engine) = self.service.engine else { return false };
         let limits = self.workspace_limits();
-        let mut serving = self.registry.serving(self.service.name.as_str());
+        let mut serving = self.serving(self.service.name.as_str());
         serving.any(|(_, runner)| {
             let load = self.expectation.load(runner);
             runner.may_be_sent(self.now)
                 && limits.may_run(load, runner, &engine)
-                && load.backlog < limits.backlog
+                && load.backlog < limits.backlog_at(runner, self.now)
                 && load.memory < usable_memory(&engine)
         })
     }
@@ -182,11 +227,11 @@
         let mut room = EngineRoom::default();
         let Some(engine) = self.service.engine else { return room };
         let limits = self.workspace_limits();
-        for (_, runner) in self.registry.serving(self.service.name.as_str()) {
+        for (_, runner) in self.serving(self.service.name.as_str()) {
             let load = self.expectation.load(runner);
             let count = if !limits.may_run(load, runner, &engine) {
                 &mut room.at_running_limit
-            } else if load.backlog >= limits.backlog {
+            } else if load.backlog >= limits.backlog_at(runner, self.now) {
                 &mut room.at_backlog_limit
             } else if load.memory >= usable_memory(&engine) {
                 &mut room.at_memory_limit
@@ -210,7 +255,7 @@
     }
 
     fn count_openings(&self, request: &Request) -> u32 {
-        let serving = self.registry.serving(request.service.as_str());
+        let serving = self.serving(request.service.as_str());
         let usable = serving.filter(|(key, runner)| self.is_usable(*key, runner, request));
         let open = usable.filter(|(_, runner)| {
             let missing = missing_tokens(runner, request, self.now);
@@ -230,12 +275,12 @@
         let engine = self.service.engine?;
         let limits = self.workspace_limits();
         let mut places = Places::default();
-        let serving = self.registry.serving(self.service.name.as_str());
+        let serving = self.serving(self.service.name.as_str());
         let usable = serving.filter(|(_, runner)| runner.may_be_sent(self.now));
         for (_, runner) in usable {
             places.own.add(runner.own_load);
             places.running += f64::from(limits.running_at(runner, &engine));
-            places.backlog += limits.backlog as f64;
+            places.backlog += limits.backlog_at(runner, self.now) as f64;
         }
         Some(places)
     }
@@ -243,7 +288,7 @@
     fn workspace_limits(&self) -> WorkspaceLimits {
         let limits = self.adaptive_limit.limits();
         WorkspaceLimits {
-            backlog: (limits.backlog as f64 * self.fraction) as u64,
+            backlog: (limits.backlog as f64 * (self.fraction + self.backlog_reserve)) as u64,
             running: (f64::from(limits.running) * self.fraction).ceil() as u32,
         }
     }
@@ -259,7 +304,7 @@
         let zone = self.registry.get(chosen).map(|runner| &runner.registration.zone);
         let preferred = ranks.first().copied();
         let is_preferred = preferred == Some(chosen);
-        let serving = self.registry.serving(request.service.as_str());
+        let serving = self.serving(request.service.as_str());
         let others = serving.filter(|(key, _)| *key != chosen);
         let usable = others.filter(|(_, runner)| runner.health.is_usable(self.now));
         let holders = usable.filter_map(|(key, runner)| {
@@ -283,7 +328,7 @@
     fn ranks(&self, request: &Request) -> Vec<Key> {
         let affinity = request.prompt.as_ref().map(Prompt::affinity).filter(|part| *part != 0);
         let Some(affinity) = affinity else { return Vec::new() };
-        let serving = || self.registry.serving(request.service.as_str());
+        let serving = || self.serving(request.service.as_str());
         let is_near = |runner: &Runner| runner.registration.zone == self.fleet_limits.zone;
         let near_count = serving().filter(|(_, runner)| is_near(runner)).count();
         let is_zone_large = near_count >= MIN_ZONE_RUNNERS;
@@ -340,11 +385,12 @@
             return load.running < slots.saturating_add(slots.div_ceil(PLAIN_SURPLUS_DIVISOR));
         };
         let limits = self.workspace_limits();
-        let missing = missing.min(limits.backlog / 2);
+        let backlog = limits.backlog_at(runner, self.now);
+        let missing = missing.min(backlog / 2);
         let has_memory = load.memory + request.memory() <= usable_memory(&engine);
         limits.may_run(load, runner, &engine)
             && (has_memory || load.running == 0)
-            && load.backlog + missing <= limits.backlog
+            && load.backlog + missing <= backlog
     }
 
     fn cost(&self, runner: &Runner, request: &Request, missing: u64, rank: Option<usize>) -> u64 {
@@ -357,14 +403,22 @@
             let distance = if is_near { 0.0 } else { OTHER_ZONE_BUSY };
             return (((busy + distance) * 1_000.0 + failure_ratio * 4_000.0) * jitter) as u64;
         };
-        let waiting = load.backlog + u64::from(load.running) * RUNNING_TOKENS;
+        let waiting = (load.backlog + u64::from(load.running) * RUNNING_TOKENS) as f64;
         let cached = rank.map_or(0.0, |rank| CACHED_FRACTIONS[rank]);
         let unshared = prompt.input.saturating_sub(prompt.shared());
         let missing_shared = missing.saturating_sub(unshared) as f64;
         let fetched = missing_shared.min(prompt.shared() as f64 * (1.0 - cached));
         let failures = failure_ratio * FAILURE_TOKENS;
         let distance = if is_near { 0.0 } else { OTHER_ZONE_TOKENS };
-        (waiting as f64 * jitter + FETCHED_TOKEN_COST * fetched + distance + failures) as u64
+        let read = waiting * jitter + OWN_PROMPT_WEIGHT * missing as f64;
+        let factor = runner.pace.factor(self.now);
+        (read * factor + FETCHED_TOKEN_COST * fetched + distance + failures) as u64
+    }
+
+    /// Returns whether a runner is among those whose costs are compared for the present request.
+    fn is_sampled(&self, runner: &Runner, fraction: f64) -> bool {
+        let weight = rendezvous::weight(!self.salt, runner.registration.id.as_str());
+        weight as f64 / (u64::MAX as f64) < fraction
     }
 
     fn jitter(&self, runner: &Runner) -> f64 {
--- a/crates/balance/src/runner.rs
+++ b/crates/balance/src/runner.rs
@@ -8,11 +8,13 @@
 
 use crate::Health;
 use crate::Load;
+use crate::Pace;
 use crate::PeerLoads;
 use crate::PrefixCache;
 use crate::Start;
 use crate::Window;
 use crate::rendezvous;
+use crate::rollout::Role;
 
 slotmap::new_key_type! {
     /// The key of a runner in the registry.
@@ -39,6 +41,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: Name,
+    /// The version of the service that it runs, if it states one.
+    pub version: Option<Name>,
     /// The maximum number of concurrent requests.
     pub slots: u32,
     /// Whether it is draining before it leaves.
@@ -74,6 +78,8 @@
     pub health: Health,
     /// The time until which it wants no requests of this router.
     pub(crate) paused_until: Option<Duration>,
+    /// How long work takes there.
+    pub pace: Pace,
     /// The prompt parts that it is assumed to hold.
     pub prefix_cache: PrefixCache,
     /// The load that this router has placed on it.
@@ -82,6 +88,8 @@
     pub peer_loads: PeerLoads,
     /// The requests that were sent while it was cold.
     pub cold_sent: Window,
+    /// The requests that it receives during a rollout.
+    pub(crate) role: Role,
 }
 
 impl Runner {
@@ -94,10 +102,12 @@
             cold_until: Duration::ZERO,
             health: Health::default(),
             paused_until: None,
+            pace: Pace::default(),
             prefix_cache: PrefixCache::default(),
             own_load: Load::default(),
             peer_loads: PeerLoads::default(),
             cold_sent: Window::new(COLD_WINDOW),
+            role: Role::default(),
         };
         runner.extend_cold_period(now);
         runner
--- a/crates/relay/src/buffer.rs
+++ b/crates/relay/src/buffer.rs
@@ -5,16 +5,27 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
+
+use budget::Budget;
+use budget::Class;
+use budget::Refused;
 
 /// Maximum size of all incomplete answers together, in bytes.
 const MAX_BYTES: usize = 16 << 20;
 /// Maximum size of one incomplete answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
-/// The number of bytes of incomplete answers.
-#[derive(Debug, Clone, Default)]
+/// The size up to which an answer is covered by the part of the memory that its client's connection has, in bytes.
+const UNCOUNTED_BYTES: usize = 4 << 10;
+/// How long an answer waits for memory that others hold.
+const MEMORY_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The number of bytes of incomplete answers, which also count towards the budget of the process.
+#[derive(Debug, Clone)]
 pub(crate) struct Buffer {
     used: Rc<Cell<usize>>,
+    budget: Budget,
 }
 
 /// The bytes of one answer, released when dropped.
@@ -22,41 +33,94 @@
 pub(crate) struct Reservation {
     buffer: Buffer,
     bytes: usize,
+    owner: u64,
+    /// The memory of the bytes; `None` while they are few, or once it belongs to the complete answer.
+    memory: Option<budget::Reservation>,
 }
 
 impl Buffer {
-    /// Returns a reservation for an answer of which nothing has arrived yet.
-    pub(crate) fn reservation(&self) -> Reservation {
-        Reservation { buffer: self.clone(), bytes: 0 }
+    /// Creates a buffer whose bytes count towards `budget`.
+    pub(crate) fn new(budget: Budget) -> Self {
+        Self { used: Rc::default(), budget }
+    }
+
+    /// Returns a reservation for an answer to `owner` of which nothing has arrived yet.
+    pub(crate) fn reservation(&self, owner: u64) -> Reservation {
+        Reservation { buffer: self.clone(), bytes: 0, owner, memory: None }
     }
 }
 
 impl Reservation {
     /// Sets the number of bytes that the answer occupies; returns `false` if they are too many.
     pub(crate) fn resize(&mut self, bytes: usize) -> bool {
-        let others = self.buffer.used.get() - self.bytes;
-        if bytes > MAX_ANSWER_BYTES || others + bytes > MAX_BYTES {
+        if !self.has_room(bytes) {
             return false;
         }
-        self.buffer.used.set(others + bytes);
-        self.bytes = bytes;
+        if let Some(memory) = self.memory_for(bytes) {
+            let counted = memory.bytes();
+            if bytes > counted && !memory.try_grow(bytes - counted) {
+                return false;
+            }
+            memory.shrink(counted.saturating_sub(bytes));
+        }
+        self.set(bytes);
         true
     }
 
     /// Gives all memory of the answer back.
     pub(crate) fn release(&mut self) {
-        self.buffer.used.set(self.buffer.used.get() - self.bytes);
-        self.bytes = 0;
+        self.memory = None;
+        self.set(0);
     }
 
-    /// Adds bytes to the answer; returns `false` if they are too many.
-    pub(crate) fn add(&mut self, bytes: usize) -> bool {
-        self.resize(self.bytes + bytes)
+    /// Adds bytes to the answer; waits for memory that others hold.
+    ///
+    /// # Errors
+    /// Returns the reason why the answer may not have them.
+    pub(crate) async fn add(&mut self, bytes: usize) -> Result<(), Refused> {
+        let sum = self.bytes + bytes;
+        if !self.has_room(sum) {
+            return Err(Refused::TooLarge);
+        }
+        if let Some(memory) = self.memory_for(sum) {
+            let counted = memory.bytes();
+            memory.grow(sum.saturating_sub(counted), MEMORY_TIMEOUT).await?;
+        }
+        if !self.has_room(sum) {
+            return Err(Refused::TooLarge);
+        }
+        self.set(sum);
+        Ok(())
+    }
+
+    /// Returns the memory of the answer, which has arrived whole.
+    pub(crate) fn complete(mut self) -> Option<budget::Reservation> {
+        self.set(0);
+        self.memory.take()
+    }
+
+    /// Returns the memory that counts this many bytes; `None` if they are too few to be counted.
+    fn memory_for(&mut self, bytes: usize) -> Option<&budget::Reservation> {
+        if bytes > UNCOUNTED_BYTES && self.memory.is_none() {
+            self.memory = Some(self.buffer.budget.reservation(self.owner, Class::Needed));
+        }
+        self.memory.as_ref()
+    }
+
+    /// Returns whether the limits on incomplete answers allow this size of the answer.
+    fn has_room(&self, bytes: usize) -> bool {
+        let others = self.buffer.used.get() - self.bytes;
+        bytes <= MAX_ANSWER_BYTES && others + bytes <= MAX_BYTES
+    }
+
+    fn set(&mut self, bytes: usize) {
+        self.buffer.used.set(self.buffer.used.get() - self.bytes + bytes);
+        self.bytes = bytes;
     }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.release();
+        self.set(0);
     }
 }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -9,6 +9,7 @@
 use balance::Cause;
 use balance::Runner;
 use balance::Start;
+use balance::rollout;
 use hmac::Hmac;
 use hmac::Mac;
 use serde::Deserialize;
@@ -111,6 +112,17 @@
     pub(crate) is_quarantined: bool,
 }
 
+/// How long work takes at a runner, as it has stated it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RunnerPace {
+    /// The runner's id.
+    pub(crate) runner: Digest,
+    /// In percent of the usual time.
+    pub(crate) percent: u32,
+    /// The time since the statement, in milliseconds.
+    pub(crate) age_ms: u32,
+}
+
 /// The sender's view of a topic of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct TopicStatus {
@@ -200,6 +212,12 @@
     /// What the routers of the zone know about crashes of runners.
     #[serde(skip)]
     pub(crate) crash_evidence: Vec<CrashEvidence>,
+    /// How long work takes at runners, by the newest statements that routers of the zone have seen.
+    #[serde(skip)]
+    pub(crate) paces: Vec<RunnerPace>,
+    /// The rollouts, with the sums of the evidence of the zone.
+    #[serde(skip)]
+    pub(crate) rollouts: Vec<rollout::Report>,
 }
 
 /// The part of a datagram that routers of earlier versions ignore.
@@ -226,10 +244,16 @@
     /// What the sender has seen of crashes of runners.
     #[serde(skip)]
     pub(crate) crash_evidence: Vec<CrashEvidence>,
+    /// How long work takes at runners, by statements that the sender has seen since its last heartbeat.
+    #[serde(skip)]
+    pub(crate) paces: Vec<RunnerPace>,
+    /// The rollouts, with the evidence of the sender.
+    #[serde(skip)]
+    pub(crate) rollouts: Vec<rollout::Report>,
 }
 
-/// The departures of runners that [`Extension::leaving`] does not name; the last part of a datagram, which earlier versions
-/// ignore.
+/// The departures of runners that [`Extension::leaving`] does not name; the part of a datagram after the crash report, which
+/// earlier versions ignore.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct DepartureReport {
     /// The position after the last change of runners that is no departure.
@@ -271,6 +295,23 @@
     by_zone: Vec<Vec<CrashEvidence>>,
 }
 
+/// The part of a datagram that tells how long work takes at runners.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct PaceReport {
+    own: Vec<RunnerPace>,
+    /// Those of each zone whose sums are told, in the order of the sums.
+    by_zone: Vec<Vec<RunnerPace>>,
+}
+
+/// The last part of a datagram, which earlier versions ignore and which is left out while there are no rollouts.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct RolloutReports {
+    /// Those of the sender.
+    own: Vec<rollout::Report>,
+    /// Those of each zone, in the order of [`Extension::sums`].
+    by_zone: Vec<Vec<rollout::Report>>,
+}
+
 /// A received heartbeat, and the newest heartbeat of the receiver that it acknowledges.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Received {
@@ -297,10 +338,21 @@
         by_zone: extension.sums.iter().map(|sums| sums.crash_evidence.clone()).collect(),
     };
     let encoded = postcard::to_extend(&crash_report, encoded).ok()?;
-    match &extension.departures {
-        Some(departures) => postcard::to_extend(departures, encoded).ok(),
-        None => Some(encoded),
+    let Some(departures) = &extension.departures else { return Some(encoded) };
+    let encoded = postcard::to_extend(departures, encoded).ok()?;
+    let pace_report = PaceReport {
+        own: extension.paces.clone(),
+        by_zone: extension.sums.iter().map(|sums| sums.paces.clone()).collect(),
+    };
+    let encoded = postcard::to_extend(&pace_report, encoded).ok()?;
+    let rollouts = RolloutReports {
+        own: extension.rollouts.clone(),
+        by_zone: extension.sums.iter().map(|sums| sums.rollouts.clone()).collect(),
+    };
+    if rollouts.own.is_empty() && rollouts.by_zone.iter().all(Vec::is_empty) {
+        return Some(encoded);
     }
+    postcard::to_extend(&rollouts, encoded).ok()
 }
 
 /// Decodes an extension, with the later parts of the datagram if the sender's version has them.
@@ -310,7 +362,17 @@
         postcard::take_from_bytes(rest).unwrap_or_default();
     let (crash_report, rest): (CrashReport, &[u8]) =
         postcard::take_from_bytes(rest).unwrap_or_default();
-    extension.departures = postcard::from_bytes(rest).ok();
+    let departures = postcard::take_from_bytes(rest).ok();
+    let (departures, rest) = departures.map_or((None, &[][..]), |(told, rest)| (Some(told), rest));
+    let (pace_report, rest): (PaceReport, &[u8]) =
+        postcard::take_from_bytes(rest).unwrap_or_default();
+    let rollouts: RolloutReports = postcard::from_bytes(rest).unwrap_or_default();
+    extension.departures = departures;
+    extension.paces = pace_report.own;
+    extension.rollouts = rollouts.own;
+    for (sums, reports) in extension.sums.iter_mut().zip(rollouts.by_zone) {
+        sums.rollouts = reports;
+    }
     extension.shortage = supplement.shortage;
     extension.leaving = supplement.leaving;
     extension.eras = supplement.eras;
@@ -318,6 +380,9 @@
     for (sums, shortage) in extension.sums.iter_mut().zip(supplement.shortage_by_zone) {
         sums.shortage = shortage;
     }
+    for (sums, paces) in extension.sums.iter_mut().zip(pace_report.by_zone) {
+        sums.paces = paces;
+    }
     for (sums, crash_evidence) in extension.sums.iter_mut().zip(crash_report.by_zone) {
         sums.crash_evidence = crash_evidence;
     }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use balance::Limit;
+use base::Name;
+use budget::Figures;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
@@ -31,25 +33,49 @@
     limit: String,
 }
 
+/// The labels of a counter per version of a service that is rolled out.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct VersionResponse {
+    service: String,
+    version: String,
+    outcome: &'static str,
+}
+
 /// The label of a histogram per kind of route.
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct Kind {
     kind: String,
 }
 
+/// The label of a histogram per route.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Route {
+    route: String,
+}
+
 /// The metrics of a router.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
     events: Family<Event, Counter>,
     refusals: Family<RefusingLimit, Counter>,
+    versions: Family<VersionResponse, Counter>,
     answers: Family<Kind, Histogram>,
+    first_events: Family<Route, Histogram>,
+    pauses: Family<Route, Histogram>,
     waiting: Gauge,
     configuration_age: Gauge,
     departures_age: Gauge,
     runners: Gauge,
     routers: Gauge,
     quarantined: Gauge,
+    memory: Family<MemoryLabel, Gauge>,
+}
+
+/// The label of a gauge per figure of the memory budget.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct MemoryLabel {
+    figure: &'static str,
 }
 
 /// The values of the gauges at one moment.
@@ -67,6 +93,8 @@
     pub routers: usize,
     /// The number of quarantined causes of crashes.
     pub quarantined: usize,
+    /// The figures of the memory budget.
+    pub memory: Figures,
 }
 
 impl Default for Metrics {
@@ -74,9 +102,10 @@
         let mut registry = Registry::with_prefix("aspenline");
         let events = Family::<Event, Counter>::default();
         let refusals = Family::<RefusingLimit, Counter>::default();
-        let answers = Family::<Kind, Histogram>::new_with_constructor(|| {
-            Histogram::new(exponential_buckets(FIRST_BUCKET, BUCKET_FACTOR, BUCKETS))
-        });
+        let answers = Family::<Kind, Histogram>::new_with_constructor(histogram);
+        let first_events = Family::<Route, Histogram>::new_with_constructor(histogram);
+        let pauses = Family::<Route, Histogram>::new_with_constructor(histogram);
+        let versions = Family::<VersionResponse, Counter>::default();
         let (waiting, configuration_age, departures_age) =
             (Gauge::default(), Gauge::default(), Gauge::default());
         let (runners, routers, quarantined) =
@@ -84,7 +113,13 @@
         registry.register("events", "Events by name, as in the log", events.clone());
         let help = "Refused requests by what kept them from the engines, as in the log";
         registry.register("refusals", help, refusals.clone());
+        let help = "Responses by version during rollouts";
+        registry.register("rollout_responses", help, versions.clone());
         registry.register("answer_seconds", "Time to the head of an answer", answers.clone());
+        let help = "Time from the arrival of a request to the first event of its stream";
+        registry.register("first_event_seconds", help, first_events.clone());
+        let help = "Longest time between two events of a complete stream";
+        registry.register("longest_pause_seconds", help, pauses.clone());
         registry.register("waiting_requests", "Requests that wait for a runner", waiting.clone());
         let age = "Age of the configuration in milliseconds, -1 if unknown";
         registry.register("configuration_age_ms", age, configuration_age.clone());
@@ -94,17 +129,24 @@
         registry.register("live_routers", "Other routers that are alive", routers.clone());
         let help = "Causes of runner crashes that are quarantined";
         registry.register("quarantined_causes", help, quarantined.clone());
+        let memory = Family::<MemoryLabel, Gauge>::default();
+        let help = "Memory budget: bytes held, peak and total; evicted, refused and closed since the start";
+        registry.register("memory_budget", help, memory.clone());
         Self {
             registry,
             events,
             refusals,
+            versions,
             answers,
+            first_events,
+            pauses,
             waiting,
             configuration_age,
             departures_age,
             runners,
             routers,
             quarantined,
+            memory,
         }
     }
 }
@@ -121,12 +163,34 @@
         self.refusals.get_or_create(&RefusingLimit { limit }).inc();
     }
 
+    /// Counts a response of a runner of a version during a rollout.
+    pub fn count_response(&self, service: &Name, version: Option<&Name>, is_bad: bool) {
+        let response = VersionResponse {
+            service: service.to_string(),
+            version: version.map(ToString::to_string).unwrap_or_default(),
+            outcome: if is_bad { "bad" } else { "good" },
+        };
+        self.versions.get_or_create(&response).inc();
+    }
+
     /// Records the time to the head of an answer.
     pub fn record_answer(&self, kind: balance::Kind, took: Duration) {
         let kind = Kind { kind: kind.to_string() };
         self.answers.get_or_create(&kind).observe(took.as_secs_f64());
     }
 
+    /// Records the time to the first event of a stream.
+    pub fn record_first_event(&self, route: &Name, took: Duration) {
+        let route = Route { route: route.to_string() };
+        self.first_events.get_or_create(&route).observe(took.as_secs_f64());
+    }
+
+    /// Records the longest time between two events of a complete stream.
+    pub fn record_pause(&self, route: &Name, pause: Duration) {
+        let route = Route { route: route.to_string() };
+        self.pauses.get_or_create(&route).observe(pause.as_secs_f64());
+    }
+
     /// Returns all metrics as text.
     #[must_use]
     pub fn text(&self, gauges: Gauges) -> String {
@@ -136,6 +200,17 @@
         self.runners.set(to_i64(gauges.runners));
         self.routers.set(to_i64(gauges.routers));
         self.quarantined.set(to_i64(gauges.quarantined));
+        let Figures { held, total, peak, evicted, refused, closed } = gauges.memory;
+        for (figure, value) in [
+            ("held_bytes", to_i64(held)),
+            ("peak_bytes", to_i64(peak)),
+            ("total_bytes", to_i64(total)),
+            ("evicted", to_i64(evicted)),
+            ("refused", to_i64(refused)),
+            ("closed", to_i64(closed)),
+        ] {
+            self.memory.get_or_create(&MemoryLabel { figure }).set(value);
+        }
         let mut output = String::new();
         if let Err(error) = text::encode(&mut output, &self.registry) {
             log::error!("failed to encode the metrics: {error}");
@@ -144,6 +219,10 @@
     }
 }
 
+fn histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET, BUCKET_FACTOR, BUCKETS))
+}
+
 fn to_i64<T: TryInto<i64>>(value: T) -> i64 {
     value.try_into().unwrap_or(i64::MAX)
 }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -5,11 +5,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use balance::rollout;
 use base::Name;
 use error_stack::Report;
 use json_comments::StripComments;
 use serde::Deserialize;
 
+use crate::capacity;
+
 /// An error in a settings file.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Error(String);
@@ -42,6 +45,12 @@
     pub grace_s: f64,
     /// The limits that hold over all routers together.
     pub bounds: Bounds,
+    /// The memory of the instance, in MiB; `None` for that of the machine.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
+    /// The maximum number of file descriptors; `None` for the limit of the process.
+    #[serde(default)]
+    pub max_descriptors: Option<u64>,
 }
 
 /// The addresses at which requests are accepted.
@@ -77,6 +86,15 @@
     /// How long a runner still serves after it has reported that it leaves, in milliseconds; `None` if that is unknown.
     #[serde(default)]
     pub leaving_ms: Option<u64>,
+    /// The fraction of the requests to a service that may reach a bad version of it.
+    #[serde(default)]
+    pub expose_share: Option<f64>,
+    /// Requests that may reach a bad version in addition.
+    #[serde(default)]
+    pub expose_slack: Option<f64>,
+    /// The time after which no request reaches a version that was found bad, in milliseconds.
+    #[serde(default)]
+    pub rollback_ms: Option<u64>,
 }
 
 impl Settings {
@@ -114,8 +132,21 @@
         self.bounds.leaving_ms.map(Duration::from_millis)
     }
 
+    /// Returns the limits on the requests that may reach a bad version.
+    #[must_use]
+    pub fn rollout_bounds(&self) -> rollout::Bounds {
+        let default = rollout::Bounds::default();
+        let bounds = &self.bounds;
+        rollout::Bounds {
+            share: bounds.expose_share.unwrap_or(default.share),
+            slack: bounds.expose_slack.unwrap_or(default.slack),
+            rollback: bounds.rollback_ms.map_or(default.rollback, Duration::from_millis),
+        }
+    }
+
     fn check(&self) -> Result<(), Report<Error>> {
         let bounds = &self.bounds;
+        let rollout = self.rollout_bounds();
         let numbers = [
             ("share", self.share, 0.001, "processors"),
             ("grace_s", self.grace_s, 0.1, "seconds"),
@@ -124,6 +155,8 @@
             ("bounds.retry_ratio", bounds.retry_ratio, 0.0, "retries a request"),
             ("bounds.retry_constant", bounds.retry_constant, 0.0, "retries"),
             ("bounds.retry_window_s", bounds.retry_window_s, 0.1, "seconds"),
+            ("bounds.expose_share", rollout.share, 0.0, "of the requests"),
+            ("bounds.expose_slack", rollout.slack, 0.0, "requests"),
         ];
         for (field, value, minimum, unit) in numbers {
             if !(value >= minimum && value.is_finite()) {
@@ -131,6 +164,30 @@
                 return Err(Report::new(Error(text)));
             }
         }
+        if rollout.share > 1.0 {
+            let text = format!("bounds.expose_share: {} is more than 1", rollout.share);
+            return Err(Report::new(Error(text)));
+        }
+        let counts = [
+            (
+                "memory_mb",
+                self.memory_mb,
+                capacity::MIN_MEMORY_MB,
+                "MiB: 24 for the process itself, a quarter for connections, the rest for bodies and answers",
+            ),
+            (
+                "max_descriptors",
+                self.max_descriptors,
+                capacity::MIN_DESCRIPTORS,
+                "descriptors: callers and requests to runners have three parts in eight each",
+            ),
+        ];
+        for (field, value, minimum, need) in counts {
+            if let Some(value) = value.filter(|value| *value < minimum) {
+                let text = format!("{field}: {value} is too small, at least {minimum} {need}");
+                return Err(Report::new(Error(text)));
+            }
+        }
         Ok(())
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -15,6 +15,7 @@
 
 use balance::Health;
 use balance::Kind;
+use base::Name;
 use bytes::Bytes;
 use conn::Connection;
 use http::header::CONTENT_LENGTH;
@@ -69,6 +70,8 @@
     EventTooLarge,
     /// No event has come for too long.
     Silent,
+    /// The runner is about to end, since another version of its service replaces it.
+    Replaced,
 }
 
 type ResumeFuture = Pin<Box<dyn Future<Output = Option<(Reply, AttemptHistory)>>>>;
@@ -91,11 +94,13 @@
     call: Rc<Call>,
     source: Option<Source>,
     /// The wait for another runner while this one is silent.
-    moving: Option<PermitFuture>,
+    moving: Option<(Break, PermitFuture)>,
     resuming: Option<ResumeFuture>,
     history: Option<AttemptHistory>,
     progress: Progress,
     is_sound: bool,
+    /// The time from the arrival of the request to the first event that was passed on.
+    first_event_after: Option<Duration>,
     /// The error that ends the stream.
     error: Option<Error>,
     check_timer: Pin<Box<Sleep>>,
@@ -120,12 +125,13 @@
         let stream = Self {
             router: Rc::clone(router),
             call: Rc::clone(call),
-            progress: Progress::new(reply.sent_at, router.buffer.reservation()),
+            progress: Progress::new(reply.sent_at, router.buffer.reservation(call.owner)),
             source: Some(Source::new(router, reply)),
             moving: None,
             resuming: None,
             history: Some(history),
             is_sound: false,
+            first_event_after: None,
             error: None,
             check_timer: Box::pin(time::sleep(CHECK_INTERVAL)),
         };
@@ -145,7 +151,12 @@
         if events.is_empty() {
             return None;
         }
-        self.moving = None;
+        self.moving.take_if(|(reason, _)| *reason == Break::Silent);
+        if self.first_event_after.is_none() {
+            let took = now.saturating_sub(self.call.arrived);
+            self.first_event_after = Some(took);
+            self.router.metrics.record_first_event(&self.call.route.name, took);
+        }
         Some(events)
     }
 
@@ -176,9 +187,11 @@
         }
         source.permit.record_answer();
         source.permit.record_sound();
+        source.permit.record_response(false);
         let runner = source.permit.grant.runner;
+        let source_id = source.permit.grant.id.clone();
         self.router.pool.borrow_mut().put(runner, source.connection, source.keep_alive);
-        self.log("stream_finished", String::new());
+        self.log_finished(&source_id);
         true
     }
 
@@ -187,11 +200,15 @@
     /// `permit` is that for the other runner, if the stream has waited for one.
     fn handle_break(&mut self, reason: Break, permit: Option<Permit>) -> Result<(), Error> {
         self.moving = None;
-        if let Some(source) = self.source.take() {
+        if let Some(mut source) = self.source.take() {
             if matches!(reason, Break::Broken | Break::UnfinishedEvent) {
                 source.permit.record_break(self.progress.data_for(self.router.now()));
+                source.permit.record_broken_response();
+            }
+            source.permit.record_response(reason != Break::Replaced);
+            if reason != Break::Replaced {
+                source.permit.update_health(Health::record_unreachable);
             }
-            source.permit.update_health(Health::record_unreachable);
             self.router.pool.borrow_mut().discard(source.permit.grant.runner);
         }
         self.progress.drop_partial();
@@ -228,10 +245,15 @@
             let now = self.router.now();
             if now >= self.call.deadline {
                 self.log("stream_broken", "timeout".to_owned());
+                if let Some(source) = &mut self.source {
+                    source.permit.record_response(true);
+                }
                 return Err(Error::Timeout);
             }
             if self.is_unresponsive(now) && self.may_resume() {
-                self.begin_move();
+                self.begin_move(Break::Silent);
+            } else if self.is_replaced(now) && self.may_resume() {
+                self.begin_move(Break::Replaced);
             }
         }
         Ok(())
@@ -246,28 +268,36 @@
         self.source.is_some() && self.progress.silent_for(now) > timeout
     }
 
+    /// Returns whether the runner is about to end, since another version replaces it.
+    fn is_replaced(&self, now: Duration) -> bool {
+        let version = self.source.as_ref().map(|source| source.permit.grant.version.as_ref());
+        let core = self.router.core.borrow();
+        version.is_some_and(|version| core.rollouts.ends_soon(now, &self.call.service, version))
+    }
+
     fn may_resume(&self) -> bool {
         let has_more =
             self.history.as_ref().is_some_and(|history| history.runs < self.call.route.attempts);
         self.call.route.kind == Kind::Resumable && has_more
     }
 
-    /// Begins to wait for another runner; the silent one may go on meanwhile.
-    fn begin_move(&mut self) {
+    /// Begins to wait for another runner; the present one may go on meanwhile.
+    fn begin_move(&mut self, reason: Break) {
         let Some(history) = self.history.clone().filter(|_| self.moving.is_none()) else { return };
         let (router, call) = (Rc::clone(&self.router), Rc::clone(&self.call));
-        self.moving =
-            Some(Box::pin(
-                async move { forward::permit_to_resume(&router, &call, &history).await },
-            ));
+        self.moving = Some((
+            reason,
+            Box::pin(async move { forward::permit_to_resume(&router, &call, &history).await }),
+        ));
     }
 
     /// Moves to another runner once one is free.
     fn poll_move(&mut self, context: &mut Context<'_>) -> Result<(), Error> {
-        let Some(moving) = &mut self.moving else { return Ok(()) };
+        let Some((reason, moving)) = &mut self.moving else { return Ok(()) };
+        let reason = *reason;
         match moving.as_mut().poll(context) {
             Poll::Pending => Ok(()),
-            Poll::Ready(Some(permit)) => self.handle_break(Break::Silent, Some(permit)),
+            Poll::Ready(Some(permit)) => self.handle_break(reason, Some(permit)),
             Poll::Ready(None) => {
                 self.moving = None;
                 self.progress.forgive_silence(self.router.now());
@@ -276,6 +306,18 @@
         }
     }
 
+    /// Logs and counts a complete stream with its time to the first event and its longest pause.
+    fn log_finished(&self, runner: &Name) {
+        let pause = self.progress.longest_pause();
+        self.router.metrics.record_pause(&self.call.route.name, pause);
+        let first = self.first_event_after.unwrap_or_default();
+        let mut line = forward::line(&self.call, "stream_finished").subject(runner.as_str());
+        line.took_ms = Some(event::millis(self.router.now().saturating_sub(self.call.arrived)));
+        let (first, pause) = (event::millis(first), event::millis(pause));
+        line.outcome = Some(format!("first event after {first} ms, longest pause {pause} ms"));
+        self.router.log(line);
+    }
+
     fn log(&self, event: &'static str, outcome: String) {
         let mut line = forward::line(&self.call, event).outcome(outcome);
         line.took_ms = Some(event::millis(self.router.now().saturating_sub(self.call.arrived)));
