--- a/crates/aspenline/tests/check.rs
+++ b/crates/aspenline/tests/check.rs
@@ -105,6 +105,12 @@
         ("{{^limits.memory_mb}}null{{/limits.memory_mb}}", ""),
         ("{{#limits.max_fds}}{{limits.max_fds|json}}{{/limits.max_fds}}", "3000"),
         ("{{^limits.max_fds}}null{{/limits.max_fds}}", ""),
+        ("{{#bounds.expose_share}}{{bounds.expose_share|json}}{{/bounds.expose_share}}", "0.15"),
+        ("{{^bounds.expose_share}}null{{/bounds.expose_share}}", ""),
+        ("{{#bounds.expose_slack}}{{bounds.expose_slack|json}}{{/bounds.expose_slack}}", "50"),
+        ("{{^bounds.expose_slack}}null{{/bounds.expose_slack}}", ""),
+        ("{{#bounds.rollback_ms}}{{bounds.rollback_ms|json}}{{/bounds.rollback_ms}}", "6000"),
+        ("{{^bounds.rollback_ms}}null{{/bounds.rollback_ms}}", ""),
     ] {
         assert!(text.contains(name), "{name} is not in the template");
         text = text.replace(name, value);
@@ -132,6 +138,7 @@
             "\"memory_mb\": 40",
             "memory_mb: 40 is too small, at least 48 MiB: 24",
         ),
+        ("0.15", "1.5", "bounds.expose_share: 1.5 is more than 1"),
         ("3000", "100", "max_descriptors: 100 is too small, at least 128 descriptors"),
     ] {
         let text = platform_settings().replace(from, to);
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -28,6 +28,7 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task;
+use tokio::task::JoinError;
 use tokio::task::JoinSet;
 use tokio::time;
 use tokio_util::sync::CancellationToken;
@@ -114,6 +115,7 @@
     {
         let mut connections = Connections::default();
         loop {
+            connections.remove_ended();
             let is_full = connections.clients.len() >= self.max_connections;
             if is_full {
                 connections.make_room(self.budget.as_ref());
@@ -168,7 +170,19 @@
 
     /// Waits until a connection has ended.
     async fn join_next(&mut self) {
-        match self.tasks.join_next_with_id().await {
+        let ended = self.tasks.join_next_with_id().await;
+        self.remove(ended);
+    }
+
+    /// Removes all connections that have ended; those that wait to be joined must not count as open.
+    fn remove_ended(&mut self) {
+        while let Some(ended) = self.tasks.try_join_next_with_id() {
+            self.remove(Some(ended));
+        }
+    }
+
+    fn remove(&mut self, ended: Option<Result<(task::Id, ()), JoinError>>) {
+        match ended {
             Some(Ok((id, ()))) => drop(self.clients.swap_remove(&id)),
             Some(Err(error)) => drop(self.clients.swap_remove(&error.id())),
             None => (),
--- a/crates/relay/tests/server.rs
+++ b/crates/relay/tests/server.rs
@@ -27,6 +27,10 @@
 const BODY_POLLS: usize = 20;
 /// Number of callers that connect at the same time.
 const CALLERS: usize = 400;
+/// Number of idle connections that are kept open.
+const KEPT: usize = 4;
+/// Number of callers that connect at the same time beside them.
+const CALLERS_AT_ONCE: usize = 8;
 /// Maximum number of connections that wait to be accepted.
 const WAITING: u32 = 1_024;
 
@@ -121,3 +125,51 @@
         count.max_concurrent.get()
     );
 }
+
+/// Opens a connection, gets one answer and keeps the connection open.
+async fn kept(address: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    stream.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").await.expect("written");
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"0\r\n\r\n") {
+        stream.read_buf(&mut answer).await.expect("read");
+    }
+    stream
+}
+
+/// Guards against a listener that counts ended connections as open and closes idle ones for lack of room.
+#[test]
+fn ended_connections_take_no_room_from_idle_ones() {
+    let runtime = runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let count = Rc::new(RequestCount::default());
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listener = Listener::bind(any, WAITING, Duration::from_secs(5)).expect("bound");
+        let listener = listener.max_connections(KEPT + 3 * CALLERS_AT_ONCE);
+        let address = listener.address().expect("an address");
+        let mut tasks = JoinSet::new();
+        let stop = CancellationToken::new();
+        tasks.spawn_local(listener.serve(handler(&count), stop.clone()));
+        let mut idle = Vec::new();
+        for _ in 0..KEPT {
+            idle.push(kept(address).await);
+        }
+        let mut callers = JoinSet::new();
+        for _ in 0..CALLERS_AT_ONCE {
+            callers.spawn_local(async move {
+                for _ in 0..CALLERS {
+                    count_pieces(address).await;
+                }
+            });
+        }
+        while callers.join_next().await.is_some() {}
+        for stream in &mut idle {
+            let mut byte = [0];
+            let read = tokio::time::timeout(Duration::from_millis(1), stream.read(&mut byte)).await;
+            assert!(read.is_err(), "an idle connection was closed");
+        }
+        stop.cancel();
+        drop(idle);
+        while tasks.join_next().await.is_some() {}
+    });
+}
