--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -47,9 +47,10 @@
 const FAILURE_TOKENS: f64 = 20_000.0;
 /// The cost of a shared token that is fetched from another runner, in waiting prompt tokens.
 const FETCHED_TOKEN_COST: f64 = 0.5;
-/// The cost of a runner in another zone, in waiting prompt tokens. The load of other zones is known later, and a busy zone
-/// still passes its work on.
-const OTHER_ZONE_TOKENS: f64 = 3_000.0;
+/// The cost of a runner in another zone, in waiting prompt tokens; small, so that a busy zone passes its work on.
+const OTHER_ZONE_TOKENS: f64 = 400.0;
+/// The same for a router whose zone has enough runners for itself. The load of other zones is known later.
+const OTHER_LARGE_ZONE_TOKENS: f64 = 3_000.0;
 /// The cost of a plain runner in another zone, as a fraction of its slots in use.
 const OTHER_ZONE_BUSY: f64 = 0.34;
 /// The number of runners in a zone from which on shared parts are held in each zone by itself.
@@ -181,10 +182,12 @@
         usable: impl Iterator<Item = (Key, &'a Runner)>,
     ) -> Option<Candidate> {
         let may_wait = self.now < request.arrived + max_preferred_wait(request);
+        let is_zone_large = self.is_zone_large();
+        let zone_cost = if is_zone_large { OTHER_LARGE_ZONE_TOKENS } else { OTHER_ZONE_TOKENS };
         let candidates = usable.map(|(key, runner)| {
             let missing = missing_tokens(runner, request, self.now);
             let rank = ranks.iter().position(|ranked| *ranked == key);
-            let cost = self.cost(runner, request, missing, rank);
+            let cost = self.cost(runner, request, missing, rank, zone_cost);
             let has_capacity = self.has_capacity(runner, request, missing);
             let is_last_resort = runner.health.is_half_open() && !probes_first(request);
             Candidate { key, is_last_resort, cost, has_capacity }
@@ -329,9 +332,8 @@
         let affinity = request.prompt.as_ref().map(Prompt::affinity).filter(|part| *part != 0);
         let Some(affinity) = affinity else { return Vec::new() };
         let serving = || self.serving(request.service.as_str());
-        let is_near = |runner: &Runner| runner.registration.zone == self.fleet_limits.zone;
-        let near_count = serving().filter(|(_, runner)| is_near(runner)).count();
-        let is_zone_large = near_count >= MIN_ZONE_RUNNERS;
+        let is_near = |runner: &Runner| self.is_near(runner);
+        let is_zone_large = self.is_zone_large();
         let ranked = serving().filter(|(_, runner)| !is_zone_large || is_near(runner));
         let mut ranks: Vec<(Reverse<u64>, Key)> = ranked
             .map(|(key, runner)| {
@@ -344,6 +346,17 @@
         ranks.into_iter().map(|(_, key)| key).collect()
     }
 
+    /// Returns whether the router's zone has enough runners to share the popular parts by itself.
+    fn is_zone_large(&self) -> bool {
+        let serving = self.serving(self.service.name.as_str());
+        let near = serving.filter(|(_, runner)| self.is_near(runner));
+        near.take(MIN_ZONE_RUNNERS).count() == MIN_ZONE_RUNNERS
+    }
+
+    fn is_near(&self, runner: &Runner) -> bool {
+        runner.registration.zone == self.fleet_limits.zone
+    }
+
     /// Returns whether a runner may be used for a request, apart from its capacity.
     fn is_usable(&self, key: Key, runner: &Runner, request: &Request) -> bool {
         let is_usable = runner.may_be_sent(self.now) && !request.avoid.contains(&key);
@@ -393,11 +406,18 @@
             && load.backlog + missing <= backlog
     }
 
-    fn cost(&self, runner: &Runner, request: &Request, missing: u64, rank: Option<usize>) -> u64 {
+    fn cost(
+        &self,
+        runner: &Runner,
+        request: &Request,
+        missing: u64,
+        rank: Option<usize>,
+        zone_cost: f64,
+    ) -> u64 {
         let load = self.expectation.load(runner);
         let jitter = self.jitter(runner);
         let failure_ratio = runner.health.failure_ratio();
-        let is_near = runner.registration.zone == self.fleet_limits.zone;
+        let is_near = self.is_near(runner);
         let Some(prompt) = &request.prompt else {
             let busy = f64::from(load.running + 1) / f64::from(runner.registration.slots.max(1));
             let distance = if is_near { 0.0 } else { OTHER_ZONE_BUSY };
@@ -409,7 +429,7 @@
         let missing_shared = missing.saturating_sub(unshared) as f64;
         let fetched = missing_shared.min(prompt.shared() as f64 * (1.0 - cached));
         let failures = failure_ratio * FAILURE_TOKENS;
-        let distance = if is_near { 0.0 } else { OTHER_ZONE_TOKENS };
+        let distance = if is_near { 0.0 } else { zone_cost };
         let read = waiting * jitter + OWN_PROMPT_WEIGHT * missing as f64;
         let factor = runner.pace.factor(self.now);
         (read * factor + FETCHED_TOKEN_COST * fetched + distance + failures) as u64
