--- a/review/kit-2/mod.rs
+++ b/review/kit-2/mod.rs
@@ -16,6 +16,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -452,6 +453,8 @@
     starts: AtomicU64,
     is_up: AtomicBool,
     born: AtomicU64,
+    /// The milliseconds after a start for which the runner says that it is cold.
+    cold_ms: u64,
     sequence: AtomicU64,
     running: AtomicU64,
     channels: Mutex<Vec<TcpStream>>,
@@ -468,6 +471,22 @@
         record: &Record,
         arrivals: &Arc<Mutex<Vec<Arrival>>>,
         react: impl Fn(&Message) -> Reaction + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        Self::start_cold(id, service, zone, slots, store, record, arrivals, 0, react)
+    }
+
+    /// Starts a runner that says for a time that it is cold.
+    #[allow(clippy::too_many_arguments)]
+    pub fn start_cold(
+        id: &str,
+        service: &str,
+        zone: &str,
+        slots: u32,
+        store: &Store,
+        record: &Record,
+        arrivals: &Arc<Mutex<Vec<Arrival>>>,
+        cold_ms: u64,
+        react: impl Fn(&Message) -> Reaction + Send + Sync + 'static,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
         let address = listener.local_addr()?;
@@ -482,6 +501,7 @@
             starts: AtomicU64::new(1),
             is_up: AtomicBool::new(true),
             born: AtomicU64::new(unix_ms()),
+            cold_ms,
             sequence: AtomicU64::new(0),
             running: AtomicU64::new(0),
             channels: Mutex::default(),
@@ -506,14 +526,15 @@
     fn check_in(&self) {
         let state = &self.shared;
         let sequence = state.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        let born = state.born.load(Ordering::SeqCst);
+        let cold_left = (born + state.cold_ms).saturating_sub(unix_ms());
         let entry = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\
-             \"state\":\"ready\",\"cold_left_ms\":0,\"seq\":{sequence},\"born\":{}}}",
+             \"state\":\"ready\",\"cold_left_ms\":{cold_left},\"seq\":{sequence},\"born\":{born}}}",
             state.service,
             self.address,
             state.zone,
             state.slots,
-            state.born.load(Ordering::SeqCst)
         );
         state.store.put("keyed.servers", &self.id, entry.as_bytes());
     }
@@ -629,6 +650,14 @@
     log: PathBuf,
 }
 
+/// Lets the kernel send a signal to a process when the one that has started it ends, also if that one is killed.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: std::ffi::c_ulong = 9;
+
+unsafe extern "C" {
+    fn prctl(option: i32, signal: std::ffi::c_ulong) -> i32;
+}
+
 /// Returns a loopback address with a port that is free now.
 fn free_address() -> io::Result<SocketAddr> {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
@@ -674,13 +703,21 @@
 
     fn spawn(settings: &PathBuf, log: &PathBuf) -> io::Result<Child> {
         let output = File::options().create(true).append(true).open(log)?;
-        Command::new("target/release/aspenline")
+        let mut command = Command::new("target/release/aspenline");
+        command
             .arg("platform")
             .env("ASPENLINE_SETTINGS", settings)
             .stdin(Stdio::null())
             .stdout(output.try_clone()?)
-            .stderr(output)
-            .spawn()
+            .stderr(output);
+        // SAFETY: between fork and exec, the closure makes one system call and allocates nothing.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        command.spawn()
     }
 
     pub fn id(&self) -> u32 {
