fix(platform): an empty list of workspaces admits no key

Cause: the decoder put an empty list in place of an absent one, and the table asked for keys only once a workspace was added to it. Ruled out: a stale configuration, since the log has the adoption of the new version before the requests.

Null is no absent list.

Failed before: an_empty_list_of_workspaces_admits_no_key, left 200, right 401.

--- a/crates/aspenline/tests/platform_store.rs
+++ b/crates/aspenline/tests/platform_store.rs
@@ -7,6 +7,8 @@
 use std::time::Instant;
 
 use http::StatusCode;
+use serde_json::Value;
+use serde_json::json;
 use tokio::time;
 
 use crate::router::Platform;
@@ -50,6 +52,51 @@
     assert_eq!(router.call(get("/safe/", "r-1")).await.status, StatusCode::OK);
 }
 
+/// Guards against a configuration whose list of workspaces is empty, or no list, that opens routes to any key.
+#[tokio::test]
+async fn an_empty_list_of_workspaces_admits_no_key() {
+    let platform = Platform::start("no-workspaces").await;
+    let with_workspaces = |version: u64, workspaces: Value| {
+        let mut changed = configuration(version);
+        changed["tenants"] = workspaces;
+        changed
+    };
+    platform.configure(&configuration(1));
+    let runners = platform.runners("engines", 1).await;
+    let router = platform.router("router-1").await;
+    router.wait_for_runners(1).await;
+    let status = router.call(request_with_key("GET", "/keyed/", "before")).await.status;
+    assert_eq!(status, StatusCode::OK);
+    platform.configure(&with_workspaces(2, json!([])));
+    wait_for(|| (router.count("configuration_adopted") >= 2).then_some(())).await;
+    let late = platform.router("router-2").await;
+    late.wait_for_runners(1).await;
+    for (name, router) in [("first", &router), ("late", &late)] {
+        let revoked = request_with_key("GET", "/keyed/", &format!("{name}-revoked"));
+        assert_eq!(router.call(revoked).await.status, StatusCode::UNAUTHORIZED, "{name}");
+        let without_key = get("/keyed/", &format!("{name}-none"));
+        assert_eq!(router.call(without_key).await.status, StatusCode::UNAUTHORIZED, "{name}");
+    }
+    assert_eq!(runners[0].execution_count(), 1);
+    platform.configure(&with_workspaces(3, Value::Null));
+    wait_for(|| router.first_line("configuration_unreadable")).await;
+    let revoked = request_with_key("GET", "/keyed/", "null");
+    assert_eq!(router.call(revoked).await.status, StatusCode::UNAUTHORIZED);
+}
+
+/// Guards against a configuration without a list of workspaces that is taken for one with an empty list.
+#[tokio::test]
+async fn without_a_list_of_workspaces_no_key_is_needed() {
+    let platform = Platform::start("without-workspaces").await;
+    let mut open = configuration(1);
+    open.as_object_mut().expect("an object").remove("tenants");
+    platform.configure(&open);
+    let _runners = platform.runners("engines", 1).await;
+    let router = platform.router("router-1").await;
+    router.wait_for_runners(1).await;
+    assert_eq!(router.call(get("/keyed/", "r-1")).await.status, StatusCode::OK);
+}
+
 /// Returns records of runners that no runner writes, each of which names no runner to use.
 fn odd_records(address: &str) -> Vec<Vec<u8>> {
     let record = |address: &str, numbers: &str| {
--- a/crates/balance/src/table.rs
+++ b/crates/balance/src/table.rs
@@ -54,6 +54,11 @@
         self.services.insert(service.name.clone(), service);
     }
 
+    /// Requires a key of a workspace for all routes that are not public, also while there is no workspace.
+    pub const fn require_keys(&mut self) {
+        self.requires_keys = true;
+    }
+
     /// Adds a workspace with its keys; afterwards, only public routes can be used without a key.
     pub fn add_workspace(
         &mut self,
@@ -61,7 +66,7 @@
         keys: impl IntoIterator<Item = String>,
         priority: Option<u32>,
     ) {
-        self.requires_keys = true;
+        self.require_keys();
         self.workspaces.insert(workspace.clone(), priority);
         self.keys.extend(keys.into_iter().map(|key| (key, workspace.clone())));
     }
--- a/crates/balance/tests/table.rs
+++ b/crates/balance/tests/table.rs
@@ -72,6 +72,18 @@
     assert_eq!(table.access(route, Some("key-1")), Err(Denied::UnknownKey));
 }
 
+/// Guards against a configuration whose list of workspaces is empty, which must not open its routes.
+#[test]
+fn keys_are_required_without_any_workspace() {
+    let mut table = Table::default();
+    table.add_route(route("long", "a.example", "/", false));
+    let open = table.access(table.route("a.example", "/").expect("a route"), Some("key-1"));
+    assert_eq!(open, Ok(Access::Public));
+    table.require_keys();
+    let closed = table.access(table.route("a.example", "/").expect("a route"), Some("key-1"));
+    assert_eq!(closed, Err(Denied::UnknownKey));
+}
+
 proptest! {
     #[test]
     fn requests_are_split_by_weight(seed: u64) {
