fix(balance): a process sends nothing to a cold runner in its first second

Cause: what was sent to a cold runner is counted in the process, and the next one begins with zero. Ruled out: wrong shares, as each burst was 20 of 29 over the three routers.

Change: for one window of the limit after its start, a process uses nothing of it, since only the process before may have used it. Nothing else has to be remembered, so it holds while the store is down, too.

Failed before: routers_that_start_again_send_no_second_share_to_a_cold_runner (40 requests of one router) and a_router_that_is_killed_and_started_again_keeps_the_limit_of_a_cold_runner (40).

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -29,6 +29,7 @@
 use crate::lease::Lease;
 use crate::lease::Places;
 use crate::rendezvous;
+use crate::runner::COLD_WINDOW;
 
 /// The prompt tokens that delay a first token as much as one running request does.
 const RUNNING_TOKENS: u64 = 48;
@@ -368,12 +369,16 @@
 
     /// Returns whether the cold limit allows one more request of this router to a runner.
     ///
-    /// A router that has just started does not know with how many others it shares the limit, so it uses none of it.
+    /// A process that has just started does not know with how many others it shares the limit, or what the process before
+    /// it has sent, so it uses none of it.
     fn has_cold_capacity(&self, runner: &Runner) -> bool {
         if !runner.is_cold(self.now) {
             return true;
         }
         let limits = self.fleet_limits;
+        if self.now < limits.started + COLD_WINDOW {
+            return false;
+        }
         let Some(peers) = &limits.peers else { return false };
         let cold_limit =
             ColdLimit::new(self.service.cold_rate, limits.cold_factor, limits.cold_constant);
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -101,10 +101,10 @@
         }
     }
 
-    /// Replaces the limits, except the names of the other routers.
+    /// Replaces the limits, except the names of the other routers and the start of this process.
     pub fn set_limits(&mut self, limits: FleetLimits) {
-        let peers = self.limits.peers.take();
-        self.limits = FleetLimits { peers, ..limits };
+        let (peers, started) = (self.limits.peers.take(), self.limits.started);
+        self.limits = FleetLimits { peers, started, ..limits };
         for state in self.services.values_mut() {
             state.budget.set(self.limits.retry_ratio, self.limits.retry_constant);
         }
--- a/crates/balance/src/fleet_limits.rs
+++ b/crates/balance/src/fleet_limits.rs
@@ -13,6 +13,8 @@
     pub zone: Name,
     /// The names of the other routers, whether they are connected or not; `None` until they are known.
     pub peers: Option<Vec<Name>>,
+    /// The start of this process; what the process before it has used of its shares is not known.
+    pub started: Duration,
     /// The factor on the rate that a cold runner can handle.
     pub cold_factor: f64,
     /// Requests per second that a cold runner may be sent in addition.
--- a/crates/balance/src/runner.rs
+++ b/crates/balance/src/runner.rs
@@ -22,7 +22,7 @@
 }
 
 /// The window over which the number of requests to a cold runner is limited.
-const COLD_WINDOW: Duration = Duration::from_secs(1);
+pub(crate) const COLD_WINDOW: Duration = Duration::from_secs(1);
 
 /// The state that a runner publishes in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/balance/tests/common/mod.rs
+++ b/crates/balance/tests/common/mod.rs
@@ -53,6 +53,7 @@
         router: Name::new(router),
         zone: Name::new("north"),
         peers: Some(Vec::new()),
+        started: Duration::ZERO,
         cold_factor: 1.5,
         cold_constant: 5.0,
         retry_window: Duration::from_secs(10),
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -106,7 +106,7 @@
     /// Creates the state of a router that has no configuration, runners or peers yet.
     #[must_use]
     pub fn new(settings: Settings, protocol: RunnerProtocol, clock: Clock) -> Self {
-        let mut core = Core::new(limits(&settings));
+        let mut core = Core::new(limits(&settings, clock.now()));
         core.rollouts.bounds = settings.rollout_bounds();
         let capacity = Capacity::of(&settings);
         let budget = Budget::new(Limits::of(capacity.held_bytes));
@@ -141,7 +141,7 @@
 
     /// Applies the limits of changed settings; addresses and names stay as they are.
     pub fn reload(&self, settings: &Settings) {
-        self.core.borrow_mut().set_limits(limits(settings));
+        self.core.borrow_mut().set_limits(limits(settings, self.now()));
         self.core.borrow_mut().rollouts.bounds = settings.rollout_bounds();
         self.grace.set(settings.grace());
         self.revocation.set(settings.revocation());
@@ -437,13 +437,14 @@
     }
 }
 
-/// Returns the limits from the settings.
-fn limits(settings: &Settings) -> FleetLimits {
+/// Returns the limits from the settings, for a process that started at a time.
+fn limits(settings: &Settings, started: Duration) -> FleetLimits {
     let bounds = &settings.bounds;
     FleetLimits {
         router: settings.name.clone(),
         zone: settings.zone.clone(),
         peers: None,
+        started,
         cold_factor: bounds.cold_factor,
         cold_constant: bounds.cold_constant,
         retry_window: Duration::from_secs_f64(bounds.retry_window_s),
