--- a/crates/fake/src/endpoint.rs
+++ b/crates/fake/src/endpoint.rs
@@ -88,12 +88,38 @@
     StalledAt(u32),
     /// Pauses for [`PAUSE`] before the event with this number, then goes on to the end.
     PausedAt(u32),
+    /// Executes each request and writes these bytes as its answer.
+    Written(Written),
     /// Answers each request completely, [`SLOW_ANSWER`] later.
     SlowAnswer,
     /// Sends complete streams with [`SLOW_EVENT_INTERVAL`] between two events.
     SlowStream,
 }
 
+/// The bytes that a runner writes as an answer, whether they are one or not; `{id}` stands for the id of the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Written {
+    /// What is written once.
+    pub begin: &'static str,
+    /// What is written again and again afterwards, until the caller closes; nothing if it is empty.
+    pub repeated: &'static str,
+    /// What ends the connection, if nothing is repeated.
+    pub end: End,
+}
+
+/// What a runner does with the connection after an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// It closes the connection.
+    Close,
+    /// It resets the connection a moment later.
+    Reset,
+    /// It resets the connection at once.
+    ResetAtOnce,
+    /// It keeps the connection open, without a further byte.
+    Hold,
+}
+
 /// A request that the runner has received.
 #[derive(Debug, Clone)]
 pub struct RecordedRequest {
@@ -325,7 +351,10 @@
     let is_executed = fault_mode != FaultMode::EndlessRejection;
     record_raw(shared, &head, is_executed);
     raw::answer(stream, &head, fault_mode).await?;
-    stream.shutdown().await
+    match fault_mode {
+        FaultMode::Written(written) => raw::end(stream, written.end).await,
+        _ => stream.shutdown().await,
+    }
 }
 
 /// Answers requests, each after a late answer to the one before.
--- a/crates/fake/src/endpoint/raw.rs
+++ b/crates/fake/src/endpoint/raw.rs
@@ -1,20 +1,26 @@
 //! Answers that no HTTP library would write: without an end, or with an end that only the connection marks.
 
+use std::future::pending;
 use std::io;
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time;
 
+use super::End;
 use super::FaultMode;
 use super::PAUSE;
 use super::STREAM_EVENTS;
+use super::Written;
 use super::event_text;
 
 /// The interval between two bytes of an answer that stalls.
 const STALL_INTERVAL: Duration = Duration::from_millis(100);
+/// The time from the last byte of an answer to the reset of its connection.
+const RESET_DELAY: Duration = Duration::from_millis(30);
 /// The number of bytes that are written at a time to an answer without an end.
 const CHUNK_BYTES: usize = 16 << 10;
 /// The maximum size of the head of a request, in bytes.
@@ -54,6 +60,7 @@
             | FaultMode::Garbage
             | FaultMode::StalledAt(_)
             | FaultMode::PausedAt(_)
+            | FaultMode::Written(_)
     )
 }
 
@@ -105,6 +112,7 @@
             write_success(stream, head).await?;
             stream.write_all(b"the engine has failed\n\n").await
         }
+        FaultMode::Written(written) => write_written(stream, head, written).await,
         FaultMode::Garbage => stream.write_all(b"\x16\x03\x01 no response\r\n\r\n").await,
         FaultMode::StalledAt(event) => {
             write_success(stream, head).await?;
@@ -168,6 +176,32 @@
     }
 }
 
+async fn write_written(stream: &mut TcpStream, head: &Head, written: Written) -> io::Result<()> {
+    let begin = written.begin.replace("{id}", &head.id);
+    stream.write_all(begin.as_bytes()).await?;
+    if written.repeated.is_empty() {
+        return Ok(());
+    }
+    let times = CHUNK_BYTES.div_ceil(written.repeated.len());
+    let repeated = written.repeated.replace("{id}", &head.id).repeat(times);
+    loop {
+        stream.write_all(repeated.as_bytes()).await?;
+    }
+}
+
+/// Ends the connection after an answer.
+pub(super) async fn end(stream: &mut TcpStream, end: End) -> io::Result<()> {
+    match end {
+        End::Close => stream.shutdown().await,
+        End::Reset => {
+            time::sleep(RESET_DELAY).await;
+            SockRef::from(&*stream).set_linger(Some(Duration::ZERO))
+        }
+        End::ResetAtOnce => SockRef::from(&*stream).set_linger(Some(Duration::ZERO)),
+        End::Hold => pending().await,
+    }
+}
+
 async fn stall(stream: &mut TcpStream) -> io::Result<()> {
     loop {
         stream.write_all(b"x").await?;
