--- a/crates/aspenline/tests/platform_faulty.rs
+++ b/crates/aspenline/tests/platform_faulty.rs
@@ -189,6 +189,47 @@
     .await;
 }
 
+/// Guards against a framing that no router can read, whose bytes reach the caller as a whole body.
+#[tokio::test]
+async fn a_body_whose_framing_is_unknown_becomes_no_success() {
+    let closed = |body| written(body, End::Close);
+    assert_no_success(
+        "framing",
+        &[
+            closed(head!("transfer-encoding: identity\r\n\r\n")),
+            closed(concat!(head!("transfer-encoding: identity\r\n\r\n"), event!())),
+            closed(concat!(head!("transfer-encoding: gzip\r\n\r\n"), event!())),
+            closed(concat!(
+                head!("transfer-encoding: gzip, chunked\r\n\r\n"),
+                "15\r\n",
+                event!(),
+                "\r\n0\r\n\r\n"
+            )),
+            closed(concat!(head!("transfer-encoding: chunked, gzip\r\n\r\n"), event!())),
+            closed(concat!(
+                head!("transfer-encoding: chunked\r\ntransfer-encoding: gzip\r\n\r\n"),
+                event!()
+            )),
+            closed(concat!(
+                head!("transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n\r\n"),
+                "15\r\n",
+                event!(),
+                "\r\n0\r\n\r\n"
+            )),
+            closed(concat!(head!("content-length: 21\r\ncontent-length: 20\r\n\r\n"), event!())),
+            closed(concat!(head!("content-length: 21, 20\r\n\r\n"), event!())),
+            closed(concat!(head!("content-length: -1\r\n\r\n"), event!())),
+            closed(concat!(head!("content-length: \r\n\r\n"), event!())),
+            closed(concat!(head!("content-length: 99999999999999999999\r\n\r\n"), event!())),
+            closed(concat!(
+                head!("content-length: 21\r\ncontent-encoding: gzip\r\n\r\n"),
+                event!()
+            )),
+        ],
+    )
+    .await;
+}
+
 /// The size of an upload, in bytes; more than the kernel buffers of both ends hold.
 const UPLOAD_BYTES: usize = 12 << 20;
 
