--- a/crates/aspenline/tests/platform_faulty.rs
+++ b/crates/aspenline/tests/platform_faulty.rs
@@ -230,6 +230,41 @@
     .await;
 }
 
+/// Guards against a status that no answer has, which reaches the caller as the runner's answer.
+#[tokio::test]
+async fn a_status_that_is_none_becomes_no_answer() {
+    macro_rules! with_status {
+        ($status:literal) => {
+            written(
+                concat!(
+                    "HTTP/1.1 ",
+                    $status,
+                    " X\r\nrequest-id: {id}\r\nresponse-seal: seal\r\ncontent-length: 2\r\n\r\nok"
+                ),
+                End::Close,
+            )
+        };
+    }
+    assert_no_success(
+        "status",
+        &[
+            with_status!("000"),
+            with_status!("001"),
+            with_status!("099"),
+            with_status!("101"),
+            with_status!("199"),
+            with_status!("600"),
+            with_status!("700"),
+            with_status!("999"),
+            with_status!("1000"),
+            with_status!("20"),
+            with_status!("2xx"),
+            with_status!("-200"),
+        ],
+    )
+    .await;
+}
+
 /// The size of an upload, in bytes; more than the kernel buffers of both ends hold.
 const UPLOAD_BYTES: usize = 12 << 20;
 
