fix(conn): framing of a response without an end breaks it

Callers saw, beside a runner that writes interim answers, chunk sizes or chunks of one byte without an end: ordinary requests that take seconds, and some without an answer in 10 s. The memory held.

Cause: such framing occupies no memory and has no limit in the library, so a call read it until its deadline, up to 8 MiB each time its task ran, while all tasks of a router share one thread.

Change: what arrives beside the body of a response is counted; beyond 256 KiB and two bytes for each byte of the body, the connection breaks. At most 16 KiB are read, or 128 pieces of a body taken, before other tasks run.

--- a/crates/conn/src/connection.rs
+++ b/crates/conn/src/connection.rs
@@ -8,6 +8,7 @@
 use std::pin::pin;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -23,6 +24,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpStream;
+use tokio::task::coop;
 
 use crate::filter::Expectation;
 use crate::filter::Filtered;
@@ -129,6 +131,7 @@
         drive(&mut self.driver, &mut self.closed, self.sender.ready())
             .await
             .map_err(|_| Failure::NotSent)?;
+        self.expectation.begin_count();
         let sending = self.sender.try_send_request(request);
         let sent = drive(&mut self.driver, &mut self.closed, sending).await;
         self.last_used = Instant::now();
@@ -173,18 +176,24 @@
         Ok(collected.freeze())
     }
 
-    /// Polls for the next frame of a body.
+    /// Polls for the next frame of a body; after a number of frames, other tasks run first.
     pub fn poll_frame(
         &mut self,
         body: &mut Incoming,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Failure>>> {
+        let unit = ready!(coop::poll_proceed(context));
         let mut polled = Pin::new(&mut *body).poll_frame(context);
         if polled.is_pending() && !self.closed {
             self.closed = self.driver.as_mut().poll(context).is_ready();
             polled = Pin::new(body).poll_frame(context);
         }
-        polled.map(|frame| frame.map(|result| result.map_err(|_| Failure::Broken)))
+        let frame = ready!(polled);
+        unit.made_progress();
+        if let Some(bytes) = frame.as_ref().and_then(|frame| frame.as_ref().ok()?.data_ref()) {
+            self.expectation.record_body(bytes.len());
+        }
+        Poll::Ready(frame.map(|result| result.map_err(|_| Failure::Broken)))
     }
 
     /// Records the end of a response as the last use of the connection.
--- a/crates/conn/src/filter.rs
+++ b/crates/conn/src/filter.rs
@@ -24,6 +24,9 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::overhead;
+use crate::overhead::Overhead;
+
 /// Maximum size of a response head that is examined, in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Maximum number of headers of a response that is examined.
@@ -58,6 +61,8 @@
     unread: BytesMut,
     /// What has been examined and is to be passed on.
     passed: BytesMut,
+    /// What has arrived of the response.
+    overhead: Overhead,
 }
 
 /// The expectation of a response, shared with the stream that it arrives on.
@@ -86,12 +91,27 @@
         state.phase = Phase::Head;
     }
 
+    /// Begins to count what arrives of a response.
+    pub(crate) fn begin_count(&self) {
+        self.lock().overhead.begin();
+    }
+
+    /// Records bytes of the body of the response that the call has received.
+    pub(crate) fn record_body(&self, bytes: usize) {
+        self.lock().overhead.record_body(bytes);
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl State {
+    fn record_read(&mut self, context: &mut Context<'_>, bytes: usize) {
+        self.overhead.record_read(bytes);
+        overhead::spend_budget(context, bytes);
+    }
+
     /// Examines what has arrived, until more is needed or the rest is passed on.
     fn examine(&mut self) {
         loop {
@@ -175,13 +195,23 @@
         let Self { stream, expectation } = self.get_mut();
         let mut state = expectation.lock();
         loop {
+            if state.overhead.is_exceeded() {
+                let error = "too much beside the body of a response";
+                return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
+            }
             if !state.passed.is_empty() {
                 let length = state.passed.len().min(buffer.remaining());
                 buffer.put_slice(&state.passed.split_to(length));
                 return Poll::Ready(Ok(()));
             }
             if state.phase == Phase::Pass {
-                return Pin::new(stream).poll_read(context, buffer);
+                let room = buffer.remaining().min(overhead::MAX_READ_BYTES);
+                let mut read = ReadBuf::new(buffer.initialize_unfilled_to(room));
+                ready!(Pin::new(stream).poll_read(context, &mut read))?;
+                let bytes = read.filled().len();
+                buffer.advance(bytes);
+                state.record_read(context, bytes);
+                return Poll::Ready(Ok(()));
             }
             let mut bytes = [0; READ_BYTES];
             let mut read = ReadBuf::new(&mut bytes);
@@ -193,6 +223,7 @@
                     return Poll::Ready(Ok(()));
                 }
             }
+            state.record_read(context, read.filled().len());
             state.unread.extend_from_slice(read.filled());
             state.examine();
         }
--- a/crates/conn/src/lib.rs
+++ b/crates/conn/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod connection;
 mod filter;
+mod overhead;
 
 pub use connection::Connection;
 pub use connection::Failure;
