fix(relay): comments without an end are no part of a stream

Callers saw, beside streams of which the runner writes only comments or empty lines without an end: ordinary requests that take 1.77 s (40 streams), target 1 s.

Cause: comments and empty lines are part of a stream and were passed on without a limit.

Change: more than 64 KiB of them between two events are bytes that are no part of a stream, so the stream moves to another runner or breaks.

Failed before: ordinary_requests_are_served_beside_comments_without_an_end (1.77 s, 1.77 s; with reads of 16 KiB at a time 1.25 to 1.71 s). After: it passes.

--- a/crates/aspenline/tests/platform_endless.rs
+++ b/crates/aspenline/tests/platform_endless.rs
@@ -195,3 +195,13 @@
     ])
     .await;
 }
+
+/// Guards against comments without an end that keep the processor from ordinary requests.
+#[tokio::test]
+async fn ordinary_requests_are_served_beside_comments_without_an_end() {
+    check_all(&[
+        ("comments", endless(head!("\r\n"), ":\n\n")),
+        ("newlines", endless(head!("\r\n"), "\n")),
+    ])
+    .await;
+}
--- a/crates/relay/src/stream/progress.rs
+++ b/crates/relay/src/stream/progress.rs
@@ -10,6 +10,8 @@
 
 /// Maximum size of an incomplete event that is held back, in bytes.
 const MAX_PARTIAL_BYTES: usize = 1 << 20;
+/// Maximum size of comments and empty lines between two events, in bytes.
+const MAX_IDLE_BYTES: usize = 64 << 10;
 /// Minimum number of events of an answer from which the time per token is measured.
 const MIN_TIMED_EVENTS: u32 = 6;
 
@@ -22,6 +24,8 @@
     /// Whether bytes have arrived that are no part of a stream.
     is_foreign: bool,
     last_event: Option<String>,
+    /// The size of the comments and empty lines since the last event, in bytes.
+    idle_bytes: usize,
     /// The time of the last sign that the runner makes progress.
     last_contact: Duration,
     /// The time of the first data of the present runner.
@@ -42,6 +46,7 @@
             reservation,
             is_foreign: false,
             last_event: None,
+            idle_bytes: 0,
             last_contact: sent_at,
             first_at: None,
             events: 0,
@@ -54,6 +59,7 @@
     pub(super) fn restart(&mut self, now: Duration) {
         self.drop_partial();
         self.is_foreign = false;
+        self.idle_bytes = 0;
         self.last_contact = now;
         self.first_at = None;
         self.events = 0;
@@ -82,9 +88,14 @@
             self.last_contact = now;
             self.record_passed(now);
         }
-        if let Some(id) = sse::last_id(&events) {
-            self.last_event = Some(id.to_owned());
+        match sse::last_id(&events) {
+            Some(id) => {
+                self.last_event = Some(id.to_owned());
+                self.idle_bytes = 0;
+            }
+            None => self.idle_bytes += events.len(),
         }
+        self.is_foreign |= self.idle_bytes > MAX_IDLE_BYTES;
         events
     }
 
