fix(relay): answers without an end leave memory to the others

Callers saw, beside runners whose answers have no end: 502 for ordinary requests that had run, with answers of 200,000 bytes.

Cause: all incomplete answers together may have 16 MiB. Those without an end took all of it, each up to 8 MiB; a sound answer found no room, and its runner was blamed.

Change: an answer with more than an equal part of the 16 MiB grows only while all together have less than three quarters of it. One within its part that finds no room doesn't count against its runner.

--- a/crates/aspenline/tests/platform_endless.rs
+++ b/crates/aspenline/tests/platform_endless.rs
@@ -196,6 +196,17 @@
     .await;
 }
 
+/// Guards against bodies without an end that take the memory of incomplete answers from ordinary ones.
+#[tokio::test]
+async fn ordinary_requests_are_served_beside_bodies_without_an_end() {
+    check_all(&[
+        ("body", endless(head!("\r\n"), "x")),
+        ("length", endless(head!("content-length: 999999999999\r\n\r\n"), "x")),
+        ("events", endless(head!("\r\n"), "id: 1\ndata: piece 1\n\n")),
+    ])
+    .await;
+}
+
 /// Guards against comments without an end that keep the processor from ordinary requests.
 #[tokio::test]
 async fn ordinary_requests_are_served_beside_comments_without_an_end() {
--- a/crates/relay/src/buffer.rs
+++ b/crates/relay/src/buffer.rs
@@ -15,6 +15,8 @@
 const MAX_BYTES: usize = 16 << 20;
 /// Maximum size of one incomplete answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Maximum size of all incomplete answers together for one that has more than its part of it, in bytes.
+const MAX_BYTES_BEYOND_PART: usize = MAX_BYTES / 4 * 3;
 
 /// The size up to which an answer is covered by the part of the memory that its client's connection has, in bytes.
 const UNCOUNTED_BYTES: usize = 4 << 10;
@@ -25,6 +27,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Buffer {
     used: Rc<Cell<usize>>,
+    /// The number of incomplete answers that have bytes.
+    answers: Rc<Cell<usize>>,
     budget: Budget,
 }
 
@@ -41,7 +45,7 @@
 impl Buffer {
     /// Creates a buffer whose bytes count towards `budget`.
     pub(crate) fn new(budget: Budget) -> Self {
-        Self { used: Rc::default(), budget }
+        Self { used: Rc::default(), answers: Rc::default(), budget }
     }
 
     /// Returns a reservation for an answer to `owner` of which nothing has arrived yet.
@@ -79,16 +83,12 @@
     /// Returns the reason why the answer may not have them.
     pub(crate) async fn add(&mut self, bytes: usize) -> Result<(), Refused> {
         let sum = self.bytes + bytes;
-        if !self.has_room(sum) {
-            return Err(Refused::TooLarge);
-        }
+        self.check_room(sum)?;
         if let Some(memory) = self.memory_for(sum) {
             let counted = memory.bytes();
             memory.grow(sum.saturating_sub(counted), MEMORY_TIMEOUT).await?;
         }
-        if !self.has_room(sum) {
-            return Err(Refused::TooLarge);
-        }
+        self.check_room(sum)?;
         self.set(sum);
         Ok(())
     }
@@ -107,14 +107,34 @@
         self.memory.as_ref()
     }
 
+    /// Checks whether the limits on incomplete answers allow this size of the answer.
+    fn check_room(&self, bytes: usize) -> Result<(), Refused> {
+        if self.has_room(bytes) {
+            return Ok(());
+        }
+        Err(if self.is_within_part(bytes) { Refused::NoMemory } else { Refused::TooLarge })
+    }
+
     /// Returns whether the limits on incomplete answers allow this size of the answer.
+    ///
+    /// Answers that have no more than an equal part find room where larger ones don't, so that those without an end
+    /// leave room for the others.
     fn has_room(&self, bytes: usize) -> bool {
         let others = self.buffer.used.get() - self.bytes;
-        bytes <= MAX_ANSWER_BYTES && others + bytes <= MAX_BYTES
+        let limit = if self.is_within_part(bytes) { MAX_BYTES } else { MAX_BYTES_BEYOND_PART };
+        bytes <= MAX_ANSWER_BYTES && others + bytes <= limit
+    }
+
+    /// Returns whether this size is at most an equal part of what all incomplete answers may have.
+    fn is_within_part(&self, bytes: usize) -> bool {
+        let answers = self.buffer.answers.get() + usize::from(self.bytes == 0);
+        bytes <= MAX_BYTES / answers.max(1)
     }
 
     fn set(&mut self, bytes: usize) {
-        self.buffer.used.set(self.buffer.used.get() - self.bytes + bytes);
+        let Buffer { used, answers, .. } = &self.buffer;
+        used.set(used.get() - self.bytes + bytes);
+        answers.set(answers.get() - usize::from(self.bytes > 0) + usize::from(bytes > 0));
         self.bytes = bytes;
     }
 }
