fix(platform): requests are answered at the end of the grace, not cut

Cause: at that time the process aborted what still ran by closing the connections. With a long grace, requests were taken later than 3 s after the signal.

--- a/crates/aspenline/tests/platform_operation.rs
+++ b/crates/aspenline/tests/platform_operation.rs
@@ -5,6 +5,7 @@
 
 use std::time::Instant;
 
+use fake::endpoint::FaultMode;
 use fake::endpoint::STREAM_EVENTS;
 use fake::endpoint::event_text;
 use http::StatusCode;
@@ -16,6 +17,7 @@
 use crate::router::configuration;
 use crate::router::get;
 use crate::router::request_with_key;
+use crate::router::try_call;
 use crate::router::wait_for;
 
 /// Returns the text of a complete stream.
@@ -149,3 +151,46 @@
     let cut: usize = callers.join_all().await.into_iter().sum();
     assert_eq!(cut, 0, "requests without a complete answer");
 }
+
+/// Guards against requests that are taken while the process leaves, and cut without an answer at the end of its grace.
+#[tokio::test]
+async fn requests_whose_runner_is_silent_are_answered_at_the_end_of_the_grace() {
+    let platform = Platform::start("end-of-grace").await;
+    let mut configured = configuration(1);
+    for route in configured["routes"].as_array_mut().expect("routes") {
+        route["timeout_ms"] = serde_json::json!(20_000);
+    }
+    platform.configure(&configured);
+    let runners = platform.runners("ledger", 1).await;
+    runners[0].set_fault_mode(FaultMode::Unresponsive);
+    let mut router = platform.router("router-1").await;
+    router.wait_for_runners(1).await;
+    let long = |path: &str, id: &str| {
+        let mut request = get(path, id);
+        request.headers_mut().insert("deadline-ms", "20000".parse().expect("a header value"));
+        request
+    };
+    let mut calls = JoinSet::new();
+    calls.spawn(try_call(router.callers, long("/unsafe/x", "before")));
+    wait_for(|| (runners[0].execution_count() == 1).then_some(())).await;
+    router.signal(Signal::TERM);
+    let start = Instant::now();
+    wait_for(|| router.first_line("leaving")).await;
+    for number in 0..8 {
+        let path = ["/unsafe/x", "/safe/x"][number % 2];
+        calls.spawn(try_call(router.callers, long(path, &format!("after-{number}"))));
+        tokio::time::sleep(std::time::Duration::from_millis(80)).await;
+    }
+    while let Some(called) = calls.join_next().await {
+        let answer = called.expect("no call panics").expect("an answer");
+        let is_executed = matches!(answer.status.as_u16(), 502 | 504);
+        assert!(
+            is_executed || answer.status == StatusCode::SERVICE_UNAVAILABLE,
+            "{}",
+            answer.status
+        );
+        assert!(answer.is_complete);
+    }
+    assert_eq!(router.wait_for_exit().await, Some(0));
+    assert!(start.elapsed() < std::time::Duration::from_secs(4), "longer than the grace");
+}
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -104,7 +104,7 @@
     }
 }
 
-/// Forwards a call and returns its final answer, by its deadline.
+/// Forwards a call and returns its final answer, by its deadline or the end of the process.
 pub async fn forward(router: &Rc<Router>, call: Rc<Call>) -> Answer {
     let probes = match acquire::admit(router, &call) {
         Ok(probes) => probes,
@@ -119,11 +119,16 @@
     let sends = Cell::new(0);
     let left = call.deadline.saturating_sub(router.now());
     let attempts = attempts(router, &call, history, &may_have_run, &sends);
-    let answer = match time::timeout(left, attempts).await {
-        Ok(answer) => answer,
-        Err(_) if may_have_run.get() => Answer::Problem(Problem::Timeout),
-        Err(_) => refused(NOT_RUN_RETRY_AFTER),
+    let answer = tokio::select! {
+        biased;
+        answer = attempts => Some(answer),
+        () = time::sleep(left) => None,
+        () = router.requests_ended() => None,
     };
+    let answer = answer.unwrap_or_else(|| match may_have_run.get() {
+        true => Answer::Problem(Problem::Timeout),
+        false => refused(NOT_RUN_RETRY_AFTER),
+    });
     log_answer(router, &call, &answer, sends.get());
     answer
 }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -25,6 +25,7 @@
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::time;
+use tokio_util::sync::CancellationToken;
 
 use crate::Capacity;
 use crate::Clock;
@@ -94,6 +95,8 @@
     waiters: RefCell<IndexMap<Ticket, oneshot::Sender<Decision>>>,
     queue_changed: Notify,
     is_leaving: Cell<bool>,
+    /// Cancelled when the process is about to end and what still waits for an answer gets one.
+    ending: CancellationToken,
     grace: Cell<Duration>,
     revocation: Cell<Option<Duration>>,
     pub(crate) read_schedules: RefCell<[ReadSchedule; Topic::COUNT]>,
@@ -132,6 +135,7 @@
             waiters: RefCell::default(),
             queue_changed: Notify::new(),
             is_leaving: Cell::new(false),
+            ending: CancellationToken::new(),
             read_schedules: RefCell::default(),
             topic_reports: Default::default(),
             views: Default::default(),
@@ -177,6 +181,16 @@
         self.is_leaving.set(true);
     }
 
+    /// Gives all requests that still wait for an answer of a runner their final answer.
+    pub fn end_requests(&self) {
+        self.ending.cancel();
+    }
+
+    /// Waits until the requests must be answered, since the process is about to end.
+    pub(crate) async fn requests_ended(&self) {
+        self.ending.cancelled().await;
+    }
+
     /// Returns whether the router accepts callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
