fix(balance): what was sent to a removed runner counts if it is listed again

Callers could see: a cold runner that gets a second share in a second, when its record is removed and written again.

Cause: a runner that is listed again is a new one to the registry, with nothing sent yet.

Change: the registry keeps what was sent to a removed runner until it has left the window, and returns it to the same start of the runner.

--- a/crates/balance/src/registry.rs
+++ b/crates/balance/src/registry.rs
@@ -13,6 +13,8 @@
 use crate::Key;
 use crate::Registration;
 use crate::Runner;
+use crate::Start;
+use crate::Window;
 use crate::era;
 use crate::freshness::Freshness;
 use crate::rollout::Role;
@@ -29,6 +31,8 @@
     freshness: Freshness,
     expired: IndexMap<Name, Expired>,
     departures: Departures,
+    /// What was sent to removed runners while they were cold, which counts if they are listed again.
+    sent_to_removed: IndexMap<Start, Window>,
     /// The runners whose newest records can't be read.
     unreadable: IndexSet<Name>,
 }
@@ -75,7 +79,11 @@
             }
             self.remove(&registration.id);
         }
-        let key = self.runners.insert(Runner::new(now, registration.clone()));
+        let mut runner = Runner::new(now, registration.clone());
+        if let Some(sent) = self.sent_to_removed.swap_remove(&registration.start()) {
+            runner.cold_sent = sent;
+        }
+        let key = self.runners.insert(runner);
         self.ids.insert(registration.id.clone(), key);
         key
     }
@@ -89,8 +97,9 @@
     /// Removes a runner that has left.
     pub fn remove(&mut self, id: &Name) {
         self.unreadable.swap_remove(id);
-        if let Some(key) = self.ids.swap_remove(id) {
-            self.runners.remove(key);
+        let key = self.ids.swap_remove(id);
+        if let Some(removed) = key.and_then(|key| self.runners.remove(key)) {
+            self.sent_to_removed.insert(removed.registration.start(), removed.cold_sent);
         }
     }
 
--- a/crates/balance/src/registry/departures.rs
+++ b/crates/balance/src/registry/departures.rs
@@ -121,6 +121,7 @@
             runner.peer_loads.remove_expired(now);
         }
         self.departures.remove_expired(now);
+        self.sent_to_removed.retain(|_, sent| sent.sum(now) > 0);
         if self.freshness.is_outage(now) {
             return;
         }
--- a/crates/balance/tests/restarts.rs
+++ b/crates/balance/tests/restarts.rs
@@ -165,3 +165,27 @@
         assert!(last >= COLD_LIMIT / 2, "{last} requests in the last second");
     }
 }
+
+/// Guards against a cold runner whose record is removed and written again, and that gets a second share in the same second.
+#[test]
+fn a_runner_that_is_listed_again_gets_no_second_share() {
+    let mut cores = start(NOW - Duration::from_secs(20), 3);
+    let mut sent = Vec::new();
+    for step in 0..300 {
+        let now = NOW + ms(10 * step);
+        if step == 60 {
+            for core in &mut cores {
+                core.registry.confirm(now);
+                assert!(core.registry.expire(now, &Name::new("engine-0"), 7));
+                let mut cold = registration("engine-0");
+                (cold.cold_left, cold.position, cold.sequence) = (COLD, 8, 2);
+                assert!(core.registry.put(now, &cold).is_some(), "listed again");
+            }
+        }
+        sent.extend(std::iter::repeat_n(now, press(&mut cores, now)));
+    }
+    let most = most_in_a_second(&sent);
+    assert!(most <= COLD_LIMIT, "{most} requests");
+    let last = sent.iter().filter(|at| **at >= NOW + ms(1_600)).count();
+    assert!(last >= COLD_LIMIT / 2, "{last} requests once the limit allows them again");
+}
