fix: a process ends although nobody reads its output

Operators saw: a process that is still there 8 s after SIGTERM, if its standard output isn't read.

Cause: the end of the process joined the thread that writes log lines, which was blocked in a write.

Change: it waits for its last lines for 300 ms; a thread that is still blocked ends with the process.

Failed before: a_process_whose_output_nobody_reads_ends_within_its_grace, still there after its grace of 4 s.

--- a/crates/aspenline/src/lines.rs
+++ b/crates/aspenline/src/lines.rs
@@ -10,6 +10,7 @@
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
+use std::time::Instant;
 
 use log::LevelFilter;
 use log::Record;
@@ -25,6 +26,10 @@
 /// The interval between two writes. The thread is not woken for each line, which would cost a busy router more than the
 /// line itself.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+/// How long the end of the process waits for its last lines to be read.
+const FINISH_TIMEOUT: Duration = Duration::from_millis(300);
+/// The interval at which it looks whether they have been.
+const FINISH_CHECK_INTERVAL: Duration = Duration::from_millis(2);
 /// The log target of lines that are JSON objects already.
 const STRUCTURED_TARGET: &str = "event";
 /// The name of the appender.
@@ -82,11 +87,17 @@
 }
 
 impl Writer {
-    /// Writes all queued lines and ends the thread.
+    /// Writes all queued lines and ends the thread, unless nobody reads them; then the thread ends with the process.
     pub(crate) fn finish(self) {
         lock(&self.queue).is_closed = true;
         self.thread.thread().unpark();
-        drop(self.thread.join());
+        let deadline = Instant::now() + FINISH_TIMEOUT;
+        while !self.thread.is_finished() && Instant::now() < deadline {
+            thread::sleep(FINISH_CHECK_INTERVAL);
+        }
+        if self.thread.is_finished() {
+            drop(self.thread.join());
+        }
     }
 }
 
--- a/crates/aspenline/tests/common/router.rs
+++ b/crates/aspenline/tests/common/router.rs
@@ -393,7 +393,8 @@
     serde_json::from_str(line).ok()
 }
 
-fn address(text: &str, name: &str) -> SocketAddr {
+/// Returns the address of a listener from the line that states all of them.
+pub(crate) fn address(text: &str, name: &str) -> SocketAddr {
     let (_, rest) = text.split_once(&format!("{name}: ")).expect("an address");
     let end = rest.find([',', ' ', '}']).unwrap_or(rest.len());
     rest[..end].parse().expect("an address")
--- a/crates/aspenline/tests/platform_operation.rs
+++ b/crates/aspenline/tests/platform_operation.rs
@@ -3,6 +3,10 @@
 #[path = "common/router.rs"]
 mod router;
 
+use std::io::BufRead;
+use std::io::BufReader;
+use std::process::Stdio;
+use std::time::Duration;
 use std::time::Instant;
 
 use fake::endpoint::FaultMode;
@@ -125,7 +129,7 @@
     let mut cut = 0;
     for number in 0..100_000 {
         let request = get("/safe/", &format!("r-{caller}-{number}"));
-        match router::try_call(address, request).await {
+        match try_call(address, request).await {
             Ok(answer) => cut += usize::from(!answer.is_complete),
             Err(router::CallError::NotConnected) => break,
             Err(router::CallError::NoAnswer) => cut += 1,
@@ -145,7 +149,7 @@
     for caller in 0..48 {
         callers.spawn(call_until_closed(router.callers, caller));
     }
-    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
     router.signal(Signal::TERM);
     assert_eq!(router.wait_for_exit().await, Some(0));
     let cut: usize = callers.join_all().await.into_iter().sum();
@@ -179,7 +183,7 @@
     for number in 0..8 {
         let path = ["/unsafe/x", "/safe/x"][number % 2];
         calls.spawn(try_call(router.callers, long(path, &format!("after-{number}"))));
-        tokio::time::sleep(std::time::Duration::from_millis(80)).await;
+        tokio::time::sleep(Duration::from_millis(80)).await;
     }
     while let Some(called) = calls.join_next().await {
         let answer = called.expect("no call panics").expect("an answer");
@@ -192,5 +196,40 @@
         assert!(answer.is_complete);
     }
     assert_eq!(router.wait_for_exit().await, Some(0));
-    assert!(start.elapsed() < std::time::Duration::from_secs(4), "longer than the grace");
+    assert!(start.elapsed() < Duration::from_secs(4), "longer than the grace");
+}
+
+/// Guards against a process that stays after its grace since nobody reads its standard output.
+#[tokio::test]
+async fn a_process_whose_output_nobody_reads_ends_within_its_grace() {
+    let platform = Platform::start("unread-output").await;
+    platform.configure(&configuration(1));
+    let settings = platform.settings("router-1").to_string();
+    let mut command = platform.command("router-1", &settings);
+    let mut child = command.stdout(Stdio::piped()).spawn().expect("the router starts");
+    let mut output = BufReader::new(child.stdout.take().expect("standard output is piped"));
+    let mut started = String::new();
+    while !started.contains("\"event\":\"started\"") {
+        started.clear();
+        output.read_line(&mut started).expect("a line");
+    }
+    let callers = router::address(&started, "callers");
+    // Each request writes a line, and the pipe holds 64 KiB.
+    for number in 0..1_000 {
+        call(callers, get("/none/", &format!("r-{number}"))).await;
+    }
+    let id = i32::try_from(child.id()).ok().and_then(rustix::process::Pid::from_raw);
+    rustix::process::kill_process(id.expect("a process id"), Signal::TERM).expect("it runs");
+    let start = Instant::now();
+    let ended = loop {
+        let ended = child.try_wait().expect("the status of the process can be read");
+        if ended.is_some() || start.elapsed() > Duration::from_secs(4) {
+            break ended;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    drop(child.kill());
+    drop(child.wait());
+    drop(output);
+    assert_eq!(ended.and_then(|status| status.code()), Some(0), "still there after its grace");
 }
