fix(relay): the deadline of a call holds also while its answer never pauses

Cause: the end of the grace was added beside the deadline with a select, whose timer is not polled any more once the call has used up the turn of its task.

Change: the timeout is around both again, as it was.

Measured: the 4 tests of platform_endless and the 8 of platform_operation pass.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -118,17 +118,18 @@
     let may_have_run = Cell::new(false);
     let sends = Cell::new(0);
     let left = call.deadline.saturating_sub(router.now());
-    let attempts = attempts(router, &call, history, &may_have_run, &sends);
-    let answer = tokio::select! {
-        biased;
-        answer = attempts => Some(answer),
-        () = time::sleep(left) => None,
-        () = router.requests_ended() => None,
+    let attempts = async {
+        tokio::select! {
+            biased;
+            () = router.requests_ended() => None,
+            answer = attempts(router, &call, history, &may_have_run, &sends) => Some(answer),
+        }
+    };
+    let answer = match time::timeout(left, attempts).await.ok().flatten() {
+        Some(answer) => answer,
+        None if may_have_run.get() => Answer::Problem(Problem::Timeout),
+        None => refused(NOT_RUN_RETRY_AFTER),
     };
-    let answer = answer.unwrap_or_else(|| match may_have_run.get() {
-        true => Answer::Problem(Problem::Timeout),
-        false => refused(NOT_RUN_RETRY_AFTER),
-    });
     log_answer(router, &call, &answer, sends.get());
     answer
 }
