fix(relay): idle connections keep no memory of long bodies

Cause: the library doubles the buffer of a connection up to 64 KiB each time a read fills it, and keeps it while the connection is idle.

Change: a read of a caller's connection takes one byte less than the first buffer, so that it never grows.

Failed before: idle_connections_keep_no_memory_of_long_bodies, 74,452 KiB with 480 connections on 64 MiB.

--- a/crates/aspenline/tests/platform_memory.rs
+++ b/crates/aspenline/tests/platform_memory.rs
@@ -56,6 +56,19 @@
 const ANSWER_BYTES: usize = 4 << 20;
 /// The number of connections that are opened and hardly used.
 const CONNECTIONS: usize = 600;
+/// The number of clients that send a long body each and keep their idle connection.
+const IDLE_CLIENTS: usize = 480;
+/// The size of their bodies, in bytes.
+const LONG_BODY_BYTES: usize = 140_000;
+/// The number of clients whose requests have heads of legal size.
+const LONG_HEAD_CLIENTS: usize = 1_400;
+/// The headers of such a head beside the usual ones, and the size of the value of each, in bytes.
+const LONG_HEAD_HEADERS: usize = 94;
+const LONG_HEAD_VALUE_BYTES: usize = 156;
+/// The memory of the smallest instance, in MiB.
+const SMALLEST_MB: u64 = 88;
+/// The file descriptors of an instance with many clients.
+const MANY_DESCRIPTORS: usize = 4_096;
 /// Size of the pieces in which bodies and chunks are sent, in bytes.
 const PIECE_BYTES: usize = 64 << 10;
 /// How long a client may take to send what it sends before the checks begin without it.
@@ -75,6 +88,7 @@
     _platform: Platform,
     _runners: Vec<Endpoint>,
     router: Router,
+    memory_mb: u64,
     max_descriptors: usize,
 }
 
@@ -94,10 +108,15 @@
 
 impl Site {
     async fn start(test: &str, max_descriptors: usize) -> Self {
-        Self::start_with(test, max_descriptors, MAX_BODY_BYTES).await
+        Self::start_with(test, MEMORY_MB, max_descriptors, MAX_BODY_BYTES).await
     }
 
-    async fn start_with(test: &str, max_descriptors: usize, body_bytes: usize) -> Self {
+    async fn start_with(
+        test: &str,
+        memory_mb: u64,
+        max_descriptors: usize,
+        body_bytes: usize,
+    ) -> Self {
         let platform = Platform::start(test).await;
         platform.configure(&limited_configuration(body_bytes));
         let runners = platform.runners("ledger", 2).await;
@@ -105,11 +124,11 @@
             runner.set_answer_bytes(ANSWER_BYTES);
         }
         let mut settings = platform.settings("router-1");
-        settings["memory_mb"] = json!(MEMORY_MB);
+        settings["memory_mb"] = json!(memory_mb);
         settings["max_descriptors"] = json!(max_descriptors);
         let router = platform.router_with("router-1", &settings).await;
         router.wait_for_runners(2).await;
-        Self { _platform: platform, _runners: runners, router, max_descriptors }
+        Self { _platform: platform, _runners: runners, router, memory_mb, max_descriptors }
     }
 
     /// Checks that the process is within its limits and answers an ordinary request.
@@ -119,7 +138,7 @@
         let descriptors = self.router.open_descriptors();
         println!("{when}: {memory} KiB, {descriptors} descriptors, status {status}");
         assert!(self.router.is_running(), "{when}: the process has exited");
-        assert!(memory < MEMORY_MB << 10, "{when}: {memory} KiB");
+        assert!(memory < self.memory_mb << 10, "{when}: {memory} KiB");
         assert!(descriptors < self.max_descriptors, "{when}: {descriptors} descriptors");
         assert_eq!(status, StatusCode::OK, "{when}");
     }
@@ -359,9 +378,31 @@
 async fn a_body_of_the_full_size_is_served_without_load() {
     let _alone = ALONE.lock().await;
     let size = 4 << 20;
-    let mut site = Site::start_with("memory-full-size", MAX_DESCRIPTORS, size).await;
+    let mut site = Site::start_with("memory-full-size", MEMORY_MB, MAX_DESCRIPTORS, size).await;
     for number in 0..4 {
         assert_eq!(site.send(&format!("full-{number}"), size).await, StatusCode::OK);
     }
     site.check("after large bodies").await;
 }
+
+/// Guards against connections that keep the memory of a long body while they are idle.
+#[tokio::test]
+async fn idle_connections_keep_no_memory_of_long_bodies() {
+    let _alone = ALONE.lock().await;
+    let mut site = Site::start("memory-idle", MANY_DESCRIPTORS).await;
+    let mut idle = JoinSet::new();
+    for number in 0..IDLE_CLIENTS {
+        let mut stream = connect(site.router.callers).await.expect("accepted");
+        let framing = format!("content-length: {LONG_BODY_BYTES}");
+        let request = [head(number, &framing).into_bytes(), vec![b'x'; LONG_BODY_BYTES]].concat();
+        stream.write_all(&request).await.expect("sent");
+        let mut answer = [0; 12];
+        stream.read_exact(&mut answer).await.expect("an answer");
+        assert_eq!(&answer, b"HTTP/1.1 200");
+        idle.spawn(async move {
+            pending::<()>().await;
+            drop(stream);
+        });
+    }
+    site.check_with(Crowd { _clients: idle }).await;
+}
--- a/crates/relay/src/client.rs
+++ b/crates/relay/src/client.rs
@@ -13,6 +13,7 @@
 use std::sync::Weak;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Instant;
 
 use budget::Budget;
@@ -29,6 +30,10 @@
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Maximum number of bytes that are read at a time; one less than the library's first buffer of a connection, which it
+/// doubles, and keeps while the connection is idle, when a read fills it.
+const MAX_READ_BYTES: usize = (8 << 10) - 1;
+
 /// The connection of a client.
 pub struct Client {
     owner: u64,
@@ -192,7 +197,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_read(context, buffer)
+        let room = buffer.remaining().min(MAX_READ_BYTES);
+        let mut read = ReadBuf::new(buffer.initialize_unfilled_to(room));
+        ready!(Pin::new(&mut self.get_mut().stream).poll_read(context, &mut read))?;
+        let bytes = read.filled().len();
+        buffer.advance(bytes);
+        Poll::Ready(Ok(()))
     }
 }
 
