--- a/crates/aspenline/tests/platform_memory.rs
+++ b/crates/aspenline/tests/platform_memory.rs
@@ -406,3 +406,32 @@
     }
     site.check_with(Crowd { _clients: idle }).await;
 }
+
+/// Guards against heads of legal size that take more memory than is counted for them.
+#[tokio::test]
+async fn unfinished_requests_with_long_heads_fit_the_memory() {
+    let _alone = ALONE.lock().await;
+    raise_descriptor_limit();
+    let site = Site::start_with("memory-heads", SMALLEST_MB, MANY_DESCRIPTORS, MAX_BODY_BYTES);
+    let mut site = site.await;
+    let value = "v".repeat(LONG_HEAD_VALUE_BYTES);
+    let headers = (0..LONG_HEAD_HEADERS).map(|header| format!("\r\nx-trace-{header:02}: {value}"));
+    let framing = format!("transfer-encoding: chunked{}", headers.collect::<String>());
+    let body = chunk(2 << 10);
+    let crowd = Crowd::start(LONG_HEAD_CLIENTS, site.router.callers, |number, mut stream| {
+        let request = [head(number, &framing).into_bytes(), body[..body.len() - 4].to_vec()];
+        async move {
+            stream.write_all(&request.concat()).await?;
+            Ok(stream)
+        }
+    });
+    let crowd = crowd.await;
+    site.check_with(crowd).await;
+}
+
+/// Lets this process open as many descriptors as it may.
+fn raise_descriptor_limit() {
+    let limits = rustix::process::getrlimit(rustix::process::Resource::Nofile);
+    let raised = rustix::process::Rlimit { current: limits.maximum, ..limits };
+    rustix::process::setrlimit(rustix::process::Resource::Nofile, raised).expect("the own limit");
+}
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -14,7 +14,7 @@
 /// How long a body waits for memory before it is refused.
 const MEMORY_TIMEOUT: Duration = Duration::from_secs(5);
 /// The memory of a request besides its body, in bytes: its head and the buffer of its connection.
-const REQUEST_BYTES: usize = 16 << 10;
+pub const REQUEST_BYTES: usize = 16 << 10;
 /// The size up to which a body arrives in the buffer of its connection as it is, in bytes.
 const SMALL_BYTES: usize = 16 << 10;
 /// What the connection of a large body holds besides the body, in bytes: one piece and the buffer of the next.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -45,6 +45,7 @@
 pub use answer::Answer;
 pub use answer::Problem;
 pub use body::Error as BodyError;
+pub use body::REQUEST_BYTES;
 pub use body::read as read_body;
 pub use call::AnswerClass;
 pub use call::Attempt;
