--- a/crates/balance/src/place_time.rs
+++ b/crates/balance/src/place_time.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::usage::Decay;
+use crate::decay::Decay;
 
 /// A sum over the places in use, with exponential decay, in seconds.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/balance/src/snapshot.rs
+++ b/crates/balance/src/snapshot.rs
@@ -5,7 +5,7 @@
 //! stand empty, or the other way round. All figures are therefore as of one time, for which each router has figures of all.
 
 use crate::Work;
-use crate::usage;
+use crate::decay;
 
 /// The shortest time for which requests of a router are taken to hold a place, relative to those of all.
 const MIN_RELATIVE_DURATION: f64 = 0.5;
@@ -30,7 +30,7 @@
         let own_used: u64 = self.works.iter().map(|(own, _)| own.used).sum();
         let all_used: u64 = self.works.iter().map(|(_, all)| all.used).sum();
         let time_per_token = (self.place_time + others_time) / all_used as f64;
-        let prior = usage::decay_time().as_secs_f64();
+        let prior = decay::time().as_secs_f64();
         let relative = (self.place_time + prior) / (own_used as f64 * time_per_token + prior);
         if !relative.is_normal() {
             return 1.0;
--- a/crates/balance/src/usage.rs
+++ b/crates/balance/src/usage.rs
@@ -8,66 +8,16 @@
 
 use crate::Origin;
 use crate::ReportAges;
+use crate::Work;
+use crate::decay::Decay;
 use crate::place_time::PlaceTime;
 use crate::snapshot::Snapshot;
 
-/// The time after which past work has half of its weight.
-const HALF_LIFE: Duration = Duration::from_millis(1_500);
 /// The time after which reported figures expire.
 const EXPIRY: Duration = Duration::from_millis(1_500);
-/// The part of its demand that a workspace must lack to count as short.
-const MIN_UNMET_FRACTION: f64 = 0.1;
 /// The interval at which the work at this router is recorded.
 const RECORD_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Recent work of a workspace, in tokens, as sums with exponential decay.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Work {
-    /// The work of requests that were granted a runner.
-    pub used: u64,
-    /// The part of it that was granted while some workspace lacked work.
-    pub contended: u64,
-    /// The work of requests that were not, while they wait and after they are refused.
-    pub unmet: u64,
-}
-
-impl Work {
-    /// Returns the work of all requests.
-    #[must_use]
-    pub const fn demand(self) -> u64 {
-        self.used + self.unmet
-    }
-
-    /// Returns whether a workspace lacks a considerable part of what it asks for.
-    #[must_use]
-    pub fn is_short(self) -> bool {
-        self.unmet as f64 > MIN_UNMET_FRACTION * self.demand() as f64
-    }
-
-    const fn plus(self, other: Self) -> Self {
-        Self {
-            used: self.used + other.used,
-            contended: self.contended + other.contended,
-            unmet: self.unmet + other.unmet,
-        }
-    }
-
-    const fn saturating_sub(self, other: Self) -> Self {
-        Self {
-            used: self.used.saturating_sub(other.used),
-            contended: self.contended.saturating_sub(other.contended),
-            unmet: self.unmet.saturating_sub(other.unmet),
-        }
-    }
-}
-
-/// A sum with exponential decay.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Decay {
-    at: Duration,
-    sum: f64,
-}
-
 /// The work of a workspace at this router.
 #[derive(Debug, Clone, Copy, Default)]
 struct OwnWork {
@@ -110,23 +60,6 @@
     reported_sums: IndexMap<Name, Work>,
 }
 
-/// Returns the time in which a constant amount adds up to its sum with exponential decay.
-pub(crate) fn decay_time() -> Duration {
-    HALF_LIFE.div_f64(std::f64::consts::LN_2)
-}
-
-impl Decay {
-    pub(crate) fn value(self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.at);
-        self.sum * (-(age.as_secs_f64() / HALF_LIFE.as_secs_f64())).exp2()
-    }
-
-    pub(crate) fn add(&mut self, now: Duration, amount: f64) {
-        self.sum = (self.value(now) + amount).max(0.0);
-        self.at = now;
-    }
-}
-
 impl OwnWork {
     fn charge(&mut self, now: Duration, work: f64, is_contended: bool) {
         self.used.add(now, work);
@@ -294,7 +227,7 @@
         let Some(record) = self.record_at(now.saturating_sub(interval)).cloned() else { return };
         for (name, own) in &mut self.own {
             let used = record.works.get(name).map_or(0.0, |work| work.used as f64);
-            let earlier = Decay { at: record.at, sum: used };
+            let earlier = Decay::of(record.at, used);
             let recent = own.used.value(now) - earlier.value(now) - own.contended.value(now);
             own.contended.add(now, recent.max(0.0));
         }
