perf(conn): usual reads and pieces of a body don't give up the processor

Cause: each piece of a body, and each 128 bytes of any read, counted towards the budget after which a task yields, and each read was zeroed first.

Change: reads of up to 4 KiB and pieces of 32 bytes or more don't count, and reads into a buffer of up to 16 KiB go into it directly.

--- a/crates/conn/src/connection.rs
+++ b/crates/conn/src/connection.rs
@@ -36,6 +36,9 @@
 /// of 400 KiB would be held for each response that a client reads slowly.
 const MAX_READ_BYTES: usize = 64 << 10;
 
+/// The size below which a frame of a body is tiny, in bytes.
+const TINY_FRAME_BYTES: usize = 32;
+
 /// The reason why a call has no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Failure {
@@ -55,6 +58,8 @@
     driver: Pin<Box<Driver>>,
     expectation: Expectation,
     closed: bool,
+    /// Whether the last frame of a body was so small that reading more of them takes the processor from others.
+    was_tiny: bool,
     last_used: Instant,
 }
 
@@ -75,7 +80,7 @@
             .await;
         let (sender, driver) = handshake.map_err(|_| Failure::NotSent)?;
         let (driver, last_used) = (Box::pin(driver), Instant::now());
-        Ok(Self { sender, driver, expectation, closed: false, last_used })
+        Ok(Self { sender, driver, expectation, closed: false, was_tiny: false, last_used })
     }
 
     /// Returns the time since the last use of the connection.
@@ -176,22 +181,25 @@
         Ok(collected.freeze())
     }
 
-    /// Polls for the next frame of a body; after a number of frames, other tasks run first.
+    /// Polls for the next frame of a body; after a number of tiny frames, other tasks run first.
     pub fn poll_frame(
         &mut self,
         body: &mut Incoming,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Failure>>> {
-        let unit = ready!(coop::poll_proceed(context));
+        if self.was_tiny {
+            ready!(coop::poll_proceed(context)).made_progress();
+            self.was_tiny = false;
+        }
         let mut polled = Pin::new(&mut *body).poll_frame(context);
         if polled.is_pending() && !self.closed {
             self.closed = self.driver.as_mut().poll(context).is_ready();
             polled = Pin::new(body).poll_frame(context);
         }
         let frame = ready!(polled);
-        unit.made_progress();
         if let Some(bytes) = frame.as_ref().and_then(|frame| frame.as_ref().ok()?.data_ref()) {
             self.expectation.record_body(bytes.len());
+            self.was_tiny = bytes.len() < TINY_FRAME_BYTES;
         }
         Poll::Ready(frame.map(|result| result.map_err(|_| Failure::Broken)))
     }
--- a/crates/conn/src/filter.rs
+++ b/crates/conn/src/filter.rs
@@ -186,6 +186,25 @@
     }
 }
 
+/// Reads at most [`overhead::MAX_READ_BYTES`] into the buffer, and returns their number.
+fn read_some(
+    stream: &mut TcpStream,
+    context: &mut Context<'_>,
+    buffer: &mut ReadBuf<'_>,
+) -> Poll<io::Result<usize>> {
+    let stream = Pin::new(stream);
+    if buffer.remaining() <= overhead::MAX_READ_BYTES {
+        let before = buffer.filled().len();
+        ready!(stream.poll_read(context, buffer))?;
+        return Poll::Ready(Ok(buffer.filled().len() - before));
+    }
+    let mut read = ReadBuf::new(buffer.initialize_unfilled_to(overhead::MAX_READ_BYTES));
+    ready!(stream.poll_read(context, &mut read))?;
+    let bytes = read.filled().len();
+    buffer.advance(bytes);
+    Poll::Ready(Ok(bytes))
+}
+
 impl AsyncRead for Filtered {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -205,11 +224,7 @@
                 return Poll::Ready(Ok(()));
             }
             if state.phase == Phase::Pass {
-                let room = buffer.remaining().min(overhead::MAX_READ_BYTES);
-                let mut read = ReadBuf::new(buffer.initialize_unfilled_to(room));
-                ready!(Pin::new(stream).poll_read(context, &mut read))?;
-                let bytes = read.filled().len();
-                buffer.advance(bytes);
+                let bytes = ready!(read_some(stream, context, buffer))?;
                 state.record_read(context, bytes);
                 return Poll::Ready(Ok(()));
             }
--- a/crates/conn/src/overhead.rs
+++ b/crates/conn/src/overhead.rs
@@ -14,7 +14,9 @@
 const MAX_BYTES_PER_BODY_BYTE: u64 = 2;
 /// The maximum number of bytes that are read at a time.
 pub(crate) const MAX_READ_BYTES: usize = 16 << 10;
-/// The number of bytes that count as one unit of the budget after which a task lets others run.
+/// The size of a read that counts as no more than any other, in bytes.
+const SMALL_READ_BYTES: usize = 4 << 10;
+/// The number of bytes of a larger read that count as one unit of the budget after which a task lets others run.
 const BYTES_PER_UNIT: usize = 128;
 
 /// What has arrived of a response.
@@ -49,6 +51,9 @@
 
 /// Counts bytes that were read towards the budget after which the task lets others run.
 pub(crate) fn spend_budget(context: &mut Context<'_>, bytes: usize) {
+    if bytes <= SMALL_READ_BYTES {
+        return;
+    }
     for _ in 0..bytes / BYTES_PER_UNIT {
         match coop::poll_proceed(context) {
             Poll::Ready(unit) => unit.made_progress(),
