feat(relay): routers read, tell and log the rates that runners state

Cause: the logs could not tell that a runner names a limit on its requests, when it ends and which routers know it. Change: the statement of each answer is kept by runner (a lower limit holds at once, a higher one or none is reached by doubling, so that one late answer frees nothing), told in heartbeats and sums, and logged when it changes. No decision depends on it yet.

--- a/crates/balance/src/runner.rs
+++ b/crates/balance/src/runner.rs
@@ -11,6 +11,7 @@
 use crate::Pace;
 use crate::PeerLoads;
 use crate::PrefixCache;
+use crate::RateLimit;
 use crate::Start;
 use crate::Window;
 use crate::rendezvous;
@@ -80,6 +81,8 @@
     pub(crate) paused_until: Option<Duration>,
     /// How long work takes there.
     pub pace: Pace,
+    /// The rate of requests that it takes from all routers together.
+    pub rate_limit: RateLimit,
     /// The prompt parts that it is assumed to hold.
     pub prefix_cache: PrefixCache,
     /// The load that this router has placed on it.
@@ -103,6 +106,7 @@
             health: Health::default(),
             paused_until: None,
             pace: Pace::default(),
+            rate_limit: RateLimit::default(),
             prefix_cache: PrefixCache::default(),
             own_load: Load::default(),
             peer_loads: PeerLoads::default(),
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -6,9 +6,12 @@
 //! Heartbeats are authenticated with a key that each process creates at its start and publishes with its identity in a
 //! topic of the platform's store, which only the fleet can write.
 
+use std::time::Duration;
+
 use balance::Cause;
 use balance::Runner;
 use balance::Start;
+use balance::Statement;
 use balance::rollout;
 use hmac::Hmac;
 use hmac::Mac;
@@ -123,6 +126,30 @@
     pub(crate) age_ms: u32,
 }
 
+/// The limit on the rate of requests to a runner, as it has stated it.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub(crate) struct RunnerRate {
+    /// The digest of the runner's incarnation.
+    pub(crate) incarnation: u32,
+    /// Requests per second from all routers together; `None` if it has stated no limit.
+    pub(crate) per_second: Option<f64>,
+    /// The time since the statement, in milliseconds.
+    pub(crate) age_ms: u32,
+}
+
+impl RunnerRate {
+    /// Returns the limit; a figure that can't be true is none.
+    pub(crate) fn stated(&self) -> Option<f64> {
+        self.per_second.filter(|per_second| *per_second >= 0.0)
+    }
+
+    /// Returns the statement of a report that was made at `at`.
+    pub(crate) fn statement(&self, at: Duration) -> Statement {
+        let age = Duration::from_millis(u64::from(self.age_ms));
+        Statement { per_second: self.stated(), at: at.saturating_sub(age) }
+    }
+}
+
 /// The sender's view of a topic of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct TopicStatus {
@@ -188,7 +215,7 @@
 }
 
 /// The sums over all routers of an availability zone.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct ZoneSums {
     /// The zone.
     pub(crate) zone: String,
@@ -218,10 +245,13 @@
     /// The rollouts, with the sums of the evidence of the zone.
     #[serde(skip)]
     pub(crate) rollouts: Vec<rollout::Report>,
+    /// The limits on the rate of requests to runners, by statements known in the zone.
+    #[serde(skip)]
+    pub(crate) rates: Vec<RunnerRate>,
 }
 
 /// The part of a datagram that routers of earlier versions ignore.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Extension {
     /// The number of routers of the sender's zone from which it has heard recently.
     pub(crate) heard: u32,
@@ -250,6 +280,9 @@
     /// The rollouts, with the evidence of the sender.
     #[serde(skip)]
     pub(crate) rollouts: Vec<rollout::Report>,
+    /// The limits on the rate of requests to runners, by statements that the sender has seen since its last heartbeat.
+    #[serde(skip)]
+    pub(crate) rates: Vec<RunnerRate>,
 }
 
 /// The departures of runners that [`Extension::leaving`] does not name; the part of a datagram after the crash report, which
@@ -303,7 +336,7 @@
     by_zone: Vec<Vec<RunnerPace>>,
 }
 
-/// The last part of a datagram, which earlier versions ignore and which is left out while there are no rollouts.
+/// The part of a datagram that tells of rollouts, which earlier versions ignore; left out if it and what follows are empty.
 #[derive(Debug, Default, Serialize, Deserialize)]
 struct RolloutReports {
     /// Those of the sender.
@@ -312,8 +345,16 @@
     by_zone: Vec<Vec<rollout::Report>>,
 }
 
+/// The last part of a datagram, which earlier versions ignore and which is left out while no runner states a limit.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+struct RateReport {
+    own: Vec<RunnerRate>,
+    /// Those of each zone whose sums are told, in the order of the sums.
+    by_zone: Vec<Vec<RunnerRate>>,
+}
+
 /// A received heartbeat, and the newest heartbeat of the receiver that it acknowledges.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub(crate) struct Received {
     pub(crate) heartbeat: Heartbeat,
     /// The extension; `None` if the sender has an earlier version.
@@ -349,10 +390,20 @@
         own: extension.rollouts.clone(),
         by_zone: extension.sums.iter().map(|sums| sums.rollouts.clone()).collect(),
     };
-    if rollouts.own.is_empty() && rollouts.by_zone.iter().all(Vec::is_empty) {
+    let rates = RateReport {
+        own: extension.rates.clone(),
+        by_zone: extension.sums.iter().map(|sums| sums.rates.clone()).collect(),
+    };
+    let has_rates = !(rates.own.is_empty() && rates.by_zone.iter().all(Vec::is_empty));
+    let has_rollouts = !(rollouts.own.is_empty() && rollouts.by_zone.iter().all(Vec::is_empty));
+    if !has_rates && !has_rollouts {
+        return Some(encoded);
+    }
+    let encoded = postcard::to_extend(&rollouts, encoded).ok()?;
+    if !has_rates {
         return Some(encoded);
     }
-    postcard::to_extend(&rollouts, encoded).ok()
+    postcard::to_extend(&rates, encoded).ok()
 }
 
 /// Decodes an extension, with the later parts of the datagram if the sender's version has them.
@@ -366,10 +417,16 @@
     let (departures, rest) = departures.map_or((None, &[][..]), |(told, rest)| (Some(told), rest));
     let (pace_report, rest): (PaceReport, &[u8]) =
         postcard::take_from_bytes(rest).unwrap_or_default();
-    let rollouts: RolloutReports = postcard::from_bytes(rest).unwrap_or_default();
+    let (rollouts, rest): (RolloutReports, &[u8]) =
+        postcard::take_from_bytes(rest).unwrap_or_default();
+    let rates: RateReport = postcard::from_bytes(rest).unwrap_or_default();
     extension.departures = departures;
     extension.paces = pace_report.own;
     extension.rollouts = rollouts.own;
+    extension.rates = rates.own;
+    for (sums, rates) in extension.sums.iter_mut().zip(rates.by_zone) {
+        sums.rates = rates;
+    }
     for (sums, reports) in extension.sums.iter_mut().zip(rollouts.by_zone) {
         sums.rollouts = reports;
     }
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -32,6 +32,7 @@
 use crate::gossip::TopicStatus;
 use crate::lending;
 use crate::pace_report;
+use crate::rate_report;
 use crate::report;
 use crate::rollout;
 
@@ -136,6 +137,7 @@
     extension.shortage = report::own_shortage(&router.core.borrow(), router.now());
     extension.crash_evidence = crash_evidence::of_router(router);
     extension.paces = pace_report::of_router(router);
+    extension.rates = rate_report::of_router(router);
     extension.rollouts = router.core.borrow().rollouts.reports(router.now(), false);
     extension.sums = router.exchange.borrow_mut().take_sums(router.now());
     let members = router.members.borrow();
@@ -222,6 +224,7 @@
         crash_evidence: Vec::new(),
         paces: Vec::new(),
         rollouts: Vec::new(),
+        rates: Vec::new(),
     }
 }
 
@@ -278,6 +281,8 @@
         crash_evidence::apply(router, now, now, Distance::Zone, evidence);
         let paces = extension.as_ref().map_or(&[][..], |extension| &extension.paces);
         pace_report::apply(router, now, paces);
+        let rates = extension.as_ref().map_or(&[][..], |extension| &extension.rates);
+        rate_report::apply(router, now, rates);
         let reports = extension.as_ref().map_or(&[][..], |extension| &extension.rollouts);
         rollout::apply_heartbeat(router, now, &heartbeat, reports);
     }
--- a/crates/relay/src/notice.rs
+++ b/crates/relay/src/notice.rs
@@ -4,10 +4,12 @@
 
 use balance::Grant;
 use balance::Sample;
+use balance::Statement;
 
 use crate::Line;
 use crate::Router;
 use crate::event;
+use crate::rate_report;
 
 /// How long a runner wants no requests of this router, as it states it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -27,8 +29,17 @@
     Unreadable(String),
 }
 
+/// How many requests a runner takes from all routers together, as it states it.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Rate {
+    /// Requests per second.
+    PerSecond(f64),
+    /// The statement can't be read.
+    Unreadable(String),
+}
+
 /// What a runner says about itself in an answer.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Notice {
     /// Whether it leaves.
     pub is_leaving: bool,
@@ -36,6 +47,8 @@
     pub pause: Option<Pause>,
     /// How long work takes there at this moment.
     pub slowness: Option<Slowness>,
+    /// The limit on the rate of requests that it states; `None` if it states that there is none.
+    pub rate: Option<Rate>,
 }
 
 /// Records what the runner of a grant says in an answer.
@@ -51,6 +64,7 @@
         }
         None => (),
     }
+    record_rate(router, grant, notice.rate.as_ref());
     match &notice.pause {
         Some(Pause::For(pause)) => record_pause(router, grant, *pause),
         Some(Pause::Unreadable(text)) => {
@@ -74,6 +88,27 @@
     }
 }
 
+/// Records the limit that a runner states; a statement that can't be read leaves what is known.
+fn record_rate(router: &Router, grant: &Grant, rate: Option<&Rate>) {
+    let per_second = match rate {
+        Some(Rate::PerSecond(per_second)) => Some(*per_second),
+        Some(Rate::Unreadable(text)) => {
+            let line = Line::new("rate_limit_unreadable").subject(grant.id.as_str());
+            router.log(line.outcome(text.as_str()));
+            return;
+        }
+        None => None,
+    };
+    let statement = Statement { per_second, at: router.now() };
+    let mut core = router.core.borrow_mut();
+    let Some(runner) = core.registry.get_mut(grant.runner) else { return };
+    let is_new = runner.rate_limit.record(statement);
+    drop(core);
+    if is_new {
+        rate_report::log(router, &grant.id, per_second, "answer");
+    }
+}
+
 fn record_leaving(router: &Router, grant: &Grant) {
     let mut core = router.core.borrow_mut();
     let start = core.registry.get(grant.runner).map(|runner| runner.registration.start());
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -27,6 +27,7 @@
 use crate::gossip::WorkspaceUse;
 use crate::gossip::ZoneSums;
 use crate::pace_report;
+use crate::rate_report;
 use crate::rollout;
 
 /// Figures of one origin.
@@ -79,6 +80,7 @@
     let now = router.now();
     let crash_evidence = crash_evidence::of_zone(router);
     let paces = pace_report::of_zone(router);
+    let rates = rate_report::of_zone(router);
     let core = router.core.borrow();
     let zone_load = |runner: &Runner| {
         let mut load = runner.own_load;
@@ -97,6 +99,7 @@
         crash_evidence,
         paces,
         rollouts: core.rollouts.reports(now, true),
+        rates,
         members: member_reports(router, now, incarnation),
     }
 }
@@ -140,6 +143,7 @@
     figures.apply(&mut router.core.borrow_mut(), &Origin::Zone(zone.clone()), now, at);
     crash_evidence::apply(router, now, at, Distance::Fleet, &sums.crash_evidence);
     pace_report::apply(router, at, &sums.paces);
+    rate_report::apply(router, at, &sums.rates);
     rollout::apply_sums(router, now, at, &zone, &sums.rollouts);
     apply_member_reports(router, &zone, at, &sums.members);
 }
