fix(balance): requests to a runner that states a rate need credits

Cause: one more share of a limit over all routers, of which no router kept any part. Evidence: of 82 requests that one engine got in 4 s at most 24 came from one router, so that a limit kept by each router alone (30) would not have helped. Why this works: for each such runner one router, the live one that ranks first by rendezvous hashing, hands out credits at the stated rate to those that ask, the workspace furthest behind its share first. Each request takes one, whatever it is. Credits and wishes expire, an issuer begins with none, and one that sees less than three quarters of the routers hands out its part only.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -207,7 +207,8 @@
         self.lease_limit().is_none()
             && serving.any(|(_, runner)| {
                 let load = self.expectation.load(runner);
-                limits.may_run(load, runner, &engine)
+                runner.has_credit(self.now)
+                    && limits.may_run(load, runner, &engine)
                     && load.backlog <= limits.backlog_at(runner, self.now)
             })
     }
@@ -220,6 +221,7 @@
         serving.any(|(_, runner)| {
             let load = self.expectation.load(runner);
             runner.may_be_sent(self.now)
+                && runner.has_credit(self.now)
                 && limits.may_run(load, runner, &engine)
                 && load.backlog < limits.backlog_at(runner, self.now)
                 && load.memory < usable_memory(&engine)
@@ -233,7 +235,9 @@
         let limits = self.workspace_limits();
         for (_, runner) in self.serving(self.service.name.as_str()) {
             let load = self.expectation.load(runner);
-            let count = if !limits.may_run(load, runner, &engine) {
+            let count = if !runner.has_credit(self.now) {
+                &mut room.at_rate_limit
+            } else if !limits.may_run(load, runner, &engine) {
                 &mut room.at_running_limit
             } else if load.backlog >= limits.backlog_at(runner, self.now) {
                 &mut room.at_backlog_limit
@@ -253,6 +257,7 @@
         Openings {
             full: full.count_openings(request),
             share: self.count_openings(request),
+            without_credit: full.count_without_credit(request),
             lease_limit: self.lease_limit(),
             is_placeable: self.choose(request).is_some(),
         }
@@ -268,6 +273,16 @@
         u32::try_from(open.count()).unwrap_or(u32::MAX)
     }
 
+    /// Returns the number of runners that only lack a credit of this router to take a request.
+    fn count_without_credit(&self, request: &Request) -> u32 {
+        let serving = self.serving(request.service.as_str());
+        let limited = serving.filter(|(key, runner)| {
+            !runner.has_credit(self.now) && self.is_available(*key, runner, request)
+        });
+        let open = limited.filter(|(_, runner)| self.may_have_capacity(runner, request));
+        u32::try_from(open.count()).unwrap_or(u32::MAX)
+    }
+
     /// Returns what the lease of this router lacks for another request of the workspace; `None` if it allows one.
     fn lease_limit(&self) -> Option<Limit> {
         let places = self.places().filter(|_| !self.is_beyond_lease)?;
@@ -360,6 +375,11 @@
 
     /// Returns whether a runner may be used for a request, apart from its capacity.
     fn is_usable(&self, key: Key, runner: &Runner, request: &Request) -> bool {
+        runner.has_credit(self.now) && self.is_available(key, runner, request)
+    }
+
+    /// Returns whether a runner may be used for a request, apart from its capacity and the limit on its rate.
+    fn is_available(&self, key: Key, runner: &Runner, request: &Request) -> bool {
         let is_usable = runner.may_be_sent(self.now) && !request.avoid.contains(&key);
         let may_probe = runner.own_load.running == 0
             && runner.health.may_be_probed(self.now, probes_first(request));
--- a/crates/balance/src/contention.rs
+++ b/crates/balance/src/contention.rs
@@ -47,6 +47,8 @@
 pub enum Limit {
     /// No engine has room.
     Engines,
+    /// The rates of requests that runners take from all routers together.
+    Rate,
     /// The limits of engines, which are lowered by the share of its workspace.
     Share,
     /// The places at engines that its router may use.
@@ -70,6 +72,8 @@
     pub share: u32,
     /// What the lease of the router lacks; `None` if it allows the request.
     pub lease_limit: Option<Limit>,
+    /// Engines with room for which this router has no credit.
+    pub without_credit: u32,
     /// Whether the router would place the request now.
     pub is_placeable: bool,
 }
@@ -101,7 +105,9 @@
 pub struct EngineRoom {
     /// Engines with room.
     pub free: u32,
-    /// Engines at the limit on running requests.
+    /// Engines whose rate is limited, for which this router has no credit.
+    pub at_rate_limit: u32,
+    /// Other engines, at the limit on running requests.
     pub at_running_limit: u32,
     /// Other engines, at the limit on waiting prompt tokens.
     pub at_backlog_limit: u32,
@@ -113,6 +119,7 @@
     /// Returns what keeps a request from the engines.
     pub(crate) const fn limit(self) -> Limit {
         match self {
+            Self { full: 0, without_credit: 1.., .. } => Limit::Rate,
             Self { full: 0, .. } => Limit::Engines,
             Self { share: 0, .. } => Limit::Share,
             Self { lease_limit: Some(limit), .. } => limit,
@@ -173,8 +180,10 @@
 
 impl fmt::Display for EngineRoom {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { free, at_running_limit, at_backlog_limit, at_memory_limit } = self;
-        write!(formatter, "engines free {free}, at limit of running {at_running_limit}, ")?;
+        let Self { free, at_rate_limit, at_running_limit, at_backlog_limit, at_memory_limit } =
+            self;
+        write!(formatter, "engines free {free}, without credit {at_rate_limit}, ")?;
+        write!(formatter, "at limit of running {at_running_limit}, ")?;
         write!(formatter, "of backlog {at_backlog_limit}, of memory {at_memory_limit}")
     }
 }
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -1,6 +1,7 @@
 //! The state of a router and its decisions on each request.
 
 mod conditions;
+mod credits;
 mod lending;
 mod refusal;
 mod rollout;
@@ -31,6 +32,7 @@
 use crate::choice;
 use crate::choice::Choice;
 use crate::choice::Selector;
+use crate::credit::Issuers;
 use crate::expectation::Expectation;
 use crate::loan::Loans;
 use crate::queue::Queue;
@@ -55,6 +57,8 @@
     budget: RetryBudget,
     loans: Loans,
     turnover: Turnover,
+    /// The time of the last request that was submitted.
+    asked_at: Option<Duration>,
 }
 
 /// The state of a router.
@@ -77,6 +81,8 @@
     services: IndexMap<Name, ServiceState>,
     tickets: u64,
     shares: Shares,
+    /// The routers that hand out credits for runners with a limit, and what this one hands out.
+    issuers: Issuers,
     /// Shared parts that are to be reported to other routers, with the runners to which they were sent.
     placements: Vec<(u64, Key)>,
 }
@@ -97,6 +103,7 @@
             services: IndexMap::new(),
             tickets: 0,
             shares: Shares::default(),
+            issuers: Issuers::default(),
             placements: Vec::new(),
         }
     }
@@ -168,7 +175,9 @@
 
     /// Submits a request for a runner.
     pub fn submit(&mut self, now: Duration, request: Request) -> Outcome {
-        let has_waiting = !self.service_state(&request.service).queue.is_empty();
+        let state = self.service_state(&request.service);
+        state.asked_at = Some(now);
+        let has_waiting = !state.queue.is_empty();
         if let Some(prompt) = &request.prompt {
             let time = request.deadline.saturating_sub(request.arrived);
             self.service_state(&request.service).adaptive_limit.record_request(
@@ -186,7 +195,8 @@
         }
         let expires_at = expires_at(&request);
         let resumes_at = self.registry.resumes_at(now, request.service.as_str());
-        if now >= expires_at || resumes_at.is_some_and(|resumes_at| resumes_at >= expires_at) {
+        let is_pausing = resumes_at.is_some_and(|resumes_at| resumes_at >= expires_at);
+        if now >= expires_at || is_pausing || self.is_credit_late(now, &request, expires_at) {
             return Outcome::Decided(self.refusal(now, &request));
         }
         self.tickets += 1;
@@ -417,6 +427,9 @@
         if is_cold {
             runner.cold_sent.add(now, 1);
         }
+        if runner.rate_limit.per_second(now).is_some() {
+            runner.credits.take(now);
+        }
         runner.own_load.add(load);
         if let Some(prompt) = &request.prompt {
             let reported = runner.prefix_cache.record_sent(prompt, now);
@@ -465,6 +478,7 @@
                 budget,
                 loans: Loans::default(),
                 turnover: Turnover::default(),
+                asked_at: None,
             };
             self.services.insert(service.clone(), state);
         }
--- /dev/null
+++ b/crates/balance/src/core/credits.rs
@@ -0,0 +1,214 @@
+//! Credits for requests to runners that limit the rate of all routers together.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use base::Name;
+use indexmap::IndexMap;
+
+use super::Core;
+use crate::Credit;
+use crate::CreditRequest;
+use crate::Key;
+use crate::Request;
+use crate::Runner;
+use crate::credit::MIN_RATE;
+use crate::rendezvous;
+
+/// The time after a request for a service for which a router asks for credits before further ones come.
+const DEMAND_TIME: Duration = Duration::from_millis(500);
+/// The most credits that are wanted of a runner at once.
+const MAX_WANTED: u32 = 8;
+/// The number of runners of whose credits some are wanted while nothing waits.
+const MAX_ASKED: usize = 12;
+/// The interval at which other runners are asked first.
+const ROTATION_TIME: Duration = Duration::from_secs(1);
+/// The longest time after which a caller is asked to come back.
+const MAX_CREDIT_WAIT: Duration = Duration::from_secs(5);
+/// The time for which a process hands out nothing, since it may not yet know of other issuers.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
+impl Core {
+    /// Replaces the routers that may hand out credits: those that are alive and accept callers, this one included if it does;
+    /// `visible` routers are alive.
+    pub fn set_issuers(&mut self, candidates: Vec<Name>, visible: usize) {
+        let published = self.limits.peers.as_ref().map_or(usize::MAX, |peers| peers.len() + 1);
+        if !self.issuers.set(candidates, visible, published) {
+            return;
+        }
+        let (registry, router) = (&self.registry, &self.limits.router);
+        let owned: Vec<Key> = registry
+            .iter()
+            .filter(|(_, runner)| self.issuers.issuer(number(runner)) == Some(router))
+            .map(|(key, _)| key)
+            .collect();
+        self.issuers.retain(|key| owned.contains(&key));
+    }
+
+    /// Returns whether any runner limits the rate of requests.
+    #[must_use]
+    pub fn has_rate_limits(&self, now: Duration) -> bool {
+        self.registry.iter().any(|(_, runner)| runner.rate_limit.per_second(now).is_some())
+    }
+
+    /// Returns the credits that this router wants now, by issuer.
+    pub fn credit_requests(&mut self, now: Duration) -> IndexMap<Name, Vec<CreditRequest>> {
+        let mut requests: IndexMap<Name, Vec<CreditRequest>> = IndexMap::new();
+        let services: Vec<Name> = self.services.keys().cloned().collect();
+        for service in services {
+            let has_demand =
+                self.services[&service].asked_at.is_some_and(|at| now < at + DEMAND_TIME);
+            let waiting = self.services[&service].queue.len();
+            if !has_demand && waiting == 0 {
+                continue;
+            }
+            let limited = self.limited(now, &service, waiting.max(MAX_ASKED));
+            if limited.is_empty() {
+                continue;
+            }
+            let wanted = u32::try_from(waiting.div_ceil(limited.len())).unwrap_or(u32::MAX);
+            let wanted = wanted.clamp(1, MAX_WANTED);
+            let granted_share = self.least_granted_share(now, &service);
+            for runner in limited {
+                if let Some(issuer) = self.ask(now, runner, wanted, waiting > 0) {
+                    let request = CreditRequest { runner, wanted, granted_share };
+                    requests.entry(issuer).or_default().push(request);
+                }
+            }
+        }
+        requests
+    }
+
+    /// Returns at most `most` runners of a service whose credits this router may use, other ones after some time.
+    fn limited(&self, now: Duration, service: &Name, most: usize) -> Vec<Key> {
+        let serving = self.registry.serving(service.as_str());
+        let canaries = self.registry.canaries(service.as_str());
+        let limited = serving.chain(canaries).filter(|(_, runner)| {
+            runner.may_be_sent(now) && runner.rate_limit.per_second(now).is_some()
+        });
+        let epoch = now.as_millis() / ROTATION_TIME.as_millis();
+        let epoch = u64::try_from(epoch).unwrap_or(u64::MAX);
+        let weight = |runner: &Runner| rendezvous::weight(epoch, runner.registration.id.as_str());
+        let mut limited: Vec<(Reverse<u64>, Key)> =
+            limited.map(|(key, runner)| (Reverse(weight(runner)), key)).collect();
+        if limited.len() > most {
+            limited.sort_unstable();
+            limited.truncate(most);
+        }
+        limited.into_iter().map(|(_, key)| key).collect()
+    }
+
+    /// Returns the lowest share that a workspace with waiting requests has been granted; infinite if none waits.
+    fn least_granted_share(&self, now: Duration, service: &Name) -> f64 {
+        let queue = &self.services[service].queue;
+        if queue.is_empty() {
+            return f64::INFINITY;
+        }
+        let queued = queue.by_payer();
+        let shares = queued.iter().map(|queued| self.granted_share(now, &queued.payer));
+        shares.reduce(f64::min).unwrap_or(0.0)
+    }
+
+    /// Records that credits of a runner are wanted, and returns of whom; `None` if some are held or asked for already.
+    fn ask(&mut self, now: Duration, key: Key, wanted: u32, has_waiting: bool) -> Option<Name> {
+        let runner = self.registry.get_mut(key)?;
+        runner.credits.record_lack(now, has_waiting);
+        if runner.credits.count(now) >= wanted as usize {
+            return None;
+        }
+        let issuer = self.issuers.issuer(number(runner))?;
+        runner.credits.ask(now, issuer, wanted).then(|| issuer.clone())
+    }
+
+    /// Records the wish of a router for credits that this one hands out; `number` stands for the wish.
+    pub fn request_credits(
+        &mut self,
+        now: Duration,
+        router: &Name,
+        request: CreditRequest,
+        number: u64,
+    ) {
+        if self.is_issuer(request.runner) {
+            self.issuers.record(now, router, request, number);
+        }
+    }
+
+    /// Returns the credits that are due now, for each router that wants some.
+    pub fn issue_credits(&mut self, now: Duration) -> Vec<Credit> {
+        if self.limits.peers.is_none() || now < self.limits.started + SETTLE_TIME {
+            return Vec::new();
+        }
+        let registry = &self.registry;
+        self.issuers.retain(|key| registry.get(key).is_some());
+        self.issuers.issue(now, |key| {
+            registry.get(key).and_then(|runner| runner.rate_limit.per_second(now))
+        })
+    }
+
+    /// Returns the time until credits are due for which a router has asked; `None` if none are wanted.
+    #[must_use]
+    pub fn next_issue(&self, now: Duration) -> Option<Duration> {
+        let rate_of = |key| {
+            self.registry.get(key).and_then(|known: &Runner| known.rate_limit.per_second(now))
+        };
+        self.issuers.next_issue(now, rate_of)
+    }
+
+    /// Adds credits that answer a wish of `asked_at`; returns whether they may still be used.
+    pub fn add_credits(
+        &mut self,
+        now: Duration,
+        asked_at: Duration,
+        runner: Key,
+        count: u32,
+    ) -> bool {
+        let runner = self.registry.get_mut(runner);
+        runner.is_some_and(|runner| runner.credits.add(now, asked_at, count))
+    }
+
+    /// Returns the requests per second that the runners of a service take from all routers together; `None` if any of those
+    /// that may be used has no limit.
+    pub(super) fn total_rate(&self, now: Duration, service: &Name) -> Option<f64> {
+        let serving = self.registry.serving(service.as_str());
+        let usable = serving.filter(|(_, runner)| runner.may_be_sent(now));
+        let mut total = None;
+        for (_, runner) in usable {
+            let rate = runner.rate_limit.per_second(now)?.max(MIN_RATE);
+            total = Some(total.unwrap_or(0.0) + rate);
+        }
+        total
+    }
+
+    /// Returns whether the next credit for a request comes later than the end of its wait.
+    pub(super) fn is_credit_late(
+        &self,
+        now: Duration,
+        request: &Request,
+        expires_at: Duration,
+    ) -> bool {
+        let Some(rate) = self.total_rate(now, &request.service) else { return false };
+        let mut serving = self.registry.serving(request.service.as_str());
+        let has_credit = serving.any(|(_, runner)| runner.credits.count(now) > 0);
+        !has_credit && now.as_secs_f64() + 1.0 / rate >= expires_at.as_secs_f64()
+    }
+
+    /// Returns the time in which this router gets credits for all that waits here, if all routers have as much to send.
+    pub(super) fn credit_wait(&self, now: Duration, service: &Name) -> Duration {
+        let Some(rate) = self.total_rate(now, service) else { return Duration::ZERO };
+        let waiting = self.services.get(service).map_or(0, |state| state.queue.len()) + 1;
+        let routers = self.limits.peers.as_ref().map_or(1, |peers| peers.len() + 1);
+        let wait = Duration::from_secs_f64((waiting * routers) as f64 / rate);
+        wait.min(MAX_CREDIT_WAIT)
+    }
+
+    fn is_issuer(&self, runner: Key) -> bool {
+        let runner = self.registry.get(runner);
+        let issuer = runner.and_then(|runner| self.issuers.issuer(number(runner)));
+        issuer == Some(&self.limits.router)
+    }
+}
+
+/// Returns the number by which the issuer for a runner is chosen.
+fn number(runner: &Runner) -> u64 {
+    u64::from(runner.registration.incarnation())
+}
--- a/crates/balance/src/core/lending.rs
+++ b/crates/balance/src/core/lending.rs
@@ -121,7 +121,8 @@
         })
     }
 
-    fn granted_share(&self, now: Duration, payer: &Name) -> f64 {
+    /// Returns what a payer has been granted lately, relative to its fair share.
+    pub(super) fn granted_share(&self, now: Duration, payer: &Name) -> f64 {
         self.shares.fair_share().granted(self.usage.of(now, payer))
     }
 }
--- a/crates/balance/src/core/refusal.rs
+++ b/crates/balance/src/core/refusal.rs
@@ -59,10 +59,15 @@
     pub(super) fn refusal(&mut self, now: Duration, request: &Request) -> Decision {
         let span = request.target.saturating_sub(request.arrived);
         let pause = self.pause(now, &request.service).unwrap_or_default();
-        let retry_after = span.max(MIN_RETRY_AFTER).max(pause);
+        let limit = self.refusing_limit(now, request);
+        let queue_time = if limit == Limit::Rate {
+            self.credit_wait(now, &request.service)
+        } else {
+            Duration::ZERO
+        };
+        let retry_after = span.max(MIN_RETRY_AFTER).max(pause).max(queue_time);
         let is_over_share = self.is_over_share(now, &request.service, request.workspace.as_ref());
         let reason = if is_over_share { Refusal::OverShare } else { Refusal::NoRunner };
-        let limit = self.refusing_limit(now, request);
         Decision::Refused { retry_after, reason, limit }
     }
 
--- /dev/null
+++ b/crates/balance/src/credit.rs
@@ -0,0 +1,277 @@
+//! Credits for requests to runners that limit the rate of all routers together.
+//!
+//! Load pattern: a runner takes few requests a second, and more routers have requests for it than its limit can be divided
+//! among; which of them have requests changes all the time. A part for each router would be less than one request, or
+//! stand idle. A count that each router keeps and tells to the others would be exceeded before they hear of it. So one
+//! router, the issuer, hands out credits for each such runner, one for each request, at the rate of its limit, to those
+//! that ask for some. The issuer is the live router that ranks first by rendezvous hashing, so that each router finds it
+//! without communication. Credits and the wishes for them last for a short time only, so that nothing piles up.
+
+use std::time::Duration;
+
+use base::Name;
+use indexmap::IndexMap;
+
+use crate::Key;
+
+/// The time for which a router's wish for credits holds.
+const REQUEST_TIME: Duration = Duration::from_millis(400);
+/// The time for which a credit may be used after the wish for it has expired.
+const CREDIT_TIME: Duration = Duration::from_millis(400);
+/// The time of its rate for which an issuer may hand out credits at once.
+const BURST_TIME: Duration = Duration::from_millis(250);
+/// The lowest rate of credits per second, since only the answer to a request tells that a limit has ended.
+pub(crate) const MIN_RATE: f64 = 0.25;
+/// The time for which a router that lacks credits at a runner takes the runner for full.
+const LACK_TIME: Duration = Duration::from_millis(100);
+/// The delay after which a router that has asked for credits in vain lacks them.
+const LACK_DELAY: Duration = Duration::from_millis(30);
+
+/// A router's wish for credits for requests to a runner.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CreditRequest {
+    /// The runner.
+    pub runner: Key,
+    /// The number of credits.
+    pub wanted: u32,
+    /// What the workspace that comes first at the router has been granted, relative to its fair share; infinite if no request
+    /// waits there. The lowest comes first.
+    pub granted_share: f64,
+}
+
+/// Credits that an issuer hands out to a router.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Credit {
+    /// The router that receives them.
+    pub router: Name,
+    /// The runner.
+    pub runner: Key,
+    /// The number of credits.
+    pub count: u32,
+    /// The number of the wish that they answer.
+    pub number: u64,
+}
+
+/// What a router has asked for.
+#[derive(Debug, Clone)]
+struct Asked {
+    issuer: Name,
+    left: u32,
+    until: Duration,
+}
+
+/// The credits that a router holds for one runner.
+#[derive(Debug, Clone, Default)]
+pub struct Stock {
+    /// The times at which they expire, the earliest first.
+    expiries: Vec<Duration>,
+    asked: Option<Asked>,
+    /// The time since when requests wait and none is held.
+    lacking_since: Option<Duration>,
+    lacking_until: Duration,
+}
+
+impl Stock {
+    /// Returns the number of credits that may be used.
+    #[must_use]
+    pub fn count(&self, now: Duration) -> usize {
+        self.expiries.iter().filter(|expiry| now < **expiry).count()
+    }
+
+    /// Uses a credit, if one is held.
+    pub(crate) fn take(&mut self, now: Duration) {
+        self.expiries.retain(|expiry| now < *expiry);
+        if !self.expiries.is_empty() {
+            self.expiries.remove(0);
+        }
+    }
+
+    /// Adds credits that answer a wish of `asked_at`; returns whether they may still be used.
+    pub(crate) fn add(&mut self, now: Duration, asked_at: Duration, count: u32) -> bool {
+        let expiry = asked_at + REQUEST_TIME + CREDIT_TIME;
+        if let Some(asked) = &mut self.asked {
+            asked.left = asked.left.saturating_sub(count);
+        }
+        if now >= expiry {
+            return false;
+        }
+        self.lacking_since = None;
+        let position = self.expiries.partition_point(|known| *known <= expiry);
+        let added = std::iter::repeat_n(expiry, count as usize);
+        self.expiries.splice(position..position, added);
+        true
+    }
+
+    /// Returns whether credits may be asked of an issuer, who has not been asked or has answered, and records that they are.
+    pub(crate) fn ask(&mut self, now: Duration, issuer: &Name, wanted: u32) -> bool {
+        let is_pending = self
+            .asked
+            .as_ref()
+            .is_some_and(|asked| now < asked.until && asked.left > 0 && asked.issuer == *issuer);
+        if is_pending {
+            return false;
+        }
+        self.asked =
+            Some(Asked { issuer: issuer.clone(), left: wanted, until: now + REQUEST_TIME });
+        true
+    }
+
+    /// Records whether requests wait and no credit is held.
+    pub(crate) fn record_lack(&mut self, now: Duration, has_waiting: bool) {
+        if !has_waiting || self.count(now) > 0 {
+            self.lacking_since = None;
+            return;
+        }
+        if now >= self.lacking_until {
+            self.lacking_since = None;
+        }
+        self.lacking_since.get_or_insert(now);
+        self.lacking_until = now + LACK_TIME;
+    }
+
+    /// Returns whether requests have waited in vain for credits.
+    pub(crate) fn is_lacking(&self, now: Duration) -> bool {
+        let has_waited = self.lacking_since.is_some_and(|since| since + LACK_DELAY <= now);
+        has_waited && now < self.lacking_until
+    }
+}
+
+/// The wish of one router, as its issuer knows it.
+#[derive(Debug, Clone, Copy)]
+struct Wish {
+    wanted: u32,
+    granted_share: f64,
+    number: u64,
+    until: Duration,
+    served_at: Duration,
+}
+
+/// What an issuer hands out for one runner.
+#[derive(Debug, Clone)]
+struct Issuance {
+    credits: f64,
+    updated_at: Duration,
+    wishes: IndexMap<Name, Wish>,
+}
+
+impl Issuance {
+    /// Creates an issuance without credits, since an issuer before may have handed out all that the runner takes.
+    fn new(now: Duration) -> Self {
+        Self { credits: 0.0, updated_at: now, wishes: IndexMap::new() }
+    }
+
+    fn refill(&mut self, now: Duration, rate: f64) {
+        let elapsed = now.saturating_sub(self.updated_at);
+        let most = (rate * BURST_TIME.as_secs_f64()).max(1.0);
+        self.credits = (self.credits + rate * elapsed.as_secs_f64()).min(most);
+        self.updated_at = now;
+    }
+
+    /// Returns the router that gets the next credit, and counts it.
+    fn serve(&mut self, now: Duration) -> Option<(Name, u64)> {
+        let wishes = self.wishes.iter_mut();
+        let open = wishes.filter(|(_, wish)| wish.wanted > 0 && now < wish.until);
+        let (router, wish) = open.min_by(|(_, wish), (_, other)| {
+            let by_share = wish.granted_share.total_cmp(&other.granted_share);
+            by_share.then(wish.served_at.cmp(&other.served_at))
+        })?;
+        wish.wanted -= 1;
+        wish.served_at = now;
+        Some((router.clone(), wish.number))
+    }
+}
+
+/// The routers among which issuers are chosen, and what this router hands out.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Issuers {
+    /// The live routers that accept callers; this one is among them if it does.
+    candidates: Vec<Name>,
+    /// The fraction of each limit that is handed out.
+    fraction: f64,
+    issuances: IndexMap<Key, Issuance>,
+}
+
+impl Issuers {
+    /// Replaces the candidates, of whom `visible` of `published` routers are alive; returns whether they differ.
+    ///
+    /// Routers that don't see a part of the fleet hand out less, since others may be issuers there.
+    pub(crate) fn set(&mut self, candidates: Vec<Name>, visible: usize, published: usize) -> bool {
+        let is_most = visible >= published - published / 4;
+        self.fraction = if is_most { 1.0 } else { visible as f64 / published.max(1) as f64 };
+        let is_changed = self.candidates != candidates;
+        self.candidates = candidates;
+        is_changed
+    }
+
+    /// Returns the issuer for a runner, by a number that stands for it; `None` if nobody accepts callers.
+    pub(crate) fn issuer(&self, number: u64) -> Option<&Name> {
+        let weight = |name: &&Name| crate::rendezvous::weight(number, name.as_str());
+        self.candidates.iter().max_by_key(weight)
+    }
+
+    /// Ends what is handed out for other runners than some.
+    pub(crate) fn retain(&mut self, is_kept: impl Fn(Key) -> bool) {
+        self.issuances.retain(|key, _| is_kept(*key));
+    }
+
+    /// Records a router's wish, which replaces its last one.
+    pub(crate) fn record(
+        &mut self,
+        now: Duration,
+        router: &Name,
+        request: CreditRequest,
+        number: u64,
+    ) {
+        let CreditRequest { runner, wanted, granted_share } = request;
+        let issuance = self.issuances.entry(runner).or_insert_with(|| Issuance::new(now));
+        let served_at = issuance.wishes.get(router).map_or(Duration::ZERO, |wish| wish.served_at);
+        let until = now + REQUEST_TIME;
+        let wish = Wish { wanted, granted_share, number, until, served_at };
+        issuance.wishes.insert(router.clone(), wish);
+    }
+
+    /// Hands out the credits that are due, at the rate of each runner in requests per second, if it is limited.
+    pub(crate) fn issue(
+        &mut self,
+        now: Duration,
+        rate_of: impl Fn(Key) -> Option<f64>,
+    ) -> Vec<Credit> {
+        let mut issued: IndexMap<(Name, Key, u64), u32> = IndexMap::new();
+        for (key, issuance) in &mut self.issuances {
+            let rate = rate_of(*key);
+            if let Some(rate) = rate {
+                issuance.refill(now, rate.max(MIN_RATE) * self.fraction);
+            }
+            while rate.is_none() || issuance.credits >= 1.0 {
+                let Some((router, number)) = issuance.serve(now) else { break };
+                if rate.is_some() {
+                    issuance.credits -= 1.0;
+                }
+                *issued.entry((router, *key, number)).or_default() += 1;
+            }
+        }
+        let credits = issued.into_iter();
+        credits
+            .map(|((router, runner, number), count)| Credit { router, runner, count, number })
+            .collect()
+    }
+
+    /// Returns the time until the next credit is due for which a router has asked; `None` if none is wanted.
+    pub(crate) fn next_issue(
+        &self,
+        now: Duration,
+        rate_of: impl Fn(Key) -> Option<f64>,
+    ) -> Option<Duration> {
+        let is_open = |wish: &Wish| wish.wanted > 0 && now < wish.until;
+        let wanted = self.issuances.iter();
+        let wanted = wanted.filter(|(_, issuance)| issuance.wishes.values().any(is_open));
+        let times = wanted.map(|(key, issuance)| {
+            let rate = rate_of(*key).map_or(f64::INFINITY, |rate| rate.max(MIN_RATE));
+            let lacking = (1.0 - issuance.credits).max(0.0);
+            Duration::from_secs_f64(
+                lacking / (rate * self.fraction.max(f64::EPSILON)).max(MIN_RATE / 4.0),
+            )
+        });
+        times.min()
+    }
+}
--- a/crates/balance/src/rate_limit.rs
+++ b/crates/balance/src/rate_limit.rs
@@ -10,6 +10,8 @@
 const DOUBLING_TIME: Duration = Duration::from_millis(250);
 /// The rate from which it rises again after a lower limit, in requests per second.
 const MIN_RAISED_RATE: f64 = 1.0;
+/// The number of times that a rate doubles until there is no limit.
+const MAX_DOUBLINGS: f64 = 10.0;
 /// The rate that no runner exceeds, in requests per second; such a limit is none.
 const UNLIMITED_RATE: f64 = 1_000.0;
 
@@ -79,11 +81,17 @@
         self.newest.and_then(|newest| newest.per_second)
     }
 
+    /// Returns whether the runner has stated a limit within a time span, and none later.
+    pub(crate) fn was_stated_within(&self, now: Duration, span: Duration) -> bool {
+        let limited = self.newest.filter(|newest| newest.per_second.is_some());
+        limited.is_some_and(|newest| now < newest.at + span)
+    }
+
     /// Returns the requests per second that all routers together may send; `None` if there is no limit.
     #[must_use]
     pub fn per_second(&self, now: Duration) -> Option<f64> {
-        let risen = now.saturating_sub(self.since).div_duration_f64(DOUBLING_TIME);
-        let ceiling = self.rate * risen.exp2();
+        let doublings = now.saturating_sub(self.since).div_duration_f64(DOUBLING_TIME);
+        let ceiling = self.rate * doublings.min(MAX_DOUBLINGS).exp2();
         let limit = self.stated().map_or(ceiling, |stated| stated.min(ceiling));
         (limit < UNLIMITED_RATE).then_some(limit)
     }
--- a/crates/balance/src/registry.rs
+++ b/crates/balance/src/registry.rs
@@ -11,6 +11,7 @@
 
 use crate::Departures;
 use crate::Key;
+use crate::RateLimit;
 use crate::Registration;
 use crate::Runner;
 use crate::Start;
@@ -31,12 +32,21 @@
     freshness: Freshness,
     expired: IndexMap<Name, Expired>,
     departures: Departures,
-    /// What was sent to removed runners while they were cold, which counts if they are listed again.
-    sent_to_removed: IndexMap<Start, Window>,
+    /// What counts of removed runners if they are listed again.
+    removed: IndexMap<Start, Removed>,
     /// The runners whose newest records can't be read.
     unreadable: IndexSet<Name>,
 }
 
+/// What holds of a removed runner.
+#[derive(Debug, Clone)]
+struct Removed {
+    /// What was sent to it while it was cold.
+    cold_sent: Window,
+    /// The rate of requests that it takes.
+    rate_limit: RateLimit,
+}
+
 /// A registration that has expired while the store was unreachable.
 #[derive(Debug, Clone, Copy)]
 struct Expired {
@@ -80,8 +90,9 @@
             self.remove(&registration.id);
         }
         let mut runner = Runner::new(now, registration.clone());
-        if let Some(sent) = self.sent_to_removed.swap_remove(&registration.start()) {
-            runner.cold_sent = sent;
+        if let Some(removed) = self.removed.swap_remove(&registration.start()) {
+            runner.cold_sent = removed.cold_sent;
+            runner.rate_limit = removed.rate_limit;
         }
         let key = self.runners.insert(runner);
         self.ids.insert(registration.id.clone(), key);
@@ -99,7 +110,8 @@
         self.unreadable.swap_remove(id);
         let key = self.ids.swap_remove(id);
         if let Some(removed) = key.and_then(|key| self.runners.remove(key)) {
-            self.sent_to_removed.insert(removed.registration.start(), removed.cold_sent);
+            let Runner { registration, cold_sent, rate_limit, .. } = removed;
+            self.removed.insert(registration.start(), Removed { cold_sent, rate_limit });
         }
     }
 
--- a/crates/balance/src/registry/departures.rs
+++ b/crates/balance/src/registry/departures.rs
@@ -13,6 +13,8 @@
 
 /// Maximum number of runners that leave of which other routers are told.
 const MAX_LEAVING: usize = 256;
+/// The time after its last answer for which the limit of a removed runner is kept, should it be listed again.
+const MAX_REMOVED_AGE: Duration = Duration::from_secs(60);
 
 impl Registry {
     /// Returns whether a registration reports only that a known runner leaves, of which [`Registry::leaving`] tells the
@@ -121,7 +123,10 @@
             runner.peer_loads.remove_expired(now);
         }
         self.departures.remove_expired(now);
-        self.sent_to_removed.retain(|_, sent| sent.sum(now) > 0);
+        self.removed.retain(|_, removed| {
+            removed.cold_sent.sum(now) > 0
+                || removed.rate_limit.was_stated_within(now, MAX_REMOVED_AGE)
+        });
         if self.freshness.is_outage(now) {
             return;
         }
--- a/crates/balance/src/runner.rs
+++ b/crates/balance/src/runner.rs
@@ -13,6 +13,7 @@
 use crate::PrefixCache;
 use crate::RateLimit;
 use crate::Start;
+use crate::Stock;
 use crate::Window;
 use crate::rendezvous;
 use crate::rollout::Role;
@@ -83,6 +84,8 @@
     pub pace: Pace,
     /// The rate of requests that it takes from all routers together.
     pub rate_limit: RateLimit,
+    /// The credits of this router for requests to it while that rate is limited.
+    pub credits: Stock,
     /// The prompt parts that it is assumed to hold.
     pub prefix_cache: PrefixCache,
     /// The load that this router has placed on it.
@@ -107,6 +110,7 @@
             paused_until: None,
             pace: Pace::default(),
             rate_limit: RateLimit::default(),
+            credits: Stock::default(),
             prefix_cache: PrefixCache::default(),
             own_load: Load::default(),
             peer_loads: PeerLoads::default(),
@@ -160,6 +164,16 @@
         self.health.is_usable(now) && !self.is_paused(now)
     }
 
+    /// Returns whether the limit on its rate allows one more request of this router.
+    pub(crate) fn has_credit(&self, now: Duration) -> bool {
+        self.rate_limit.per_second(now).is_none() || self.credits.count(now) > 0
+    }
+
+    /// Returns whether requests wait at this router for credits to use it.
+    pub(crate) fn lacks_credits(&self, now: Duration) -> bool {
+        self.credits.is_lacking(now) && self.rate_limit.per_second(now).is_some()
+    }
+
     /// Returns whether the runner can handle only few requests.
     #[must_use]
     pub fn is_cold(&self, now: Duration) -> bool {
--- a/crates/relay/src/acquire.rs
+++ b/crates/relay/src/acquire.rs
@@ -20,6 +20,7 @@
 use crate::Problem;
 use crate::Router;
 use crate::crash_check::Break;
+use crate::crediting;
 use crate::event;
 use crate::forward;
 use crate::forward::AttemptHistory;
@@ -246,6 +247,7 @@
         router.log(line);
     }
     let outcome = router.core.borrow_mut().submit(now, request(call, avoid));
+    crediting::request(router);
     let decision = match outcome {
         Outcome::Decided(decision) => decision,
         Outcome::Queued(ticket) => wait(router, ticket).await,
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -23,6 +23,7 @@
 use crate::Router;
 use crate::Topic;
 use crate::crash_evidence;
+use crate::crediting;
 use crate::departure_report;
 use crate::event;
 use crate::gossip;
@@ -31,6 +32,7 @@
 use crate::gossip::Received;
 use crate::gossip::TopicStatus;
 use crate::lending;
+use crate::message;
 use crate::pace_report;
 use crate::rate_report;
 use crate::report;
@@ -69,6 +71,7 @@
     tokio::join!(
         send_all(&router, &identity, &socket),
         lending::send_requests(&router, &identity, &socket),
+        crediting::exchange(&router, &identity, &socket),
         receive_all(&router, &identity, &socket),
     );
 }
@@ -83,6 +86,7 @@
         router.core.borrow_mut().registry.record_running(now);
         router.core.borrow_mut().record_state(now);
         rollout::update(router);
+        update_issuers(router, now);
         let is_aggregator = update_aggregation(router, now);
         let heartbeat = heartbeat(router, identity, sequence);
         router.exchange.borrow_mut().record_placed(&heartbeat.placed);
@@ -94,6 +98,16 @@
     }
 }
 
+/// Records which routers may hand out credits.
+fn update_issuers(router: &Router, now: Duration) {
+    let members = router.members.borrow();
+    let own = router.is_ready().then(|| router.settings.name.clone());
+    let others = members.ready(now).map(|member| member.identity.name.clone());
+    let candidates = own.into_iter().chain(others).collect();
+    let visible = members.iter().filter(|member| member.is_alive(now)).count() + 1;
+    router.core.borrow_mut().set_issuers(candidates, visible);
+}
+
 /// Returns the first sequence number of a process, so that the numbers of an earlier process on the same machine don't
 /// recur.
 const fn first_sequence(incarnation: u64) -> u64 {
@@ -249,8 +263,8 @@
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length, _)) if lending::is_message(&buffer[..length]) => {
-                lending::receive(router, identity, socket, &buffer[..length]);
+            Ok((length, _)) if message::is_message(&buffer[..length]) => {
+                message::receive(router, identity, socket, &buffer[..length]);
             }
             Ok((length, _)) => receive(router, &buffer[..length]),
             Err(error) => {
--- a/crates/relay/src/lending.rs
+++ b/crates/relay/src/lending.rs
@@ -1,11 +1,7 @@
 //! Messages by which routers ask each other for places at engines and lend them.
-//!
-//! A message is one datagram on the socket of the heartbeats. It begins with an empty name, as no heartbeat does, so that
-//! routers of earlier versions drop it.
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use balance::Identity;
@@ -13,7 +9,6 @@
 use balance::LoanRequest;
 use balance::Table;
 use base::Name;
-use indexmap::IndexMap;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::UdpSocket;
@@ -21,35 +16,18 @@
 
 use crate::Line;
 use crate::Router;
-use crate::gossip;
 use crate::gossip::Digest;
+use crate::message;
+use crate::message::Content;
+use crate::message::Received;
+use crate::message::Sender;
 
-/// The first byte of a message, which stands for an empty name.
-const TAG: u8 = 0;
 /// The time after which no answer to a request is expected.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// A message with its sender.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-struct Message {
-    tag: u8,
-    sender: String,
-    /// The incarnation of the sender's process.
-    incarnation: u64,
-    /// The number of the request, which increases with each request of the asking router.
-    number: u64,
-    content: Content,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-enum Content {
-    Request(Request),
-    Answer(Answer),
-}
-
 /// A request, as [`LoanRequest`].
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-struct Request {
+pub(crate) struct Request {
     service: Digest,
     lacking: u32,
     first: Digest,
@@ -59,7 +37,7 @@
 
 /// An answer, as [`Loan`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-struct Answer {
+pub(crate) struct Answer {
     urgent: u32,
     other: u32,
 }
@@ -80,8 +58,7 @@
     is_wanted: Notify,
     last_number: RefCell<u64>,
     pending: RefCell<VecDeque<Pending>>,
-    /// The newest request of each other router, with its incarnation.
-    received: RefCell<IndexMap<Name, (u64, u64)>>,
+    received: RefCell<Received>,
 }
 
 impl Lending {
@@ -114,17 +91,6 @@
         let position = pending.iter().position(is_answered)?;
         pending.remove(position).filter(|pending| now < pending.at + ANSWER_TIMEOUT)
     }
-
-    /// Returns whether a request is newer than all that were received from its sender.
-    fn record_received(&self, sender: &str, incarnation: u64, number: u64) -> bool {
-        let mut received = self.received.borrow_mut();
-        let newest = received.entry(Name::new(sender)).or_default();
-        let is_new = newest.0 != incarnation || newest.1 < number;
-        if is_new {
-            *newest = (incarnation, number);
-        }
-        is_new
-    }
 }
 
 /// Sends the requests of this router until the process ends.
@@ -166,62 +132,20 @@
             urgent: part.urgent,
             granted_share: part.granted_share,
         });
-        send(identity, socket, number, content, lender.identity.peers);
+        message::send(identity, socket, number, content, lender.identity.peers);
     }
     lenders.len()
 }
 
-fn send(
-    identity: &Identity,
-    socket: &UdpSocket,
-    number: u64,
-    content: Content,
-    receiver: SocketAddr,
-) {
-    let message = Message {
-        tag: TAG,
-        sender: identity.name.to_string(),
-        incarnation: identity.incarnation,
-        number,
-        content,
-    };
-    let Some(datagram) = gossip::seal_message(&message, &identity.key) else {
-        log::warn!("a message about places can't be encoded");
-        return;
-    };
-    if let Err(error) = socket.try_send_to(&datagram, receiver) {
-        log::debug!("failed to send a message about places to {receiver}: {error}");
-    }
-}
-
-/// Returns whether a datagram is a message about places.
-pub(crate) fn is_message(bytes: &[u8]) -> bool {
-    bytes.first() == Some(&TAG)
-}
-
-/// Handles a message of another router; one that can't be authenticated is dropped.
-pub(crate) fn receive(router: &Router, identity: &Identity, socket: &UdpSocket, bytes: &[u8]) {
-    let mut sender: Option<Identity> = None;
-    let message = gossip::open_message(bytes, |message: &Message| {
-        let members = router.members.borrow();
-        sender = members.identity(&message.sender, message.incarnation).cloned();
-        sender.as_ref().map(|sender| sender.key.clone())
-    });
-    let (Some(message), Some(sender)) = (message, sender) else { return };
-    match message.content {
-        Content::Request(request) => {
-            let lending = &router.lending;
-            if !lending.record_received(&message.sender, message.incarnation, message.number) {
-                return;
-            }
-            let Loan { urgent, other } = lend(router, request);
-            if urgent + other > 0 {
-                let answer = Content::Answer(Answer { urgent, other });
-                send(identity, socket, message.number, answer, sender.peers);
-            }
-        }
-        Content::Answer(answer) => borrow(router, &message.sender, message.number, answer),
+/// Returns the answer to a request of another router; `None` if nothing is lent.
+pub(crate) fn answer(router: &Router, sender: Sender<'_>, request: Request) -> Option<Answer> {
+    let Sender { identity, number } = sender;
+    let mut received = router.lending.received.borrow_mut();
+    if !received.record(identity.name.as_str(), identity.incarnation, number) {
+        return None;
     }
+    let Loan { urgent, other } = lend(router, request);
+    (urgent + other > 0).then_some(Answer { urgent, other })
 }
 
 fn lend(router: &Router, request: Request) -> Loan {
@@ -241,9 +165,12 @@
     Some(LoanRequest { service: service.name.clone(), lacking, first, urgent, granted_share })
 }
 
-fn borrow(router: &Router, lender: &str, number: u64, answer: Answer) {
+/// Records the places that another router lends.
+pub(crate) fn borrow(router: &Router, sender: Sender<'_>, answer: Answer) {
     let now = router.now();
-    let Some(pending) = router.lending.take_pending(now, lender, number) else { return };
+    let lender = sender.identity.name.as_str();
+    let pending = router.lending.take_pending(now, lender, sender.number);
+    let Some(pending) = pending else { return };
     let Answer { urgent, other } = answer;
     let loan = Loan { urgent, other };
     router.core.borrow_mut().borrow(now, pending.at, &pending.request, loan);
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -38,6 +38,8 @@
 use crate::body;
 use crate::buffer::Buffer;
 use crate::crash_check::Breaks;
+use crate::crediting;
+use crate::crediting::Crediting;
 use crate::exchange::Exchange;
 use crate::forward;
 use crate::heartbeat;
@@ -91,6 +93,7 @@
     pub(crate) sent_heartbeats: RefCell<SentHeartbeats>,
     pub(crate) exchange: RefCell<Exchange>,
     pub(crate) lending: Lending,
+    pub(crate) crediting: Crediting,
     reaches_store: Cell<bool>,
     waiters: RefCell<IndexMap<Ticket, oneshot::Sender<Decision>>>,
     queue_changed: Notify,
@@ -131,6 +134,7 @@
             sent_heartbeats: RefCell::default(),
             exchange: RefCell::default(),
             lending: Lending::default(),
+            crediting: Crediting::default(),
             reaches_store: Cell::new(true),
             waiters: RefCell::default(),
             queue_changed: Notify::new(),
@@ -396,6 +400,7 @@
             drop(waiter.send(decision));
         }
         self.lending.want(self.core.borrow_mut().loan_requests(self.now()));
+        crediting::request(self);
     }
 
     /// Adds a waiter for the decision on a queued request and returns its receiver.
