fix(balance): credits are asked of different issuers by each router, and allow requests beyond the lease

Cause: all routers asked the issuers of the same twelve runners in a second; waiting requests with credits were kept back by the lease of places, which counts places at engines that only credits open; the fill counted engines without credits as idle, so that fair shares came out far too large and nobody counted as short. Change: each router asks in an order of its own, two runners for each waiting request; the lease covers engines without a limit, and engines for which a router has no credit are no part of the fill.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -82,6 +82,8 @@
     pub(crate) lease: Lease,
     /// Whether a request may be placed beyond it.
     pub(crate) is_beyond_lease: bool,
+    /// Whether only runners are chosen for which this router has a credit.
+    pub(crate) needs_credit: bool,
     /// Whether the runner is chosen among those that receive requests on trial.
     pub(crate) is_canary: bool,
     /// The load that is expected at each runner.
@@ -141,6 +143,13 @@
         Self { is_beyond_lease: is_beyond, ..self }
     }
 
+    /// Returns the selector for a request beyond the lease that a credit allows.
+    ///
+    /// Credits divide the requests that a runner takes among the routers, and the lease the places at the others.
+    const fn with_credits(self) -> Self {
+        Self { is_beyond_lease: true, needs_credit: true, ..self }
+    }
+
     /// Returns the selector for a request on trial.
     ///
     /// Requests on trial are few, and a lease of the few runners that receive them would allow a router none.
@@ -162,7 +171,7 @@
             return None;
         }
         if self.lease_limit().is_some() {
-            return None;
+            return self.with_credits().choose(request);
         }
         let ranks = self.ranks(request);
         let usable = || serving().filter(|(key, runner)| self.is_usable(*key, runner, request));
@@ -203,14 +212,15 @@
     pub(crate) fn has_room(&self) -> bool {
         let Some(engine) = self.service.engine else { return true };
         let limits = self.workspace_limits();
+        let is_leased = self.lease_limit().is_none();
         let mut serving = self.serving(self.service.name.as_str());
-        self.lease_limit().is_none()
-            && serving.any(|(_, runner)| {
-                let load = self.expectation.load(runner);
-                runner.has_credit(self.now)
-                    && limits.may_run(load, runner, &engine)
-                    && load.backlog <= limits.backlog_at(runner, self.now)
-            })
+        serving.any(|(_, runner)| {
+            let load = self.expectation.load(runner);
+            runner.has_credit(self.now)
+                && (is_leased || runner.is_limited(self.now))
+                && limits.may_run(load, runner, &engine)
+                && load.backlog <= limits.backlog_at(runner, self.now)
+        })
     }
 
     /// Returns whether any engine that may be used now has room.
@@ -289,14 +299,14 @@
         self.lease.limit(&places)
     }
 
-    /// Returns the places for the workspace at the engines that may be used; `None` if these are no engines.
+    /// Returns the places for the workspace at the engines that may be used without a credit; `None` if these are no engines.
     pub(crate) fn places(&self) -> Option<Places> {
         let engine = self.service.engine?;
         let limits = self.workspace_limits();
         let mut places = Places::default();
         let serving = self.serving(self.service.name.as_str());
         let usable = serving.filter(|(_, runner)| runner.may_be_sent(self.now));
-        for (_, runner) in usable {
+        for (_, runner) in usable.filter(|(_, runner)| !runner.is_limited(self.now)) {
             places.own.add(runner.own_load);
             places.running += f64::from(limits.running_at(runner, &engine));
             places.backlog += limits.backlog_at(runner, self.now) as f64;
@@ -375,7 +385,8 @@
 
     /// Returns whether a runner may be used for a request, apart from its capacity.
     fn is_usable(&self, key: Key, runner: &Runner, request: &Request) -> bool {
-        runner.has_credit(self.now) && self.is_available(key, runner, request)
+        let is_allowed = !self.needs_credit || runner.is_limited(self.now);
+        is_allowed && runner.has_credit(self.now) && self.is_available(key, runner, request)
     }
 
     /// Returns whether a runner may be used for a request, apart from its capacity and the limit on its rate.
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -398,6 +398,7 @@
             backlog_reserve,
             lease: lease.with_loans(state.loans.balance(now)),
             is_beyond_lease: false,
+            needs_credit: false,
             is_canary: false,
             expectation: Expectation::of(now, state.turnover, usable),
             fleet_limits: &self.limits,
--- a/crates/balance/src/core/credits.rs
+++ b/crates/balance/src/core/credits.rs
@@ -19,8 +19,10 @@
 const DEMAND_TIME: Duration = Duration::from_millis(500);
 /// The most credits that are wanted of a runner at once.
 const MAX_WANTED: u32 = 8;
-/// The number of runners of whose credits some are wanted while nothing waits.
-const MAX_ASKED: usize = 12;
+/// The number of runners of whose credits some are wanted, for each request that waits.
+const ASKED_PER_REQUEST: usize = 2;
+/// The time for which the credits last that a router holds while nothing waits, if all do.
+const RESERVE_TIME: Duration = Duration::from_millis(400);
 /// The interval at which other runners are asked first.
 const ROTATION_TIME: Duration = Duration::from_secs(1);
 /// The longest time after which a caller is asked to come back.
@@ -62,7 +64,12 @@
             if !has_demand && waiting == 0 {
                 continue;
             }
-            let limited = self.limited(now, &service, waiting.max(MAX_ASKED));
+            let most = if waiting > 0 {
+                waiting.saturating_mul(ASKED_PER_REQUEST)
+            } else {
+                self.reserve(now, &service)
+            };
+            let limited = self.limited(now, &service, most);
             if limited.is_empty() {
                 continue;
             }
@@ -79,6 +86,14 @@
         requests
     }
 
+    /// Returns the number of credits that this router holds while nothing waits, its part of what runners take in a short time.
+    fn reserve(&self, now: Duration, service: &Name) -> usize {
+        let serving = self.registry.serving(service.as_str());
+        let rate: f64 = serving.filter_map(|(_, runner)| runner.rate_limit.per_second(now)).sum();
+        let routers = self.limits.peers.as_ref().map_or(1, |peers| peers.len() + 1);
+        (rate * RESERVE_TIME.as_secs_f64() / routers as f64).ceil() as usize
+    }
+
     /// Returns at most `most` runners of a service whose credits this router may use, other ones after some time.
     fn limited(&self, now: Duration, service: &Name, most: usize) -> Vec<Key> {
         let serving = self.registry.serving(service.as_str());
@@ -88,7 +103,9 @@
         });
         let epoch = now.as_millis() / ROTATION_TIME.as_millis();
         let epoch = u64::try_from(epoch).unwrap_or(u64::MAX);
-        let weight = |runner: &Runner| rendezvous::weight(epoch, runner.registration.id.as_str());
+        // Other routers ask other issuers first.
+        let salt = rendezvous::weight(epoch, self.limits.router.as_str());
+        let weight = |runner: &Runner| rendezvous::weight(salt, runner.registration.id.as_str());
         let mut limited: Vec<(Reverse<u64>, Key)> =
             limited.map(|(key, runner)| (Reverse(weight(runner)), key)).collect();
         if limited.len() > most {
--- a/crates/balance/src/fill.rs
+++ b/crates/balance/src/fill.rs
@@ -24,7 +24,7 @@
 impl EngineFill {
     /// Returns how full the engines of a service are that may be used; `None` if there are none.
     ///
-    /// Engines for which credits are lacking can't be filled, however much of their limits is free.
+    /// Engines for which this router has no credit can't be filled, however much of their limits is free.
     pub(crate) fn of(
         now: Duration,
         registry: &Registry,
@@ -35,7 +35,7 @@
         let memory_limit = choice::usable_memory(&engine).max(1) as f64;
         let (mut sum, mut count) = (Self::default(), 0.0);
         for (_, runner) in registry.serving(service.name.as_str()) {
-            if !runner.may_be_sent(now) || runner.lacks_credits(now) {
+            if !runner.may_be_sent(now) || runner.lacks_credits(now) || !runner.has_credit(now) {
                 continue;
             }
             let load = runner.load();
--- a/crates/balance/src/runner.rs
+++ b/crates/balance/src/runner.rs
@@ -164,6 +164,11 @@
         self.health.is_usable(now) && !self.is_paused(now)
     }
 
+    /// Returns whether the rate of requests to it is limited.
+    pub(crate) fn is_limited(&self, now: Duration) -> bool {
+        self.rate_limit.per_second(now).is_some()
+    }
+
     /// Returns whether the limit on its rate allows one more request of this router.
     pub(crate) fn has_credit(&self, now: Duration) -> bool {
         self.rate_limit.per_second(now).is_none() || self.credits.count(now) > 0
