fix(balance): each waiting request asks for credits with the share of its own workspace

Cause: a router asked for all that waits there with the lowest share of any of its workspaces, so that one small request beside many of a large workspace took credits before routers at which a workspace far behind waited. Change: the wish for each credit carries the share of the workspace that waits for it, two wishes for each request, of runners in turn. A line tells each half second what a router received, used and handed out.

--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -15,6 +15,7 @@
 use crate::Admission;
 use crate::Cause;
 use crate::CrashHistory;
+use crate::CreditCount;
 use crate::Decision;
 use crate::FleetLimits;
 use crate::Grant;
@@ -83,6 +84,8 @@
     shares: Shares,
     /// The routers that hand out credits for runners with a limit, and what this one hands out.
     issuers: Issuers,
+    /// The credits of this router.
+    pub credit_count: CreditCount,
     /// Shared parts that are to be reported to other routers, with the runners to which they were sent.
     placements: Vec<(u64, Key)>,
 }
@@ -104,6 +107,7 @@
             tickets: 0,
             shares: Shares::default(),
             issuers: Issuers::default(),
+            credit_count: CreditCount::default(),
             placements: Vec::new(),
         }
     }
@@ -429,7 +433,7 @@
             runner.cold_sent.add(now, 1);
         }
         if runner.rate_limit.per_second(now).is_some() {
-            runner.credits.take(now);
+            self.credit_count.used += u64::from(runner.credits.take(now));
         }
         runner.own_load.add(load);
         if let Some(prompt) = &request.prompt {
--- a/crates/balance/src/core/credits.rs
+++ b/crates/balance/src/core/credits.rs
@@ -8,6 +8,7 @@
 
 use super::Core;
 use crate::Credit;
+use crate::CreditCount;
 use crate::CreditRequest;
 use crate::Key;
 use crate::Request;
@@ -17,9 +18,9 @@
 
 /// The time after a request for a service for which a router asks for credits before further ones come.
 const DEMAND_TIME: Duration = Duration::from_millis(500);
-/// The most credits that are wanted of a runner at once.
-const MAX_WANTED: u32 = 8;
-/// The number of runners of whose credits some are wanted, for each request that waits.
+/// The most waiting requests for which credits are wanted at once.
+const MAX_WANTED: usize = 128;
+/// The number of credits that are wanted for each request that waits, of different runners.
 const ASKED_PER_REQUEST: usize = 2;
 /// The time for which the credits last that a router holds while nothing waits, if all do.
 const RESERVE_TIME: Duration = Duration::from_millis(400);
@@ -58,27 +59,21 @@
         let mut requests: IndexMap<Name, Vec<CreditRequest>> = IndexMap::new();
         let services: Vec<Name> = self.services.keys().cloned().collect();
         for service in services {
-            let has_demand =
-                self.services[&service].asked_at.is_some_and(|at| now < at + DEMAND_TIME);
-            let waiting = self.services[&service].queue.len();
-            if !has_demand && waiting == 0 {
+            let state = &self.services[&service];
+            let has_waiting = !state.queue.is_empty();
+            let has_demand = state.asked_at.is_some_and(|at| now < at + DEMAND_TIME);
+            if !has_demand && !has_waiting {
                 continue;
             }
-            let most = if waiting > 0 {
-                waiting.saturating_mul(ASKED_PER_REQUEST)
-            } else {
-                self.reserve(now, &service)
-            };
-            let limited = self.limited(now, &service, most);
-            if limited.is_empty() {
+            let runners = self.limited(now, &service);
+            if runners.is_empty() {
                 continue;
             }
-            let wanted = u32::try_from(waiting.div_ceil(limited.len())).unwrap_or(u32::MAX);
-            let wanted = wanted.clamp(1, MAX_WANTED);
-            let granted_share = self.least_granted_share(now, &service);
-            for runner in limited {
-                if let Some(issuer) = self.ask(now, runner, wanted, waiting > 0) {
-                    let request = CreditRequest { runner, wanted, granted_share };
+            let granted_shares = self.granted_shares(now, &service);
+            for (runner, granted_shares) in divide(&runners, &granted_shares) {
+                let wanted = granted_shares.len();
+                if let Some(issuer) = self.ask(now, runner, wanted, has_waiting) {
+                    let request = CreditRequest { runner, granted_shares };
                     requests.entry(issuer).or_default().push(request);
                 }
             }
@@ -86,6 +81,25 @@
         requests
     }
 
+    /// Returns what the workspace of each waiting request has been granted, relative to its share, the lowest first; if nothing
+    /// waits, infinity for each credit that is to be held.
+    fn granted_shares(&self, now: Duration, service: &Name) -> Vec<f64> {
+        let queue = &self.services[service].queue;
+        if queue.is_empty() {
+            return vec![f64::INFINITY; self.reserve(now, service)];
+        }
+        let mut shares = Vec::new();
+        for queued in queue.by_payer() {
+            let share = self.granted_share(now, &queued.payer);
+            shares.extend(std::iter::repeat_n(share, queued.requests as usize));
+        }
+        // Requests of a plain service that need no key have no payer.
+        shares.resize(queue.len(), 0.0);
+        shares.sort_unstable_by(f64::total_cmp);
+        shares.truncate(MAX_WANTED);
+        shares.iter().flat_map(|share| [*share; ASKED_PER_REQUEST]).collect()
+    }
+
     /// Returns the number of credits that this router holds while nothing waits, its part of what runners take in a short time.
     fn reserve(&self, now: Duration, service: &Name) -> usize {
         let serving = self.registry.serving(service.as_str());
@@ -94,46 +108,32 @@
         (rate * RESERVE_TIME.as_secs_f64() / routers as f64).ceil() as usize
     }
 
-    /// Returns at most `most` runners of a service whose credits this router may use, other ones after some time.
-    fn limited(&self, now: Duration, service: &Name, most: usize) -> Vec<Key> {
+    /// Returns the runners of a service whose credits this router may use, in an order that changes with time and router.
+    fn limited(&self, now: Duration, service: &Name) -> Vec<Key> {
         let serving = self.registry.serving(service.as_str());
         let canaries = self.registry.canaries(service.as_str());
-        let limited = serving.chain(canaries).filter(|(_, runner)| {
-            runner.may_be_sent(now) && runner.rate_limit.per_second(now).is_some()
-        });
+        let limited = serving
+            .chain(canaries)
+            .filter(|(_, runner)| runner.may_be_sent(now) && runner.is_limited(now));
         let epoch = now.as_millis() / ROTATION_TIME.as_millis();
         let epoch = u64::try_from(epoch).unwrap_or(u64::MAX);
-        // Other routers ask other issuers first.
         let salt = rendezvous::weight(epoch, self.limits.router.as_str());
         let weight = |runner: &Runner| rendezvous::weight(salt, runner.registration.id.as_str());
         let mut limited: Vec<(Reverse<u64>, Key)> =
             limited.map(|(key, runner)| (Reverse(weight(runner)), key)).collect();
-        if limited.len() > most {
-            limited.sort_unstable();
-            limited.truncate(most);
-        }
+        limited.sort_unstable();
         limited.into_iter().map(|(_, key)| key).collect()
     }
 
-    /// Returns the lowest share that a workspace with waiting requests has been granted; infinite if none waits.
-    fn least_granted_share(&self, now: Duration, service: &Name) -> f64 {
-        let queue = &self.services[service].queue;
-        if queue.is_empty() {
-            return f64::INFINITY;
-        }
-        let queued = queue.by_payer();
-        let shares = queued.iter().map(|queued| self.granted_share(now, &queued.payer));
-        shares.reduce(f64::min).unwrap_or(0.0)
-    }
-
     /// Records that credits of a runner are wanted, and returns of whom; `None` if some are held or asked for already.
-    fn ask(&mut self, now: Duration, key: Key, wanted: u32, has_waiting: bool) -> Option<Name> {
+    fn ask(&mut self, now: Duration, key: Key, wanted: usize, has_waiting: bool) -> Option<Name> {
         let runner = self.registry.get_mut(key)?;
         runner.credits.record_lack(now, has_waiting);
-        if runner.credits.count(now) >= wanted as usize {
+        if runner.credits.count(now) >= wanted {
             return None;
         }
         let issuer = self.issuers.issuer(number(runner))?;
+        let wanted = u32::try_from(wanted).unwrap_or(u32::MAX);
         runner.credits.ask(now, issuer, wanted).then(|| issuer.clone())
     }
 
@@ -157,9 +157,12 @@
         }
         let registry = &self.registry;
         self.issuers.retain(|key| registry.get(key).is_some());
-        self.issuers.issue(now, |key| {
+        let issued = self.issuers.issue(now, |key| {
             registry.get(key).and_then(|runner| runner.rate_limit.per_second(now))
-        })
+        });
+        let count: u64 = issued.iter().map(|credit| u64::from(credit.count)).sum();
+        self.credit_count.issued += count;
+        issued
     }
 
     /// Returns the time until credits are due for which a router has asked; `None` if none are wanted.
@@ -180,7 +183,11 @@
         count: u32,
     ) -> bool {
         let runner = self.registry.get_mut(runner);
-        runner.is_some_and(|runner| runner.credits.add(now, asked_at, count))
+        let is_in_time = runner.is_some_and(|runner| runner.credits.add(now, asked_at, count));
+        let CreditCount { received, late, .. } = &mut self.credit_count;
+        let counter = if is_in_time { received } else { late };
+        *counter += u64::from(count);
+        is_in_time
     }
 
     /// Returns the requests per second that the runners of a service take from all routers together; `None` if any of those
@@ -225,6 +232,15 @@
     }
 }
 
+/// Divides wishes among runners in turn; each runner's are in the same order.
+fn divide(runners: &[Key], granted_shares: &[f64]) -> IndexMap<Key, Vec<f64>> {
+    let mut divided: IndexMap<Key, Vec<f64>> = IndexMap::new();
+    for (runner, share) in runners.iter().cycle().zip(granted_shares) {
+        divided.entry(*runner).or_default().push(*share);
+    }
+    divided
+}
+
 /// Returns the number by which the issuer for a runner is chosen.
 fn number(runner: &Runner) -> u64 {
     u64::from(runner.registration.incarnation())
--- a/crates/balance/src/credit.rs
+++ b/crates/balance/src/credit.rs
@@ -16,6 +16,8 @@
 
 /// The time for which a router's wish for credits holds.
 const REQUEST_TIME: Duration = Duration::from_millis(400);
+/// The pause before a router asks for more credits than it has asked for.
+const MIN_PAUSE: Duration = Duration::from_millis(50);
 /// The time for which a credit may be used after the wish for it has expired.
 const CREDIT_TIME: Duration = Duration::from_millis(400);
 /// The time of its rate for which an issuer may hand out credits at once.
@@ -28,15 +30,26 @@
 const LACK_DELAY: Duration = Duration::from_millis(30);
 
 /// A router's wish for credits for requests to a runner.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct CreditRequest {
     /// The runner.
     pub runner: Key,
-    /// The number of credits.
-    pub wanted: u32,
-    /// What the workspace that comes first at the router has been granted, relative to its fair share; infinite if no request
-    /// waits there. The lowest comes first.
-    pub granted_share: f64,
+    /// For each credit, what the workspace whose request waits for it has been granted, relative to its fair share, the
+    /// lowest first; infinite if no request waits. The lowest comes first.
+    pub granted_shares: Vec<f64>,
+}
+
+/// The numbers of credits that a router has received and used since its start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CreditCount {
+    /// Credits that were received in time.
+    pub received: u64,
+    /// Credits that were received too late.
+    pub late: u64,
+    /// Credits that were used for a request.
+    pub used: u64,
+    /// Credits that this router has handed out, as an issuer.
+    pub issued: u64,
 }
 
 /// Credits that an issuer hands out to a router.
@@ -57,7 +70,7 @@
 struct Asked {
     issuer: Name,
     left: u32,
-    until: Duration,
+    at: Duration,
 }
 
 /// The credits that a router holds for one runner.
@@ -78,12 +91,14 @@
         self.expiries.iter().filter(|expiry| now < **expiry).count()
     }
 
-    /// Uses a credit, if one is held.
-    pub(crate) fn take(&mut self, now: Duration) {
+    /// Uses a credit, and returns whether one was held.
+    pub(crate) fn take(&mut self, now: Duration) -> bool {
         self.expiries.retain(|expiry| now < *expiry);
-        if !self.expiries.is_empty() {
+        let has_credit = !self.expiries.is_empty();
+        if has_credit {
             self.expiries.remove(0);
         }
+        has_credit
     }
 
     /// Adds credits that answer a wish of `asked_at`; returns whether they may still be used.
@@ -102,17 +117,16 @@
         true
     }
 
-    /// Returns whether credits may be asked of an issuer, who has not been asked or has answered, and records that they are.
+    /// Returns whether credits may be asked of an issuer, who has not been asked for as many lately, and records that they are.
     pub(crate) fn ask(&mut self, now: Duration, issuer: &Name, wanted: u32) -> bool {
-        let is_pending = self
-            .asked
-            .as_ref()
-            .is_some_and(|asked| now < asked.until && asked.left > 0 && asked.issuer == *issuer);
+        let is_pending = self.asked.as_ref().is_some_and(|asked| {
+            let time = if asked.left >= wanted { REQUEST_TIME } else { MIN_PAUSE };
+            now < asked.at + time && asked.left > 0 && asked.issuer == *issuer
+        });
         if is_pending {
             return false;
         }
-        self.asked =
-            Some(Asked { issuer: issuer.clone(), left: wanted, until: now + REQUEST_TIME });
+        self.asked = Some(Asked { issuer: issuer.clone(), left: wanted, at: now });
         true
     }
 
@@ -137,10 +151,10 @@
 }
 
 /// The wish of one router, as its issuer knows it.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Wish {
-    wanted: u32,
-    granted_share: f64,
+    /// One for each credit, the lowest last.
+    granted_shares: Vec<f64>,
     number: u64,
     until: Duration,
     served_at: Duration,
@@ -169,13 +183,15 @@
 
     /// Returns the router that gets the next credit, and counts it.
     fn serve(&mut self, now: Duration) -> Option<(Name, u64)> {
-        let wishes = self.wishes.iter_mut();
-        let open = wishes.filter(|(_, wish)| wish.wanted > 0 && now < wish.until);
-        let (router, wish) = open.min_by(|(_, wish), (_, other)| {
-            let by_share = wish.granted_share.total_cmp(&other.granted_share);
-            by_share.then(wish.served_at.cmp(&other.served_at))
+        let open = self.wishes.iter_mut().filter(|(_, wish)| now < wish.until);
+        let open = open.filter_map(|(router, wish)| {
+            let share = *wish.granted_shares.last()?;
+            Some((share, router, wish))
+        });
+        let (_, router, wish) = open.min_by(|(share, _, wish), (other_share, _, other)| {
+            share.total_cmp(other_share).then(wish.served_at.cmp(&other.served_at))
         })?;
-        wish.wanted -= 1;
+        wish.granted_shares.pop();
         wish.served_at = now;
         Some((router.clone(), wish.number))
     }
@@ -222,11 +238,12 @@
         request: CreditRequest,
         number: u64,
     ) {
-        let CreditRequest { runner, wanted, granted_share } = request;
+        let CreditRequest { runner, mut granted_shares } = request;
+        granted_shares.reverse();
         let issuance = self.issuances.entry(runner).or_insert_with(|| Issuance::new(now));
         let served_at = issuance.wishes.get(router).map_or(Duration::ZERO, |wish| wish.served_at);
         let until = now + REQUEST_TIME;
-        let wish = Wish { wanted, granted_share, number, until, served_at };
+        let wish = Wish { granted_shares, number, until, served_at };
         issuance.wishes.insert(router.clone(), wish);
     }
 
@@ -262,7 +279,7 @@
         now: Duration,
         rate_of: impl Fn(Key) -> Option<f64>,
     ) -> Option<Duration> {
-        let is_open = |wish: &Wish| wish.wanted > 0 && now < wish.until;
+        let is_open = |wish: &Wish| !wish.granted_shares.is_empty() && now < wish.until;
         let wanted = self.issuances.iter();
         let wanted = wanted.filter(|(_, issuance)| issuance.wishes.values().any(is_open));
         let times = wanted.map(|(key, issuance)| {
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -84,6 +84,7 @@
 pub use crash_history::CrashHistory;
 pub use crash_history::Distance;
 pub use credit::Credit;
+pub use credit::CreditCount;
 pub use credit::CreditRequest;
 pub use credit::Stock;
 pub use decision::Decision;
--- a/crates/relay/src/crediting.rs
+++ b/crates/relay/src/crediting.rs
@@ -33,11 +33,10 @@
 const MAX_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A request, as [`CreditRequest`], with what its sender knows of the limit.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct WantedCredit {
     rate: RunnerRate,
-    wanted: u32,
-    granted_share: f64,
+    granted_shares: Vec<f32>,
 }
 
 /// Credits that are handed out, as [`Credit`].
@@ -154,8 +153,7 @@
         let statement = runner.rate_limit.newest(now)?;
         Some(WantedCredit {
             rate: rate_report::report(now, runner, statement),
-            wanted: request.wanted,
-            granted_share: request.granted_share,
+            granted_shares: request.granted_shares.iter().map(|share| *share as f32).collect(),
         })
     });
     known.collect()
@@ -197,8 +195,8 @@
     let mut core = router.core.borrow_mut();
     for wanted in wanted {
         let Some(runner) = runners.get(&wanted.rate.incarnation).copied() else { continue };
-        let WantedCredit { wanted, granted_share, .. } = *wanted;
-        let request = CreditRequest { runner, wanted, granted_share };
+        let granted_shares = wanted.granted_shares.iter().copied().map(f64::from).collect();
+        let request = CreditRequest { runner, granted_shares };
         core.request_credits(now, &identity.name, request, number);
     }
     router.crediting.is_changed.notify_one();
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -5,6 +5,7 @@
 
 use balance::AdaptiveLimit;
 use balance::Cause;
+use balance::CreditCount;
 use base::Name;
 use budget::Figures;
 use indexmap::IndexSet;
@@ -22,6 +23,7 @@
 pub async fn keep_up(router: Rc<Router>) {
     let mut quarantined = IndexSet::new();
     let mut memory = router.budget.figures();
+    let mut credits = CreditCount::default();
     loop {
         time::sleep(INTERVAL).await;
         let now = router.now();
@@ -32,9 +34,28 @@
         log_loads(&router);
         log_contention(&router, now);
         log_memory(&router, &mut memory);
+        log_credits(&router, now, &mut credits);
     }
 }
 
+/// Logs the credits for requests to runners with a limit since the last call.
+fn log_credits(router: &Router, now: Duration, last: &mut CreditCount) {
+    let core = router.core.borrow();
+    let count = core.credit_count;
+    let has_limits = core.has_rate_limits(now);
+    drop(core);
+    if has_limits {
+        let received = count.received - last.received;
+        let late = count.late - last.late;
+        let used = count.used - last.used;
+        let issued = count.issued - last.issued;
+        router.log(Line::new("credits").outcome(format!(
+            "{received} received, {late} more too late, {used} used, {issued} handed out"
+        )));
+    }
+    *last = count;
+}
+
 /// Logs what was refused and closed for lack of memory or descriptors since the last call.
 fn log_memory(router: &Router, last: &mut Figures) {
     let figures = router.budget.figures();
