fix(balance): a limit is held for a second after its last word, and its end is always heard

Cause: with a limit that changes with each answer, answers that state none raised the rate within 100 ms, and a limit of zero never ended, since nobody asked for a credit while all was refused at once. A router that has just started knew of a limit only after an answer of its own. Change: a higher limit or none is believed when no answer has stated the lower one for a second; a router asks for a credit before it refuses at once, and refuses only while credits were asked for in vain; all known limits are told each half second.

--- a/crates/balance/src/core/credits.rs
+++ b/crates/balance/src/core/credits.rs
@@ -103,7 +103,8 @@
     /// Returns the number of credits that this router holds while nothing waits, its part of what runners take in a short time.
     fn reserve(&self, now: Duration, service: &Name) -> usize {
         let serving = self.registry.serving(service.as_str());
-        let rate: f64 = serving.filter_map(|(_, runner)| runner.rate_limit.per_second(now)).sum();
+        let rates = serving.filter_map(|(_, runner)| runner.rate_limit.per_second(now));
+        let rate: f64 = rates.map(|rate| rate.max(MIN_RATE)).sum();
         let routers = self.limits.peers.as_ref().map_or(1, |peers| peers.len() + 1);
         (rate * RESERVE_TIME.as_secs_f64() / routers as f64).ceil() as usize
     }
@@ -203,7 +204,7 @@
         total
     }
 
-    /// Returns whether the next credit for a request comes later than the end of its wait.
+    /// Returns whether credits have been asked for in vain and the next one comes later than the end of a request's wait.
     pub(super) fn is_credit_late(
         &self,
         now: Duration,
@@ -212,8 +213,9 @@
     ) -> bool {
         let Some(rate) = self.total_rate(now, &request.service) else { return false };
         let mut serving = self.registry.serving(request.service.as_str());
-        let has_credit = serving.any(|(_, runner)| runner.credits.count(now) > 0);
-        !has_credit && now.as_secs_f64() + 1.0 / rate >= expires_at.as_secs_f64()
+        let is_lacking =
+            serving.all(|(_, runner)| runner.lacks_credits(now) && runner.credits.count(now) == 0);
+        is_lacking && now.as_secs_f64() + 1.0 / rate >= expires_at.as_secs_f64()
     }
 
     /// Returns the time in which this router gets credits for all that waits here, if all routers have as much to send.
--- a/crates/balance/src/credit.rs
+++ b/crates/balance/src/credit.rs
@@ -25,7 +25,7 @@
 /// The lowest rate of credits per second, since only the answer to a request tells that a limit has ended.
 pub(crate) const MIN_RATE: f64 = 0.25;
 /// The time for which a router that lacks credits at a runner takes the runner for full.
-const LACK_TIME: Duration = Duration::from_millis(100);
+const LACK_TIME: Duration = Duration::from_millis(500);
 /// The delay after which a router that has asked for credits in vain lacks them.
 const LACK_DELAY: Duration = Duration::from_millis(30);
 
--- a/crates/balance/src/rate_limit.rs
+++ b/crates/balance/src/rate_limit.rs
@@ -2,15 +2,18 @@
 //!
 //! Load pattern: a runner in need states a limit, changes it from one answer to the next, and at last states none. Its
 //! answers reach the routers late and in any order. A lower limit holds at once. A higher one, or none, may be the word
-//! of a late answer, so it raises what the runner may get step by step.
+//! of a late answer, so it is believed once no answer states the lower one any more, and then raises what the runner may get
+//! step by step.
 
 use std::time::Duration;
 
-/// The time in which the rate may double after a runner has stated a higher limit, or none.
+/// The time after the last statement of a limit from which on a higher one, or none, is believed.
+const HOLD_TIME: Duration = Duration::from_secs(1);
+/// The time in which the rate doubles from then on.
 const DOUBLING_TIME: Duration = Duration::from_millis(250);
 /// The rate from which it rises again after a lower limit, in requests per second.
 const MIN_RAISED_RATE: f64 = 1.0;
-/// The number of times that a rate doubles until there is no limit.
+/// The number of times by which any rate has doubled so often that there is no limit.
 const MAX_DOUBLINGS: f64 = 10.0;
 /// The rate that no runner exceeds, in requests per second; such a limit is none.
 const UNLIMITED_RATE: f64 = 1_000.0;
@@ -28,17 +31,17 @@
 #[derive(Debug, Clone, Copy)]
 pub struct RateLimit {
     newest: Option<Statement>,
-    /// The rate that was allowed when the limit last changed, in requests per second.
+    /// The last statement that bound what the runner might get, in requests per second.
     rate: f64,
-    /// The time of that change.
-    since: Duration,
+    /// The time of that statement.
+    stated_at: Duration,
     /// Whether the newest statement came in an answer to this router and has not been told to others.
     is_untold: bool,
 }
 
 impl Default for RateLimit {
     fn default() -> Self {
-        Self { newest: None, rate: f64::INFINITY, since: Duration::ZERO, is_untold: false }
+        Self { newest: None, rate: f64::INFINITY, stated_at: Duration::ZERO, is_untold: false }
     }
 }
 
@@ -90,25 +93,30 @@
     /// Returns the requests per second that all routers together may send; `None` if there is no limit.
     #[must_use]
     pub fn per_second(&self, now: Duration) -> Option<f64> {
-        let doublings = now.saturating_sub(self.since).div_duration_f64(DOUBLING_TIME);
-        let ceiling = self.rate * doublings.min(MAX_DOUBLINGS).exp2();
+        let ceiling = self.ceiling(now);
         let limit = self.stated().map_or(ceiling, |stated| stated.min(ceiling));
         (limit < UNLIMITED_RATE).then_some(limit)
     }
 
+    /// Returns the rate that the last binding limit leaves, in requests per second.
+    fn ceiling(&self, now: Duration) -> f64 {
+        let held_until = self.stated_at + HOLD_TIME;
+        if now < held_until {
+            return self.rate;
+        }
+        let doublings = (now - held_until).div_duration_f64(DOUBLING_TIME);
+        self.rate.max(MIN_RAISED_RATE) * doublings.min(MAX_DOUBLINGS).exp2()
+    }
+
     /// Adds a statement; returns `false` if a newer one is known.
     fn add(&mut self, statement: Statement) -> bool {
         if self.newest.is_some_and(|newest| newest.at >= statement.at) {
             return false;
         }
         let current = self.per_second(statement.at).unwrap_or(f64::INFINITY);
-        let before = self.stated();
         self.newest = Some(statement);
-        let stated = statement.per_second.unwrap_or(f64::INFINITY);
-        if stated < current {
-            (self.rate, self.since) = (stated, statement.at);
-        } else if statement.per_second != before {
-            (self.rate, self.since) = (current.max(MIN_RAISED_RATE), statement.at);
+        if let Some(stated) = statement.per_second.filter(|stated| *stated <= current) {
+            (self.rate, self.stated_at) = (stated, statement.at);
         }
         true
     }
--- a/crates/relay/src/crediting.rs
+++ b/crates/relay/src/crediting.rs
@@ -1,5 +1,6 @@
 //! Messages by which routers ask for credits for requests to runners with a limit, and hand them out.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::future;
@@ -27,6 +28,8 @@
 
 /// The time after which no credits are expected for a request.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+/// The interval at which all known limits are told.
+const FULL_REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// The shortest interval between two times at which credits are handed out.
 const MIN_INTERVAL: Duration = Duration::from_millis(2);
 /// The longest such interval while some are wanted.
@@ -58,6 +61,8 @@
     /// The requests that may still be answered, with their times.
     pending: RefCell<VecDeque<(u64, Duration)>>,
     requests: RefCell<Received>,
+    /// The time at which all known limits were last told.
+    reported_at: Cell<Duration>,
     credits: RefCell<Received>,
 }
 
@@ -74,6 +79,15 @@
         self.is_changed.notify_one();
     }
 
+    /// Returns whether all known limits are to be told now, and records that they are.
+    pub(crate) fn begin_full_report(&self, now: Duration) -> bool {
+        let is_due = now >= self.reported_at.get() + FULL_REPORT_INTERVAL;
+        if is_due {
+            self.reported_at.set(now);
+        }
+        is_due
+    }
+
     fn next_number(&self) -> u64 {
         let mut last_number = self.last_number.borrow_mut();
         *last_number += 1;
--- a/crates/relay/src/rate_report.rs
+++ b/crates/relay/src/rate_report.rs
@@ -12,9 +12,13 @@
 use crate::event;
 use crate::gossip::RunnerRate;
 
-/// Removes and returns the statements that this router has seen since the last call.
+/// Returns the statements that this router has seen since the last call, and at times all that it knows, for routers that have
+/// started meanwhile.
 pub(crate) fn of_router(router: &Router) -> Vec<RunnerRate> {
     let now = router.now();
+    if router.crediting.begin_full_report(now) {
+        return of_zone(router);
+    }
     let mut core = router.core.borrow_mut();
     let seen = core.registry.iter_mut().filter_map(|runner| {
         let statement = runner.rate_limit.take_untold()?;
