fix(balance): a third of the fleet may be lost without a loss of a runner's rate

Change: two thirds are enough; two sides that don't see each other exceed a limit by a third at most, within one and a half. Tests: limits on each kind of answer, values that can't be true, huge ones, the end of a limit, routers killed and stopped (platform_rates); cold and leaving runners, late credits (balance/tests/credits.rs).

--- a/crates/balance/src/credit.rs
+++ b/crates/balance/src/credit.rs
@@ -210,9 +210,10 @@
 impl Issuers {
     /// Replaces the candidates, of whom `visible` of `published` routers are alive; returns whether they differ.
     ///
-    /// Routers that don't see a part of the fleet hand out less, since others may be issuers there.
+    /// Routers that don't see a third of the fleet or more hand out less, since others may be issuers there. So two sides that
+    /// don't see each other hand out at most four thirds of a limit, and a zone in three may be lost without a loss of rate.
     pub(crate) fn set(&mut self, candidates: Vec<Name>, visible: usize, published: usize) -> bool {
-        let is_most = visible >= published - published / 4;
+        let is_most = visible.saturating_mul(3) >= published.saturating_mul(2);
         self.fraction = if is_most { 1.0 } else { visible as f64 / published.max(1) as f64 };
         let is_changed = self.candidates != candidates;
         self.candidates = candidates;
