fix(platform): routers that start while the store is away are known soon after its return

Cause: a read of the routers' topic waits 10 s for a record. One that began while the store was silent was never answered, and held the next try up for 11 s; the other topics wait for 0.3 s. Heartbeats of the restarted routers came all the while and were dropped, as their identities were not known. Test: platform_members, red before (not listed after 10 s).

--- a/crates/aspenline/tests/platform_members.rs
+++ b/crates/aspenline/tests/platform_members.rs
@@ -9,6 +9,7 @@
 
 use fake::endpoint::STREAM_EVENTS;
 use fake::endpoint::event_text;
+use fake::store::FaultMode;
 use http::StatusCode;
 use rustix::process::Signal;
 use tokio::time;
@@ -188,3 +189,25 @@
     assert_eq!(router.wait_for_exit().await, Some(0));
     assert_eq!(identities(), 0, "not withdrawn at the end");
 }
+
+/// Guards against routers that have started while the store was away and stay unknown to those that wait for an answer of a
+/// call that the store has lost (issue 60).
+#[tokio::test]
+async fn a_router_that_starts_while_the_store_is_away_is_known_to_all_soon_after_its_return() {
+    let contact = Duration::from_secs(3);
+    let platform = Platform::start("members-store-away").await;
+    platform.configure(&configuration(1));
+    let first = platform.router("router-1").await;
+    let second = platform.router("router-2").await;
+    wait_until_both_are_listed(&first, &second).await;
+    platform.store.set_fault_mode(FaultMode::Unresponsive);
+    // The reads that wait for a record end, and the next ones get no answer.
+    platform.store.put("keyed.routers", "other", b"{}");
+    drop(second);
+    let second = platform.router("router-2").await;
+    time::sleep(Duration::from_millis(1_500)).await;
+    platform.store.set_fault_mode(FaultMode::Normal);
+    let returned_at = Instant::now();
+    wait_until_both_are_listed(&first, &second).await;
+    assert!(returned_at.elapsed() < contact, "after {:?}", returned_at.elapsed());
+}
--- a/crates/relay/src/heartbeat.rs
+++ b/crates/relay/src/heartbeat.rs
@@ -276,12 +276,16 @@
 }
 
 fn receive(router: &Router, bytes: &[u8]) {
+    let now = router.now();
     let received = gossip::open(bytes, |sender, incarnation| {
         let members = router.members.borrow();
-        members.identity(sender, incarnation).map(|identity| identity.key.clone())
+        let identity = members.identity(sender, incarnation);
+        if identity.is_none() {
+            router.strangers.record(now);
+        }
+        identity.map(|identity| identity.key.clone())
     });
     let Some(Received { heartbeat, extension, acknowledged }) = received else { return };
-    let now = router.now();
     if !record_sender(router, now, &heartbeat, extension.as_ref()) {
         return;
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -42,6 +42,7 @@
 mod server;
 mod settings;
 mod sse;
+mod strangers;
 mod stream;
 mod upkeep;
 
@@ -80,5 +81,6 @@
 pub use server::Listener;
 pub use settings::Error;
 pub use settings::Settings;
+pub use strangers::Strangers;
 pub use stream::Stream;
 pub use upkeep::keep_up;
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -277,6 +277,9 @@
             is_same.then(|| (identity.name.clone(), identity.incarnation, report))
         })
         .collect();
+    if reported.len() < by_name.len() {
+        router.strangers.record(router.now());
+    }
     for (name, incarnation, report) in reported {
         let age = Duration::from_millis(u64::from(report.age_ms));
         let status = MemberStatus {
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -35,6 +35,7 @@
 use crate::Metrics;
 use crate::RunnerProtocol;
 use crate::Settings;
+use crate::Strangers;
 use crate::body;
 use crate::buffer::Buffer;
 use crate::crash_check::Breaks;
@@ -94,6 +95,8 @@
     pub(crate) exchange: RefCell<Exchange>,
     pub(crate) lending: Lending,
     pub(crate) crediting: Crediting,
+    /// The heartbeats of processes whose identities are not known.
+    pub strangers: Strangers,
     reaches_store: Cell<bool>,
     waiters: RefCell<IndexMap<Ticket, oneshot::Sender<Decision>>>,
     queue_changed: Notify,
@@ -135,6 +138,7 @@
             exchange: RefCell::default(),
             lending: Lending::default(),
             crediting: Crediting::default(),
+            strangers: Strangers::default(),
             reaches_store: Cell::new(true),
             waiters: RefCell::default(),
             queue_changed: Notify::new(),
