--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -176,8 +176,10 @@
         let ranks = self.ranks(request);
         let usable = || serving().filter(|(key, runner)| self.is_usable(*key, runner, request));
         let fraction = SAMPLED_RUNNERS / usable().count().max(1) as f64;
-        let sampled = usable()
-            .filter(|(key, runner)| ranks.contains(key) || self.is_sampled(runner, fraction));
+        // A credit is lost if it is not used soon.
+        let sampled = usable().filter(|(key, runner)| {
+            ranks.contains(key) || runner.is_limited(self.now) || self.is_sampled(runner, fraction)
+        });
         let best = self.best(request, &ranks, sampled).filter(|best| best.has_capacity);
         let best = best.or_else(|| self.best(request, &ranks, usable()))?;
         let source = self.source(request, &ranks, best.key);
