--- a/crates/balance/src/expectation.rs
+++ b/crates/balance/src/expectation.rs
@@ -19,6 +19,7 @@
 /// What is known of the load at the runners of a service that may be used.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Expectation {
+    now: Duration,
     /// The requests of this router, with those that are added at each runner.
     own_requests: f64,
     /// The load that others have reported.
@@ -30,14 +31,14 @@
 }
 
 impl Expectation {
-    /// Sums up what is known of the load at the given runners.
+    /// Sums up what is known of the load at the given runners, except those with a limit on the rate of requests.
     pub(crate) fn of<'a>(
         now: Duration,
         turnover: Turnover,
         runners: impl Iterator<Item = &'a Runner>,
     ) -> Self {
         let (mut own_requests, mut reported, mut reported_ms) = (0.0, Load::default(), 0);
-        for runner in runners {
+        for runner in runners.filter(|runner| !runner.is_limited(now)) {
             own_requests += requests(runner);
             reported.add(runner.peer_loads.sum());
             reported_ms += runner.peer_loads.reported_ms();
@@ -46,6 +47,7 @@
         let age = reported_at.map(|at| now.saturating_sub(Duration::from_millis(at)));
         let age = age.unwrap_or_default();
         Self {
+            now,
             own_requests: if own_requests > 0.0 { own_requests } else { PRIOR_REQUESTS },
             reported,
             places_left: turnover.places_left(age),
@@ -55,7 +57,9 @@
 
     /// Returns the load that all routers are expected to have placed on a runner by now.
     pub(crate) fn load(&self, runner: &Runner) -> Load {
-        let part = requests(runner) / self.own_requests;
+        // Credits say how many requests others send to a runner with a limit, whatever they send to the others.
+        let is_limited = runner.is_limited(self.now);
+        let part = if is_limited { 0.0 } else { requests(runner) / self.own_requests };
         let expected = |left: f64, known: f64, all: f64| left * known + (1.0 - left) * part * all;
         let (known, all) = (runner.peer_loads.sum(), self.reported);
         let running = expected(self.places_left, known.running.into(), all.running.into());
