--- a/crates/balance/tests/common/mod.rs
+++ b/crates/balance/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Requests, runners and router states for the tests of decisions.
 #![allow(dead_code, reason = "each test file uses some of these items")]
 
+pub(crate) mod credits;
 pub(crate) mod fleet;
 pub(crate) mod floods;
 
