fix(mesh): a frame for a restarted router is not dropped with the ended process

Cause: a link that was opened before the process of its peer was known took the process known at the next frame, though it had been opened to an earlier one.

Change: the process that becomes known is a mark in the queue of such a link; frames behind it are kept over a failed connection begun before it and are written to a connection opened after it or heard from that process. A replaced link does not connect again.

--- a/crates/mesh/src/accept.rs
+++ b/crates/mesh/src/accept.rs
@@ -202,7 +202,8 @@
 
 async fn read_datagrams(core: &Arc<Core>, peer: &Name, connection: &Connection) {
     while let Ok(bytes) = connection.read_datagram().await {
-        for message in core.receive(peer, &bytes) {
+        let Some((_, replies)) = core.receive(peer, &bytes) else { continue };
+        for message in replies {
             let _lost = connection.send_datagram(message.encode().into());
         }
     }
--- a/crates/mesh/src/core.rs
+++ b/crates/mesh/src/core.rs
@@ -117,11 +117,21 @@
         true
     }
 
-    /// Handles a datagram and returns the replies to it.
-    pub(crate) fn receive(self: &Arc<Self>, from: &Name, bytes: &[u8]) -> Vec<Message> {
-        let Ok(message) = Message::decode(bytes) else { return Vec::new() };
+    /// Handles a datagram. Returns the incarnation of its sender and the replies to it, or `None` if it is malformed.
+    pub(crate) fn receive(
+        self: &Arc<Self>,
+        from: &Name,
+        bytes: &[u8],
+    ) -> Option<(u64, Vec<Message>)> {
+        let message = Message::decode(bytes).ok()?;
+        let incarnation = message.version.incarnation;
         let actions = lock(&self.swim).receive(self.started.elapsed(), from, message);
-        self.execute(actions)
+        Some((incarnation, self.execute(actions)))
+    }
+
+    /// Returns the incarnation of a router, if an update about it was received.
+    pub(crate) fn incarnation(&self, name: &Name) -> Option<u64> {
+        self.with_swim(|swim| swim.incarnation(name))
     }
 
     /// Applies a register of this router and disseminates it.
@@ -198,12 +208,15 @@
     ///
     /// Frames for a new process must not be sent on the link to an earlier one, which may still look open.
     fn link(self: &Arc<Self>, to: &Name) -> Handle {
-        let incarnation = self.with_swim(|swim| swim.incarnation(to));
+        let incarnation = self.incarnation(to);
         let mut links = lock(&self.links);
         if let Some(link) = links.get_mut(to) {
             let both = link.incarnation.zip(incarnation);
             if both.is_none_or(|(of_link, current)| of_link == current) {
-                link.incarnation = link.incarnation.or(incarnation);
+                let is_unnamed = link.incarnation.is_none() && incarnation.is_some();
+                if is_unnamed && link.handle.renew() {
+                    link.incarnation = incarnation;
+                }
                 return link.handle.clone();
             }
         }
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -3,6 +3,7 @@
 
 mod connection;
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::Ordering::Relaxed;
@@ -44,17 +45,32 @@
     Reconnect,
 }
 
+/// A frame, or the point in the queue from which frames are for a process that became known after the link was opened.
+#[derive(Debug)]
+enum Item {
+    Frame(Vec<u8>),
+    Renew,
+}
+
 /// The sending side of a link.
 #[derive(Debug, Clone)]
 pub(crate) struct Handle {
-    frames: Sender<Vec<u8>>,
+    frames: Sender<Item>,
     commands: Sender<Command>,
 }
 
 impl Handle {
     /// Queues a frame, and returns whether the queue had capacity for it.
     pub(crate) fn send_frame(&self, frame: Vec<u8>) -> bool {
-        self.frames.try_send(frame).is_ok()
+        self.frames.try_send(Item::Frame(frame)).is_ok()
+    }
+
+    /// Requests that frames queued later are sent on a connection opened from now on, and returns whether the queue
+    /// had capacity for the request.
+    ///
+    /// It is for a link that may have been opened to an earlier process than the one which has become known.
+    pub(crate) fn renew(&self) -> bool {
+        self.frames.try_send(Item::Renew).is_ok()
     }
 
     /// Queues a membership message. It is dropped when the queue is full.
@@ -68,12 +84,22 @@
     }
 }
 
+impl Item {
+    fn into_frame(self) -> Option<Vec<u8>> {
+        match self {
+            Self::Frame(frame) => Some(frame),
+            Self::Renew => None,
+        }
+    }
+}
+
 /// The frames and commands that wait to be sent.
 #[derive(Debug)]
 struct Pending {
-    frames: Receiver<Vec<u8>>,
+    frames: Receiver<Item>,
     commands: Receiver<Command>,
-    next_frame: Option<Vec<u8>>,
+    /// The frames that are sent before those in the queue.
+    next_frames: VecDeque<Vec<u8>>,
     next_command: Option<Command>,
     outbox: Mutex<Outbox>,
 }
@@ -81,27 +107,46 @@
 impl Pending {
     /// Waits for something to send, and returns false when the queues are closed.
     async fn wait(&mut self) -> bool {
-        if self.next_frame.is_some() || self.next_command.is_some() {
-            return true;
-        }
-        tokio::select! {
-            Some(frame) = self.frames.recv() => self.next_frame = Some(frame),
-            Some(command) = self.commands.recv() => self.next_command = Some(command),
-            else => return false,
+        while self.next_frames.is_empty() && self.next_command.is_none() {
+            tokio::select! {
+                Some(item) = self.frames.recv() => self.next_frames.extend(item.into_frame()),
+                Some(command) = self.commands.recv() => self.next_command = Some(command),
+                else => return false,
+            }
         }
         true
     }
 
-    /// Drops everything and returns the number of dropped frames.
+    /// Returns whether another link has taken the place of this one.
+    fn is_replaced(&self) -> bool {
+        self.commands.is_closed()
+    }
+
+    /// Drops everything but the frames for a process that has become known since, and returns the number of dropped
+    /// frames.
     fn clear(&mut self) -> u64 {
-        let mut dropped = u64::from(self.next_frame.take().is_some()) + lock(&self.outbox).clear();
-        while self.frames.try_recv().is_ok() {
-            dropped += 1;
+        let mut dropped = lock(&self.outbox).clear();
+        let mut is_renewed = false;
+        while let Ok(item) = self.frames.try_recv() {
+            match item {
+                Item::Frame(frame) => self.next_frames.push_back(frame),
+                Item::Renew => {
+                    is_renewed = true;
+                    dropped += self.drop_next_frames();
+                }
+            }
+        }
+        if !is_renewed {
+            dropped += self.drop_next_frames();
         }
         self.next_command = None;
         while self.commands.try_recv().is_ok() {}
         dropped
     }
+
+    fn drop_next_frames(&mut self) -> u64 {
+        self.next_frames.drain(..).count() as u64
+    }
 }
 
 /// An open connection with its own socket.
@@ -115,7 +160,8 @@
     let (frame_sender, frames) = mpsc::channel(FRAME_QUEUE_LIMIT);
     let (command_sender, commands) = mpsc::channel(MESSAGE_QUEUE_LIMIT);
     let outbox = Mutex::new(Outbox::new(rand::random()));
-    let pending = Pending { frames, commands, next_frame: None, next_command: None, outbox };
+    let next_frames = VecDeque::new();
+    let pending = Pending { frames, commands, next_frames, next_command: None, outbox };
     core.tasks.spawn(run(Arc::clone(core), peer.clone(), pending));
     Handle { frames: frame_sender, commands: command_sender }
 }
@@ -131,6 +177,9 @@
             () = core.stop.cancelled() => return,
             transport = connect(&core, &peer) => transport,
         };
+        if pending.is_replaced() {
+            return;
+        }
         let Some(transport) = transport else {
             reconnects_at_once = false;
             failures += 1;
--- a/crates/mesh/src/link/connection.rs
+++ b/crates/mesh/src/link/connection.rs
@@ -1,5 +1,6 @@
 //! One connection of an outgoing link: frames, membership messages and the detection of unresponsive peers.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::Ordering::Relaxed;
@@ -16,6 +17,7 @@
 use tokio::time::sleep;
 
 use super::Command;
+use super::Item;
 use super::Pending;
 use crate::core::Core;
 use crate::core::lock;
@@ -60,15 +62,26 @@
     is_due: bool,
     /// When the last frame was sent.
     last_frame: Option<Instant>,
+    /// The process that was heard on the connection.
+    incarnation: Option<u64>,
 }
 
 /// The frames of a link.
 struct Queue<'a> {
-    first: &'a mut Option<Vec<u8>>,
-    frames: &'a mut Receiver<Vec<u8>>,
+    peer: &'a Name,
+    first: &'a mut VecDeque<Vec<u8>>,
+    frames: &'a mut Receiver<Item>,
     outbox: &'a Mutex<Outbox>,
 }
 
+impl Queue<'_> {
+    /// Returns whether the connection is known to be one to the current process of the peer.
+    fn is_current(&self, core: &Core, activity: &Mutex<Activity>) -> bool {
+        let heard = lock(activity).incarnation;
+        heard.is_some() && heard == core.incarnation(self.peer)
+    }
+}
+
 impl Activity {
     fn is_active(&self) -> bool {
         self.last_frame.is_some_and(|at| at.elapsed() < KEEP_ALIVE_TIME)
@@ -84,13 +97,13 @@
 ) -> End {
     let activity = Mutex::new(Activity::default());
     let mut meter = Meter::default();
-    let Pending { frames, commands, next_frame, next_command, outbox } = pending;
-    let queue = Queue { first: next_frame, frames, outbox };
+    let Pending { frames, commands, next_frames, next_command, outbox } = pending;
+    let queue = Queue { peer, first: next_frames, frames, outbox };
     let end = tokio::select! {
         () = core.stop.cancelled() => End::Stopped,
-        _ = send_frames(core, connection, queue, &activity) => End::Closed,
+        end = send_frames(core, connection, queue, &activity) => end.unwrap_or(End::Closed),
         end = send_messages(connection, next_command, commands, &activity) => end,
-        end = receive(core, peer, connection) => end,
+        end = receive(core, peer, connection, &activity) => end,
         end = monitor(core, connection, &mut meter, &activity) => end,
     };
     meter.update(connection, &core.counters);
@@ -98,13 +111,14 @@
     if end == End::Closed && is_active { End::Unresponsive } else { end }
 }
 
-/// Sends the first message, resumes the session where the last connection ended, then sends frames.
+/// Sends the first message, resumes the session where the last connection ended, then sends frames. Returns `None` when
+/// the connection ends.
 async fn send_frames(
     core: &Core,
     connection: &Connection,
     queue: Queue<'_>,
     activity: &Mutex<Activity>,
-) -> Option<()> {
+) -> Option<End> {
     let session = lock(queue.outbox).id;
     let hello = core.with_swim(|swim| Hello {
         record: swim.record().clone(),
@@ -124,7 +138,7 @@
     let capacity = Notify::new();
     let outbox = queue.outbox;
     tokio::select! {
-        ended = receive_confirmations(&mut replies, outbox, &capacity) => ended,
+        () = receive_confirmations(&mut replies, outbox, &capacity) => None,
         ended = send_queue(core, &mut stream, queue, &capacity, activity) => ended,
     }
 }
@@ -135,14 +149,18 @@
     queue: Queue<'_>,
     capacity: &Notify,
     activity: &Mutex<Activity>,
-) -> Option<()> {
+) -> Option<End> {
     loop {
         while lock(queue.outbox).is_full() {
             capacity.notified().await;
         }
-        let frame = match queue.first.take() {
+        let frame = match queue.first.pop_front() {
             Some(frame) => frame,
-            None => queue.frames.recv().await?,
+            None => match queue.frames.recv().await? {
+                Item::Frame(frame) => frame,
+                Item::Renew if queue.is_current(core, activity) => continue,
+                Item::Renew => return Some(End::Reconnect),
+            },
         };
         lock(queue.outbox).push(frame.clone());
         core.counters.frames_sent.fetch_add(1, Relaxed);
@@ -154,16 +172,19 @@
     replies: &mut RecvStream,
     outbox: &Mutex<Outbox>,
     capacity: &Notify,
-) -> Option<()> {
-    loop {
-        let received = handshake::decode(replies).await?;
+) {
+    while let Some(received) = handshake::decode(replies).await {
         lock(outbox).confirm(received);
         capacity.notify_one();
     }
 }
 
 async fn write(stream: &mut SendStream, frame: &[u8], activity: &Mutex<Activity>) -> Option<()> {
-    *lock(activity) = Activity { is_due: true, last_frame: Some(Instant::now()) };
+    {
+        let mut activity = lock(activity);
+        activity.is_due = true;
+        activity.last_frame = Some(Instant::now());
+    }
     stream.write_all(&handshake::delimited(frame)).await.ok()
 }
 
@@ -191,9 +212,16 @@
     }
 }
 
-async fn receive(core: &Arc<Core>, peer: &Name, connection: &Connection) -> End {
+async fn receive(
+    core: &Arc<Core>,
+    peer: &Name,
+    connection: &Connection,
+    activity: &Mutex<Activity>,
+) -> End {
     while let Ok(bytes) = connection.read_datagram().await {
-        for message in core.receive(peer, &bytes) {
+        let Some((incarnation, replies)) = core.receive(peer, &bytes) else { continue };
+        lock(activity).incarnation = Some(incarnation);
+        for message in replies {
             let _lost = connection.send_datagram(message.encode().into());
         }
     }
--- a/crates/mesh/tests/links/main.rs
+++ b/crates/mesh/tests/links/main.rs
@@ -3,5 +3,6 @@
 mod common;
 mod impersonation;
 mod lost_flow;
+mod lost_process;
 mod relay;
 mod trust;
