fix(balance): the place time of routers that are no longer heard is forgotten with their work

Change: what is left of the others' work after the removal is the fraction of their place time that is kept.

--- a/crates/balance/src/core/conditions.rs
+++ b/crates/balance/src/core/conditions.rs
@@ -51,8 +51,19 @@
         self.record_silence(now);
     }
 
+    /// Forgets what is known of others that are no longer heard.
+    pub fn remove_expired(&mut self, now: Duration) {
+        self.registry.remove_expired(now);
+        self.remove_expired_use(now);
+    }
+
+    fn remove_expired_use(&mut self, now: Duration) {
+        let kept = self.usage.remove_expired(now);
+        self.shares.keep_others(kept);
+    }
+
     fn record_silence(&mut self, now: Duration) {
-        self.usage.remove_expired(now);
+        self.remove_expired_use(now);
         let unheard = self.unheard();
         self.shares.record_silence(now, unheard);
     }
--- a/crates/balance/src/decay.rs
+++ b/crates/balance/src/decay.rs
@@ -29,6 +29,11 @@
         self.sum = (self.value(now) + amount).max(0.0);
         self.at = now;
     }
+
+    /// Keeps a fraction of the sum.
+    pub(crate) const fn scale(&mut self, fraction: f64) {
+        self.sum *= fraction;
+    }
 }
 
 /// Returns the time in which a constant amount adds up to its sum.
--- a/crates/balance/src/place_time.rs
+++ b/crates/balance/src/place_time.rs
@@ -28,6 +28,11 @@
         self.sum.add(now, rise * interval.as_secs_f64());
     }
 
+    /// Keeps a fraction of the sum.
+    pub(crate) const fn scale(&mut self, fraction: f64) {
+        self.sum.scale(fraction);
+    }
+
     /// Returns the sum.
     pub(crate) fn value(&self, now: Duration) -> f64 {
         self.sum.value(now)
--- a/crates/balance/src/shares.rs
+++ b/crates/balance/src/shares.rs
@@ -124,6 +124,14 @@
         EVEN_FRACTION * even + (1.0 - EVEN_FRACTION) * asked.min(1.0)
     }
 
+    /// Keeps a fraction of what is known of the time for which requests of others had places in use.
+    ///
+    /// The work of others that are no longer heard is forgotten; their places must be as well, or requests of the others
+    /// would seem to hold places for longer than those of this router.
+    pub(crate) const fn keep_others(&mut self, fraction: f64) {
+        self.others_time.scale(fraction);
+    }
+
     /// Records which other routers are not heard.
     pub(crate) fn record_silence(&mut self, now: Duration, unheard: Unheard) {
         self.waited_for = unheard.count() - self.silence.record(now, unheard);
--- a/crates/balance/src/usage.rs
+++ b/crates/balance/src/usage.rs
@@ -124,8 +124,10 @@
         self.reported.iter().filter_map(|(origin, reports)| Some((origin, reports.back()?)))
     }
 
-    /// Removes reported figures that have expired.
-    pub fn remove_expired(&mut self, now: Duration) {
+    /// Removes reported figures that have expired, and returns the fraction of what others have used that is left.
+    #[must_use]
+    pub(crate) fn remove_expired(&mut self, now: Duration) -> f64 {
+        let before = self.reported_use();
         let expired = self.newest().filter(|(_, report)| now >= report.at + EXPIRY);
         let expired: Vec<Origin> = expired.map(|(origin, _)| origin.clone()).collect();
         for origin in expired {
@@ -133,6 +135,12 @@
             let newest = removed.and_then(|mut reports| reports.pop_back());
             self.subtract(newest.map(|report| report.works));
         }
+        if before > 0 { self.reported_use() as f64 / before as f64 } else { 1.0 }
+    }
+
+    /// Returns the tokens that others have used.
+    fn reported_use(&self) -> u64 {
+        self.reported_sums.values().map(|work| work.used).sum()
     }
 
     fn subtract(&mut self, removed: Option<IndexMap<Name, Work>>) {
--- a/crates/balance/tests/common/fleet.rs
+++ b/crates/balance/tests/common/fleet.rs
@@ -82,6 +82,9 @@
     pub(crate) long: Option<(Name, Duration)>,
     /// A router whose reports get lost from one time to another.
     pub(crate) silent: Option<(usize, Duration, Duration)>,
+    /// The number of routers with the lowest numbers which the others don't hear, nor are heard by them, from one time to
+    /// another.
+    pub(crate) cut: Option<(usize, Duration, Duration)>,
     /// The requests refused.
     pub(crate) refused: Vec<Refused>,
     /// The largest number of requests beyond their limits that engines ran at one time, with that time.
@@ -112,6 +115,7 @@
             asked: IndexMap::new(),
             long: None,
             silent: None,
+            cut: None,
             refused: Vec::new(),
             overrun: (0, Duration::ZERO),
             excess: (0, Duration::ZERO),
@@ -161,6 +165,11 @@
         self.waiting.retain(|(waiting_at, _), _| *waiting_at != router);
     }
 
+    /// Returns the routers whose processes run.
+    pub(crate) fn alive(&self) -> Vec<usize> {
+        (0..self.cores.len()).filter(|router| !self.dead.contains(router)).collect()
+    }
+
     /// Returns the limit on running requests of all engines, as known to a router.
     pub(crate) fn running_limit(&self, router: usize) -> u64 {
         let limits = self.cores[router].service_loads().map(|(_, limit, _)| limit.limits().running);
@@ -174,8 +183,7 @@
 
     /// Returns the largest limit on running requests of all engines that a router knows.
     fn limit(&self) -> u64 {
-        let alive = (0..self.cores.len()).filter(|router| !self.dead.contains(router));
-        alive.map(|router| self.running_limit(router)).max().unwrap_or_default()
+        self.alive().into_iter().map(|router| self.running_limit(router)).max().unwrap_or_default()
     }
 
     /// Returns the number of requests beyond their limits that engines run.
@@ -239,8 +247,7 @@
         self.advance_requests(now);
         self.answer_loan_requests(now);
         // The router with the lowest number runs last, after the others have used the free capacity.
-        let alive = (0..self.cores.len()).rev().filter(|router| !self.dead.contains(router));
-        for router in alive.collect::<Vec<usize>>() {
+        for router in self.alive().into_iter().rev() {
             for (ticket, decision) in self.cores[router].process_queue(now) {
                 let workspace = self.waiting.swap_remove(&(router, ticket)).expect("waiting");
                 self.record(now, router, decision, &workspace);
@@ -312,8 +319,17 @@
         }
     }
 
+    /// Returns whether messages between two routers get lost.
+    fn is_cut(&self, now: Duration, one: usize, other: usize) -> bool {
+        let is_now = |(_, start, end): &(usize, Duration, Duration)| (*start..*end).contains(&now);
+        self.cut.filter(is_now).is_some_and(|(count, ..)| (one < count) != (other < count))
+    }
+
     fn answer_loan_requests(&mut self, now: Duration) {
         for Asked { at, from, to, request } in std::mem::take(&mut self.loan_requests) {
+            if self.is_cut(now, from, to) {
+                continue;
+            }
             let lent = self.cores[to].lend(now, &request);
             if !lent.is_empty() {
                 self.cores[from].borrow(now, at, &request, lent);
@@ -332,12 +348,17 @@
             let sender = Origin::Router(router_name(from));
             self.cores[from].record_state(now);
             let figures = Figures::of(&self.cores[from], now);
-            for (to, core) in self.cores.iter_mut().enumerate() {
-                if to != from && to % zone_count == from % zone_count {
-                    figures.apply(core, &sender, now, now);
-                }
+            let routers = 0..self.cores.len();
+            let listeners = routers.filter(|to| {
+                *to != from && *to % zone_count == from % zone_count && !self.is_cut(now, from, *to)
+            });
+            let listeners: Vec<usize> = listeners.collect();
+            for to in &listeners {
+                figures.apply(&mut self.cores[*to], &sender, now, now);
+            }
+            if !listeners.is_empty() || self.cut.is_none() {
+                self.cores[from].confirm_report(now);
             }
-            self.cores[from].confirm_report(now);
             sums[from % zone_count].add(figures);
         }
         let Some(zones) = &mut self.zones else { return };
--- a/crates/relay/src/upkeep.rs
+++ b/crates/relay/src/upkeep.rs
@@ -74,8 +74,7 @@
 
 fn remove_expired(router: &Router, now: Duration) {
     let mut core = router.core.borrow_mut();
-    core.registry.remove_expired(now);
-    core.usage.remove_expired(now);
+    core.remove_expired(now);
 }
 
 /// Ends the pauses of runners that are over.
