fix(balance,platform): a router that others do not know yet uses no part of their limits

Cause: a router took its part as soon as it knew the others, who still divided the whole among themselves (docs/incidents/2026-12-07-unknown-routers.md).

Change: unless an earlier process of it is listed, it uses its parts of cold and retry limits, and hands out credits, only when the others know it: 2 s after one has confirmed a heartbeat, 4 s after it knows them at the latest.

Routers that are known and not heard kept these limits before. Ten files of process tests that touch limits, starts and the store pass.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -299,7 +299,7 @@
             return true;
         }
         let limits = self.fleet_limits;
-        if self.now < limits.started + COLD_WINDOW {
+        if self.now < limits.used_since() + COLD_WINDOW {
             return false;
         }
         let Some(others) = limits.sharing(self.now, COLD_WINDOW) else { return false };
--- a/crates/balance/src/core.rs
+++ b/crates/balance/src/core.rs
@@ -114,8 +114,8 @@
 
     /// Replaces the limits, except the names of other routers and the start of this process.
     pub fn set_limits(&mut self, limits: FleetLimits) {
-        let FleetLimits { peers, former, started, .. } = self.limits.clone();
-        self.limits = FleetLimits { peers, former, started, ..limits };
+        let FleetLimits { peers, former, started, joined, .. } = self.limits.clone();
+        self.limits = FleetLimits { peers, former, started, joined, ..limits };
         for state in self.services.values_mut() {
             state.budget.set(self.limits.retry_ratio, self.limits.retry_constant);
         }
@@ -126,6 +126,11 @@
         self.limits.set_peers(now, peers);
     }
 
+    /// Records that the other routers, which are to become known now, don't know this one yet.
+    pub fn join(&mut self, now: Duration) {
+        self.limits.join(now);
+    }
+
     /// Replaces the numbers of published routers in the other zones, which report sums.
     pub fn set_zone_sizes(&mut self, routers: IndexMap<Name, usize>) {
         self.zone_sizes = routers;
@@ -139,6 +144,7 @@
     /// Records that another router has received a report of this one that was sent at `at`.
     pub fn confirm_report(&mut self, at: Duration) {
         self.shares.confirm_report(at);
+        self.limits.confirm(at);
     }
 
     /// Adopts a configuration and returns `true`, or returns `false` if it is not newer than the current one.
@@ -162,7 +168,7 @@
     pub fn take_retry(&mut self, now: Duration, service: &Name) -> bool {
         let others = self.limits.sharing(now, self.limits.retry_window);
         let routers = others.map_or(usize::MAX, |others| others.count() + 1);
-        let runs_for = now.saturating_sub(self.limits.started);
+        let runs_for = now.saturating_sub(self.limits.used_since());
         self.service_state(service).budget.take_retry(now, runs_for, routers)
     }
 
--- a/crates/balance/src/core/credits.rs
+++ b/crates/balance/src/core/credits.rs
@@ -153,7 +153,7 @@
 
     /// Returns the credits that are due now, for each router that wants some.
     pub fn issue_credits(&mut self, now: Duration) -> Vec<Credit> {
-        if self.limits.peers.is_none() || now < self.limits.started + SETTLE_TIME {
+        if self.limits.peers.is_none() || now < self.limits.used_since() + SETTLE_TIME {
             return Vec::new();
         }
         let registry = &self.registry;
--- a/crates/balance/tests/common/mod.rs
+++ b/crates/balance/tests/common/mod.rs
@@ -57,6 +57,7 @@
         peers: Some(Vec::new()),
         former: IndexMap::new(),
         started: Duration::ZERO,
+        joined: None,
         cold_factor: 1.5,
         cold_constant: 5.0,
         retry_window: Duration::from_secs(10),
--- a/crates/balance/tests/unheard.rs
+++ b/crates/balance/tests/unheard.rs
@@ -33,6 +33,9 @@
 /// The retries that the fleet may send in a window without requests that earn any.
 const RETRY_CONSTANT: u32 = 58;
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
+/// The time after the return of the store within which all routers know each other.
+const KNOWN_AFTER: Duration = Duration::from_millis(1_600);
+
 /// The numbers of routers, and of those that the others do not hear or know.
 const PARTS: [(usize, usize); 12] = [
     (9, 1),
@@ -171,6 +174,51 @@
     }
 }
 
+/// Plays routers that are added while the store is away for a time, and learn of the others before these learn of them.
+fn play_added(routers: usize, added: usize, away: Duration) -> Sent {
+    let known = routers - added;
+    let mut cores = start_known(known, known);
+    let end = NOW + away;
+    let mut sent = Sent::default();
+    let (first, last) =
+        (NOW.as_millis() as u64, (end + RETRY_WINDOW + Duration::from_secs(3)).as_millis() as u64);
+    for now in (first..last).step_by(2 * step_ms(routers) as usize).map(ms) {
+        if now == NOW + ms(200) {
+            cores.extend((known..routers).map(|number| start(now, number)));
+        }
+        if now == end {
+            for (number, core) in cores.iter_mut().enumerate().skip(known) {
+                core.join(now);
+                core.set_peers(now, others(number, routers));
+            }
+        }
+        if now == end + ms(400) {
+            cores[known..].iter_mut().for_each(|core| core.confirm_report(now));
+        }
+        if now == end + KNOWN_AFTER {
+            for (number, core) in cores.iter_mut().enumerate().take(known) {
+                core.set_peers(now, others(number, routers));
+            }
+        }
+        sent.press(&mut cores, now);
+    }
+    sent
+}
+
+/// Guards against new routers that use parts of limits which others still use, since these do not know them yet.
+#[test]
+fn routers_that_others_do_not_know_yet_use_no_parts_of_cold_and_retry_limits() {
+    for (routers, added) in PARTS {
+        for away in [Duration::from_secs(6), Duration::from_secs(14)] {
+            let sent = play_added(routers, added, away);
+            sent.assert_limits(routers, added);
+            let end = NOW + away + RETRY_WINDOW;
+            let cold = sent.cold_between(end, end + Duration::from_secs(3));
+            assert!(cold >= COLD_USED, "{added} of {routers}: {cold} requests in 3 s");
+        }
+    }
+}
+
 /// The time for which a request runs, and the time between reports, in the plays of places.
 const RUN: Duration = Duration::from_millis(1_500);
 const INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -365,6 +365,11 @@
         self.config_age().is_none_or(|age| age > max_age.mul_f64(REVOCATION_FRACTION))
     }
 
+    /// Records that the other routers, which are to become known now, don't know this one yet.
+    pub fn join(&self) {
+        self.core.borrow_mut().join(self.now());
+    }
+
     /// Updates the names of the routers among which the constant parts of limits are divided.
     pub fn update_peers(&self) {
         let members = self.members.borrow();
@@ -469,6 +474,7 @@
         peers: None,
         former: IndexMap::new(),
         started,
+        joined: None,
         cold_factor: bounds.cold_factor,
         cold_constant: bounds.cold_constant,
         retry_window: Duration::from_secs_f64(bounds.retry_window_s),
