fix(balance): runners that end at one moment under the very same request count each

Cause: crashes less than 50 ms apart count as one, as a failure of power may end several runners.

Change: under a content each runner counts.

The new test failed before.

--- a/crates/balance/src/quarantine.rs
+++ b/crates/balance/src/quarantine.rs
@@ -51,7 +51,7 @@
             (first.at..=last.at).contains(&crash.at) && !own.contains(&crash.incarnation)
         });
         let least = if self.was_answered { MIN_CRASHES_IF_ANSWERED } else { MIN_CRASHES };
-        count(open.iter().copied()) >= least + others.count() / OTHER_CRASHES_PER_CRASH
+        self.count(open.iter().copied()) >= least + others.count() / OTHER_CRASHES_PER_CRASH
     }
 
     fn shares_crashes(&self, other: &Self) -> bool {
@@ -59,9 +59,20 @@
         self.crashes.iter().any(|crash| others.contains(&crash.incarnation))
     }
 
+    /// Returns the number of crashes, those at about the same time counted once, since one failure may end several runners.
+    ///
+    /// Runners that end at one time under the very same request count each: it is sent to several at once when it comes at
+    /// several routers, but sound ones seldom are on all that one failure ends.
+    fn count<'a>(&self, crashes: impl Iterator<Item = &'a Crash>) -> usize {
+        match self.cause {
+            Cause::Content(_) => crashes.count(),
+            Cause::Part(_) => count_spaced(crashes),
+        }
+    }
+
     /// Returns the order of attribution; the lowest is the most likely cause.
     fn rank(&self) -> (bool, Reverse<usize>) {
-        (self.was_answered, Reverse(count(self.crashes.iter())))
+        (self.was_answered, Reverse(self.count(self.crashes.iter())))
     }
 }
 
@@ -96,7 +107,7 @@
 }
 
 /// Returns the number of crashes, those at about the same time counted once.
-pub(crate) fn count<'a>(crashes: impl Iterator<Item = &'a Crash>) -> usize {
+fn count_spaced<'a>(crashes: impl Iterator<Item = &'a Crash>) -> usize {
     let mut last: Option<Duration> = None;
     let mut count = 0;
     for crash in crashes {
--- a/crates/balance/tests/suspect.rs
+++ b/crates/balance/tests/suspect.rs
@@ -89,6 +89,33 @@
     assert!(!is_quarantined(&mut history, NOW, CRASHING));
 }
 
+/// Guards against a request that comes at several routers at one moment, again and again, and ends runners each time.
+#[test]
+fn runners_that_end_at_the_same_moment_under_the_very_same_request_count_each() {
+    let mut history = CrashHistory::default();
+    history.record_crash(NOW, 0, &[CONTENT]);
+    history.record_evidence(NOW, Distance::Zone, &reported(CONTENT, 1, NOW));
+    assert!(!is_quarantined(&mut history, at(1), CONTENT));
+    history.record_evidence(at(1), Distance::Fleet, &reported(CONTENT, 2, NOW));
+    assert!(is_quarantined(&mut history, at(1), CONTENT));
+    history.record_answer(at(2), &[CONTENT]);
+    assert!(!is_quarantined(&mut history, at(2), CONTENT));
+}
+
+/// Guards against a request that is held back since it was on several runners of a zone that failed as a whole.
+#[test]
+fn a_request_that_was_answered_before_runners_ended_at_one_moment_is_held_back_after_five() {
+    let mut history = CrashHistory::default();
+    history.record_crash(NOW, 9, &[CONTENT]);
+    history.record_answer(at(1), &[CONTENT]);
+    for number in 0..4 {
+        history.record_crash(at(2), number, &[CONTENT]);
+    }
+    assert!(!is_quarantined(&mut history, at(2), CONTENT));
+    history.record_crash(at(2), 4, &[CONTENT]);
+    assert!(is_quarantined(&mut history, at(2), CONTENT));
+}
+
 #[test]
 fn an_answer_at_any_router_clears_the_crashes_before_it() {
     for distance in [Distance::Zone, Distance::Fleet] {
